Workspace, shared vocabulary and design

Cause: an empty project. Change: packages, the names, messages, records and manifest that they share, and the design of groups and grants. Conclusion: the packages can now be built side by side.

--- /dev/null
+++ b/decision/src/lib.rs
@@ -0,0 +1,13 @@
+//! Every decision of coltsfoothook, as pure state machines.
+//!
+//! Nothing here reads a clock, does I/O, knows a runtime or takes a lock: an event, the time and a
+//! seeded generator go in, actions come out. The same code runs under HTTP in the entry process, in
+//! the long randomised tests and in the benchmarks. docs/DESIGN.md tells how the parts fit.
+
+mod derive;
+
+pub mod grant;
+pub mod id;
+pub mod manifest;
+pub mod outcome;
+pub mod record;
--- /dev/null
+++ b/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
