Invariant log, engine reports, skeleton of the load tool

The checks inside the program need one place that counts them; the load tool needs its dispatcher so that subcommands can be added as modules of their own.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod grant;
 pub mod id;
+pub mod invariant;
 pub mod manifest;
 pub mod outcome;
 pub mod record;
+pub mod report;
--- a/load/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! placeholder
--- /dev/null
+++ b/load/src/main.rs
@@ -0,0 +1,34 @@
+//! `coltsfoothook-load`: measures the decisions of coltsfoothook and what they cost.
+//!
+//! Each subcommand is a module of its own and prints a table for people or, with `--json`, one
+//! line for programs.
+
+mod compare;
+mod decide;
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+/// Measures coltsfoothook's decisions under load.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum LoadCommand {
+    /// Compares placement with its baselines on the same arrivals.
+    ///
+    /// Example: coltsfoothook-load compare --deployment wanjiru --seeds 5 --json
+    #[bpaf(command("compare"))]
+    Compare(#[bpaf(external(compare::compare_options))] compare::CompareOptions),
+    /// Measures what one routing decision costs.
+    ///
+    /// Example: coltsfoothook-load decide --servers 860 --adapters 16000 --json
+    #[bpaf(command("decide"))]
+    Decide(#[bpaf(external(decide::decide_options))] decide::DecideOptions),
+}
+
+fn main() -> ExitCode {
+    match load_command().run() {
+        LoadCommand::Compare(options) => compare::run(&options),
+        LoadCommand::Decide(options) => decide::run(&options),
+    }
+}
