--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod id;
 pub mod invariant;
 pub mod manifest;
+pub mod member;
+pub mod message;
 pub mod outcome;
 pub mod record;
 pub mod report;
--- a/decision/src/record.rs
+++ b/decision/src/record.rs
@@ -38,6 +38,10 @@
         Snapshot {
             /// The version that it holds.
             version: ConfigVersion,
+            /// The state holds every record before this offset. A reader takes a snapshot only if
+            /// it can fold every record from here on, so one that was appended late changes nothing.
+            #[serde(default)]
+            through: u64,
             /// Publications accepted of late, so that a repeat is still known as one.
             recent: Vec<RecentPublish>,
             /// The manifest.
@@ -133,11 +137,44 @@
         pub draining_vms: Vec<VmName>,
         /// Suspects, sorted by fingerprint.
         pub suspects: Vec<SuspectEntry>,
-        /// The offset up to which the state is folded. A snapshot is taken only by a reader that
-        /// has folded nothing beyond it, so one that was appended late changes nothing.
+        /// Orders that earlier or present owners may still send, sorted by group.
+        #[serde(default)]
+        pub intents: Vec<OpenIntent>,
+        /// Crashes counted already, sorted by server, so that one recorded twice counts once.
+        #[serde(default)]
+        pub crashes: Vec<CrashedLife>,
+        /// The state holds every record before this offset. A snapshot is taken only by a reader
+        /// that has folded nothing beyond it, so one that was appended late changes nothing.
         pub through: u64,
     }
 
+    /// A valid order that its owner may still send, for engines that ignore fencing numbers.
+    pub struct OpenIntent {
+        /// The group.
+        pub group: GroupName,
+        /// The epoch of the owner.
+        pub epoch: OwnerEpoch,
+        /// The owner's counter.
+        pub number: u64,
+        /// The engine.
+        pub server: ServerName,
+        /// The engine's life.
+        pub incarnation: ServerIncarnation,
+        /// The slot to evict, if any.
+        pub evict: Option<SlotName>,
+        /// The slot to load, if any.
+        pub load: Option<SlotName>,
+    }
+
+    /// A life of a server that ended in a crash.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct CrashedLife {
+        /// The server.
+        pub server: ServerName,
+        /// The life.
+        pub incarnation: ServerIncarnation,
+    }
+
     /// Who owns a group.
     pub struct GroupOwnership {
         /// The group.
