Checks of manifests and deltas

Every reader of the configuration stream has to reach the same verdict on a publication, and operators need every fault of a manifest at once, with its place.

--- /dev/null
+++ b/decision/src/check.rs
@@ -0,0 +1,610 @@
+//! Whether a manifest may come into force.
+//!
+//! Acceptance is part of the fold over the configuration stream, so every VM of every release has to
+//! reach the same verdict. The rules here are therefore frozen for the record format that carries
+//! the manifest: a stricter or laxer rule needs a new format number. See docs/OPERATORS.md,
+//! "Manifest", for the rules in an operator's words.
+//!
+//! ```
+//! use coltsfoothook_decision::check::check_manifest;
+//! use coltsfoothook_decision::manifest::ServingManifest;
+//!
+//! assert!(check_manifest(&ServingManifest::default()).is_empty());
+//! ```
+
+use std::fmt;
+use std::ops::RangeInclusive;
+
+use crate::manifest::{
+    AdapterEntry, ClassEntry, EngineEntry, ScheduleEntry, ServerEntry, ServerKind, ServiceEntry,
+    ServingManifest, StoreEntry, TenantEntry, VersionEntry,
+};
+use crate::value;
+
+/// The most bytes in a name. Names travel in paths, in log lines and in slot names.
+pub const MAX_NAME_BYTES: usize = 128;
+/// The most bytes in the path of an adapter's weights.
+pub const MAX_WEIGHTS_BYTES: usize = 1_024;
+/// The most entries in a list of a manifest.
+pub const MAX_ENTRIES: usize = 200_000;
+/// Characters that no name may hold, beside white space and control characters: `@` and `#` divide
+/// the parts of slot names and `/` those of paths; the others need escapes in URLs or in quotes.
+pub const FORBIDDEN_NAME_CHARACTERS: &str = "@#/\\\"?%";
+/// Hexadecimal digits in the SHA-256 hash of a credential.
+pub const CREDENTIAL_DIGITS: usize = 64;
+
+const RATE_RANGE: RangeInclusive<f64> = 0.001..=1_000_000.0;
+const WEIGHT_RANGE: RangeInclusive<f64> = 0.01..=100.0;
+const STALL_WEIGHT_RANGE: RangeInclusive<f64> = 0.0..=1.0;
+const BURST_RANGE: RangeInclusive<u64> = 1..=1_000_000;
+const ADAPTER_SLOTS_RANGE: RangeInclusive<u64> = 1..=4_096;
+const BATCH_SLOTS_RANGE: RangeInclusive<u64> = 1..=65_536;
+const DEADLINE_RANGE: RangeInclusive<u64> = 1..=31 * 86_400_000;
+const QUEUE_RANGE: RangeInclusive<u64> = 1..=1_000_000;
+const DUE_RANGE: RangeInclusive<u64> = 0..=86_399;
+const PERIOD_RANGE: RangeInclusive<u64> = 60..=31 * 86_400;
+const LEAD_RANGE: RangeInclusive<u64> = 0..=86_400;
+const FULL_SPEED_RANGE: RangeInclusive<u64> = 1..=1_000;
+const GROUP_SERVERS_RANGE: RangeInclusive<u64> = 1..=256;
+const METHOD_LETTERS: RangeInclusive<usize> = 1..=20;
+
+value! {
+    /// One thing that is wrong with a manifest.
+    #[derive(Eq)]
+    pub struct ManifestFault {
+        /// Where: `adapters["chiller-log"].versions["7"].weights`. Entries stand under their names,
+        /// and under their positions where the name itself is at fault.
+        pub path: String,
+        /// What kind of fault it is.
+        pub kind: FaultKind,
+        /// What is wrong, with the offending value.
+        pub detail: String,
+        /// The range or the values that are allowed.
+        pub allowed: String,
+    }
+
+    /// Kinds of faults.
+    #[derive(Copy, Eq)]
+    pub enum FaultKind {
+        /// A name, address or credential stands twice.
+        Duplicate,
+        /// Something that is referred to is not there.
+        Dangling,
+        /// A name or a text is empty, too long or holds a forbidden character.
+        BadText,
+        /// A number lies outside its range or is not finite.
+        OutOfRange,
+        /// A list that must hold something is empty, or one is too long.
+        BadLength,
+        /// Two statements contradict each other.
+        Conflict,
+    }
+}
+
+impl fmt::Display for ManifestFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}; allowed: {}", self.path, self.detail, self.allowed)
+    }
+}
+
+/// Checks a whole manifest and tells every fault, in the order of the manifest's parts.
+///
+/// The manifest need not be normalized, so that an offline check can name places in the file as it
+/// was written. The work grows with the size of the manifest times its logarithm.
+#[must_use]
+pub fn check_manifest(manifest: &ServingManifest) -> Vec<ManifestFault> {
+    let names = KnownNames::collect(manifest);
+    let mut report = FaultReport::default();
+    report.check_lists(manifest);
+    report.check_duplicates(manifest);
+    for (at, model) in manifest.models.iter().enumerate() {
+        report.name(&entry_path("models", at, model.name.as_str()), model.name.as_str());
+    }
+    for (at, adapter) in manifest.adapters.iter().enumerate() {
+        report.adapter(at, adapter, &names);
+    }
+    for (at, tenant) in manifest.tenants.iter().enumerate() {
+        report.tenant(at, tenant);
+    }
+    report.credentials(&manifest.tenants);
+    for (at, server) in manifest.servers.iter().enumerate() {
+        report.server(at, server, &names);
+    }
+    report.addresses(&manifest.servers);
+    report.domains(&manifest.servers);
+    for (at, service) in manifest.services.iter().enumerate() {
+        report.service(at, service, &names);
+    }
+    for class in &manifest.classes {
+        report.class(class);
+    }
+    for (at, schedule) in manifest.schedules.iter().enumerate() {
+        report.schedule(at, schedule, manifest, &names);
+    }
+    for (at, store) in manifest.stores.iter().enumerate() {
+        report.store(at, store);
+    }
+    report.real("policy.stall_weight", manifest.policy.stall_weight, &STALL_WEIGHT_RANGE);
+    let group_servers = u64::from(manifest.policy.group_servers);
+    report.whole("policy.group_servers", group_servers, &GROUP_SERVERS_RANGE);
+    report.faults
+}
+
+/// Sorts every list of a manifest, as the look-ups of [`ServingManifest`] require, and writes
+/// credentials in lower case. A manifest without faults has one normal form.
+pub fn normalize(manifest: &mut ServingManifest) {
+    for adapter in &mut manifest.adapters {
+        normalize_adapter(adapter);
+    }
+    for tenant in &mut manifest.tenants {
+        normalize_tenant(tenant);
+    }
+    for service in &mut manifest.services {
+        normalize_service(service);
+    }
+    manifest.models.sort_by(|a, b| a.name.cmp(&b.name));
+    manifest.adapters.sort_by(|a, b| a.name.cmp(&b.name));
+    manifest.tenants.sort_by(|a, b| a.name.cmp(&b.name));
+    manifest.servers.sort_by(|a, b| a.name.cmp(&b.name));
+    manifest.services.sort_by(|a, b| a.name.cmp(&b.name));
+    manifest.classes.sort_by_key(|entry| entry.class);
+    manifest.schedules.sort_by(|a, b| a.name.cmp(&b.name));
+    manifest.stores.sort_by(|a, b| a.region.cmp(&b.region));
+}
+
+fn normalize_adapter(adapter: &mut AdapterEntry) {
+    adapter.versions.sort_by(|a, b| a.version.cmp(&b.version));
+    adapter.tenants.sort();
+}
+
+fn normalize_tenant(tenant: &mut TenantEntry) {
+    for credential in &mut tenant.credentials {
+        credential.make_ascii_lowercase();
+    }
+    tenant.credentials.sort();
+}
+
+fn normalize_service(service: &mut ServiceEntry) {
+    service.tenants.sort();
+    service.repeatable_methods.sort();
+}
+
+/// The names that references are looked up in, sorted.
+struct KnownNames<'a> {
+    models: Vec<&'a str>,
+    /// Adapters with their positions in the manifest, for schedules.
+    adapters: Vec<(&'a str, usize)>,
+    tenants: Vec<&'a str>,
+    services: Vec<&'a str>,
+    regions: Vec<&'a str>,
+}
+
+impl<'a> KnownNames<'a> {
+    fn collect(manifest: &'a ServingManifest) -> Self {
+        let places = manifest.adapters.iter().enumerate();
+        let mut adapters: Vec<_> = places.map(|(at, entry)| (entry.name.as_str(), at)).collect();
+        adapters.sort_unstable();
+        Self {
+            models: sorted(manifest.models.iter().map(|entry| entry.name.as_str())),
+            adapters,
+            tenants: sorted(manifest.tenants.iter().map(|entry| entry.name.as_str())),
+            services: sorted(manifest.services.iter().map(|entry| entry.name.as_str())),
+            regions: sorted(manifest.stores.iter().map(|entry| entry.region.as_str())),
+        }
+    }
+
+    fn adapter<'m>(&self, name: &str, manifest: &'m ServingManifest) -> Option<&'m AdapterEntry> {
+        let found = self.adapters.binary_search_by(|(known, _)| (*known).cmp(name)).ok()?;
+        manifest.adapters.get(self.adapters[found].1)
+    }
+}
+
+fn sorted<'a>(names: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut names: Vec<_> = names.collect();
+    names.sort_unstable();
+    names
+}
+
+/// The path of an entry: under its name if that can be shown, else under its position.
+fn entry_path(list: &str, at: usize, name: &str) -> String {
+    if name.is_empty() || name.len() > MAX_NAME_BYTES {
+        return format!("{list}[{at}]");
+    }
+    format!("{list}[{name:?}]")
+}
+
+fn is_name_character(c: char) -> bool {
+    // Almost all are of these; the search below costs more than the rest of a check.
+    if c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.') {
+        return true;
+    }
+    !c.is_control() && !c.is_whitespace() && !FORBIDDEN_NAME_CHARACTERS.contains(c)
+}
+
+/// A value as it may stand in a message: quoted, and cut where it is too long.
+fn shown(text: &str) -> String {
+    const SHOWN_CHARACTERS: usize = 48;
+    if text.chars().count() <= SHOWN_CHARACTERS {
+        return format!("{text:?}");
+    }
+    let start: String = text.chars().take(SHOWN_CHARACTERS).collect();
+    format!("{start:?} and {} bytes more", text.len() - start.len())
+}
+
+#[derive(Default)]
+struct FaultReport {
+    faults: Vec<ManifestFault>,
+}
+
+impl FaultReport {
+    fn add(&mut self, path: &str, kind: FaultKind, detail: String, allowed: String) {
+        self.faults.push(ManifestFault { path: path.to_owned(), kind, detail, allowed });
+    }
+
+    fn name(&mut self, path: &str, name: &str) {
+        let good = (1..=MAX_NAME_BYTES).contains(&name.len())
+            && name.chars().all(is_name_character)
+            && name != "."
+            && name != "..";
+        if good {
+            return;
+        }
+        let allowed = format!(
+            "1 to {MAX_NAME_BYTES} bytes, no white space, no control characters, none of \
+             {FORBIDDEN_NAME_CHARACTERS}, not \".\" or \"..\""
+        );
+        self.add(
+            path,
+            FaultKind::BadText,
+            format!("the name {} is not allowed", shown(name)),
+            allowed,
+        );
+    }
+
+    fn whole(&mut self, path: &str, value: u64, range: &RangeInclusive<u64>) {
+        if range.contains(&value) {
+            return;
+        }
+        let allowed = format!("{} to {}", range.start(), range.end());
+        self.add(path, FaultKind::OutOfRange, format!("{value} is out of range"), allowed);
+    }
+
+    fn real(&mut self, path: &str, value: f64, range: &RangeInclusive<f64>) {
+        if range.contains(&value) {
+            return;
+        }
+        let allowed = format!("{} to {}", range.start(), range.end());
+        self.add(path, FaultKind::OutOfRange, format!("{value} is out of range"), allowed);
+    }
+
+    fn reference(&mut self, path: &str, name: &str, known: &[&str], what: &str) {
+        if known.binary_search(&name).is_ok() {
+            return;
+        }
+        let detail = format!("there is no {what} {}", shown(name));
+        self.add(
+            path,
+            FaultKind::Dangling,
+            detail,
+            format!("the name of a {what} in the manifest"),
+        );
+    }
+
+    fn check_lists(&mut self, manifest: &ServingManifest) {
+        let lengths = [
+            ("models", manifest.models.len()),
+            ("adapters", manifest.adapters.len()),
+            ("tenants", manifest.tenants.len()),
+            ("servers", manifest.servers.len()),
+            ("services", manifest.services.len()),
+            ("schedules", manifest.schedules.len()),
+            ("stores", manifest.stores.len()),
+        ];
+        for (list, length) in lengths {
+            self.length(list, length, 0);
+        }
+    }
+
+    fn length(&mut self, path: &str, length: usize, least: usize) {
+        if (least..=MAX_ENTRIES).contains(&length) {
+            return;
+        }
+        let allowed = format!("{least} to {MAX_ENTRIES} entries");
+        self.add(path, FaultKind::BadLength, format!("it has {length} entries"), allowed);
+    }
+
+    /// Tells each name that stands more than once in a list, once.
+    fn distinct<'a>(&mut self, list: &str, names: impl Iterator<Item = &'a str> + Clone) {
+        // Accepted manifests are sorted, so a look at neighbours usually settles it.
+        if names.clone().is_sorted_by(|a, b| a < b) {
+            return;
+        }
+        let names = sorted(names);
+        let mut last_told = None;
+        for pair in names.windows(2) {
+            if pair[0] != pair[1] || last_told == Some(pair[0]) {
+                continue;
+            }
+            last_told = Some(pair[0]);
+            let detail = format!("{} stands more than once", shown(pair[0]));
+            self.add(
+                &entry_path(list, 0, pair[0]),
+                FaultKind::Duplicate,
+                detail,
+                "once".to_owned(),
+            );
+        }
+    }
+
+    fn check_duplicates(&mut self, manifest: &ServingManifest) {
+        self.distinct("models", manifest.models.iter().map(|entry| entry.name.as_str()));
+        self.distinct("adapters", manifest.adapters.iter().map(|entry| entry.name.as_str()));
+        self.distinct("tenants", manifest.tenants.iter().map(|entry| entry.name.as_str()));
+        self.distinct("servers", manifest.servers.iter().map(|entry| entry.name.as_str()));
+        self.distinct("services", manifest.services.iter().map(|entry| entry.name.as_str()));
+        self.distinct("classes", manifest.classes.iter().map(|entry| entry.class.as_str()));
+        self.distinct("schedules", manifest.schedules.iter().map(|entry| entry.name.as_str()));
+        self.distinct("stores", manifest.stores.iter().map(|entry| entry.region.as_str()));
+    }
+
+    fn adapter(&mut self, at: usize, adapter: &AdapterEntry, names: &KnownNames<'_>) {
+        let before = self.faults.len();
+        self.adapter_parts(adapter, names);
+        // Almost every adapter is without fault, so its path is made only where one is told.
+        if self.faults.len() > before {
+            let prefix = entry_path("adapters", at, adapter.name.as_str());
+            for fault in &mut self.faults[before..] {
+                fault.path.insert_str(0, &prefix);
+            }
+        }
+    }
+
+    fn adapter_parts(&mut self, adapter: &AdapterEntry, names: &KnownNames<'_>) {
+        self.name(".name", adapter.name.as_str());
+        self.reference(".model", adapter.model.as_str(), &names.models, "model");
+        self.length(".versions", adapter.versions.len(), 1);
+        self.distinct(".versions", adapter.versions.iter().map(|entry| entry.version.as_str()));
+        for (at, version) in adapter.versions.iter().enumerate() {
+            self.version(at, version);
+        }
+        if let Some(default_version) = &adapter.default_version {
+            let known = adapter.versions.iter().any(|entry| entry.version == *default_version);
+            if !known {
+                let detail =
+                    format!("the adapter has no version {}", shown(default_version.as_str()));
+                let allowed = "one of the adapter's versions".to_owned();
+                self.add(".default_version", FaultKind::Dangling, detail, allowed);
+            }
+        }
+        self.tenants(".tenants", adapter.tenants.iter().map(|name| name.as_str()), names);
+    }
+
+    fn tenants<'a>(
+        &mut self,
+        list: &str,
+        tenants: impl Iterator<Item = &'a str> + Clone,
+        names: &KnownNames<'_>,
+    ) {
+        self.distinct(list, tenants.clone());
+        for (at, tenant) in tenants.enumerate() {
+            if names.tenants.binary_search(&tenant).is_err() {
+                let path = entry_path(list, at, tenant);
+                self.reference(&path, tenant, &names.tenants, "tenant");
+            }
+        }
+    }
+
+    fn version(&mut self, at: usize, version: &VersionEntry) {
+        let before = self.faults.len();
+        self.name(".version", version.version.as_str());
+        let weights = &version.weights;
+        let good = !weights.trim().is_empty()
+            && weights.len() <= MAX_WEIGHTS_BYTES
+            && !weights.contains(char::is_control);
+        if !good {
+            let allowed = format!("1 to {MAX_WEIGHTS_BYTES} bytes without control characters");
+            let detail = format!("the path of the weights is {}", shown(weights));
+            self.add(".weights", FaultKind::BadText, detail, allowed);
+        }
+        if self.faults.len() > before {
+            let prefix = entry_path(".versions", at, version.version.as_str());
+            for fault in &mut self.faults[before..] {
+                fault.path.insert_str(0, &prefix);
+            }
+        }
+    }
+
+    fn tenant(&mut self, at: usize, tenant: &TenantEntry) {
+        let path = entry_path("tenants", at, tenant.name.as_str());
+        self.name(&format!("{path}.name"), tenant.name.as_str());
+        if let Some(rate) = tenant.requests_per_s {
+            self.real(&format!("{path}.requests_per_s"), rate, &RATE_RANGE);
+        }
+        self.whole(&format!("{path}.burst"), u64::from(tenant.burst), &BURST_RANGE);
+        self.real(&format!("{path}.weight"), tenant.weight, &WEIGHT_RANGE);
+        for (place, credential) in tenant.credentials.iter().enumerate() {
+            let good = credential.len() == CREDENTIAL_DIGITS
+                && credential.bytes().all(|digit| digit.is_ascii_hexdigit());
+            if good {
+                continue;
+            }
+            // The value is left out: somebody may have put the credential itself in its place.
+            let detail = "it is not the SHA-256 hash of a credential".to_owned();
+            let allowed = format!("{CREDENTIAL_DIGITS} hexadecimal digits");
+            self.add(&format!("{path}.credentials[{place}]"), FaultKind::BadText, detail, allowed);
+        }
+    }
+
+    /// A credential names one tenant; with two, the account that a request runs on is not known.
+    fn credentials(&mut self, tenants: &[TenantEntry]) {
+        let mut places = Vec::new();
+        for (at, tenant) in tenants.iter().enumerate() {
+            for (place, credential) in tenant.credentials.iter().enumerate() {
+                places.push((credential.to_ascii_lowercase(), at, place));
+            }
+        }
+        places.sort_unstable();
+        for pair in places.windows(2) {
+            if pair[0].0 != pair[1].0 {
+                continue;
+            }
+            let (_, at, place) = pair[1];
+            let path = entry_path("tenants", at, tenants[at].name.as_str());
+            let first = tenants[pair[0].1].name.as_str();
+            let detail = format!("the credential belongs to tenant {} too", shown(first));
+            let allowed = "each credential once in the manifest".to_owned();
+            self.add(
+                &format!("{path}.credentials[{place}]"),
+                FaultKind::Duplicate,
+                detail,
+                allowed,
+            );
+        }
+    }
+
+    fn server(&mut self, at: usize, server: &ServerEntry, names: &KnownNames<'_>) {
+        let path = entry_path("servers", at, server.name.as_str());
+        self.name(&format!("{path}.name"), server.name.as_str());
+        self.name(&format!("{path}.domain"), server.domain.as_str());
+        self.name(&format!("{path}.region"), server.region.as_str());
+        let ip = server.address.ip();
+        if server.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            let detail = format!("nothing can be reached at {}", server.address);
+            let allowed = "the IP number of one host and a port from 1 to 65535".to_owned();
+            self.add(&format!("{path}.address"), FaultKind::OutOfRange, detail, allowed);
+        }
+        match &server.serves {
+            ServerKind::Engine(engine) => self.engine(&path, server, engine, names),
+            ServerKind::Service { service } => {
+                let place = format!("{path}.serves.service.service");
+                self.reference(&place, service.as_str(), &names.services, "service");
+            }
+        }
+    }
+
+    fn engine(
+        &mut self,
+        path: &str,
+        server: &ServerEntry,
+        engine: &EngineEntry,
+        names: &KnownNames<'_>,
+    ) {
+        let engine_path = format!("{path}.serves.engine");
+        let model = engine.model.as_str();
+        self.reference(&format!("{engine_path}.model"), model, &names.models, "model");
+        let adapter_slots = u64::from(engine.adapter_slots);
+        self.whole(&format!("{engine_path}.adapter_slots"), adapter_slots, &ADAPTER_SLOTS_RANGE);
+        let batch_slots = u64::from(engine.batch_slots);
+        self.whole(&format!("{engine_path}.batch_slots"), batch_slots, &BATCH_SLOTS_RANGE);
+        if names.regions.binary_search(&server.region.as_str()).is_err() {
+            let detail = format!("region {} has no weight store", shown(server.region.as_str()));
+            let allowed = "a region that stands in `stores`".to_owned();
+            self.add(&format!("{path}.region"), FaultKind::Dangling, detail, allowed);
+        }
+    }
+
+    /// Two servers at one address would be given work and orders for each other's slots.
+    fn addresses(&mut self, servers: &[ServerEntry]) {
+        let places = servers.iter().enumerate();
+        let mut places: Vec<_> = places.map(|(at, server)| (server.address, at)).collect();
+        places.sort_unstable();
+        for pair in places.windows(2) {
+            if pair[0].0 != pair[1].0 {
+                continue;
+            }
+            let path = entry_path("servers", pair[1].1, servers[pair[1].1].name.as_str());
+            let first = servers[pair[0].1].name.as_str();
+            let detail = format!("server {} has the address {} too", shown(first), pair[1].0);
+            let allowed = "each address once in the manifest".to_owned();
+            self.add(&format!("{path}.address"), FaultKind::Duplicate, detail, allowed);
+        }
+    }
+
+    /// A failure domain lies in one region; otherwise the loss of the domain cannot be reckoned with.
+    fn domains(&mut self, servers: &[ServerEntry]) {
+        let places = servers.iter().enumerate();
+        let mut places: Vec<_> = places
+            .map(|(at, server)| (server.domain.as_str(), server.region.as_str(), at))
+            .collect();
+        places.sort_unstable();
+        for pair in places.windows(2) {
+            if pair[0].0 != pair[1].0 || pair[0].1 == pair[1].1 {
+                continue;
+            }
+            let path = entry_path("servers", pair[1].2, servers[pair[1].2].name.as_str());
+            let detail = format!(
+                "failure domain {} lies in region {} too",
+                shown(pair[1].0),
+                shown(pair[0].1)
+            );
+            let allowed = "each failure domain in one region".to_owned();
+            self.add(&format!("{path}.domain"), FaultKind::Conflict, detail, allowed);
+        }
+    }
+
+    fn service(&mut self, at: usize, service: &ServiceEntry, names: &KnownNames<'_>) {
+        let path = entry_path("services", at, service.name.as_str());
+        self.name(&format!("{path}.name"), service.name.as_str());
+        self.tenants(
+            &format!("{path}.tenants"),
+            service.tenants.iter().map(|name| name.as_str()),
+            names,
+        );
+        for (place, method) in service.repeatable_methods.iter().enumerate() {
+            let good = METHOD_LETTERS.contains(&method.len())
+                && method.bytes().all(|letter| letter.is_ascii_uppercase());
+            if !good {
+                let path = format!("{path}.repeatable_methods[{place}]");
+                let detail = format!("{} is no method", shown(method));
+                let allowed = "an HTTP method in upper case, such as GET".to_owned();
+                self.add(&path, FaultKind::BadText, detail, allowed);
+            }
+        }
+    }
+
+    fn class(&mut self, class: &ClassEntry) {
+        let path = entry_path("classes", 0, class.class.as_str());
+        self.whole(&format!("{path}.deadline_ms"), class.deadline_ms, &DEADLINE_RANGE);
+        self.whole(&format!("{path}.queue"), u64::from(class.queue), &QUEUE_RANGE);
+    }
+
+    fn schedule(
+        &mut self,
+        at: usize,
+        schedule: &ScheduleEntry,
+        manifest: &ServingManifest,
+        names: &KnownNames<'_>,
+    ) {
+        let path = entry_path("schedules", at, &schedule.name);
+        self.name(&format!("{path}.name"), &schedule.name);
+        match names.adapter(schedule.adapter.as_str(), manifest) {
+            None => {
+                let detail = format!("there is no adapter {}", shown(schedule.adapter.as_str()));
+                let allowed = "the name of an adapter in the manifest".to_owned();
+                self.add(&format!("{path}.adapter"), FaultKind::Dangling, detail, allowed);
+            }
+            Some(adapter) => {
+                let known = adapter.versions.iter().any(|entry| entry.version == schedule.version);
+                if !known {
+                    let detail = format!(
+                        "adapter {} has no version {}",
+                        shown(adapter.name.as_str()),
+                        shown(schedule.version.as_str())
+                    );
+                    let allowed = "one of the adapter's versions".to_owned();
+                    self.add(&format!("{path}.version"), FaultKind::Dangling, detail, allowed);
+                }
+            }
+        }
+        self.whole(&format!("{path}.due_s"), u64::from(schedule.due_s), &DUE_RANGE);
+        self.whole(&format!("{path}.every_s"), u64::from(schedule.every_s), &PERIOD_RANGE);
+        self.whole(&format!("{path}.lead_s"), u64::from(schedule.lead_s), &LEAD_RANGE);
+    }
+
+    fn store(&mut self, at: usize, store: &StoreEntry) {
+        let path = entry_path("stores", at, store.region.as_str());
+        self.name(&format!("{path}.region"), store.region.as_str());
+        self.real(&format!("{path}.loads_per_s"), store.loads_per_s, &RATE_RANGE);
+        self.whole(&format!("{path}.full_speed"), u64::from(store.full_speed), &FULL_SPEED_RANGE);
+    }
+}
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod derive;
 
+pub mod check;
+pub mod delta;
 pub mod grant;
 pub mod id;
 pub mod invariant;
--- a/decision/src/outcome.rs
+++ b/decision/src/outcome.rs
@@ -84,6 +84,12 @@
     }
 }
 
+impl AsRef<str> for RequestClass {
+    fn as_ref(&self) -> &str {
+        self.as_str()
+    }
+}
+
 impl RequestOutcome {
     /// The outcome's name in problem documents, metrics and logs.
     #[must_use]
--- /dev/null
+++ b/decision/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions, one file a feature.
+
+mod manifest_faults;
