--- /dev/null
+++ b/exchange/src/client.rs
@@ -0,0 +1,240 @@
+//! Sends a request and waits for the head of its answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::answer::{AnswerBody, ExchangeAnswer};
+use crate::counted::{CountedStream, WrittenCount};
+use crate::error::{ExchangeError, ExchangeStage};
+use crate::pool::{ConnectionPool, OpenConnection};
+
+/// Times and bounds of exchanges. All times are in milliseconds.
+#[derive(Clone, Debug)]
+pub struct ExchangeSettings {
+    /// For opening a connection.
+    pub connect_ms: u64,
+    /// For the head of the answer, unless the request states another time.
+    pub head_ms: u64,
+    /// For each further piece of the answer's body.
+    pub body_ms: u64,
+    /// How long an idle connection is kept.
+    pub keep_ms: u64,
+    /// Idle connections kept for each server.
+    pub idle_connections: usize,
+    /// The longest head of an answer, in bytes; at least 8,192.
+    pub max_head_bytes: usize,
+}
+
+impl Default for ExchangeSettings {
+    fn default() -> Self {
+        Self {
+            connect_ms: 1_000,
+            head_ms: 30_000,
+            body_ms: 30_000,
+            keep_ms: 20_000,
+            idle_connections: 64,
+            max_head_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct ExchangeRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers besides `Host` and the body's length.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Whether it needs a connection of its own. A kept connection may be dead without our knowing,
+    /// and then the outcome would be "unknown" where a fresh connection yields a clear "not sent".
+    pub fresh: bool,
+    /// How long to wait for the head of the answer; none means the setting.
+    pub head_within: Option<Duration>,
+}
+
+impl ExchangeRequest {
+    /// A request without a body.
+    #[must_use]
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            fresh: false,
+            head_within: None,
+        }
+    }
+
+    /// A `GET`.
+    #[must_use]
+    pub fn get(path: impl Into<String>) -> Self {
+        Self::new(Method::GET, path)
+    }
+
+    /// A `POST` of JSON.
+    #[must_use]
+    pub fn post_json(path: impl Into<String>, body: impl Into<Bytes>) -> Self {
+        let mut request = Self::new(Method::POST, path);
+        request.headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        request.body = body.into();
+        request
+    }
+
+    fn into_http(self, address: SocketAddr) -> Result<Request<Full<Bytes>>, ExchangeError> {
+        let mut request = Request::builder()
+            .method(self.method)
+            .uri(&self.path)
+            .body(Full::new(self.body))
+            .map_err(|error| ExchangeError::NotSent { cause: error.to_string() })?;
+        *request.headers_mut() = self.headers;
+        let host = HeaderValue::from_str(&address.to_string())
+            .map_err(|error| ExchangeError::NotSent { cause: error.to_string() })?;
+        request.headers_mut().insert(header::HOST, host);
+        Ok(request)
+    }
+}
+
+/// The client; clones share their connections.
+#[derive(Clone)]
+pub struct ExchangeClient {
+    settings: ExchangeSettings,
+    pool: ConnectionPool,
+}
+
+impl ExchangeClient {
+    /// A client without connections yet.
+    #[must_use]
+    pub fn new(settings: ExchangeSettings) -> Self {
+        let keep = Duration::from_millis(settings.keep_ms);
+        let pool = ConnectionPool::new(keep, settings.idle_connections);
+        Self { settings, pool }
+    }
+
+    /// Sends `request` at most once and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Each variant of [`ExchangeError`] tells how far the exchange came.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: ExchangeRequest,
+    ) -> Result<ExchangeAnswer, ExchangeError> {
+        let fresh = request.fresh;
+        let head_within =
+            request.head_within.unwrap_or(Duration::from_millis(self.settings.head_ms));
+        let mut message = request.into_http(address)?;
+        loop {
+            let kept = if fresh { None } else { self.pool.take(address) };
+            let connection = match kept {
+                Some(connection) => connection,
+                None => self.connect(address).await?,
+            };
+            let reused = connection.reused;
+            message = match self.exchange(address, connection, message, head_within).await {
+                Ok(answer) => return Ok(answer),
+                // The library gives the message back only if it never began to write it, so
+                // trying another connection cannot run it twice. A kept connection that died
+                // while idle ends here; a new one that dies at once is an error.
+                Err(Failure::Unwritten { message, .. }) if reused => message,
+                Err(Failure::Unwritten { cause, .. }) => {
+                    return Err(ExchangeError::NotSent { cause });
+                }
+                Err(Failure::Ended(error)) => return Err(error),
+            };
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, ExchangeError> {
+        let limit = Duration::from_millis(self.settings.connect_ms);
+        let not_sent = |cause: String| ExchangeError::NotSent { cause };
+        let stream = timeout(limit, TcpStream::connect(address))
+            .await
+            .map_err(|_| ExchangeError::TimedOut { stage: ExchangeStage::Connect })?
+            .map_err(|error| not_sent(error.to_string()))?;
+        stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
+        let written = WrittenCount::default();
+        let stream = TokioIo::new(CountedStream::new(stream, written.clone()));
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(self.settings.max_head_bytes.max(8_192))
+            .handshake(stream)
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        // The connection's own errors also reach the exchange that uses it.
+        tokio::spawn(async move { drop(connection.await) });
+        Ok(OpenConnection { sender, written, reused: false })
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut connection: OpenConnection,
+        message: Request<Full<Bytes>>,
+        head_within: Duration,
+    ) -> Result<ExchangeAnswer, Failure> {
+        let before = connection.written.get();
+        let result = timeout(head_within, connection.sender.try_send_request(message)).await;
+        let Ok(result) = result else {
+            return Err(Failure::Ended(ExchangeError::TimedOut { stage: ExchangeStage::Head }));
+        };
+        let mut error = match result {
+            Ok(response) => return Ok(self.answer(address, connection, response)),
+            Err(error) => error,
+        };
+        let cause = error_chain(error.error());
+        if let Some(message) = error.take_message() {
+            return Err(Failure::Unwritten { message, cause });
+        }
+        let untouched = connection.written.get() == before;
+        Err(Failure::Ended(if untouched {
+            ExchangeError::NotSent { cause }
+        } else {
+            ExchangeError::Sent { cause }
+        }))
+    }
+
+    fn answer(
+        &self,
+        address: SocketAddr,
+        connection: OpenConnection,
+        response: http::Response<Incoming>,
+    ) -> ExchangeAnswer {
+        let (parts, body) = response.into_parts();
+        let limit = Duration::from_millis(self.settings.body_ms);
+        let body = AnswerBody::new(body, limit, address, connection, self.pool.clone());
+        ExchangeAnswer { status: parts.status, headers: parts.headers, body }
+    }
+}
+
+/// How one attempt on one connection ended.
+enum Failure {
+    /// The message was never begun and is given back.
+    Unwritten { message: Request<Full<Bytes>>, cause: String },
+    /// The exchange is over.
+    Ended(ExchangeError),
+}
+
+/// An error with its sources in one line, for logs.
+pub(crate) fn error_chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(inner) = source {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        source = inner.source();
+    }
+    text
+}
