--- /dev/null
+++ b/engine/src/http_engine.rs
@@ -0,0 +1,311 @@
+//! Model engines over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use coltsfoothook_decision::id::{OwnerEpoch, RequestId};
+use coltsfoothook_decision::report::EngineReport;
+use coltsfoothook_exchange::{
+    ExchangeAnswer, ExchangeClient, ExchangeError, ExchangeRequest, ExchangeSettings, path_segment,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::client::{EngineClient, RunAnswer, RunCall};
+use crate::error::{OrderError, RunError};
+use crate::wire::{CacheEventPage, KvExport, LoadOrder, RoleOrder, UnloadOrder};
+
+/// Carries the request's id.
+pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+/// Carries the fencing number of an order.
+pub const FENCING_HEADER: HeaderName = HeaderName::from_static("x-fencing-number");
+const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The bound on an error's body and on the reason taken from it.
+const ERROR_BODY_BYTES: usize = 16 * 1024;
+const REASON_CHARS: usize = 400;
+
+const CODE_SLOTS_FULL: &str = "slots_full";
+const CODE_STALE_FENCING: &str = "stale_fencing";
+const CODE_LOAD_FAILED: &str = "load_failed";
+
+/// Settings of [`HttpEngine`].
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// How long a load may take until its effect is held to be unknown, in milliseconds.
+    pub load_ms: u64,
+    /// The same for other orders and questions.
+    pub answer_ms: u64,
+    /// The longest report, page or KV export that is read, in bytes.
+    pub max_answer_bytes: usize,
+    /// Connections, and times of runs.
+    pub exchange: ExchangeSettings,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            load_ms: 15_000,
+            answer_ms: 1_000,
+            max_answer_bytes: 8 * 1024 * 1024,
+            exchange: ExchangeSettings {
+                connect_ms: 500,
+                head_ms: 120_000,
+                ..ExchangeSettings::default()
+            },
+        }
+    }
+}
+
+/// The client; its connections are shared by all engines' calls.
+pub struct HttpEngine {
+    settings: EngineSettings,
+    client: ExchangeClient,
+}
+
+#[derive(Serialize)]
+struct LoadBody<'a> {
+    lora_name: &'a str,
+    lora_path: &'a str,
+}
+
+#[derive(Serialize)]
+struct UnloadBody<'a> {
+    lora_name: &'a str,
+}
+
+#[derive(Serialize)]
+struct RoleBody {
+    role: crate::wire::EngineRole,
+}
+
+#[derive(Deserialize, Default)]
+struct ErrorBody {
+    #[serde(default)]
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize, Default)]
+struct ErrorDetail {
+    #[serde(default)]
+    message: String,
+    /// Text here, but a number at some engines.
+    #[serde(default)]
+    code: serde_json::Value,
+}
+
+impl HttpEngine {
+    /// A client without connections yet.
+    #[must_use]
+    pub fn new(settings: EngineSettings) -> Self {
+        let client = ExchangeClient::new(settings.exchange.clone());
+        Self { settings, client }
+    }
+
+    async fn order(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+        fencing: OwnerEpoch,
+        within_ms: u64,
+    ) -> Result<(), OrderError> {
+        let mut request = ExchangeRequest::post_json(path, json(body)?);
+        request.headers.insert(FENCING_HEADER, HeaderValue::from(fencing.0));
+        self.ask(address, request, within_ms).await.map(drop)
+    }
+
+    async fn question<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: String,
+    ) -> Result<T, OrderError> {
+        let request = ExchangeRequest::get(path);
+        let body = self.ask(address, request, self.settings.answer_ms).await?;
+        serde_json::from_slice(&body)
+            .map_err(|error| OrderError::BadAnswer { cause: error.to_string() })
+    }
+
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        mut request: ExchangeRequest,
+        within_ms: u64,
+    ) -> Result<Bytes, OrderError> {
+        request.head_within = Some(Duration::from_millis(within_ms));
+        let answer = self.client.send(address, request).await?;
+        if !answer.status.is_success() {
+            return Err(order_error(answer).await);
+        }
+        Ok(answer.body.collect(self.settings.max_answer_bytes).await?)
+    }
+}
+
+#[async_trait]
+impl EngineClient for HttpEngine {
+    async fn load(&self, address: SocketAddr, order: &LoadOrder) -> Result<(), OrderError> {
+        let body = LoadBody { lora_name: order.slot.as_str(), lora_path: &order.weights };
+        let within_ms = self.settings.load_ms;
+        self.order(address, "/v1/load_lora_adapter", &body, order.fencing, within_ms).await
+    }
+
+    async fn unload(&self, address: SocketAddr, order: &UnloadOrder) -> Result<(), OrderError> {
+        let body = UnloadBody { lora_name: order.slot.as_str() };
+        let within_ms = self.settings.answer_ms;
+        absent_is_done(
+            self.order(address, "/v1/unload_lora_adapter", &body, order.fencing, within_ms).await,
+        )
+    }
+
+    async fn role(&self, address: SocketAddr, order: &RoleOrder) -> Result<(), OrderError> {
+        let body = RoleBody { role: order.role };
+        self.order(address, "/v1/role", &body, order.fencing, self.settings.answer_ms).await
+    }
+
+    async fn report(&self, address: SocketAddr) -> Result<EngineReport, OrderError> {
+        self.question(address, "/v1/load_report".to_owned()).await
+    }
+
+    async fn run(&self, address: SocketAddr, call: RunCall) -> Result<RunAnswer, RunError> {
+        let mut request = ExchangeRequest::post_json(call.path.as_str(), call.body);
+        let id = header_value(call.id.as_str())?;
+        request.headers.insert(REQUEST_ID_HEADER, id);
+        if let Some(key) = &call.key {
+            request.headers.insert(IDEMPOTENCY_HEADER, header_value(key.as_str())?);
+        }
+        request.fresh = !call.repeatable;
+        request.head_within = call.within;
+        let result = run_answer(self.client.send(address, request).await?).await;
+        match result {
+            // The only thing that a run names is its slot.
+            Err(RunError::Refused { status: StatusCode::NOT_FOUND, .. }) => {
+                Err(RunError::SlotMissing)
+            }
+            result => result,
+        }
+    }
+
+    async fn resume(
+        &self,
+        address: SocketAddr,
+        id: &RequestId,
+        from: u32,
+    ) -> Result<RunAnswer, RunError> {
+        let request =
+            ExchangeRequest::get(format!("/v1/streams/{}?from={from}", path_segment(id.as_str())?));
+        run_answer(self.client.send(address, request).await?).await
+    }
+
+    async fn cancel(&self, address: SocketAddr, id: &RequestId) -> Result<(), OrderError> {
+        let request = ExchangeRequest::new(
+            Method::DELETE,
+            format!("/v1/streams/{}", path_segment(id.as_str())?),
+        );
+        absent_is_done(self.ask(address, request, self.settings.answer_ms).await.map(drop))
+    }
+
+    async fn export_kv(&self, address: SocketAddr, id: &RequestId) -> Result<KvExport, OrderError> {
+        self.question(address, format!("/v1/kv/{}", path_segment(id.as_str())?)).await
+    }
+
+    async fn import_kv(
+        &self,
+        address: SocketAddr,
+        id: &RequestId,
+        kv: &KvExport,
+    ) -> Result<(), OrderError> {
+        let mut request =
+            ExchangeRequest::post_json(format!("/v1/kv/{}", path_segment(id.as_str())?), json(kv)?);
+        request.method = Method::PUT;
+        self.ask(address, request, self.settings.answer_ms).await.map(drop)
+    }
+
+    async fn cache_events(
+        &self,
+        address: SocketAddr,
+        from: u64,
+    ) -> Result<CacheEventPage, OrderError> {
+        self.question(address, format!("/v1/cache_events?from={from}")).await
+    }
+}
+
+fn json(body: &impl Serialize) -> Result<Vec<u8>, OrderError> {
+    serde_json::to_vec(body).map_err(|error| OrderError::OrderNotSent { cause: error.to_string() })
+}
+
+fn header_value(text: &str) -> Result<HeaderValue, RunError> {
+    HeaderValue::from_str(text).map_err(|error| RunError::NotSent { cause: error.to_string() })
+}
+
+/// An unload or a cancellation asks for an end state, so its absence is a success. Without this a
+/// lost answer, sent again, would look like a failure.
+fn absent_is_done(result: Result<(), OrderError>) -> Result<(), OrderError> {
+    match result {
+        Err(OrderError::NotFound) => Ok(()),
+        other => other,
+    }
+}
+
+async fn run_answer(answer: ExchangeAnswer) -> Result<RunAnswer, RunError> {
+    if !answer.status.is_success() {
+        return Err(run_error(answer).await);
+    }
+    let content_type = content_type(&answer.headers);
+    Ok(RunAnswer { status: answer.status, content_type, body: answer.body })
+}
+
+/// A client error or "unavailable" is stated before a run begins; any other server error may come
+/// from the middle of one.
+async fn run_error(answer: ExchangeAnswer) -> RunError {
+    let status = answer.status;
+    let detail = match error_detail(answer).await {
+        Ok(detail) => detail,
+        Err(error) => return RunError::from(error),
+    };
+    let reason = detail.message;
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => RunError::Refused { status, reason },
+        status if status.is_client_error() => RunError::Refused { status, reason },
+        status => RunError::Failed { status, reason },
+    }
+}
+
+async fn order_error(answer: ExchangeAnswer) -> OrderError {
+    let status = answer.status;
+    let detail = match error_detail(answer).await {
+        Ok(detail) => detail,
+        Err(error) => return OrderError::from(error),
+    };
+    let reason = detail.message;
+    match detail.code.as_str().unwrap_or_default() {
+        CODE_STALE_FENCING => OrderError::StaleFencing,
+        CODE_SLOTS_FULL => OrderError::SlotsFull,
+        CODE_LOAD_FAILED => OrderError::LoadFailed { reason },
+        _ if status == StatusCode::NOT_FOUND => OrderError::NotFound,
+        _ if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
+            OrderError::OrderRefused { status, reason }
+        }
+        _ => OrderError::EffectUnknown { cause: format!("{status} {reason}") },
+    }
+}
+
+async fn error_detail(answer: ExchangeAnswer) -> Result<ErrorDetail, ExchangeError> {
+    let body = match answer.body.collect(ERROR_BODY_BYTES).await {
+        Ok(body) => body,
+        // The status alone says enough; only the reason is lost.
+        Err(ExchangeError::TooLarge { .. }) => Bytes::new(),
+        Err(error) => return Err(error),
+    };
+    let parsed: ErrorBody = serde_json::from_slice(&body).unwrap_or_default();
+    let mut detail = parsed.error;
+    detail.message = detail.message.chars().take(REASON_CHARS).collect();
+    Ok(detail)
+}
+
+fn content_type(headers: &HeaderMap) -> String {
+    let value = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    value.unwrap_or("application/json").to_owned()
+}
--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -149,7 +149,7 @@
                 // The library gives the message back only if it never began to write it, so
                 // trying another connection cannot run it twice. A kept connection that died
                 // while idle ends here; a new one that dies at once is an error.
-                Err(Failure::Unwritten { message, .. }) if reused => message,
+                Err(Failure::Unwritten { message, .. }) if reused => *message,
                 Err(Failure::Unwritten { cause, .. }) => {
                     return Err(ExchangeError::NotSent { cause });
                 }
@@ -188,7 +188,9 @@
         let before = connection.written.get();
         let result = timeout(head_within, connection.sender.try_send_request(message)).await;
         let Ok(result) = result else {
-            return Err(Failure::Ended(ExchangeError::TimedOut { stage: ExchangeStage::Head }));
+            let untouched = connection.written.seal() == before;
+            let stage = if untouched { ExchangeStage::Connect } else { ExchangeStage::Head };
+            return Err(Failure::Ended(ExchangeError::TimedOut { stage }));
         };
         let mut error = match result {
             Ok(response) => return Ok(self.answer(address, connection, response)),
@@ -196,9 +198,9 @@
         };
         let cause = error_chain(error.error());
         if let Some(message) = error.take_message() {
-            return Err(Failure::Unwritten { message, cause });
+            return Err(Failure::Unwritten { message: Box::new(message), cause });
         }
-        let untouched = connection.written.get() == before;
+        let untouched = connection.written.seal() == before;
         Err(Failure::Ended(if untouched {
             ExchangeError::NotSent { cause }
         } else {
@@ -219,10 +221,26 @@
     }
 }
 
+/// Checks that `text` can stand as one segment of a path without escapes.
+///
+/// Ids come from outside; one with a slash or a question mark would reach another endpoint.
+///
+/// # Errors
+///
+/// [`ExchangeError::NotSent`] if it is empty or has other characters than letters, digits and
+/// `.`, `_`, `-`, `~`, `:`, `@`.
+pub fn path_segment(text: &str) -> Result<&str, ExchangeError> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-~:@".contains(&byte);
+    if !text.is_empty() && text != "." && text != ".." && text.bytes().all(plain) {
+        return Ok(text);
+    }
+    Err(ExchangeError::NotSent { cause: format!("{text:?} cannot stand in a path") })
+}
+
 /// How one attempt on one connection ended.
 enum Failure {
     /// The message was never begun and is given back.
-    Unwritten { message: Request<Full<Bytes>>, cause: String },
+    Unwritten { message: Box<Request<Full<Bytes>>>, cause: String },
     /// The exchange is over.
     Ended(ExchangeError),
 }
--- a/exchange/src/counted.rs
+++ b/exchange/src/counted.rs
@@ -2,30 +2,54 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Bytes written to a connection so far, shared with its user.
+/// Bytes written to a connection so far, shared with its user, who can also stop all writing.
 ///
-/// An error after a request was handed to the HTTP library does not say whether any byte went out.
-/// If the count stands where it stood before, none did, and the request certainly did not run.
+/// An error after a request was handed to the HTTP library does not say whether any byte went out,
+/// nor whether the library will still write some. [`WrittenCount::seal`] answers both: nothing is
+/// written after it, and if the count stands where it stood before, the request did not run. The
+/// lock is held over each write, so that no write is under way when the seal returns.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct WrittenCount(Arc<AtomicU64>);
+pub(crate) struct WrittenCount(Arc<Mutex<WriteState>>);
+
+#[derive(Debug, Default)]
+struct WriteState {
+    count: u64,
+    sealed: bool,
+}
 
 impl WrittenCount {
     /// The bytes so far.
     pub(crate) fn get(&self) -> u64 {
-        self.0.load(Ordering::Acquire)
+        self.lock().count
     }
 
-    fn add(&self, result: &Poll<io::Result<usize>>) {
+    /// Forbids further writes and tells the bytes written in all.
+    pub(crate) fn seal(&self) -> u64 {
+        let mut state = self.lock();
+        state.sealed = true;
+        state.count
+    }
+
+    fn write(&self, poll: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let mut state = self.lock();
+        if state.sealed {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        let result = poll();
         if let Poll::Ready(Ok(count)) = result {
-            self.0.fetch_add(*count as u64, Ordering::AcqRel);
+            state.count += count as u64;
         }
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, WriteState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -58,9 +82,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.written.add(&result);
-        result
+        let Self { stream, written } = &mut *self;
+        written.write(|| Pin::new(stream).poll_write(cx, bytes))
     }
 
     fn poll_write_vectored(
@@ -68,9 +91,8 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
-        self.written.add(&result);
-        result
+        let Self { stream, written } = &mut *self;
+        written.write(|| Pin::new(stream).poll_write_vectored(cx, slices))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/exchange/src/error.rs
+++ b/exchange/src/error.rs
@@ -5,7 +5,7 @@
 /// The part of an exchange that took too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExchangeStage {
-    /// Opening the connection; nothing was sent.
+    /// Opening the connection, or waiting to write the first byte; nothing was sent.
     Connect,
     /// From the first byte written to the head of the answer.
     Head,
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -25,5 +25,5 @@
 mod pool;
 
 pub use answer::{AnswerBody, ExchangeAnswer};
-pub use client::{ExchangeClient, ExchangeRequest, ExchangeSettings};
+pub use client::{ExchangeClient, ExchangeRequest, ExchangeSettings, path_segment};
 pub use error::{ExchangeError, ExchangeStage};
--- a/exchange/src/pool.rs
+++ b/exchange/src/pool.rs
@@ -52,7 +52,9 @@
         let mut shard = self.shard(address);
         let at = shard.binary_search_by_key(&address, |server| server.address).ok()?;
         let idle = &mut shard[at].idle;
-        idle.retain(|entry| !entry.connection.sender.is_closed() && entry.since.elapsed() < self.keep);
+        idle.retain(|entry| {
+            !entry.connection.sender.is_closed() && entry.since.elapsed() < self.keep
+        });
         // The newest first: the older ones then run out of time when load falls.
         let ready = idle.iter().rposition(|entry| entry.connection.sender.is_ready());
         let found = ready.map(|index| idle.swap_remove(index).connection);
--- a/service/src/lib.rs
+++ b/service/src/lib.rs
@@ -1,1 +1,21 @@
-//! placeholder
+//! Client of plain services.
+//!
+//! A call is passed on with its method, path, headers and body. Some calls may not be repeated, so
+//! [`ServiceError`] tells at which stage a call failed, and [`HttpService`] sends each at most once.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), coltsfoothook_service::ServiceError> {
+//! use coltsfoothook_service::{HttpService, ServiceCall, ServiceClient, ServiceSettings};
+//!
+//! let service = HttpService::new(ServiceSettings::default());
+//! let address = "127.0.0.1:9100".parse().unwrap();
+//! let answer = service.call(address, ServiceCall::get("/readings")).await?;
+//! println!("{}", answer.status);
+//! # Ok(()) }
+//! ```
+
+mod client;
+
+pub use client::{
+    HttpService, ServiceAnswer, ServiceCall, ServiceClient, ServiceError, ServiceSettings,
+};
