--- /dev/null
+++ b/decision/src/fleet.rs
@@ -0,0 +1,462 @@
+//! What becomes of engines and of entry VMs: reports, restarts, crashes, and held grants.
+
+use rand::Rng;
+
+use crate::adapter::SlotChoice;
+use crate::grant::{GrantId, HeldGrant, ReleaseCall};
+use crate::id::{
+    MICROS_PER_MILLI, RequestFingerprint, ServerIncarnation, ServerName, SlotName, TimePoint,
+    VmIdentity, VmName,
+};
+use crate::owner::{GroupOwner, GroupTopology, OwnerAction, OwnerNote};
+use crate::report::{EngineReport, SlotReport};
+use crate::slot::{EngineState, SlotPhase, SlotState, parse_slot};
+use crate::suspect::SuspectVerdict;
+
+/// A grant of an earlier epoch that a VM holds.
+#[derive(Clone, Debug)]
+pub(crate) struct ForeignGrant {
+    grant: GrantId,
+    holder: VmIdentity,
+    server: usize,
+    slot: SlotName,
+    fingerprint: RequestFingerprint,
+    orphaned: Option<TimePoint>,
+}
+
+/// A VM that must tell what it holds before inherited slots may be evicted.
+#[derive(Clone, Debug)]
+pub(crate) struct VmNeed {
+    vm: VmName,
+    answered: bool,
+    gone_since: Option<TimePoint>,
+}
+
+/// The most grants of earlier epochs that are kept.
+const FOREIGN_GRANTS: usize = 65_536;
+
+impl GroupOwner {
+    pub(crate) fn set_topology(&mut self, topology: GroupTopology) {
+        for engine in &mut self.engines {
+            engine.listed = false;
+        }
+        for info in &topology.engines {
+            match self.engines.iter_mut().find(|engine| engine.info.server == info.server) {
+                Some(engine) => {
+                    engine.info = info.clone();
+                    engine.listed = true;
+                }
+                None => self.engines.push(EngineState::new(info.clone())),
+            }
+        }
+        self.budget.set_share(topology.store);
+        self.queue.set_tenants(&topology.tenants);
+        self.topology = topology;
+    }
+
+    fn engine(&self, server: &ServerName) -> Option<usize> {
+        self.engines.iter().position(|engine| engine.info.server == *server)
+    }
+
+    pub(crate) fn server_draining(&mut self, now: TimePoint, server: &ServerName, draining: bool) {
+        let Some(at) = self.engine(server) else { return };
+        let engine = &mut self.engines[at];
+        engine.draining = draining;
+        engine.draining_since = draining.then_some(engine.draining_since.unwrap_or(now));
+    }
+
+    pub(crate) fn report(
+        &mut self,
+        now: TimePoint,
+        server: &ServerName,
+        report: &EngineReport,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let Some(at) = self.engine(server) else { return };
+        let engine = &mut self.engines[at];
+        if engine.is_past(report.incarnation) {
+            return;
+        }
+        let same_life = engine.incarnation == Some(report.incarnation);
+        if same_life && report.sequence <= engine.sequence {
+            return;
+        }
+        engine.failed_reports = 0;
+        engine.down = false;
+        if !same_life {
+            self.restarted(now, at, report.incarnation, actions);
+        }
+        let settle = self.settings.broken_settle_ms * MICROS_PER_MILLI;
+        let engine = &mut self.engines[at];
+        engine.sequence = report.sequence;
+        engine.waiting = report.waiting;
+        engine.broken.retain(|run| now.since(run.at) < settle);
+        for slot in &report.slots {
+            self.slot_reported(now, at, slot, actions);
+        }
+        self.find_lost(now, at, report, actions);
+    }
+
+    fn restarted(
+        &mut self,
+        now: TimePoint,
+        at: usize,
+        incarnation: ServerIncarnation,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let first = self.engines[at].incarnation.is_none();
+        if !first {
+            let mut ran: Vec<RequestFingerprint> = Vec::new();
+            let here = |choice: &SlotChoice| choice.server as usize == at;
+            ran.extend(self.grants.iter().filter(|g| here(&g.choice)).map(|g| g.fingerprint));
+            ran.extend(self.foreign.iter().filter(|g| g.server == at).map(|g| g.fingerprint));
+            let grants = ran.len() as u32;
+            self.crash(now, at, &ran, actions);
+            self.grants.retain(|grant| !here(&grant.choice));
+            self.foreign.retain(|grant| grant.server != at);
+            let server = self.engines[at].info.server.clone();
+            let note = OwnerNote::Restarted { server, incarnation, grants };
+            actions.push(OwnerAction::Note(note));
+        }
+        self.drop_copies(at);
+        self.orders.retain(|order| order.server != at);
+        self.engines[at].restart(incarnation);
+        self.engines[at].running = self.foreign_live(at);
+    }
+
+    fn foreign_live(&self, at: usize) -> u32 {
+        let live = |grant: &&ForeignGrant| grant.server == at && grant.orphaned.is_none();
+        self.foreign.iter().filter(live).count() as u32
+    }
+
+    fn drop_copies(&mut self, at: usize) {
+        for slot in 0..self.engines[at].slots.len() {
+            let adapter = self.engines[at].slots[slot].adapter;
+            let copies = &mut self.adapters.get_mut(adapter).copies;
+            copies.retain(|copy| copy.server as usize != at);
+        }
+    }
+
+    /// Records a crash of the engine under `ran` and the runs that broke of late. If a known
+    /// suspect was among them, it alone is blamed.
+    pub(crate) fn crash(
+        &mut self,
+        _now: TimePoint,
+        at: usize,
+        ran: &[RequestFingerprint],
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let engine = &mut self.engines[at];
+        let mut suspects: Vec<RequestFingerprint> = ran.to_vec();
+        suspects.extend(engine.broken.drain(..).map(|run| run.fingerprint));
+        suspects.sort_unstable();
+        suspects.dedup();
+        if suspects.is_empty() {
+            return;
+        }
+        let known = |fingerprint: &RequestFingerprint| {
+            self.book.verdict(*fingerprint) != SuspectVerdict::Clear
+        };
+        if suspects.iter().any(known) {
+            suspects.retain(known);
+        }
+        self.book.crash(&suspects);
+        let engine = &self.engines[at];
+        actions.push(OwnerAction::RecordCrash {
+            server: engine.info.server.clone(),
+            incarnation: engine.incarnation.unwrap_or_default(),
+            suspects,
+        });
+    }
+
+    pub(crate) fn report_failed(
+        &mut self,
+        now: TimePoint,
+        server: &ServerName,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let Some(at) = self.engine(server) else { return };
+        let engine = &mut self.engines[at];
+        engine.failed_reports = engine.failed_reports.saturating_add(1);
+        if engine.down || engine.failed_reports < self.settings.failed_reports {
+            return;
+        }
+        engine.down = true;
+        actions.push(OwnerAction::Note(OwnerNote::Down { server: server.clone() }));
+        self.crash(now, at, &[], actions);
+    }
+
+    fn slot_reported(
+        &mut self,
+        now: TimePoint,
+        at: usize,
+        reported: &SlotReport,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let Some(slot) = self.engines[at].slot(&reported.slot) else {
+            self.adopt(now, at, reported, actions);
+            return;
+        };
+        let state = &mut self.engines[at].slots[slot];
+        state.seen = true;
+        state.reported = reported.running;
+        if matches!(state.phase, SlotPhase::Unknown { .. }) {
+            self.slot_ready(now, SlotChoice { server: at as u16, slot: slot as u16 });
+        }
+    }
+
+    /// Takes a slot into the books that this owner did not know to be loaded: one of an earlier
+    /// epoch, or a load of its own that ended late.
+    fn adopt(
+        &mut self,
+        now: TimePoint,
+        at: usize,
+        reported: &SlotReport,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        if self.engines[at].recently_gone(&reported.slot, now) {
+            return;
+        }
+        let Some((version, epoch)) = parse_slot(&reported.slot) else { return };
+        if epoch > self.epoch {
+            self.depose(actions);
+            return;
+        }
+        let adapter = self.adapters.intern(&version);
+        let held = self.foreign.iter().filter(|g| g.server == at && g.slot == reported.slot);
+        let slot = SlotState {
+            name: reported.slot.clone(),
+            adapter,
+            phase: SlotPhase::Ready,
+            pins: held.count() as u32,
+            inherited: epoch < self.epoch,
+            seen: true,
+            ahead: false,
+            extra: false,
+            reported: reported.running,
+            prefix: 0,
+            doomed_until: self.engines[at].doom_of(&reported.slot),
+        };
+        let slot = self.engines[at].add_slot(slot);
+        let choice = SlotChoice { server: at as u16, slot: slot as u16 };
+        self.adapters.get_mut(adapter).copies.push(choice);
+        self.slot_ready(now, choice);
+    }
+
+    /// Finds slots that an earlier report of this life showed and this one does not.
+    fn find_lost(
+        &mut self,
+        now: TimePoint,
+        at: usize,
+        report: &EngineReport,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        for slot in 0..self.engines[at].slots.len() {
+            let state = &self.engines[at].slots[slot];
+            let shown = report.slots.iter().any(|shown| shown.slot == state.name);
+            if shown || !state.seen {
+                continue;
+            }
+            let choice = SlotChoice { server: at as u16, slot: slot as u16 };
+            match state.phase {
+                SlotPhase::Ready => self.lose_slot(now, choice, actions),
+                SlotPhase::Unloading if !self.is_ordered(at, slot) => self.remove_slot(now, choice),
+                _ => {}
+            }
+        }
+    }
+
+    fn is_ordered(&self, at: usize, slot: usize) -> bool {
+        let name = &self.engines[at].slots[slot].name;
+        self.orders.iter().any(|order| order.server == at && order.evict.as_ref() == Some(name))
+    }
+
+    /// Takes a slot out that the engine lost without an order of this owner.
+    pub(crate) fn lose_slot(
+        &mut self,
+        now: TimePoint,
+        choice: SlotChoice,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let engine = &self.engines[choice.server as usize];
+        let slot = &engine.slots[choice.slot as usize];
+        actions.push(OwnerAction::Note(OwnerNote::SlotLost {
+            server: engine.info.server.clone(),
+            slot: slot.name.clone(),
+            grants: slot.pins,
+        }));
+        self.remove_slot(now, choice);
+    }
+
+    /// Takes a slot out of the books.
+    pub(crate) fn remove_slot(&mut self, now: TimePoint, choice: SlotChoice) {
+        let until = now.plus(self.settings.report_lag_ms * MICROS_PER_MILLI);
+        let engine = &mut self.engines[choice.server as usize];
+        let adapter = engine.slots[choice.slot as usize].adapter;
+        engine.forget_slot(choice.slot as usize, until);
+        self.adapters.get_mut(adapter).copies.retain(|copy| *copy != choice);
+    }
+
+    pub(crate) fn old_intent(
+        &mut self,
+        now: TimePoint,
+        server: &ServerName,
+        evict: Option<SlotName>,
+    ) {
+        let (Some(at), Some(evict)) = (self.engine(server), evict) else { return };
+        let until = now.plus(self.settings.zombie_window_ms * MICROS_PER_MILLI);
+        self.engines[at].doom(evict, until);
+    }
+
+    pub(crate) fn vm_live(
+        &mut self,
+        now: TimePoint,
+        mut vms: Vec<VmName>,
+        majority: bool,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        vms.sort_unstable();
+        vms.dedup();
+        self.majority = majority;
+        self.vms_known = true;
+        // A VM that has left the list may still run: it is dropped once it was gone long enough.
+        let window = self.settings.zombie_window_ms * MICROS_PER_MILLI;
+        for need in &mut self.vms {
+            if vms.binary_search(&need.vm).is_err() {
+                need.gone_since.get_or_insert(now);
+            }
+        }
+        self.vms.retain(|need| need.gone_since.is_none_or(|since| now.since(since) < window));
+        for vm in vms {
+            if let Err(at) = self.vms.binary_search_by(|need| need.vm.cmp(&vm)) {
+                self.vms.insert(at, VmNeed { vm, answered: false, gone_since: None });
+            }
+        }
+        self.ask_held(now, actions);
+    }
+
+    fn ask_held(&mut self, now: TimePoint, actions: &mut Vec<OwnerAction>) {
+        if self.inherited_free || !self.vms_known {
+            return;
+        }
+        let window = self.settings.zombie_window_ms * MICROS_PER_MILLI;
+        let open = |need: &&VmNeed| {
+            !need.answered && need.gone_since.is_none_or(|since| now.since(since) < window)
+        };
+        let vms: Vec<VmName> = self.vms.iter().filter(open).map(|need| need.vm.clone()).collect();
+        if vms.is_empty() {
+            self.inherited_free = true;
+            actions.push(OwnerAction::Note(OwnerNote::InheritedFree));
+            return;
+        }
+        let pause = self.settings.ask_held_ms * MICROS_PER_MILLI;
+        if self.asked_at == TimePoint::default() || now.since(self.asked_at) >= pause {
+            self.asked_at = now;
+            actions.push(OwnerAction::AskHeld { vms });
+        }
+    }
+
+    pub(crate) fn held(
+        &mut self,
+        now: TimePoint,
+        vm: &VmIdentity,
+        grants: Vec<HeldGrant>,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        for grant in grants {
+            self.add_foreign(vm, grant);
+        }
+        if let Ok(at) = self.vms.binary_search_by(|need| need.vm.cmp(&vm.vm)) {
+            self.vms[at].answered = true;
+            self.vms[at].gone_since = None;
+        }
+        self.ask_held(now, actions);
+    }
+
+    fn add_foreign(&mut self, holder: &VmIdentity, held: HeldGrant) {
+        let known = self.foreign.iter().any(|grant| grant.grant == held.grant);
+        if known || held.grant.epoch >= self.epoch || self.foreign.len() >= FOREIGN_GRANTS {
+            return;
+        }
+        let Some(server) = self.engine(&held.server) else { return };
+        let engine = &mut self.engines[server];
+        engine.running += 1;
+        if let Some(slot) = engine.slot(&held.slot) {
+            engine.slots[slot].pins += 1;
+        }
+        self.foreign.push(ForeignGrant {
+            grant: held.grant,
+            holder: holder.clone(),
+            server,
+            slot: held.slot,
+            fingerprint: held.fingerprint,
+            orphaned: None,
+        });
+    }
+
+    pub(crate) fn release_foreign(&mut self, _now: TimePoint, call: &ReleaseCall) {
+        let found = self.foreign.iter().position(|grant| grant.grant == call.grant);
+        if let Some(at) = found {
+            self.drop_foreign(at);
+        }
+    }
+
+    fn drop_foreign(&mut self, at: usize) {
+        let grant = self.foreign.swap_remove(at);
+        let engine = &mut self.engines[grant.server];
+        if grant.orphaned.is_none() {
+            engine.running = engine.running.saturating_sub(1);
+        }
+        if let Some(slot) = engine.slot(&grant.slot) {
+            self.unpin(SlotChoice { server: grant.server as u16, slot: slot as u16 });
+        }
+    }
+
+    /// Notes that a VM is gone. Its grants keep their slots pinned, because the VM may only be
+    /// paused and use them when it wakes; but they no longer take room in the batch.
+    pub(crate) fn vm_gone(&mut self, now: TimePoint, vm: &VmIdentity) {
+        for grant in self.grants.iter_mut().filter(|grant| grant.holder == *vm) {
+            if grant.orphaned.is_none() {
+                grant.orphaned = Some(now);
+                let engine = &mut self.engines[grant.choice.server as usize];
+                engine.running = engine.running.saturating_sub(1);
+            }
+        }
+        for grant in self.foreign.iter_mut().filter(|grant| grant.holder == *vm) {
+            if grant.orphaned.is_none() {
+                grant.orphaned = Some(now);
+                let engine = &mut self.engines[grant.server];
+                engine.running = engine.running.saturating_sub(1);
+            }
+        }
+        if let Ok(at) = self.vms.binary_search_by(|need| need.vm.cmp(&vm.vm)) {
+            self.vms[at].gone_since.get_or_insert(now);
+        }
+    }
+
+    /// Drops grants whose VM has been gone for longer than the zombie window.
+    fn drop_orphans(&mut self, now: TimePoint) {
+        let window = self.settings.zombie_window_ms * MICROS_PER_MILLI;
+        let over =
+            |orphaned: Option<TimePoint>| orphaned.is_some_and(|since| now.since(since) >= window);
+        while let Some(at) = self.grants.iter().position(|grant| over(grant.orphaned)) {
+            self.take_grant(at);
+        }
+        while let Some(at) = self.foreign.iter().position(|grant| over(grant.orphaned)) {
+            self.drop_foreign(at);
+        }
+    }
+
+    pub(crate) fn tick(
+        &mut self,
+        now: TimePoint,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        self.drop_orphans(now);
+        self.settle_orders(now, rng, actions);
+        self.keep_scheduled(now);
+        self.give_up(now, actions);
+        self.ask_held(now, actions);
+    }
+}
--- /dev/null
+++ b/decision/src/load.rs
@@ -0,0 +1,105 @@
+//! Loads of adapters: the share of the weight store, orders under way, and what to load next.
+
+use std::cmp::Ordering;
+
+use crate::id::{AdapterVersion, ServerIncarnation, SlotName, TimePoint};
+use crate::outcome::RequestClass;
+use crate::owner::StoreShare;
+
+const MICROS_PER_SECOND: f64 = 1_000_000.0;
+
+/// The group's share of the weight store: a token bucket, and loads at full speed at once.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadBudget {
+    share: StoreShare,
+    tokens: f64,
+    at: TimePoint,
+}
+
+impl LoadBudget {
+    pub(crate) fn new(share: StoreShare, now: TimePoint) -> Self {
+        let tokens = f64::from(share.full_speed.max(1));
+        Self { share, tokens, at: now }
+    }
+
+    pub(crate) fn set_share(&mut self, share: StoreShare) {
+        self.share = share;
+    }
+
+    /// Whether a load may start now, with `under_way` loads running.
+    pub(crate) fn ready(&mut self, under_way: usize, now: TimePoint) -> bool {
+        let most = f64::from(self.share.full_speed.max(1));
+        let earned = now.since(self.at) as f64 / MICROS_PER_SECOND * self.share.loads_per_s;
+        self.tokens = (self.tokens + earned).min(most);
+        self.at = self.at.max(now);
+        self.tokens >= 1.0 && under_way < self.share.full_speed.max(1) as usize
+    }
+
+    pub(crate) fn spend(&mut self) {
+        self.tokens -= 1.0;
+    }
+
+    /// Milliseconds until the load after `ahead` others may start.
+    pub(crate) fn wait_ms(&self, ahead: usize, load_ms: f64) -> f64 {
+        let by_rate = ahead as f64 * 1_000.0 / self.share.loads_per_s.max(0.001);
+        let by_speed = ahead as f64 * load_ms / f64::from(self.share.full_speed.max(1));
+        by_rate.max(by_speed)
+    }
+}
+
+/// How far an eviction and load have come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LoadStage {
+    /// The intent is appended and not read back.
+    AwaitIntent,
+    /// The unload of the victim is ordered.
+    Unloading,
+    /// The load is ordered.
+    Loading,
+}
+
+/// An eviction, if one is needed, and the load that follows it.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadOrder {
+    /// The number of the intent and of the order that is out.
+    pub(crate) number: u64,
+    pub(crate) server: usize,
+    pub(crate) incarnation: ServerIncarnation,
+    pub(crate) stage: LoadStage,
+    pub(crate) evict: Option<SlotName>,
+    pub(crate) slot: SlotName,
+    pub(crate) adapter: u32,
+    pub(crate) version: AdapterVersion,
+    pub(crate) ahead: bool,
+    pub(crate) extra: bool,
+    pub(crate) begun: TimePoint,
+    pub(crate) sent: TimePoint,
+}
+
+/// The wish for an adapter, from its waiting requests or from a schedule.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadWish {
+    pub(crate) adapter: u32,
+    pub(crate) class: RequestClass,
+    pub(crate) deadline: Option<TimePoint>,
+    pub(crate) waiters: u32,
+    pub(crate) oldest: TimePoint,
+    pub(crate) ahead: bool,
+    pub(crate) extra: bool,
+}
+
+impl LoadWish {
+    /// The order in which wishes are served: class, deadline, number of waiters, age.
+    pub(crate) fn rank(&self, other: &Self) -> Ordering {
+        let due = |wish: &Self| wish.deadline.map_or(u64::MAX, |due| due.0 / DEADLINE_GRAIN_MICROS);
+        self.class
+            .cmp(&other.class)
+            .then(due(self).cmp(&due(other)))
+            .then(other.waiters.cmp(&self.waiters))
+            .then(self.oldest.cmp(&other.oldest))
+            .then(self.adapter.cmp(&other.adapter))
+    }
+}
+
+/// Deadlines that differ by less are taken as equal, or the number of waiters would never count.
+const DEADLINE_GRAIN_MICROS: u64 = 5_000_000;
--- /dev/null
+++ b/decision/src/order.rs
@@ -0,0 +1,481 @@
+//! Orders to engines: which adapters to load, when, and what follows from each result.
+
+use rand::{Rng, RngExt};
+
+use crate::adapter::SlotChoice;
+use crate::id::{AdapterVersion, MICROS_PER_MILLI, TimePoint};
+use crate::invariant::InvariantName;
+use crate::load::{LoadOrder, LoadStage, LoadWish};
+use crate::outcome::RequestClass;
+use crate::owner::{
+    AheadLoad, EngineOrder, GroupOwner, OrderResult, OwnerAction, OwnerNote, millis,
+};
+use crate::place::LoadTarget;
+use crate::slot::{SlotPhase, SlotState, slot_name};
+
+/// How much of a new load time enters the running mean.
+const LOAD_GAIN: f64 = 0.2;
+/// The most that a pause before a repeat is lengthened at random, as a part of it.
+const BACKOFF_JITTER: f64 = 0.2;
+/// Two schedules of an adapter that are due so close together are one.
+const SAME_DUE_MICROS: u64 = 1_000_000;
+
+impl GroupOwner {
+    pub(crate) fn schedule(
+        &mut self,
+        now: TimePoint,
+        adapter: &AdapterVersion,
+        due_in_ms: u64,
+        lead_ms: u64,
+    ) {
+        let adapter = self.adapters.intern(adapter);
+        let due = now.plus(due_in_ms.saturating_mul(MICROS_PER_MILLI));
+        let from = TimePoint(due.0.saturating_sub(lead_ms.saturating_mul(MICROS_PER_MILLI)));
+        let same = |load: &AheadLoad| {
+            load.adapter == adapter && load.due.0.abs_diff(due.0) < SAME_DUE_MICROS
+        };
+        if self.ahead.len() >= self.settings.schedules || self.ahead.iter().any(same) {
+            return;
+        }
+        let at = self.ahead.partition_point(|load| load.due <= due);
+        self.ahead.insert(at, AheadLoad { due, from, adapter });
+    }
+
+    /// Keeps adapters whose schedule is near, and forgets schedules that are over.
+    pub(crate) fn keep_scheduled(&mut self, now: TimePoint) {
+        let grace = self.settings.schedule_grace_ms * MICROS_PER_MILLI;
+        self.ahead.retain(|load| load.due.plus(grace) > now);
+        for load in &self.ahead {
+            if load.from <= now {
+                let state = self.adapters.get_mut(load.adapter);
+                state.kept_until = state.kept_until.max(load.due.plus(grace));
+            }
+        }
+    }
+
+    /// Starts as many loads as the weight store's share allows, the most wanted first.
+    pub(crate) fn plan_loads(&mut self, now: TimePoint, actions: &mut Vec<OwnerAction>) {
+        if self.deposed || (self.queue.is_empty() && self.ahead.is_empty()) {
+            return;
+        }
+        if !self.budget.ready(self.orders.len(), now) {
+            return;
+        }
+        let mut wishes = self.wishes(now);
+        wishes.sort_unstable_by(LoadWish::rank);
+        for wish in wishes {
+            if !self.budget.ready(self.orders.len(), now) {
+                return;
+            }
+            let Some(target) = self.load_target(now, &wish) else { continue };
+            if wish.extra && !self.pays(&wish, &target) {
+                continue;
+            }
+            self.budget.spend();
+            self.begin_load(now, &wish, &target, actions);
+        }
+    }
+
+    /// Loads that requests of `class` would have to let pass.
+    pub(crate) fn loads_before(&self, now: TimePoint, class: RequestClass) -> usize {
+        self.wishes(now).iter().filter(|wish| wish.class <= class && !wish.extra).count()
+            + self.orders.len()
+    }
+
+    /// Everything that ought to be loaded: adapters with waiting requests and no copy, further
+    /// copies of those whose engines are full, and scheduled ones.
+    fn wishes(&self, now: TimePoint) -> Vec<LoadWish> {
+        let mut wishes: Vec<LoadWish> = Vec::new();
+        for request in self.queue.iter() {
+            if self.is_loading(request.adapter) || self.adapters.get(request.adapter).retry_at > now
+            {
+                continue;
+            }
+            let wish = LoadWish {
+                adapter: request.adapter,
+                class: request.spec.class,
+                deadline: request.deadline,
+                waiters: 1,
+                oldest: request.arrived,
+                ahead: false,
+                extra: self.is_ready(request.adapter),
+            };
+            add_wish(&mut wishes, wish);
+        }
+        for load in self.ahead.iter().filter(|load| load.from <= now && load.due > now) {
+            let state = self.adapters.get(load.adapter);
+            if state.retry_at > now || self.is_loading(load.adapter) || self.is_ready(load.adapter)
+            {
+                continue;
+            }
+            let wish = LoadWish {
+                adapter: load.adapter,
+                class: RequestClass::Scheduled,
+                deadline: Some(load.due),
+                waiters: 0,
+                oldest: load.from,
+                ahead: true,
+                extra: false,
+            };
+            add_wish(&mut wishes, wish);
+        }
+        wishes
+    }
+
+    /// Whether a further copy is worth it: what the waiting requests save must outweigh the load
+    /// and the requests that the victim's adapter will miss.
+    fn pays(&self, wish: &LoadWish, target: &LoadTarget) -> bool {
+        let engine = &self.engines[target.server];
+        if engine.room_for(false, self.settings.urgent_reserve_percent) == 0 {
+            return false;
+        }
+        let copies = self.adapters.get(wish.adapter).copies.len().max(1) as f64;
+        let batch = f64::from(engine.info.batch_slots.max(1));
+        let waiters = f64::from(wish.waiters);
+        let wait_ms = waiters * self.service_ms / (batch * copies);
+        let saved = waiters * wait_ms / 2.0;
+        let spent = self.load_ms * (1.0 + target.loss * self.spread());
+        wait_ms > self.load_ms && saved > spent
+    }
+
+    fn begin_load(
+        &mut self,
+        now: TimePoint,
+        wish: &LoadWish,
+        target: &LoadTarget,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let number = self.number();
+        let version = self.adapters.get(wish.adapter).version.clone();
+        let engine = &self.engines[target.server];
+        let order = LoadOrder {
+            number,
+            server: target.server,
+            incarnation: engine.incarnation.unwrap_or_default(),
+            stage: LoadStage::AwaitIntent,
+            evict: target.evict.map(|at| engine.slots[at].name.clone()),
+            slot: slot_name(&version, self.epoch, number),
+            adapter: wish.adapter,
+            version,
+            ahead: wish.ahead,
+            extra: wish.extra,
+            begun: now,
+            sent: now,
+        };
+        if engine.info.checks_fencing {
+            self.orders.push(order);
+            self.send_next(now, self.orders.len() - 1, actions);
+            return;
+        }
+        actions.push(OwnerAction::AppendIntent {
+            number,
+            server: engine.info.server.clone(),
+            incarnation: order.incarnation,
+            evict: order.evict.clone(),
+            load: Some(order.slot.clone()),
+        });
+        self.orders.push(order);
+    }
+
+    pub(crate) fn intent_read(
+        &mut self,
+        now: TimePoint,
+        number: u64,
+        valid: bool,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let found = self.orders.iter().position(|order| order.number == number);
+        let Some(at) = found else { return };
+        if self.orders[at].stage != LoadStage::AwaitIntent {
+            return;
+        }
+        if !valid {
+            self.orders.swap_remove(at);
+            self.depose(actions);
+            return;
+        }
+        self.send_next(now, at, actions);
+    }
+
+    pub(crate) fn depose(&mut self, actions: &mut Vec<OwnerAction>) {
+        if !self.deposed {
+            self.deposed = true;
+            actions.push(OwnerAction::Note(OwnerNote::Deposed));
+        }
+    }
+
+    /// Sends the unload if there is a victim, or else the load. A victim that was granted while
+    /// the intent was under way stays, and the whole order is dropped.
+    fn send_next(&mut self, now: TimePoint, at: usize, actions: &mut Vec<OwnerAction>) {
+        let order = self.orders[at].clone();
+        let engine = &self.engines[order.server];
+        let same_life = engine.incarnation == Some(order.incarnation);
+        if self.deposed || !same_life || !engine.usable() {
+            self.orders.swap_remove(at);
+            return;
+        }
+        let Some(name) = &order.evict else {
+            if !engine.has_free_slot() {
+                self.orders.swap_remove(at);
+                return;
+            }
+            self.send_load(now, at, actions);
+            return;
+        };
+        let victim = engine.slot(name).filter(|&slot| {
+            let slot = &engine.slots[slot];
+            slot.phase == SlotPhase::Ready && slot.pins == 0
+        });
+        let Some(victim) = victim.filter(|_| self.majority) else {
+            self.orders.swap_remove(at);
+            return;
+        };
+        let slot = SlotChoice { server: order.server as u16, slot: victim as u16 };
+        self.send_unload(now, at, slot, actions);
+    }
+
+    fn send_unload(
+        &mut self,
+        now: TimePoint,
+        at: usize,
+        choice: SlotChoice,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let number = self.number();
+        let engine = &mut self.engines[choice.server as usize];
+        let slot = &mut engine.slots[choice.slot as usize];
+        let unused = slot.pins == 0 && (!slot.inherited || self.inherited_free);
+        self.invariants.check(InvariantName::NoEvictionInUse, unused, || {
+            format!("{} is evicted with {} grants out", slot.name, slot.pins)
+        });
+        self.invariants.check(InvariantName::OneWriter, !self.deposed, || {
+            format!("epoch {} is deposed and evicts {}", self.epoch, slot.name)
+        });
+        slot.phase = SlotPhase::Unloading;
+        actions.push(OwnerAction::SendOrder {
+            number,
+            server: engine.info.server.clone(),
+            incarnation: engine.incarnation.unwrap_or_default(),
+            epoch: self.epoch,
+            order: EngineOrder::Unload { slot: slot.name.clone() },
+        });
+        let order = &mut self.orders[at];
+        order.number = number;
+        order.stage = LoadStage::Unloading;
+        order.sent = now;
+    }
+
+    fn send_load(&mut self, now: TimePoint, at: usize, actions: &mut Vec<OwnerAction>) {
+        let number = self.number();
+        let order = &mut self.orders[at];
+        order.number = number;
+        order.stage = LoadStage::Loading;
+        order.sent = now;
+        let engine = &mut self.engines[order.server];
+        let slot = engine.add_slot(SlotState {
+            name: order.slot.clone(),
+            adapter: order.adapter,
+            phase: SlotPhase::Loading,
+            pins: 0,
+            inherited: false,
+            seen: false,
+            ahead: order.ahead,
+            extra: order.extra,
+            reported: 0,
+            prefix: 0,
+            doomed_until: TimePoint::default(),
+        });
+        let choice = SlotChoice { server: order.server as u16, slot: slot as u16 };
+        self.adapters.get_mut(order.adapter).copies.push(choice);
+        actions.push(OwnerAction::SendOrder {
+            number,
+            server: engine.info.server.clone(),
+            incarnation: order.incarnation,
+            epoch: self.epoch,
+            order: EngineOrder::Load { slot: order.slot.clone(), adapter: order.version.clone() },
+        });
+    }
+
+    pub(crate) fn order_done(
+        &mut self,
+        now: TimePoint,
+        number: u64,
+        result: OrderResult,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let found = self.orders.iter().position(|order| order.number == number);
+        let Some(at) = found else { return };
+        if result == OrderResult::Stale {
+            self.depose(actions);
+        }
+        match self.orders[at].stage {
+            LoadStage::AwaitIntent => {}
+            LoadStage::Unloading => self.unload_done(now, at, result, actions),
+            LoadStage::Loading => self.load_done(now, at, result, rng, actions),
+        }
+    }
+
+    fn unload_done(
+        &mut self,
+        now: TimePoint,
+        at: usize,
+        result: OrderResult,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let order = self.orders[at].clone();
+        let engine = &self.engines[order.server];
+        let slot = order.evict.as_ref().and_then(|name| engine.slot(name));
+        if engine.incarnation != Some(order.incarnation) {
+            self.orders.swap_remove(at);
+            return;
+        }
+        match (result, slot) {
+            (OrderResult::Done, slot) => {
+                if let Some(slot) = slot {
+                    let choice = SlotChoice { server: order.server as u16, slot: slot as u16 };
+                    self.note_evicted(choice, actions);
+                    self.remove_slot(now, choice);
+                }
+                if engine_usable(self, order.server) {
+                    self.send_load(now, at, actions);
+                } else {
+                    self.orders.swap_remove(at);
+                }
+            }
+            (OrderResult::Failed | OrderResult::Stale, Some(slot)) => {
+                self.engines[order.server].slots[slot].phase = SlotPhase::Ready;
+                self.orders.swap_remove(at);
+            }
+            // The slot stays unusable; the tick sends the unload again until a result is known.
+            _ => {
+                self.orders.swap_remove(at);
+            }
+        }
+    }
+
+    fn note_evicted(&self, choice: SlotChoice, actions: &mut Vec<OwnerAction>) {
+        let engine = &self.engines[choice.server as usize];
+        actions.push(OwnerAction::Note(OwnerNote::Evicted {
+            server: engine.info.server.clone(),
+            slot: engine.slots[choice.slot as usize].name.clone(),
+        }));
+    }
+
+    fn load_done(
+        &mut self,
+        now: TimePoint,
+        at: usize,
+        result: OrderResult,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let order = self.orders.swap_remove(at);
+        if self.engines[order.server].incarnation != Some(order.incarnation) {
+            return;
+        }
+        let Some(slot) = self.engines[order.server].slot(&order.slot) else { return };
+        let choice = SlotChoice { server: order.server as u16, slot: slot as u16 };
+        match result {
+            OrderResult::Done => {
+                let took = millis(now.since(order.sent));
+                self.load_ms += (took - self.load_ms) * LOAD_GAIN;
+                self.slot_ready(now, choice);
+                actions.push(OwnerAction::Note(OwnerNote::Loaded {
+                    server: self.engines[order.server].info.server.clone(),
+                    adapter: order.version,
+                    took_ms: now.since(order.begun) / MICROS_PER_MILLI,
+                    ahead: order.ahead,
+                }));
+            }
+            OrderResult::Failed | OrderResult::Stale => {
+                self.remove_slot(now, choice);
+                self.load_failed(now, &order, rng, actions);
+            }
+            OrderResult::Unknown => {
+                let phase = SlotPhase::Unknown { since: now };
+                self.engines[order.server].slots[slot].phase = phase;
+                self.load_failed(now, &order, rng, actions);
+            }
+        }
+    }
+
+    /// Makes a slot usable and notes for its waiting requests that the load stall is over.
+    pub(crate) fn slot_ready(&mut self, now: TimePoint, choice: SlotChoice) {
+        let slot = &mut self.engines[choice.server as usize].slots[choice.slot as usize];
+        slot.phase = SlotPhase::Ready;
+        let adapter = slot.adapter;
+        let state = self.adapters.get_mut(adapter);
+        state.failures = 0;
+        state.retry_at = TimePoint::default();
+        for request in self.queue.iter_mut().filter(|request| request.adapter == adapter) {
+            request.ready_at.get_or_insert(now);
+        }
+    }
+
+    /// Counts a failed load; a failing adapter pauses longer each time and then refuses at once.
+    fn load_failed(
+        &mut self,
+        now: TimePoint,
+        order: &LoadOrder,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let (first, most) = (self.settings.load_backoff_ms, self.settings.load_backoff_most_ms);
+        let state = self.adapters.get_mut(order.adapter);
+        state.failures += 1;
+        let doubled = first.saturating_mul(1 << (state.failures - 1).min(20)).min(most);
+        let pause = doubled as f64 * (1.0 + BACKOFF_JITTER * rng.random::<f64>());
+        state.retry_at = now.plus((pause * MICROS_PER_MILLI as f64) as u64);
+        let failures = state.failures;
+        actions.push(OwnerAction::Note(OwnerNote::LoadFailed {
+            server: self.engines[order.server].info.server.clone(),
+            adapter: order.version.clone(),
+            failures,
+        }));
+        if failures >= self.settings.load_attempts && !self.is_ready(order.adapter) {
+            self.refuse_waiters(order.adapter, pause, actions);
+        }
+    }
+
+    /// Ends orders that have had no result for too long, and repeats unloads whose result is not
+    /// known. A repeat is harmless: no later load has the same name.
+    pub(crate) fn settle_orders(
+        &mut self,
+        now: TimePoint,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let timeout = self.settings.order_timeout_ms * MICROS_PER_MILLI;
+        while let Some(at) = self.orders.iter().position(|order| now.since(order.sent) >= timeout) {
+            match self.orders[at].stage {
+                LoadStage::AwaitIntent => {
+                    self.orders.swap_remove(at);
+                }
+                LoadStage::Unloading => self.unload_done(now, at, OrderResult::Unknown, actions),
+                LoadStage::Loading => self.load_done(now, at, OrderResult::Unknown, rng, actions),
+            }
+        }
+    }
+}
+
+fn engine_usable(owner: &GroupOwner, server: usize) -> bool {
+    owner.engines[server].usable() && !owner.deposed
+}
+
+fn add_wish(wishes: &mut Vec<LoadWish>, wish: LoadWish) {
+    match wishes.binary_search_by_key(&wish.adapter, |other| other.adapter) {
+        Ok(at) => {
+            let known = &mut wishes[at];
+            known.class = known.class.min(wish.class);
+            known.deadline = match (known.deadline, wish.deadline) {
+                (Some(left), Some(right)) => Some(left.min(right)),
+                (left, right) => left.or(right),
+            };
+            known.waiters += wish.waiters;
+            known.oldest = known.oldest.min(wish.oldest);
+            known.ahead &= wish.ahead;
+        }
+        Err(at) => wishes.insert(at, wish),
+    }
+}
--- /dev/null
+++ b/decision/src/place.rs
@@ -0,0 +1,238 @@
+//! Which slot runs a request, and which slot gives way to a load.
+//!
+//! The choice of a slot returns numbers and allocates nothing; the owned grant is built from it
+//! afterwards. docs/PLACEMENT.md weighs the rules.
+
+use crate::adapter::{AdapterIndex, SlotChoice};
+use crate::grant::RequestSpec;
+use crate::id::{RequestFingerprint, ServerName, TimePoint};
+use crate::load::{LoadStage, LoadWish};
+use crate::outcome::RequestClass;
+use crate::owner::GroupOwner;
+use crate::slot::{EngineState, SlotPhase, SlotState};
+use crate::suspect::SuspectVerdict;
+
+/// What a choice of slot depends on, besides the adapter.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceQuery<'spec> {
+    /// The class.
+    pub class: RequestClass,
+    /// How the request stands.
+    pub standing: SuspectVerdict,
+    /// The hash of the prompt's beginning.
+    pub prefix: u64,
+    /// Servers to avoid where another can do it.
+    pub avoid: &'spec [ServerName],
+}
+
+/// What a slot is worth more if the engine saw the prompt's beginning there last.
+const PREFIX_BONUS: f64 = 0.05;
+/// What a server is worth less if it failed the request before.
+const AVOID_COST: f64 = 10.0;
+/// Breaks ties in favour of the engine with the smaller batch.
+const TIE_COST: f64 = 0.01;
+
+impl GroupOwner {
+    /// The slot that should run a request for `adapter` now, if one can. Allocates nothing.
+    #[must_use]
+    pub fn choose(
+        &self,
+        now: TimePoint,
+        adapter: AdapterIndex,
+        query: &PlaceQuery<'_>,
+    ) -> Option<SlotChoice> {
+        let mut best: Option<(f64, SlotChoice)> = None;
+        for &choice in &self.adapters.get(adapter.0).copies {
+            let engine = &self.engines[choice.server as usize];
+            let slot = &engine.slots[choice.slot as usize];
+            if slot.phase != SlotPhase::Ready || slot.doomed_until > now {
+                continue;
+            }
+            if !self.admits(engine, query) {
+                continue;
+            }
+            let worth = self.worth(engine, slot, query);
+            if best.is_none_or(|(most, _)| worth > most) {
+                best = Some((worth, choice));
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    pub(crate) fn choose_for(
+        &self,
+        now: TimePoint,
+        spec: &RequestSpec,
+        adapter: u32,
+    ) -> Option<SlotChoice> {
+        let standing = self.standing(spec.fingerprint);
+        if standing == SuspectVerdict::Condemned {
+            return None;
+        }
+        let (class, prefix, avoid) = (spec.class, spec.prefix, spec.avoid.as_slice());
+        self.choose(now, AdapterIndex(adapter), &PlaceQuery { class, standing, prefix, avoid })
+    }
+
+    /// How `fingerprint` stands, with broken runs that may turn out to be crashes. One such run
+    /// isolates it; a second makes it wait until the first is settled, so that it can never take a
+    /// third server.
+    pub(crate) fn standing(&self, fingerprint: RequestFingerprint) -> SuspectVerdict {
+        let broken = self
+            .engines
+            .iter()
+            .filter(|engine| engine.broken.iter().any(|run| run.fingerprint == fingerprint));
+        let broken = broken.count();
+        match (self.book.verdict(fingerprint), broken) {
+            (SuspectVerdict::Clear, 0) => SuspectVerdict::Clear,
+            (SuspectVerdict::Clear, 1) | (SuspectVerdict::Isolated, 0) => SuspectVerdict::Isolated,
+            _ => SuspectVerdict::Condemned,
+        }
+    }
+
+    fn admits(&self, engine: &EngineState, query: &PlaceQuery<'_>) -> bool {
+        let urgent = query.class == RequestClass::Urgent;
+        engine.usable()
+            && engine.room_for(urgent, self.settings.urgent_reserve_percent) > 0
+            && (query.standing == SuspectVerdict::Clear || engine.suspects == 0)
+    }
+
+    fn worth(&self, engine: &EngineState, slot: &SlotState, query: &PlaceQuery<'_>) -> f64 {
+        let fill = fill(engine);
+        let pack = match query.standing {
+            SuspectVerdict::Clear => self.pack() - self.spread(),
+            _ => -1.0,
+        };
+        let mut worth = (pack - TIE_COST) * fill;
+        if slot.prefix == query.prefix {
+            worth += PREFIX_BONUS;
+        }
+        if query.avoid.contains(&engine.info.server) {
+            worth -= AVOID_COST;
+        }
+        worth
+    }
+
+    /// How much full batches count, from 0 to 1.
+    pub(crate) fn pack(&self) -> f64 {
+        1.0 - self.spread()
+    }
+
+    /// How much load stalls count, from 0 to 1.
+    pub(crate) fn spread(&self) -> f64 {
+        self.topology.policy.stall_weight.clamp(0.0, 1.0)
+    }
+
+    /// Whether a copy of `adapter` is loaded on an engine that takes work.
+    pub(crate) fn is_ready(&self, adapter: u32) -> bool {
+        self.adapters.get(adapter).copies.iter().any(|&copy| {
+            let engine = &self.engines[copy.server as usize];
+            engine.usable() && engine.slots[copy.slot as usize].phase == SlotPhase::Ready
+        })
+    }
+
+    /// Whether a load of `adapter` is under way.
+    pub(crate) fn is_loading(&self, adapter: u32) -> bool {
+        self.orders.iter().any(|order| order.adapter == adapter)
+    }
+
+    /// Where to load what `wish` asks for: the engine, and the slot to evict there if one must be.
+    pub(crate) fn load_target(&self, now: TimePoint, wish: &LoadWish) -> Option<LoadTarget> {
+        let mut best: Option<(f64, LoadTarget)> = None;
+        for (server, engine) in self.engines.iter().enumerate() {
+            if !engine.usable() || (!engine.info.checks_fencing && !self.log_writable) {
+                continue;
+            }
+            if self.holds(server, wish.adapter) {
+                continue;
+            }
+            let Some((evict, loss)) = self.make_room(now, server, wish) else { continue };
+            let cost = self.load_cost(engine, loss);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, LoadTarget { server, evict, loss }));
+            }
+        }
+        best.map(|(_, target)| target)
+    }
+
+    fn holds(&self, server: usize, adapter: u32) -> bool {
+        let copies = &self.adapters.get(adapter).copies;
+        copies.iter().any(|copy| copy.server as usize == server)
+    }
+
+    /// The slot to evict on `server`, if one must be, and the heat that is lost with it.
+    fn make_room(
+        &self,
+        now: TimePoint,
+        server: usize,
+        wish: &LoadWish,
+    ) -> Option<(Option<usize>, f64)> {
+        let engine = &self.engines[server];
+        if engine.has_free_slot() {
+            return Some((None, 0.0));
+        }
+        if !self.majority {
+            return None;
+        }
+        let mut best: Option<(usize, f64)> = None;
+        for (at, slot) in engine.slots.iter().enumerate() {
+            if !self.evictable(now, server, slot, wish) {
+                continue;
+            }
+            let loss = self.adapters.get(slot.adapter).heat(now, self.decay_micros());
+            if best.is_none_or(|(_, least)| loss < least) {
+                best = Some((at, loss));
+            }
+        }
+        best.map(|(at, loss)| (Some(at), loss))
+    }
+
+    /// Whether `slot` may be evicted for `wish`; see docs/DESIGN.md, "When a slot may be evicted".
+    fn evictable(&self, now: TimePoint, server: usize, slot: &SlotState, wish: &LoadWish) -> bool {
+        let adapter = self.adapters.get(slot.adapter);
+        let needed = adapter.waiting > 0 && adapter.copies.len() == 1;
+        let kept = adapter.kept_until > now && (wish.ahead || wish.class != RequestClass::Urgent);
+        slot.phase == SlotPhase::Ready
+            && slot.pins == 0
+            && slot.reported == 0
+            && slot.doomed_until <= now
+            && (!slot.inherited || self.inherited_free)
+            && !needed
+            && !kept
+            && !self.is_victim(server, slot)
+    }
+
+    fn is_victim(&self, server: usize, slot: &SlotState) -> bool {
+        self.orders.iter().any(|order| {
+            order.stage == LoadStage::AwaitIntent
+                && order.server == server
+                && order.evict.as_ref() == Some(&slot.name)
+        })
+    }
+
+    /// What a load on `engine` costs: the heat lost with the victim, and the worse batch.
+    fn load_cost(&self, engine: &EngineState, loss: f64) -> f64 {
+        let fill = fill(engine);
+        let full = engine.room_for(false, self.settings.urgent_reserve_percent) == 0;
+        let crowd = if full { FULL_COST } else { 0.0 };
+        loss + self.pack() * (1.0 - fill) * PACK_COST + self.spread() * fill * SPREAD_COST + crowd
+    }
+}
+
+/// What an empty batch costs a load, in requests of the victim's heat.
+const PACK_COST: f64 = 3.0;
+/// What a full batch costs a load where stalls count.
+const SPREAD_COST: f64 = 0.5;
+/// What it costs to load where there is no room to run.
+const FULL_COST: f64 = 20.0;
+
+/// Where a load goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct LoadTarget {
+    pub(crate) server: usize,
+    pub(crate) evict: Option<usize>,
+    pub(crate) loss: f64,
+}
+
+fn fill(engine: &EngineState) -> f64 {
+    f64::from(engine.running) / f64::from(engine.info.batch_slots.max(1))
+}
--- /dev/null
+++ b/decision/src/queue.rs
@@ -0,0 +1,199 @@
+//! Requests that wait at the owner, in the order in which they are served.
+
+use crate::grant::RequestSpec;
+use crate::id::{TenantName, TimePoint, VmIdentity};
+use crate::outcome::RequestClass;
+use crate::owner::TenantShare;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingRequest {
+    pub(crate) ticket: u64,
+    pub(crate) asker: VmIdentity,
+    pub(crate) spec: RequestSpec,
+    pub(crate) adapter: u32,
+    pub(crate) arrived: TimePoint,
+    pub(crate) deadline: Option<TimePoint>,
+    /// When its adapter was loaded, if it was not at its arrival.
+    pub(crate) ready_at: Option<TimePoint>,
+    /// Whether its adapter was not loaded at its arrival.
+    pub(crate) stalled: bool,
+    start_tag: f64,
+    finish_tag: f64,
+}
+
+/// A request that is about to wait.
+#[derive(Clone, Debug)]
+pub(crate) struct ArrivingRequest {
+    pub(crate) ticket: u64,
+    pub(crate) asker: VmIdentity,
+    pub(crate) spec: RequestSpec,
+    pub(crate) adapter: u32,
+    pub(crate) deadline: Option<TimePoint>,
+    pub(crate) stalled: bool,
+}
+
+#[derive(Clone, Debug)]
+struct TenantClock {
+    tenant: TenantName,
+    weight: f64,
+    finish: [f64; RequestClass::ALL.len()],
+    waiting: [u32; RequestClass::ALL.len()],
+}
+
+/// The least weight of a tenant, so that a weight of zero starves nobody for ever.
+const LEAST_WEIGHT: f64 = 0.01;
+
+/// The queues of the classes. Urgent and audit work is shared fairly between tenants by virtual
+/// time; scheduled work goes by its deadline, and by virtual time where deadlines are equal.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WaitQueue {
+    classes: [Vec<WaitingRequest>; RequestClass::ALL.len()],
+    clocks: [f64; RequestClass::ALL.len()],
+    tenants: Vec<TenantClock>,
+}
+
+impl WaitQueue {
+    pub(crate) fn set_tenants(&mut self, shares: &[TenantShare]) {
+        for share in shares {
+            let at = self.tenant(&share.tenant);
+            self.tenants[at].weight = share.weight.max(LEAST_WEIGHT);
+        }
+        let used = |clock: &TenantClock| clock.waiting.iter().any(|&waiting| waiting > 0);
+        let listed = |clock: &TenantClock| shares.iter().any(|share| share.tenant == clock.tenant);
+        self.tenants.retain(|clock| used(clock) || listed(clock));
+    }
+
+    fn tenant(&mut self, name: &TenantName) -> usize {
+        match self.tenants.binary_search_by(|clock| clock.tenant.cmp(name)) {
+            Ok(at) => at,
+            Err(at) => {
+                let clock = TenantClock {
+                    tenant: name.clone(),
+                    weight: 1.0,
+                    finish: [0.0; 3],
+                    waiting: [0; 3],
+                };
+                self.tenants.insert(at, clock);
+                at
+            }
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.classes.iter().all(Vec::is_empty)
+    }
+
+    pub(crate) fn len(&self, class: RequestClass) -> usize {
+        self.classes[class as usize].len()
+    }
+
+    pub(crate) fn class(&self, class: RequestClass) -> &[WaitingRequest] {
+        &self.classes[class as usize]
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &WaitingRequest> {
+        self.classes.iter().flatten()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut WaitingRequest> {
+        self.classes.iter_mut().flatten()
+    }
+
+    /// Puts a request into its place.
+    pub(crate) fn push(&mut self, arriving: ArrivingRequest, now: TimePoint) {
+        let class = arriving.spec.class as usize;
+        let tenant = self.tenant(&arriving.spec.tenant);
+        let clock = &mut self.tenants[tenant];
+        let start_tag = clock.finish[class].max(self.clocks[class]);
+        let finish_tag = start_tag + 1.0 / clock.weight;
+        clock.finish[class] = finish_tag;
+        clock.waiting[class] += 1;
+        let request = WaitingRequest {
+            ticket: arriving.ticket,
+            asker: arriving.asker,
+            spec: arriving.spec,
+            adapter: arriving.adapter,
+            arrived: now,
+            deadline: arriving.deadline,
+            ready_at: None,
+            stalled: arriving.stalled,
+            start_tag,
+            finish_tag,
+        };
+        let queue = &mut self.classes[class];
+        let at = queue.partition_point(|waiting| !served_before(&request, waiting));
+        queue.insert(at, request);
+    }
+
+    /// Takes the request at `at` of `class` out because it is served.
+    pub(crate) fn serve(&mut self, class: RequestClass, at: usize) -> WaitingRequest {
+        let request = self.remove(class, at);
+        let clock = &mut self.clocks[class as usize];
+        *clock = clock.max(request.start_tag);
+        request
+    }
+
+    /// Takes the request at `at` of `class` out.
+    pub(crate) fn remove(&mut self, class: RequestClass, at: usize) -> WaitingRequest {
+        let request = self.classes[class as usize].remove(at);
+        let tenant = self.tenant(&request.spec.tenant);
+        let waiting = &mut self.tenants[tenant].waiting[class as usize];
+        *waiting = waiting.saturating_sub(1);
+        request
+    }
+
+    /// Takes out the request of `ticket`.
+    pub(crate) fn withdraw(&mut self, ticket: u64) -> Option<WaitingRequest> {
+        for class in RequestClass::ALL {
+            let found = self.class(class).iter().position(|waiting| waiting.ticket == ticket);
+            if let Some(at) = found {
+                return Some(self.remove(class, at));
+            }
+        }
+        None
+    }
+
+    /// Takes out the first request that `given_up` holds for.
+    pub(crate) fn take_first(
+        &mut self,
+        mut given_up: impl FnMut(&WaitingRequest) -> bool,
+    ) -> Option<WaitingRequest> {
+        for class in RequestClass::ALL {
+            let found = self.class(class).iter().position(&mut given_up);
+            if let Some(at) = found {
+                return Some(self.remove(class, at));
+            }
+        }
+        None
+    }
+
+    /// In a full queue, takes out the last request of the tenant that is furthest over its share,
+    /// unless that is `newcomer`: a tenant that floods must not push the others out.
+    pub(crate) fn displace(
+        &mut self,
+        class: RequestClass,
+        newcomer: &TenantName,
+    ) -> Option<WaitingRequest> {
+        let at = self.tenant(newcomer);
+        let load = |clock: &TenantClock| f64::from(clock.waiting[class as usize]) / clock.weight;
+        let own = load(&self.tenants[at]) + 1.0 / self.tenants[at].weight;
+        let most = self.tenants.iter().max_by(|left, right| load(left).total_cmp(&load(right)))?;
+        if load(most) <= own {
+            return None;
+        }
+        let tenant = most.tenant.clone();
+        let last = self.class(class).iter().rposition(|waiting| waiting.spec.tenant == tenant)?;
+        Some(self.remove(class, last))
+    }
+}
+
+fn served_before(left: &WaitingRequest, right: &WaitingRequest) -> bool {
+    if left.spec.class == RequestClass::Scheduled {
+        let due = |request: &WaitingRequest| request.deadline.map_or(u64::MAX, |due| due.0);
+        if due(left) != due(right) {
+            return due(left) < due(right);
+        }
+    }
+    left.finish_tag < right.finish_tag
+}
--- /dev/null
+++ b/decision/src/suspect.rs
@@ -0,0 +1,90 @@
+//! Requests that ran on engines which crashed, and what follows for them.
+//!
+//! All that ran on an engine when it crashed are suspects. A suspect runs only where no other
+//! suspect runs, so a second crash has one suspect, which is condemned; the others run whole and
+//! are cleared. See docs/PLACEMENT.md, "Poison requests".
+
+use crate::id::RequestFingerprint;
+use crate::record::SuspectEntry;
+
+/// How a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectVerdict {
+    /// Nothing is known against it.
+    Clear,
+    /// It runs apart from other suspects.
+    Isolated,
+    /// It runs no more.
+    Condemned,
+}
+
+/// How many servers may crash under a request before it is condemned.
+pub const CONDEMNED_CRASHES: u32 = 2;
+
+/// The verdict that follows from an entry of the control stream.
+#[must_use]
+pub fn verdict_of(entry: &SuspectEntry) -> SuspectVerdict {
+    if entry.crashes >= CONDEMNED_CRASHES && entry.alone >= 1 {
+        return SuspectVerdict::Condemned;
+    }
+    if entry.crashes >= 1 { SuspectVerdict::Isolated } else { SuspectVerdict::Clear }
+}
+
+/// What the owner knows of suspects: the control stream's state, and crashes that it saw itself and
+/// has not read back yet. The latter count at once, or a resend would fell a third server.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SuspectBook {
+    recorded: Vec<SuspectEntry>,
+    own: Vec<SuspectEntry>,
+}
+
+impl SuspectBook {
+    /// Takes over the control stream's list.
+    pub(crate) fn set_recorded(&mut self, mut entries: Vec<SuspectEntry>) {
+        entries.sort_unstable_by_key(|entry| entry.fingerprint);
+        self.own.retain(|own| match find(&entries, own.fingerprint) {
+            Some(read) => read.crashes < own.crashes || read.alone < own.alone,
+            None => true,
+        });
+        self.recorded = entries;
+    }
+
+    /// Counts a crash under `fingerprints`.
+    pub(crate) fn crash(&mut self, fingerprints: &[RequestFingerprint]) {
+        let alone = u32::from(fingerprints.len() == 1);
+        for &fingerprint in fingerprints {
+            let mut entry = self.entry(fingerprint).unwrap_or(SuspectEntry {
+                fingerprint,
+                crashes: 0,
+                alone: 0,
+            });
+            entry.crashes += 1;
+            entry.alone += alone;
+            match self.own.binary_search_by_key(&fingerprint, |own| own.fingerprint) {
+                Ok(at) => self.own[at] = entry,
+                Err(at) => self.own.insert(at, entry),
+            }
+        }
+    }
+
+    /// Clears `fingerprint` and tells whether it was a suspect.
+    pub(crate) fn clear(&mut self, fingerprint: RequestFingerprint) -> bool {
+        let before = self.own.len() + self.recorded.len();
+        self.own.retain(|entry| entry.fingerprint != fingerprint);
+        self.recorded.retain(|entry| entry.fingerprint != fingerprint);
+        self.own.len() + self.recorded.len() < before
+    }
+
+    pub(crate) fn verdict(&self, fingerprint: RequestFingerprint) -> SuspectVerdict {
+        self.entry(fingerprint).as_ref().map_or(SuspectVerdict::Clear, verdict_of)
+    }
+
+    fn entry(&self, fingerprint: RequestFingerprint) -> Option<SuspectEntry> {
+        find(&self.own, fingerprint).or_else(|| find(&self.recorded, fingerprint)).cloned()
+    }
+}
+
+fn find(entries: &[SuspectEntry], fingerprint: RequestFingerprint) -> Option<&SuspectEntry> {
+    let found = entries.binary_search_by_key(&fingerprint, |entry| entry.fingerprint);
+    found.ok().map(|at| &entries[at])
+}
