--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -4,29 +4,31 @@
 //! seeded generator go in, actions come out. The same code runs under HTTP in the entry process, in
 //! the long randomised tests and in the benchmarks. docs/DESIGN.md tells how the parts fit.
 
-mod adapter;
 mod derive;
-mod fleet;
-mod load;
-mod order;
-mod place;
-mod queue;
 
+mod adapter;
 pub mod check;
+pub mod claim;
+pub mod config;
+pub mod control;
 pub mod delta;
+mod fleet;
+mod follow;
 pub mod grant;
 pub mod id;
 pub mod invariant;
+mod load;
 pub mod manifest;
 pub mod member;
 pub mod message;
+mod order;
 pub mod outcome;
 pub mod owner;
+mod place;
+mod queue;
 pub mod record;
 pub mod report;
 pub mod route;
 pub mod slot;
 pub mod suspect;
-
-pub use adapter::{AdapterIndex, SlotChoice};
-pub use place::PlaceQuery;
+pub mod takeover;
