Settings: every fault of a file at once, and the reference made from the code

A process that starts on half-read settings or tells its operator one typo at a time costs a restart for each. settings_struct! declares keys with meaning, default and range; the file is read with places from its syntax tree, and unknown keys (with the nearest name), wrong types and values out of range are told together.

--- a/decision/src/check.rs
+++ b/decision/src/check.rs
@@ -30,6 +30,9 @@
 /// Characters that no name may hold, beside white space and control characters: `@` and `#` divide
 /// the parts of slot names and `/` those of paths; the others need escapes in URLs or in quotes.
 pub const FORBIDDEN_NAME_CHARACTERS: &str = "@#/\\\"?%";
+/// The rule for names, as error messages tell it.
+pub const NAME_RULE: &str = "1 to 128 bytes, no white space, no control characters, none of \
+                             @#/\\\"?%, not \".\" or \"..\"";
 /// Hexadecimal digits in the SHA-256 hash of a credential.
 pub const CREDENTIAL_DIGITS: usize = 64;
 
@@ -213,6 +216,15 @@
     format!("{list}[{name:?}]")
 }
 
+/// Whether `name` may stand for something; [`NAME_RULE`] tells the rule.
+#[must_use]
+pub fn is_good_name(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len())
+        && name.chars().all(is_name_character)
+        && name != "."
+        && name != ".."
+}
+
 fn is_name_character(c: char) -> bool {
     // Almost all are of these; the search below costs more than the rest of a check.
     if c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.') {
@@ -242,23 +254,11 @@
     }
 
     fn name(&mut self, path: &str, name: &str) {
-        let good = (1..=MAX_NAME_BYTES).contains(&name.len())
-            && name.chars().all(is_name_character)
-            && name != "."
-            && name != "..";
-        if good {
+        if is_good_name(name) {
             return;
         }
-        let allowed = format!(
-            "1 to {MAX_NAME_BYTES} bytes, no white space, no control characters, none of \
-             {FORBIDDEN_NAME_CHARACTERS}, not \".\" or \"..\""
-        );
-        self.add(
-            path,
-            FaultKind::BadText,
-            format!("the name {} is not allowed", shown(name)),
-            allowed,
-        );
+        let detail = format!("the name {} is not allowed", shown(name));
+        self.add(path, FaultKind::BadText, detail, NAME_RULE.to_owned());
     }
 
     fn whole(&mut self, path: &str, value: u64, range: &RangeInclusive<u64>) {
--- /dev/null
+++ b/settings/src/structure.rs
@@ -0,0 +1,116 @@
+//! The macros that declare settings.
+
+/// Declares a struct of settings; see the crate's page for the grammar and an example.
+///
+/// Nothing may follow the word `required`: the lifetime in its pattern only gives the expansion
+/// something to repeat on.
+#[macro_export]
+macro_rules! settings_struct {
+    (
+        $(#[$meta:meta])*
+        $vis:vis struct $name:ident {
+            $(
+                $(#[doc = $doc:literal])*
+                $field_vis:vis $field:ident: $type:ty = $default:expr
+                    $(, in $range:expr)? $(, required $($never:lifetime)?)?;
+            )*
+        }
+        $(check $check:path)?
+    ) => {
+        $(#[$meta])*
+        #[derive(Clone, Debug, PartialEq, $crate::serde::Serialize, $crate::serde::Deserialize)]
+        #[serde(crate = "coltsfoothook_settings::serde", deny_unknown_fields, default)]
+        $vis struct $name {
+            $(
+                $(#[doc = $doc])*
+                $field_vis $field: $type,
+            )*
+        }
+
+        impl Default for $name {
+            fn default() -> Self {
+                Self { $($field: $default,)* }
+            }
+        }
+
+        impl $crate::SettingValue for $name {
+            fn type_name() -> String {
+                "object".to_owned()
+            }
+
+            fn shown(&self) -> String {
+                String::new()
+            }
+
+            fn check_value(&self, key: &str, faults: &mut $crate::FaultList) {
+                faults.within(key, |faults| {
+                    $(
+                        $crate::SettingValue::check_value(&self.$field, stringify!($field), faults);
+                        $($crate::check_range(&self.$field, stringify!($field), &($range), faults);)?
+                        $($($never)? $crate::check_given(&self.$field, stringify!($field), faults);)?
+                    )*
+                    $($check(self, faults);)?
+                });
+            }
+
+            fn add_inner_rows(row: &$crate::ReferenceRow, rows: &mut Vec<$crate::ReferenceRow>) {
+                $crate::SettingValue::add_rows(&Self::default(), row.clone(), rows);
+            }
+
+            fn add_rows(&self, row: $crate::ReferenceRow, rows: &mut Vec<$crate::ReferenceRow>) {
+                $(
+                    let field_row = row.field(stringify!($field), &self.$field, &[$($doc),*]);
+                    $(let field_row = field_row.with_range($crate::range_text(&self.$field, &($range)));)?
+                    $($($never)? let field_row = field_row.required();)?
+                    $crate::SettingValue::add_rows(&self.$field, field_row, rows);
+                )*
+            }
+        }
+
+        impl $crate::CheckedSettings for $name {
+            fn check(&self) -> Vec<$crate::SettingsFault> {
+                let mut faults = $crate::FaultList::default();
+                $crate::SettingValue::check_value(self, "", &mut faults);
+                faults.into_faults()
+            }
+        }
+    };
+}
+
+/// Declares an enum of settings, each variant with its text in the file.
+#[macro_export]
+macro_rules! settings_choice {
+    (
+        $(#[$meta:meta])*
+        $vis:vis enum $name:ident {
+            $( $(#[$variant_meta:meta])* $variant:ident = $text:literal, )*
+        }
+    ) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq,
+            $crate::serde::Serialize, $crate::serde::Deserialize,
+        )]
+        #[serde(crate = "coltsfoothook_settings::serde")]
+        $vis enum $name {
+            $(
+                $(#[$variant_meta])*
+                #[serde(rename = $text)]
+                $variant,
+            )*
+        }
+
+        impl $crate::SettingValue for $name {
+            fn type_name() -> String {
+                let texts: &[&str] = &[$(concat!("`", $text, "`")),*];
+                texts.join(" or ")
+            }
+
+            fn shown(&self) -> String {
+                match self {
+                    $(Self::$variant => format!("{:?}", $text),)*
+                }
+            }
+        }
+    };
+}
