--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -7,6 +7,7 @@
 mod derive;
 
 mod adapter;
+pub mod attempt;
 pub mod check;
 pub mod claim;
 pub mod config;
@@ -17,6 +18,8 @@
 pub mod grant;
 pub mod id;
 pub mod invariant;
+pub mod job;
+pub mod limit;
 mod load;
 pub mod manifest;
 pub mod member;
@@ -30,5 +33,6 @@
 pub mod report;
 pub mod route;
 pub mod slot;
+pub mod snapshot;
 pub mod suspect;
 pub mod takeover;
--- a/decision/src/takeover.rs
+++ b/decision/src/takeover.rs
@@ -209,13 +209,12 @@
     (stable_hash(&[key, vm]), vm)
 }
 
-/// Whether this VM comes first for `key` among the live ones.
+/// This VM's place for `key` among the live VMs, 0 being the first. Each later rank waits longer,
+/// so one VM acts, and another does if the first cannot.
 #[must_use]
-pub fn comes_first(key: &str, members: &MemberTable) -> bool {
-    let own = members.own();
-    let mine = preference(key, own.name());
-    own.state() == MemberState::Alive
-        && !members.live().any(|row| preference(key, row.name()) > mine)
+pub fn rank_among_live(key: &str, members: &MemberTable) -> u64 {
+    let mine = preference(key, members.own().name());
+    members.live().filter(|row| preference(key, row.name()) > mine).count() as u64
 }
 
 /// Why a VM dispatches to a loaded slot without a grant, or does not.
