Faces towards callers and between VMs, first working version

Cause: entry VMs need an HTTP face for callers and calls among themselves.

Change: package caller serves the OpenAI-compatible API on dropshot. Its one route covers all paths, since dropshot answers an unknown path itself, without an outcome. Every error is a problem document with outcome, reason and time to come back, from one table that docs/CALLERS.md is checked against. Bodies are read by the face, bounded in size and time. A caller that goes away drops the handler's future or stream; closing waits for running streams.

Package peer carries tarpc over frames of its own: named fields, bounded length and depth, deadlines as time left. A message of a newer release is answered as unsupported and leaves the connection in use. Names in messages are checked against the sender's certificate.

--- a/caller/src/lib.rs
+++ b/caller/src/lib.rs
@@ -1,1 +1,38 @@
-//! placeholder
+//! The HTTP face towards callers: OpenAI-compatible completions, calls to plain services, audit
+//! jobs, and the list of entry VMs to use.
+//!
+//! This package reads and checks requests, and writes answers and problem documents. What happens
+//! to a request is decided by the [`CallHandler`] that the entry process puts behind it. Headers,
+//! outcomes and reasons are described for callers in docs/CALLERS.md.
+//!
+//! ```no_run
+//! # use std::sync::Arc;
+//! # use coltsfoothook_caller::{CallHandler, CallerServer, CallerSettings};
+//! # async fn run(handler: Arc<dyn CallHandler>) -> Result<(), coltsfoothook_caller::StartError> {
+//! let settings = CallerSettings { body_bytes: 256 * 1024, ..Default::default() };
+//! let server = CallerServer::start(settings, handler, None)?;
+//! println!("callers reach this VM at {}", server.address());
+//! server.close().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod answer;
+mod body;
+mod face;
+mod handler;
+mod header;
+mod problem;
+mod route;
+mod server;
+mod settings;
+
+pub use body::{CompletionBody, parse_completion};
+pub use handler::{
+    AnswerBody, AnswerStream, CallHandler, CompletionAnswer, CompletionCall, CompletionKind,
+    EntriesAnswer, EntryAddress, HealthAnswer, JobCall, JobResult, JobState, JobStatus,
+    ModelChoice, ModelInfo, ModelPage, ModelQuery, ServiceAnswer, ServiceCall,
+};
+pub use problem::{CallProblem, FaceReason, ProblemReason, ProblemRow, problem_row};
+pub use server::{CallerServer, StartError};
+pub use settings::CallerSettings;
--- /dev/null
+++ b/caller/src/route.rs
@@ -0,0 +1,103 @@
+//! Which operation a method and path name.
+//!
+//! dropshot's router answers an unknown path with a document of its own, which states no outcome.
+//! It gets one route for all paths instead, and this module tells the operations apart.
+
+use coltsfoothook_decision::id::{JobId, ServiceName};
+use http::Method;
+
+use crate::handler::CompletionKind;
+use crate::problem::{CallProblem, FaceReason};
+use crate::settings::CallerSettings;
+
+/// An operation of the API.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum CallerRoute {
+    Health,
+    Entries,
+    Models,
+    Complete(CompletionKind),
+    Service { service: ServiceName, path: String },
+    SubmitJob,
+    JobStatus(JobId),
+    JobResult(JobId),
+    CancelJob(JobId),
+}
+
+/// Finds the operation. `path` is as the caller encoded it, without the query.
+pub(crate) fn find_route(
+    method: &Method,
+    path: &str,
+    settings: &CallerSettings,
+) -> Result<CallerRoute, CallProblem> {
+    let segments: Vec<&str> = path.trim_start_matches('/').splitn(4, '/').collect();
+    match segments.as_slice() {
+        ["health"] => on(method, &Method::GET, CallerRoute::Health),
+        ["v1", "entries"] => on(method, &Method::GET, CallerRoute::Entries),
+        ["v1", "models"] => on(method, &Method::GET, CallerRoute::Models),
+        ["v1", "completions"] => {
+            on(method, &Method::POST, CallerRoute::Complete(CompletionKind::Completions))
+        }
+        ["v1", "chat", "completions"] => {
+            on(method, &Method::POST, CallerRoute::Complete(CompletionKind::Chat))
+        }
+        ["v1", "services", service] => service_route(service, "/", settings),
+        ["v1", "services", service, rest] => service_route(service, &format!("/{rest}"), settings),
+        ["v1", "jobs"] => on(method, &Method::POST, CallerRoute::SubmitJob),
+        ["v1", "jobs", id] => job_route(method, id, settings),
+        ["v1", "jobs", id, "result"] => {
+            on(method, &Method::GET, CallerRoute::JobResult(job_id(id, settings)?))
+        }
+        _ => Err(CallProblem::not_run(FaceReason::UnknownPath, "there is no such path")),
+    }
+}
+
+fn on(method: &Method, want: &Method, route: CallerRoute) -> Result<CallerRoute, CallProblem> {
+    if method == want {
+        return Ok(route);
+    }
+    let detail = format!("this path takes {want}");
+    Err(CallProblem::not_run(FaceReason::MethodNotAllowed, detail))
+}
+
+fn service_route(
+    service: &str,
+    path: &str,
+    settings: &CallerSettings,
+) -> Result<CallerRoute, CallProblem> {
+    check_id("the service's name", service, settings.id_bytes)?;
+    Ok(CallerRoute::Service { service: service.into(), path: path.to_owned() })
+}
+
+fn job_route(
+    method: &Method,
+    id: &str,
+    settings: &CallerSettings,
+) -> Result<CallerRoute, CallProblem> {
+    let job = job_id(id, settings)?;
+    match *method {
+        Method::GET => Ok(CallerRoute::JobStatus(job)),
+        Method::DELETE => Ok(CallerRoute::CancelJob(job)),
+        _ => {
+            let detail = "this path takes GET and DELETE";
+            Err(CallProblem::not_run(FaceReason::MethodNotAllowed, detail))
+        }
+    }
+}
+
+fn job_id(id: &str, settings: &CallerSettings) -> Result<JobId, CallProblem> {
+    check_id("the job's id", id, settings.id_bytes)?;
+    Ok(id.into())
+}
+
+/// Checks an id: not empty, within the bound, and letters, digits, `.`, `_`, `:` or `-` alone, so
+/// that it stands unescaped in paths, log lines and keys.
+pub(crate) fn check_id(what: &str, id: &str, most: usize) -> Result<(), CallProblem> {
+    let allowed = |c: u8| c.is_ascii_alphanumeric() || b"._:-".contains(&c);
+    if id.is_empty() || id.len() > most || !id.bytes().all(allowed) {
+        let detail =
+            format!("{what} must have 1 to {most} characters of letters, digits and . _ : -");
+        return Err(CallProblem::not_run(FaceReason::MalformedRequest, detail));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/caller/tests/suite/graceful_close.rs
@@ -0,0 +1,52 @@
+//! Closing the face cuts no answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use crate::client::{parse, request};
+use crate::fake::{FakeHandler, Script, reaches, start};
+
+/// The VM is told to stop while a caller reads a stream. Closing must wait for the stream's end; a
+/// server that only waits for handlers would return when the status line is out and cut the rest.
+#[tokio::test]
+async fn waits_for_stream() {
+    let (parts, script) = mpsc::unbounded_channel();
+    let handler = FakeHandler::answering(Script::Stream(script));
+    let server = start(handler.clone());
+    let address = server.address();
+    let text =
+        request("POST", "/v1/completions", "", r#"{"model":"a@1","prompt":"x","stream":true}"#);
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    stream.write_all(text.as_bytes()).await.expect("write");
+    parts.send(Ok(Bytes::from_static(b"data: 1\n\n"))).expect("send");
+    reaches(&handler.begun, 1).await;
+    let mut closing = tokio::spawn(server.close());
+    let early = tokio::time::timeout(Duration::from_millis(100), &mut closing).await;
+    assert!(early.is_err(), "closing waits");
+    parts.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).expect("send");
+    drop(parts);
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.expect("read");
+    let answer = parse(&bytes);
+    assert!(answer.whole);
+    assert_eq!(answer.text(), "data: 1\n\ndata: [DONE]\n\n");
+    closing.await.expect("closed");
+    assert!(TcpStream::connect(address).await.is_err(), "the port is free");
+}
+
+/// An idle connection that a caller keeps open does not hold the process back.
+#[tokio::test]
+async fn idle_connection_closes() {
+    let server = start(FakeHandler::answering(Script::Whole("{}")));
+    let mut stream = TcpStream::connect(server.address()).await.expect("connect");
+    let text = request("GET", "/v1/entries", "", "").replace("connection: close\r\n", "");
+    stream.write_all(text.as_bytes()).await.expect("write");
+    let mut buffer = [0; 2_048];
+    assert!(stream.read(&mut buffer).await.expect("read") > 0);
+    tokio::time::timeout(Duration::from_secs(10), server.close()).await.expect("closed");
+    assert_eq!(stream.read(&mut buffer).await.expect("read"), 0);
+}
--- /dev/null
+++ b/caller/tests/suite/problem_table.rs
@@ -0,0 +1,134 @@
+//! The table of reasons, as docs/CALLERS.md shows it.
+
+use std::fmt::Write;
+
+use coltsfoothook_caller::{CallProblem, FaceReason, ProblemReason, problem_row};
+use coltsfoothook_decision::outcome::RefusalReason;
+use expect_test::expect;
+
+use crate::client::call;
+use crate::fake::{FakeHandler, Script, start};
+
+const REFUSALS: [RefusalReason; 18] = [
+    RefusalReason::Overloaded,
+    RefusalReason::TenantLimit,
+    RefusalReason::DeadlinePassed,
+    RefusalReason::NotReady,
+    RefusalReason::UnknownAdapter,
+    RefusalReason::NotAllowed,
+    RefusalReason::LoadFailed,
+    RefusalReason::NoServer,
+    RefusalReason::Condemned,
+    RefusalReason::NotOwner,
+    RefusalReason::OwnerUnreachable,
+    RefusalReason::AlreadyClaimed,
+    RefusalReason::LogUnavailable,
+    RefusalReason::KeyReused,
+    RefusalReason::KeyExpired,
+    RefusalReason::Cancelled,
+    RefusalReason::Leaving,
+    RefusalReason::RetryBudget,
+];
+
+const FACE: [FaceReason; 14] = [
+    FaceReason::MalformedRequest,
+    FaceReason::BodyTooLarge,
+    FaceReason::HeaderTooLarge,
+    FaceReason::SlowSender,
+    FaceReason::Unauthenticated,
+    FaceReason::UnknownPath,
+    FaceReason::MethodNotAllowed,
+    FaceReason::UnknownService,
+    FaceReason::UnknownJob,
+    FaceReason::JobUnfinished,
+    FaceReason::BackendFailed,
+    FaceReason::AnswerLost,
+    FaceReason::DeadlineExceeded,
+    FaceReason::Internal,
+];
+
+fn reasons() -> impl Iterator<Item = ProblemReason> {
+    let refusals = REFUSALS.into_iter().map(ProblemReason::Refused);
+    refusals.chain(FACE.into_iter().map(ProblemReason::Face))
+}
+
+#[test]
+fn table() {
+    let mut table = String::new();
+    for reason in reasons() {
+        let row = problem_row(reason);
+        let again = if row.again { "yes" } else { "no" };
+        writeln!(table, "| `{}` | {} | {again} |", row.name, row.status.as_u16()).expect("write");
+    }
+    expect![[r#"
+        | `overloaded` | 503 | yes |
+        | `tenant_limit` | 429 | yes |
+        | `deadline_passed` | 504 | yes |
+        | `not_ready` | 503 | yes |
+        | `unknown_adapter` | 404 | no |
+        | `not_allowed` | 403 | no |
+        | `load_failed` | 503 | yes |
+        | `no_server` | 503 | yes |
+        | `condemned` | 422 | no |
+        | `not_owner` | 503 | yes |
+        | `owner_unreachable` | 503 | yes |
+        | `already_claimed` | 409 | no |
+        | `log_unavailable` | 503 | yes |
+        | `key_reused` | 422 | no |
+        | `key_expired` | 410 | no |
+        | `cancelled` | 409 | no |
+        | `leaving` | 503 | yes |
+        | `retry_budget` | 503 | yes |
+        | `malformed_request` | 400 | no |
+        | `body_too_large` | 413 | no |
+        | `header_too_large` | 431 | no |
+        | `slow_sender` | 408 | yes |
+        | `unauthenticated` | 401 | no |
+        | `unknown_path` | 404 | no |
+        | `method_not_allowed` | 405 | no |
+        | `unknown_service` | 404 | no |
+        | `unknown_job` | 404 | no |
+        | `job_unfinished` | 409 | yes |
+        | `backend_failed` | 502 | no |
+        | `answer_lost` | 502 | no |
+        | `deadline_exceeded` | 504 | no |
+        | `internal` | 500 | no |
+    "#]]
+    .assert_eq(&table);
+    let page = include_str!("../../../docs/CALLERS.md");
+    for line in table.lines() {
+        assert!(page.contains(&format!("\n{line}")), "docs/CALLERS.md lacks the row {line}");
+    }
+}
+
+/// Names are how clients tell reasons apart, so no two may share one.
+#[test]
+fn names_differ() {
+    let mut names: Vec<_> = reasons().map(|reason| problem_row(reason).name).collect();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), REFUSALS.len() + FACE.len());
+}
+
+/// A refusal tells when to come back, rounded up to whole seconds in the header: a client that
+/// rounds down would come too early and be refused again.
+#[tokio::test]
+async fn refusal_is_told() {
+    let problem = CallProblem::refused(RefusalReason::TenantLimit, 1_200, "120 requests a second");
+    let server = start(FakeHandler::answering(Script::Problem(problem)));
+    let body = r#"{"model":"a@1","prompt":"x"}"#;
+    let answer = call(server.address(), "POST", "/v1/completions", body).await;
+    assert_eq!((answer.status, answer.header("retry-after")), (429, Some("2")));
+    expect![[r#"{"type":"urn:coltsfoothook:problem:tenant_limit","title":"Tenant's limit reached","status":429,"detail":"120 requests a second","outcome":"not_run","reason":"tenant_limit","retry_after_ms":1200,"request_id":"r0"}"#]].assert_eq(&answer.text());
+}
+
+/// Where trying again cannot help, no time to come back is told even if one was given.
+#[tokio::test]
+async fn no_retry_where_useless() {
+    let problem = CallProblem::refused(RefusalReason::Condemned, 500, "it crashed two servers");
+    let server = start(FakeHandler::answering(Script::Problem(problem)));
+    let body = r#"{"model":"a@1","prompt":"x"}"#;
+    let answer = call(server.address(), "POST", "/v1/completions", body).await;
+    assert_eq!((answer.status, answer.header("retry-after")), (422, None));
+    assert_eq!(answer.json()["retry_after_ms"], serde_json::Value::Null);
+}
--- /dev/null
+++ b/keys/src/lib.rs
@@ -0,0 +1,1 @@
+//! TLS and secrets.
--- /dev/null
+++ b/peer/src/handler.rs
@@ -0,0 +1,45 @@
+//! What the entry process implements to answer other VMs.
+
+use async_trait::async_trait;
+use coltsfoothook_decision::grant::{ReleaseCall, ReserveCall, ReserveReply};
+use coltsfoothook_decision::member::{ProbeMessage, ProbeReply};
+use coltsfoothook_decision::message::{
+    CatchUpCall, CatchUpReply, ExplainCall, ExplainReply, HeldCall, HeldReply, RevokeCall,
+    RevokeReply, StatusReply, WithdrawCall,
+};
+
+/// Answers calls of other VMs. The names in messages have been checked against the certificates.
+#[async_trait]
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Answers a probe, or probes the named VM on the sender's behalf.
+    async fn probe(&self, message: ProbeMessage) -> ProbeReply;
+
+    /// Waits until the request may run or is refused.
+    ///
+    /// The future is dropped when the asker's caller goes away, when the asker's connection breaks,
+    /// and at the call's deadline. A guard in it must then withdraw the request from the queue, and
+    /// release a grant that was already given as not run: the asker will never learn of it. The
+    /// [`PeerHandler::withdraw`] that an asker sends besides finds nothing more to do.
+    async fn reserve(&self, call: ReserveCall) -> ReserveReply;
+
+    /// Forgets a request that waits for a grant, or releases the grant if there is one.
+    async fn withdraw(&self, call: WithdrawCall);
+
+    /// Takes grants back.
+    async fn release(&self, calls: Vec<ReleaseCall>);
+
+    /// Tells a new owner which grants are held.
+    async fn held(&self, call: HeldCall) -> HeldReply;
+
+    /// Gives up a key that was not begun.
+    async fn revoke(&self, call: RevokeCall) -> RevokeReply;
+
+    /// Tells a VM without the log what it missed.
+    async fn catch_up(&self, call: CatchUpCall) -> CatchUpReply;
+
+    /// Tells operators what this VM knows and does.
+    async fn status(&self) -> StatusReply;
+
+    /// Tells the steps of a request.
+    async fn explain(&self, call: ExplainCall) -> ExplainReply;
+}
--- /dev/null
+++ b/peer/src/service.rs
@@ -0,0 +1,134 @@
+//! The tarpc service, and its server side before the handler.
+
+use std::sync::Arc;
+
+use coltsfoothook_decision::grant::{ReleaseCall, ReserveCall, ReserveReply};
+use coltsfoothook_decision::id::VmName;
+use coltsfoothook_decision::member::{ProbeMessage, ProbeReply};
+use coltsfoothook_decision::message::{
+    CatchUpCall, CatchUpReply, ExplainCall, ExplainReply, HeldCall, HeldReply, RevokeCall,
+    RevokeReply, StatusReply, WithdrawCall,
+};
+use coltsfoothook_decision::value;
+use serde::{Deserialize, Serialize};
+use tarpc::context::Context;
+
+use crate::handler::PeerHandler;
+use crate::identity::PeerIdentity;
+use crate::settings::PeerCounters;
+
+value! {
+    /// Why a VM did not carry a call out.
+    #[derive(Copy, Eq)]
+    pub enum FaultReason {
+        /// The message claims another VM's name than the certificate.
+        ForgedName,
+        /// The receiver's release does not know the message.
+        Unsupported,
+        /// The receiver has too many calls in flight.
+        Busy,
+    }
+
+    /// A call that was not carried out, not even in part.
+    #[derive(Eq)]
+    pub struct PeerFault {
+        /// Why.
+        pub reason: FaultReason,
+        /// What a person should know beyond the reason.
+        #[serde(default)]
+        pub detail: String,
+    }
+}
+
+/// The calls between entry VMs.
+#[tarpc::service(derive = [Serialize, Deserialize])]
+pub(crate) trait VmPeer {
+    async fn probe(message: ProbeMessage) -> Result<ProbeReply, PeerFault>;
+    async fn reserve(call: ReserveCall) -> Result<ReserveReply, PeerFault>;
+    async fn withdraw(call: WithdrawCall) -> Result<(), PeerFault>;
+    async fn release(calls: Vec<ReleaseCall>) -> Result<(), PeerFault>;
+    async fn held(call: HeldCall) -> Result<HeldReply, PeerFault>;
+    async fn revoke(call: RevokeCall) -> Result<RevokeReply, PeerFault>;
+    async fn catch_up(call: CatchUpCall) -> Result<CatchUpReply, PeerFault>;
+    async fn status() -> Result<StatusReply, PeerFault>;
+    async fn explain(call: ExplainCall) -> Result<ExplainReply, PeerFault>;
+    /// Stands for a message that this release cannot read; never sent.
+    async fn unsupported(detail: String) -> Result<(), PeerFault>;
+}
+
+/// One connection's side of the service.
+#[derive(Clone)]
+pub(crate) struct PeerService {
+    pub(crate) handler: Arc<dyn PeerHandler>,
+    pub(crate) identity: Arc<PeerIdentity>,
+    pub(crate) counters: Arc<PeerCounters>,
+}
+
+impl PeerService {
+    /// Checks that the sender is the VM that its message claims.
+    ///
+    /// Otherwise one VM with a stolen key could release the grants of all others, and their slots
+    /// would be evicted under running requests.
+    fn check_name(&self, claimed: &VmName) -> Result<(), PeerFault> {
+        if self.identity.is(claimed) {
+            return Ok(());
+        }
+        self.counters.count_forged();
+        log::warn!("event=peer_name_forged claimed={:?}", claimed.as_str());
+        let detail = format!("the certificate is not that of {claimed}");
+        Err(PeerFault { reason: FaultReason::ForgedName, detail })
+    }
+}
+
+impl VmPeer for PeerService {
+    async fn probe(self, _: Context, message: ProbeMessage) -> Result<ProbeReply, PeerFault> {
+        self.check_name(&message.from.vm.vm)?;
+        Ok(self.handler.probe(message).await)
+    }
+
+    async fn reserve(self, _: Context, call: ReserveCall) -> Result<ReserveReply, PeerFault> {
+        self.check_name(&call.asker.vm)?;
+        Ok(self.handler.reserve(call).await)
+    }
+
+    async fn withdraw(self, _: Context, call: WithdrawCall) -> Result<(), PeerFault> {
+        self.check_name(&call.asker.vm)?;
+        self.handler.withdraw(call).await;
+        Ok(())
+    }
+
+    async fn release(self, _: Context, calls: Vec<ReleaseCall>) -> Result<(), PeerFault> {
+        for call in &calls {
+            self.check_name(&call.holder.vm)?;
+        }
+        self.handler.release(calls).await;
+        Ok(())
+    }
+
+    async fn held(self, _: Context, call: HeldCall) -> Result<HeldReply, PeerFault> {
+        self.check_name(&call.asker.vm)?;
+        Ok(self.handler.held(call).await)
+    }
+
+    async fn revoke(self, _: Context, call: RevokeCall) -> Result<RevokeReply, PeerFault> {
+        Ok(self.handler.revoke(call).await)
+    }
+
+    async fn catch_up(self, _: Context, call: CatchUpCall) -> Result<CatchUpReply, PeerFault> {
+        Ok(self.handler.catch_up(call).await)
+    }
+
+    async fn status(self, _: Context) -> Result<StatusReply, PeerFault> {
+        Ok(self.handler.status().await)
+    }
+
+    async fn explain(self, _: Context, call: ExplainCall) -> Result<ExplainReply, PeerFault> {
+        Ok(self.handler.explain(call).await)
+    }
+
+    async fn unsupported(self, _: Context, detail: String) -> Result<(), PeerFault> {
+        self.counters.count_unsupported();
+        log::warn!("event=peer_message_unsupported detail={detail:?}");
+        Err(PeerFault { reason: FaultReason::Unsupported, detail })
+    }
+}
--- /dev/null
+++ b/peer/src/settings.rs
@@ -0,0 +1,150 @@
+//! Bounds of the calls between VMs, and what is counted.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Settings of the calls between entry VMs.
+///
+/// Two releases talk to each other while VMs are replaced one by one: fields are sent by name,
+/// unknown ones are ignored, new ones need a serde default, and a method that the receiver does not
+/// know is answered with [`crate::FaultReason::Unsupported`] without harm to the connection.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PeerSettings {
+    /// Where to listen. Port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Whether to speak without TLS, for loopback and tests. Without TLS any process that reaches
+    /// the port can pretend to be a VM, so leaving out the keys is not enough.
+    pub plaintext: bool,
+    /// The largest frame in bytes; a snapshot of the configuration must fit.
+    pub frame_bytes: usize,
+    /// The most connections that are served at once.
+    pub connections: usize,
+    /// The most calls in flight on a connection, at either end.
+    pub calls: usize,
+    /// Milliseconds for connecting, and again for the TLS handshake.
+    pub connect_timeout_ms: u64,
+    /// Milliseconds after a failed connect before the next, doubled with each failure.
+    pub backoff_ms: u64,
+    /// The most milliseconds between connects.
+    pub backoff_most_ms: u64,
+    /// The longest time in milliseconds that a call may take, whatever its sender says.
+    pub call_most_ms: u64,
+    /// Milliseconds after which a connection that nobody used is closed.
+    pub idle_ms: u64,
+    /// Milliseconds that closing waits for running calls.
+    pub close_ms: u64,
+}
+
+impl Default for PeerSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            plaintext: false,
+            frame_bytes: 8 * 1024 * 1024,
+            connections: 1_024,
+            calls: 4_096,
+            connect_timeout_ms: 1_000,
+            backoff_ms: 50,
+            backoff_most_ms: 1_000,
+            call_most_ms: 600_000,
+            idle_ms: 60_000,
+            close_ms: 2_000,
+        }
+    }
+}
+
+impl PeerSettings {
+    pub(crate) fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_timeout_ms)
+    }
+
+    /// Fails where TLS is neither given nor waived.
+    pub(crate) fn check_tls(&self, given: bool) -> Result<(), SetupError> {
+        snafu::ensure!(given || self.plaintext, NoKeysSnafu);
+        Ok(())
+    }
+}
+
+/// Calls between VMs could not be set up.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum SetupError {
+    /// Neither keys nor an explicit waiver.
+    #[snafu(display("calls between VMs need TLS keys, or plaintext set to true in the settings"))]
+    NoKeys,
+    /// The address cannot be bound.
+    #[snafu(display("cannot listen for other VMs at {listen}"))]
+    Listen {
+        /// The address.
+        listen: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// Counts of refused peers and broken frames, for metrics.
+#[derive(Debug, Default)]
+pub struct PeerCounters {
+    handshakes: AtomicU64,
+    frames: AtomicU64,
+    forged: AtomicU64,
+    unsupported: AtomicU64,
+    crowded: AtomicU64,
+}
+
+impl PeerCounters {
+    /// Connections that ended in the TLS handshake: no certificate of ours, or no TLS at all.
+    #[must_use]
+    pub fn failed_handshakes(&self) -> u64 {
+        self.handshakes.load(Ordering::Relaxed)
+    }
+
+    /// Connections closed for a frame that was garbage, too large or cut.
+    #[must_use]
+    pub fn broken_frames(&self) -> u64 {
+        self.frames.load(Ordering::Relaxed)
+    }
+
+    /// Messages that claimed another VM's name.
+    #[must_use]
+    pub fn forged_names(&self) -> u64 {
+        self.forged.load(Ordering::Relaxed)
+    }
+
+    /// Messages that this release does not know.
+    #[must_use]
+    pub fn unsupported_messages(&self) -> u64 {
+        self.unsupported.load(Ordering::Relaxed)
+    }
+
+    /// Connections refused because there were too many.
+    #[must_use]
+    pub fn refused_connections(&self) -> u64 {
+        self.crowded.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_handshake(&self) {
+        self.handshakes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_frame(&self) {
+        self.frames.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_forged(&self) {
+        self.forged.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_unsupported(&self) {
+        self.unsupported.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_crowded(&self) {
+        self.crowded.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/peer/tests/suite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of calls between VMs.
