--- a/decision/src/outcome.rs
+++ b/decision/src/outcome.rs
@@ -102,3 +102,30 @@
         }
     }
 }
+
+impl RefusalReason {
+    /// The reason's name in problem documents, metrics and logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Overloaded => "overloaded",
+            Self::TenantLimit => "tenant_limit",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::NotReady => "not_ready",
+            Self::UnknownAdapter => "unknown_adapter",
+            Self::NotAllowed => "not_allowed",
+            Self::LoadFailed => "load_failed",
+            Self::NoServer => "no_server",
+            Self::Condemned => "condemned",
+            Self::NotOwner => "not_owner",
+            Self::OwnerUnreachable => "owner_unreachable",
+            Self::AlreadyClaimed => "already_claimed",
+            Self::LogUnavailable => "log_unavailable",
+            Self::KeyReused => "key_reused",
+            Self::KeyExpired => "key_expired",
+            Self::Cancelled => "cancelled",
+            Self::Leaving => "leaving",
+            Self::RetryBudget => "retry_budget",
+        }
+    }
+}
