Stand-ins of engine, service, log, list of VMs and weight store, with faults

The system needs something to talk to whose faults can be switched on while it runs. The stand-ins obey wrong orders and count the harm, so that tests see what the system did. Tests induce each stage at which a run or a call can fail and assert what the client says of it.

--- /dev/null
+++ b/standin/src/bin/coltsfoothook-standin-store.rs
@@ -0,0 +1,14 @@
+//! The stand-in of the weight store, as a process of its own.
+
+use coltsfoothook_standin::{StoreServerSettings, run_standin, start_store};
+
+fn main() -> std::process::ExitCode {
+    run_standin(
+        "coltsfoothook-standin-store",
+        "weight store",
+        async |settings: StoreServerSettings| {
+            let handle = start_store(settings).await?;
+            Ok((handle.address(), async move { handle.shutdown().await }))
+        },
+    )
+}
--- /dev/null
+++ b/standin/src/command.rs
@@ -0,0 +1,139 @@
+//! The command line that the stand-ins' binaries share.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Parser;
+use serde::de::DeserializeOwned;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// What the command line says.
+struct CommandOptions {
+    settings: Option<PathBuf>,
+    listen: Option<SocketAddr>,
+    check: bool,
+}
+
+/// Settings that say where to listen.
+pub trait ListenSettings: Default + DeserializeOwned {
+    /// Listens elsewhere.
+    fn listen_on(&mut self, address: SocketAddr);
+}
+
+impl ListenSettings for crate::EngineServerSettings {
+    fn listen_on(&mut self, address: SocketAddr) {
+        self.listen = address;
+    }
+}
+
+impl ListenSettings for crate::ServiceServerSettings {
+    fn listen_on(&mut self, address: SocketAddr) {
+        self.listen = address;
+    }
+}
+
+impl ListenSettings for crate::PlatformServerSettings {
+    fn listen_on(&mut self, address: SocketAddr) {
+        self.listen = address;
+    }
+}
+
+impl ListenSettings for crate::StoreServerSettings {
+    fn listen_on(&mut self, address: SocketAddr) {
+        self.listen = address;
+    }
+}
+
+/// Runs a stand-in as a process: reads the command line and the settings, starts it, prints its
+/// address as one line, and stops it gracefully on SIGTERM or SIGINT.
+pub fn run_standin<Settings, Start, Starting, Stop>(
+    name: &'static str,
+    what: &'static str,
+    start: Start,
+) -> ExitCode
+where
+    Settings: ListenSettings,
+    Start: FnOnce(Settings) -> Starting,
+    Starting: Future<Output = io::Result<(SocketAddr, Stop)>>,
+    Stop: Future<Output = ()>,
+{
+    let options = options(name, what);
+    let settings: Settings = match read_settings(&options) {
+        Ok(settings) => settings,
+        Err(message) => return fail(name, &message),
+    };
+    if options.check {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(name, &error.to_string()),
+    };
+    match runtime.block_on(serve_until_stopped(name, start(settings))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(name, &error.to_string()),
+    }
+}
+
+async fn serve_until_stopped<Stop: Future<Output = ()>>(
+    name: &str,
+    starting: impl Future<Output = io::Result<(SocketAddr, Stop)>>,
+) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let (address, stop) = starting.await?;
+    println!("{name} listening on {address}");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        result = tokio::signal::ctrl_c() => result?,
+    }
+    stop.await;
+    Ok(())
+}
+
+fn options(name: &'static str, what: &'static str) -> CommandOptions {
+    let settings = bpaf::long("settings")
+        .short('s')
+        .help("File with settings, JSON with comments")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let listen = bpaf::long("listen")
+        .short('l')
+        .help("Address to listen on, in place of the settings' one")
+        .argument::<SocketAddr>("IP:PORT")
+        .optional();
+    let check = bpaf::long("check-settings").help("Check the settings and stop").switch();
+    let footer = format!(
+        "Examples:\n  {name} --listen 127.0.0.1:7100\n  {name} --settings {name}.jsonc --check-settings"
+    );
+    let description = format!("Stand-in of the {what}; see docs/STANDINS.md");
+    bpaf::construct!(CommandOptions { settings, listen, check })
+        .to_options()
+        .descr(description.as_str())
+        .footer(footer.as_str())
+        .version(env!("CARGO_PKG_VERSION"))
+        .run()
+}
+
+fn read_settings<Settings: ListenSettings>(options: &CommandOptions) -> Result<Settings, String> {
+    let mut settings = match &options.settings {
+        None => Settings::default(),
+        Some(path) => {
+            let text = std::fs::read_to_string(path)
+                .map_err(|error| format!("{}: {error}", path.display()))?;
+            serde_json::from_str(&text).map_err(|error| format!("{}: {error}", path.display()))?
+        }
+    };
+    if let Some(address) = options.listen {
+        settings.listen_on(address);
+    }
+    Ok(settings)
+}
+
+fn fail(name: &str, message: &str) -> ExitCode {
+    eprintln!("{name}: {message}");
+    ExitCode::FAILURE
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,52 @@
-//! placeholder
+//! Small servers that take the place of what surrounds the system: a model engine, a plain
+//! service, the platform's log with its list of VMs, and a weight store.
+//!
+//! Each is a library type that runs as tasks on a loopback port, so that tests and the
+//! demonstration host them in one process; the binaries run the same code. Each has faults that are
+//! switched while it runs, by its handle or by `POST /standin/faults`. None protects the system
+//! from its own mistakes: they obey and count. docs/STANDINS.md describes them.
+//!
+//! ```no_run
+//! # async fn example() -> std::io::Result<()> {
+//! use coltsfoothook_standin::{EngineServerSettings, start_engine};
+//!
+//! let settings = EngineServerSettings { adapter_slots: 4, ..Default::default() };
+//! let engine = start_engine(settings).await?;
+//! println!("listening on {}", engine.address());
+//! engine.shutdown().await;
+//! # Ok(()) }
+//! ```
+
+mod answer;
+mod batch;
+mod command;
+mod count;
+mod engine;
+mod orders;
+mod platform;
+mod prefix;
+mod reply;
+mod runs;
+mod server;
+mod service;
+mod store;
+mod streams;
+mod tally;
+mod vms;
+
+pub use answer::{AnswerFlaw, AnswerProof, answer_text, prompt_hash, read_answer, weights_label};
+pub use command::{ListenSettings, run_standin};
+pub use count::EngineCounters;
+pub use engine::{
+    EngineFaults, EngineHandle, EngineServerSettings, LoadFault, RunCut, start_engine,
+};
+pub use platform::{
+    OutageKind, PlatformCounters, PlatformFaults, PlatformHandle, PlatformServerSettings,
+    start_platform,
+};
+pub use service::{
+    MadeTicket, ServiceCounters, ServiceFaults, ServiceHandle, ServiceServerSettings, start_service,
+};
+pub use store::{StoreCounters, StoreFaults, StoreHandle, StoreServerSettings, start_store};
+pub use tally::TallyEntry;
+pub use vms::VmChange;
--- /dev/null
+++ b/standin/src/orders.rs
@@ -0,0 +1,285 @@
+//! Orders to the model engine stand-in, and questions that it answers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfoothook_decision::report::EngineReport;
+use coltsfoothook_engine::{EngineRole, FENCING_HEADER, KvExport};
+use coltsfoothook_exchange::ExchangeRequest;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::batch::{AdapterSlot, EngineState};
+use crate::engine::{EngineServer, LoadFault, SMALL_BODY};
+use crate::reply::{self, Refusal, Reply};
+
+/// How many imported KV caches are kept.
+const IMPORT_LIMIT: usize = 256;
+/// The bound on the weight store's answer.
+const STORE_ANSWER: usize = 64 * 1024;
+
+/// How a load ended, once it did.
+type LoadResult = Option<Result<(), String>>;
+
+#[derive(Serialize, Deserialize)]
+struct LoadBody {
+    lora_name: String,
+    lora_path: String,
+}
+
+#[derive(Serialize, Deserialize)]
+struct UnloadBody {
+    lora_name: String,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RoleBody {
+    role: EngineRole,
+}
+
+#[derive(Serialize)]
+struct FetchBody<'a> {
+    path: &'a str,
+}
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelItem>,
+}
+
+#[derive(Serialize)]
+struct ModelItem {
+    id: String,
+    object: &'static str,
+    root: String,
+}
+
+impl EngineServer {
+    pub(crate) async fn handle_load(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Reply, Refusal> {
+        let fencing = fencing(&request);
+        let body: LoadBody = reply::read_json(request, SMALL_BODY).await?;
+        let mut loaded = self.begin_load(&body, fencing)?;
+        let result = match loaded.wait_for(Option::is_some).await {
+            Ok(result) => result.clone().unwrap_or(Ok(())),
+            Err(_) => Err("engine restarted".to_owned()),
+        };
+        let fault = self.extra().faults.load;
+        if let LoadFault::Late { by_ms } = fault {
+            tokio::time::sleep(Duration::from_millis(by_ms)).await;
+        }
+        match result {
+            Ok(()) => Ok(reply::ok(&"loaded")),
+            Err(reason) => Err(reply::refusal(StatusCode::BAD_GATEWAY, "load_failed", &reason)),
+        }
+    }
+
+    /// Takes a slot for the load, or joins one under way. The load goes on if its orderer leaves.
+    fn begin_load(
+        self: &Arc<Self>,
+        body: &LoadBody,
+        fencing: Option<u64>,
+    ) -> Result<watch::Receiver<LoadResult>, Refusal> {
+        let mut state = self.lock();
+        state.check_fencing(fencing)?;
+        let at = match state.slot(&body.lora_name) {
+            Ok(at) if state.slots[at].weights == body.lora_path => {
+                return Ok(state.slots[at].loaded.subscribe());
+            }
+            Ok(_) => {
+                let message = "the name stands for other weights";
+                return Err(reply::refusal(StatusCode::BAD_REQUEST, "name_taken", message));
+            }
+            Err(at) => at,
+        };
+        if state.slots.len() >= self.settings.adapter_slots as usize {
+            state.counters.loads_full += 1;
+            return Err(reply::refusal(StatusCode::CONFLICT, "slots_full", "all slots are taken"));
+        }
+        let slot = AdapterSlot {
+            name: body.lora_name.clone(),
+            weights: body.lora_path.clone(),
+            running: 0,
+            loaded: watch::Sender::new(None),
+        };
+        let loaded = slot.loaded.subscribe();
+        state.slots.insert(at, slot);
+        let (engine, life) = (self.clone(), state.incarnation);
+        let (name, path) = (body.lora_name.clone(), body.lora_path.clone());
+        self.control.spawn(async move {
+            let result = engine.fetch(&path).await;
+            let mut state = engine.lock();
+            if state.incarnation == life {
+                state.end_load(&name, result);
+            }
+        });
+        Ok(loaded)
+    }
+
+    async fn fetch(&self, path: &str) -> Result<(), String> {
+        let fault = self.extra().faults.load;
+        match fault {
+            LoadFault::Fail => return Err("load fault".to_owned()),
+            LoadFault::Hang => {
+                self.control.hang().await;
+                return Err("load hung".to_owned());
+            }
+            LoadFault::None | LoadFault::Late { .. } => {}
+        }
+        if let Some(store) = self.settings.store {
+            let body = serde_json::to_vec(&FetchBody { path }).unwrap_or_default();
+            let request = ExchangeRequest::post_json("/v1/weights", body);
+            let answer =
+                self.store.send(store, request).await.map_err(|error| error.to_string())?;
+            let status = answer.status;
+            answer.body.collect(STORE_ANSWER).await.map_err(|error| error.to_string())?;
+            if status != StatusCode::OK {
+                return Err(format!("weight store answered {status}"));
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(self.settings.load_ms)).await;
+        Ok(())
+    }
+
+    pub(crate) async fn handle_unload(&self, request: Request<Incoming>) -> Result<Reply, Refusal> {
+        let fencing = fencing(&request);
+        let body: UnloadBody = reply::read_json(request, SMALL_BODY).await?;
+        let mut state = self.lock();
+        state.check_fencing(fencing)?;
+        let Ok(at) = state.slot(&body.lora_name) else {
+            return Err(reply::refusal(StatusCode::NOT_FOUND, "not_loaded", "no such slot"));
+        };
+        state.remove_slot(at);
+        state.counters.unloads += 1;
+        Ok(reply::ok(&"unloaded"))
+    }
+
+    pub(crate) async fn handle_role(&self, request: Request<Incoming>) -> Result<Reply, Refusal> {
+        let fencing = fencing(&request);
+        let body: RoleBody = reply::read_json(request, SMALL_BODY).await?;
+        self.lock().check_fencing(fencing)?;
+        self.extra().role = body.role;
+        Ok(reply::ok(&body))
+    }
+
+    pub(crate) fn handle_models(&self) -> Reply {
+        let state = self.lock();
+        let item = |slot: &AdapterSlot| ModelItem {
+            id: slot.name.clone(),
+            object: "model",
+            root: slot.weights.clone(),
+        };
+        let loaded = state.slots.iter().filter(|slot| slot.is_loaded());
+        reply::ok(&ModelList { object: "list", data: loaded.map(item).collect() })
+    }
+
+    /// The newest report that is at least as old as the lag, or the oldest there is.
+    pub(crate) fn handle_report(&self) -> Reply {
+        match self.lagging_report() {
+            Some(report) => reply::ok(&report),
+            None => reply::ok(&self.lock().report()),
+        }
+    }
+
+    fn lagging_report(&self) -> Option<EngineReport> {
+        let lag = self.report_lag();
+        if lag.is_zero() {
+            return None;
+        }
+        let now = Instant::now();
+        let extra = self.extra();
+        let old = extra.reports.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
+        old.or(extra.reports.front()).map(|(_, report)| report.clone())
+    }
+
+    pub(crate) fn handle_events(&self, request: &Request<Incoming>) -> Result<Reply, Refusal> {
+        let from = reply::query_number(request, "from", 0)?;
+        let lag = Duration::from_millis(self.settings.event_lag_ms);
+        Ok(reply::ok(&self.lock().prefixes.events(from, Instant::now(), lag)))
+    }
+
+    pub(crate) fn handle_export(&self, id: &str) -> Result<Reply, Refusal> {
+        let found = self.lock().stream(id);
+        let stream = found.ok_or_else(no_stream)?;
+        let tokens = stream.progress.borrow().next;
+        let weights = stream.weights.clone();
+        Ok(reply::ok(&KvExport { weights, prompt_hash: stream.prompt, tokens }))
+    }
+
+    pub(crate) async fn handle_import(
+        &self,
+        request: Request<Incoming>,
+        id: &str,
+    ) -> Result<Reply, Refusal> {
+        let kv: KvExport = reply::read_json(request, SMALL_BODY).await?;
+        let mut extra = self.extra();
+        if extra.imports.len() >= IMPORT_LIMIT {
+            extra.imports.pop_front();
+        }
+        extra.imports.push_back((id.to_owned(), kv.clone()));
+        Ok(reply::ok(&kv))
+    }
+}
+
+/// "Not found" for a stream.
+pub(crate) fn no_stream() -> Refusal {
+    reply::refusal(StatusCode::NOT_FOUND, "no_stream", "no such stream")
+}
+
+fn fencing(request: &Request<Incoming>) -> Option<u64> {
+    reply::header_text(request, FENCING_HEADER.as_str()).parse().ok()
+}
+
+impl AdapterSlot {
+    /// Whether requests can run on it.
+    pub(crate) fn is_loaded(&self) -> bool {
+        *self.loaded.borrow() == Some(Ok(()))
+    }
+}
+
+impl EngineState {
+    /// Refuses an order with an old number, if this engine checks them.
+    fn check_fencing(&mut self, number: Option<u64>) -> Result<(), Refusal> {
+        let checks = self.settings.checks_fencing;
+        let Some(number) = number else {
+            if checks {
+                let status = StatusCode::PRECONDITION_REQUIRED;
+                return Err(reply::refusal(status, "no_fencing", "a fencing number is needed"));
+            }
+            return Ok(());
+        };
+        if number >= self.highest_fencing {
+            self.highest_fencing = number;
+            return Ok(());
+        }
+        if checks {
+            self.counters.stale_refused += 1;
+            let message = format!("fencing number {number} is below {}", self.highest_fencing);
+            return Err(reply::refusal(StatusCode::CONFLICT, "stale_fencing", &message));
+        }
+        self.counters.stale_obeyed += 1;
+        Ok(())
+    }
+
+    fn end_load(&mut self, name: &str, result: Result<(), String>) {
+        let Ok(at) = self.slot(name) else {
+            return;
+        };
+        match result {
+            Ok(()) => {
+                self.counters.loads += 1;
+                self.slots[at].loaded.send_replace(Some(Ok(())));
+            }
+            Err(reason) => {
+                self.counters.loads_failed += 1;
+                let slot = self.slots.remove(at);
+                slot.loaded.send_replace(Some(Err(reason)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/platform.rs
@@ -0,0 +1,447 @@
+//! The platform stand-in: the append-only log and the list of VMs.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use coltsfoothook_decision::id::LogOffset;
+use coltsfoothook_decision::value;
+use coltsfoothook_platform::{AppendedRange, ListedVm, LogPage};
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::reply::{self, ConnectionCut, Refusal, Reply};
+use crate::server::{HttpServer, RequestHandler, ServerControl};
+use crate::streams::{LogStreams, ReadResult, StreamLimits};
+use crate::vms::{VmChange, VmList};
+
+/// The bound on the body of a fault or a change of the list.
+const SMALL_BODY: usize = 64 * 1024;
+
+/// Settings of the log and the list of VMs.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformServerSettings {
+    /// Where to listen; port 0 takes any free one.
+    pub listen: SocketAddr,
+    /// Appends a second that the log takes.
+    pub appends_per_s: f64,
+    /// Appends that it takes at once after a rest.
+    pub append_burst: f64,
+    /// How long a record is kept, in milliseconds.
+    pub retain_ms: u64,
+    /// How many records a stream keeps.
+    pub retain_records: usize,
+    /// The longest body of an append, in bytes.
+    pub max_append_bytes: usize,
+    /// The most records and bytes in one page.
+    pub max_page_records: usize,
+    /// The longest that a read waits for a record, in milliseconds.
+    pub max_wait_ms: u64,
+    /// How long a change takes to show in the list of VMs, in milliseconds.
+    pub list_lag_ms: u64,
+}
+
+impl Default for PlatformServerSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            appends_per_s: 400.0,
+            append_burst: 100.0,
+            retain_ms: 7 * 24 * 3_600 * 1_000,
+            retain_records: 1_000_000,
+            max_append_bytes: 16 * 1024 * 1024,
+            max_page_records: 1_000,
+            max_wait_ms: 30_000,
+            list_lag_ms: 1_000,
+        }
+    }
+}
+
+value! {
+    /// Faults of the log and the list; the default has none.
+    #[derive(Default, Eq)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct PlatformFaults {
+        /// What the log does with all requests.
+        pub log: OutageKind,
+        /// What the list of VMs does with all requests.
+        pub list: OutageKind,
+        /// The next so many appends take effect, and their connection is cut before the answer.
+        pub lose_answers: u32,
+        /// The next so many appends are cut before they take effect.
+        pub drop_appends: u32,
+        /// How much longer each answer of the log takes, in milliseconds.
+        pub delay_ms: u64,
+    }
+
+    /// What a service does while it is out of order.
+    #[derive(Copy, Default, Eq)]
+    pub enum OutageKind {
+        /// It works.
+        #[default]
+        None,
+        /// It answers that it is unavailable.
+        Refuse,
+        /// It takes requests and never answers.
+        Hang,
+        /// It cuts each connection.
+        Cut,
+    }
+
+    /// What happened so far.
+    #[derive(Copy, Default, Eq)]
+    pub struct PlatformCounters {
+        /// Appends that took effect.
+        pub appends: u64,
+        /// Records in them.
+        pub records: u64,
+        /// Appends refused by the rate.
+        pub throttled: u64,
+        /// Reads answered.
+        pub reads: u64,
+        /// Answers lost on purpose.
+        pub answers_lost: u64,
+    }
+
+    struct AppendBody {
+        records: Vec<String>,
+    }
+
+    struct RetentionBody {
+        first_kept: LogOffset,
+    }
+
+    struct ForgetBody {
+        stream: String,
+        before: u64,
+    }
+}
+
+#[derive(Serialize)]
+struct ListBody {
+    vms: Vec<ListedVm>,
+}
+
+/// A running platform stand-in.
+pub struct PlatformHandle {
+    server: HttpServer,
+    shared: Arc<PlatformServer>,
+}
+
+struct PlatformServer {
+    settings: PlatformServerSettings,
+    state: Mutex<PlatformState>,
+    /// Counts appends, for reads that wait.
+    appended: watch::Sender<u64>,
+    control: Arc<ServerControl>,
+}
+
+struct PlatformState {
+    streams: LogStreams,
+    vms: VmList,
+    faults: PlatformFaults,
+    counters: PlatformCounters,
+}
+
+/// Starts the log and the list of VMs.
+///
+/// # Errors
+///
+/// If the address cannot be listened on.
+pub async fn start_platform(settings: PlatformServerSettings) -> std::io::Result<PlatformHandle> {
+    let limits = StreamLimits {
+        appends_per_s: settings.appends_per_s,
+        append_burst: settings.append_burst.max(1.0),
+        retain: Duration::from_millis(settings.retain_ms),
+        retain_records: settings.retain_records,
+    };
+    let state = PlatformState {
+        streams: LogStreams::new(limits, Instant::now()),
+        vms: VmList::new(),
+        faults: PlatformFaults::default(),
+        counters: PlatformCounters::default(),
+    };
+    let control = ServerControl::new();
+    let listen = settings.listen;
+    let shared = Arc::new(PlatformServer {
+        settings,
+        state: Mutex::new(state),
+        appended: watch::Sender::new(0),
+        control: control.clone(),
+    });
+    let server = HttpServer::start(listen, control, shared.clone()).await?;
+    log::info!("event=platform_started address={}", server.address());
+    Ok(PlatformHandle { server, shared })
+}
+
+impl PlatformHandle {
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// The faults now; counts of faults to come go down as they happen.
+    #[must_use]
+    pub fn faults(&self) -> PlatformFaults {
+        self.shared.lock().faults.clone()
+    }
+
+    /// What happened so far.
+    #[must_use]
+    pub fn counters(&self) -> PlatformCounters {
+        self.shared.lock().counters
+    }
+
+    /// Changes the list of VMs; the change shows after the list's lag.
+    pub fn change_vms(&self, change: VmChange) {
+        self.shared.change_vms(change);
+    }
+
+    /// Appends records as another writer would, past the rate and all faults.
+    pub fn append(&self, stream: &str, records: Vec<String>) -> AppendedRange {
+        self.shared.append(stream, records)
+    }
+
+    /// Forgets all records of a stream before `offset`, as retention would.
+    pub fn forget_before(&self, stream: &str, offset: LogOffset) {
+        self.shared.lock().streams.forget_before(stream, offset.0);
+    }
+
+    /// Takes and answers nothing for `time`.
+    pub fn freeze(&self, time: Duration) {
+        self.server.control().freeze(time);
+    }
+
+    /// Refuses connections for `time`; records are kept.
+    pub fn go_down(&self, time: Duration) {
+        self.server.control().go_down(time);
+    }
+
+    /// Stops after the answers under way.
+    pub async fn shutdown(self) {
+        self.server.begin_stop();
+        self.set_faults(PlatformFaults::default());
+        self.server.stop().await;
+    }
+}
+
+/// Whether an append is to be harmed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum AppendFault {
+    None,
+    Drop,
+    Lose,
+}
+
+impl PlatformServer {
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_faults(&self, faults: PlatformFaults) {
+        log::info!("event=platform_faults faults={faults:?}");
+        self.lock().faults = faults;
+        self.control.cut_hung();
+        // Reads that wait look at the faults again.
+        self.appended.send_modify(|count| *count += 1);
+    }
+
+    fn change_vms(&self, change: VmChange) {
+        let lag = Duration::from_millis(self.settings.list_lag_ms);
+        self.lock().vms.change(change, Instant::now(), lag);
+    }
+
+    fn append(&self, stream: &str, records: Vec<String>) -> AppendedRange {
+        let mut state = self.lock();
+        state.counters.appends += 1;
+        state.counters.records += records.len() as u64;
+        let range = state.streams.append(stream, records, Instant::now());
+        drop(state);
+        self.appended.send_modify(|count| *count += 1);
+        range
+    }
+
+    async fn outage(&self, kind: OutageKind) -> Result<Option<Reply>, ConnectionCut> {
+        match kind {
+            OutageKind::None => Ok(None),
+            OutageKind::Refuse => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Ok(Some(reply::refusal(status, "outage", "out of service").into()))
+            }
+            OutageKind::Hang => {
+                self.control.hang().await;
+                Err(ConnectionCut)
+            }
+            OutageKind::Cut => Err(ConnectionCut),
+        }
+    }
+
+    async fn handle_log(
+        &self,
+        request: Request<Incoming>,
+        stream: String,
+    ) -> Result<Reply, ConnectionCut> {
+        let faults = self.lock().faults.clone();
+        if let Some(refusal) = self.outage(faults.log).await? {
+            return Ok(refusal);
+        }
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        match *request.method() {
+            Method::POST => self.handle_append(request, &stream).await,
+            Method::GET => Ok(reply::either(self.handle_read(&request, &stream).await)),
+            _ => Ok(reply::no_endpoint().into()),
+        }
+    }
+
+    async fn handle_append(
+        &self,
+        request: Request<Incoming>,
+        stream: &str,
+    ) -> Result<Reply, ConnectionCut> {
+        let body: AppendBody = match reply::read_json(request, self.settings.max_append_bytes).await
+        {
+            Ok(body) => body,
+            Err(refusal) => return Ok(refusal.into()),
+        };
+        if let Err(wait_ms) = self.admit() {
+            return Ok(reply::throttled(wait_ms).into());
+        }
+        let fault = self.append_fault();
+        if fault == AppendFault::Drop {
+            return Err(ConnectionCut);
+        }
+        let range = self.append(stream, body.records);
+        if fault == AppendFault::Lose {
+            return Err(ConnectionCut);
+        }
+        Ok(reply::ok(&range))
+    }
+
+    fn admit(&self) -> Result<(), u64> {
+        let mut state = self.lock();
+        let admitted = state.streams.admit(Instant::now());
+        if admitted.is_err() {
+            state.counters.throttled += 1;
+        }
+        admitted
+    }
+
+    fn append_fault(&self) -> AppendFault {
+        let mut state = self.lock();
+        if state.faults.drop_appends > 0 {
+            state.faults.drop_appends -= 1;
+            return AppendFault::Drop;
+        }
+        if state.faults.lose_answers > 0 {
+            state.faults.lose_answers -= 1;
+            state.counters.answers_lost += 1;
+            return AppendFault::Lose;
+        }
+        AppendFault::None
+    }
+
+    async fn handle_read(
+        &self,
+        request: &Request<Incoming>,
+        stream: &str,
+    ) -> Result<Reply, Refusal> {
+        let from = reply::query_number(request, "from", 0)?;
+        let max = reply::query_number(request, "max", self.settings.max_page_records as u64)?;
+        let wait_ms = reply::query_number(request, "wait_ms", 0)?.min(self.settings.max_wait_ms);
+        let max =
+            usize::try_from(max).unwrap_or(usize::MAX).clamp(1, self.settings.max_page_records);
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        let mut appended = self.appended.subscribe();
+        loop {
+            match self.read_now(stream, from, max) {
+                ReadResult::BehindRetention(first_kept) => {
+                    return Ok(reply::json(StatusCode::GONE, &RetentionBody { first_kept }));
+                }
+                ReadResult::Page(page) if page.records.is_empty() => {
+                    let waited = tokio::time::timeout_at(deadline, appended.changed()).await;
+                    if waited.is_err() || self.control.stopping() {
+                        return Ok(self.page(&page));
+                    }
+                }
+                ReadResult::Page(page) => return Ok(self.page(&page)),
+            }
+            // An outage also takes the reads that wait.
+            if self.lock().faults.log != OutageKind::None {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Err(reply::refusal(status, "outage", "out of service"));
+            }
+        }
+    }
+
+    fn read_now(&self, stream: &str, from: u64, max: usize) -> ReadResult {
+        self.lock().streams.read(stream, from, max, Instant::now())
+    }
+
+    fn page(&self, page: &LogPage) -> Reply {
+        self.lock().counters.reads += 1;
+        reply::ok(page)
+    }
+
+    async fn handle_list(&self) -> Result<Reply, ConnectionCut> {
+        let outage = self.lock().faults.list;
+        if let Some(refusal) = self.outage(outage).await? {
+            return Ok(refusal);
+        }
+        let vms = self.lock().vms.show(Instant::now());
+        Ok(reply::ok(&ListBody { vms }))
+    }
+
+    async fn handle_admin(
+        &self,
+        request: Request<Incoming>,
+        action: &str,
+    ) -> Result<Reply, Refusal> {
+        match (request.method().as_str(), action) {
+            ("GET", "faults") => Ok(reply::ok(&self.lock().faults)),
+            ("GET", "counters") => Ok(reply::ok(&self.lock().counters)),
+            ("POST", "faults") => {
+                let faults: PlatformFaults = reply::read_json(request, SMALL_BODY).await?;
+                self.set_faults(faults.clone());
+                Ok(reply::ok(&faults))
+            }
+            ("POST", "vms") => {
+                let change: VmChange = reply::read_json(request, SMALL_BODY).await?;
+                self.change_vms(change.clone());
+                Ok(reply::ok(&change))
+            }
+            ("POST", "forget") => {
+                let body: ForgetBody = reply::read_json(request, SMALL_BODY).await?;
+                self.lock().streams.forget_before(&body.stream, body.before);
+                Ok(reply::ok(&body))
+            }
+            _ => Err(reply::no_endpoint()),
+        }
+    }
+}
+
+#[async_trait]
+impl RequestHandler for PlatformServer {
+    async fn handle(&self, request: Request<Incoming>) -> Result<Reply, ConnectionCut> {
+        let path = request.uri().path().to_owned();
+        match reply::segments(&path)[..] {
+            ["v1", "streams", stream, "records"] => {
+                self.handle_log(request, stream.to_owned()).await
+            }
+            ["v1", "vms"] if request.method() == Method::GET => self.handle_list().await,
+            ["standin", action] => Ok(reply::either(self.handle_admin(request, action).await)),
+            _ => Ok(reply::no_endpoint().into()),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/streams.rs
@@ -0,0 +1,132 @@
+//! The streams of the log stand-in: offsets, retention, and the rate of appends.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use coltsfoothook_decision::id::LogOffset;
+use coltsfoothook_platform::{AppendedRange, LogPage, LoggedRecord};
+
+/// What the log keeps, and how fast it may grow.
+#[derive(Clone, Debug)]
+pub(crate) struct StreamLimits {
+    pub(crate) appends_per_s: f64,
+    pub(crate) append_burst: f64,
+    pub(crate) retain: Duration,
+    pub(crate) retain_records: usize,
+}
+
+/// All streams. Offsets begin at 0 in each.
+pub(crate) struct LogStreams {
+    limits: StreamLimits,
+    /// Sorted by name.
+    streams: Vec<NamedStream>,
+    tokens: f64,
+    refilled: Instant,
+}
+
+struct NamedStream {
+    name: String,
+    first_kept: u64,
+    records: VecDeque<KeptRecord>,
+}
+
+struct KeptRecord {
+    at: Instant,
+    data: String,
+}
+
+/// What a read finds.
+pub(crate) enum ReadResult {
+    Page(LogPage),
+    BehindRetention(LogOffset),
+}
+
+impl LogStreams {
+    /// No streams yet.
+    pub(crate) fn new(limits: StreamLimits, now: Instant) -> Self {
+        Self { tokens: limits.append_burst, limits, streams: Vec::new(), refilled: now }
+    }
+
+    /// Takes one append out of the rate, or tells in how many milliseconds one is free.
+    pub(crate) fn admit(&mut self, now: Instant) -> Result<(), u64> {
+        let elapsed = now.saturating_duration_since(self.refilled).as_secs_f64();
+        let refilled = self.tokens + elapsed * self.limits.appends_per_s;
+        self.tokens = refilled.min(self.limits.append_burst);
+        self.refilled = now;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait_s = (1.0 - self.tokens) / self.limits.appends_per_s.max(f64::EPSILON);
+        Err((wait_s * 1_000.0).ceil() as u64)
+    }
+
+    /// Appends records, whatever the rate says.
+    pub(crate) fn append(
+        &mut self,
+        name: &str,
+        records: Vec<String>,
+        now: Instant,
+    ) -> AppendedRange {
+        let limits = self.limits.clone();
+        let stream = self.stream(name);
+        let first = stream.next();
+        stream.records.extend(records.into_iter().map(|data| KeptRecord { at: now, data }));
+        stream.retire(&limits, now);
+        AppendedRange { first: LogOffset(first), next: LogOffset(stream.next()) }
+    }
+
+    /// Reads up to `max` records from `from` on.
+    pub(crate) fn read(&mut self, name: &str, from: u64, max: usize, now: Instant) -> ReadResult {
+        let limits = self.limits.clone();
+        let stream = self.stream(name);
+        stream.retire(&limits, now);
+        let first_kept = LogOffset(stream.first_kept);
+        if from < stream.first_kept {
+            return ReadResult::BehindRetention(first_kept);
+        }
+        let skip = usize::try_from(from - stream.first_kept).unwrap_or(usize::MAX);
+        let kept = stream.records.iter().skip(skip).take(max).enumerate();
+        let records: Vec<LoggedRecord> = kept
+            .map(|(index, record)| LoggedRecord {
+                offset: LogOffset(from + index as u64),
+                data: record.data.clone(),
+            })
+            .collect();
+        let next = LogOffset(from + records.len() as u64);
+        ReadResult::Page(LogPage { records, first_kept, next })
+    }
+
+    /// Forgets all records of a stream before `offset`, as retention would.
+    pub(crate) fn forget_before(&mut self, name: &str, offset: u64) {
+        let stream = self.stream(name);
+        while stream.first_kept < offset && stream.records.pop_front().is_some() {
+            stream.first_kept += 1;
+        }
+    }
+
+    fn stream(&mut self, name: &str) -> &mut NamedStream {
+        let found = self.streams.binary_search_by(|stream| stream.name.as_str().cmp(name));
+        let at = found.unwrap_or_else(|at| {
+            let stream =
+                NamedStream { name: name.to_owned(), first_kept: 0, records: VecDeque::new() };
+            self.streams.insert(at, stream);
+            at
+        });
+        &mut self.streams[at]
+    }
+}
+
+impl NamedStream {
+    fn next(&self) -> u64 {
+        self.first_kept + self.records.len() as u64
+    }
+
+    fn retire(&mut self, limits: &StreamLimits, now: Instant) {
+        let old = |record: &KeptRecord| now.saturating_duration_since(record.at) > limits.retain;
+        while self.records.len() > limits.retain_records || self.records.front().is_some_and(old) {
+            self.records.pop_front();
+            self.first_kept += 1;
+        }
+    }
+}
--- /dev/null
+++ b/standin/tests/suite/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the stand-ins, and of the clients against them.
+
+mod common;
+mod engine_orders;
+mod lost_append;
+mod run_order;
+mod run_stages;
+mod service_stages;
+mod vm_list;
+mod whole_answer;
--- /dev/null
+++ b/standin/tests/suite/run_stages.rs
@@ -0,0 +1,141 @@
+//! Each stage at which a run can fail, and what the client says of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfoothook_engine::{EngineClient, EngineSettings, HttpEngine, RunCall, RunError};
+use coltsfoothook_exchange::{ExchangeSettings, ExchangeStage};
+use coltsfoothook_standin::{EngineFaults, EngineServerSettings, RunCut, read_answer};
+
+use crate::common::{SLOT, loaded_engine, quick_engine, read_text, run_call};
+
+/// Addresses for documentation (RFC 5737) reach nobody; a port without a listener refuses.
+async fn closed_port() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn cut(stage: RunCut) -> EngineFaults {
+    EngineFaults { cut: stage, cut_next: 1, ..Default::default() }
+}
+
+/// The caller may be told "not run": nobody listens, so no byte left.
+#[tokio::test]
+async fn refused_connection() {
+    let client = HttpEngine::new(EngineSettings::default());
+    let error = client.run(closed_port().await, run_call("r", 4, false)).await.unwrap_err();
+    assert!(matches!(error, RunError::NotSent { .. }), "{error:?}");
+    assert!(error.certainly_not_run());
+}
+
+/// The engine restarted or a report lied: the slot is not there, and the engine ran nothing.
+#[tokio::test]
+async fn slot_missing() {
+    let (engine, client) = quick_engine(EngineServerSettings::default()).await;
+    let error = client.run(engine.address(), run_call("r", 4, false)).await.unwrap_err();
+    assert_eq!(error, RunError::SlotMissing);
+    assert_eq!(engine.counters().runs, 0);
+    engine.shutdown().await;
+}
+
+/// The engine's queue is full and it says so before running anything.
+#[tokio::test]
+async fn queue_full() {
+    let settings = EngineServerSettings { max_waiting: 0, ..Default::default() };
+    let (engine, client) = loaded_engine(settings).await;
+    let error = client.run(engine.address(), run_call("r", 4, false)).await.unwrap_err();
+    assert!(matches!(error, RunError::Refused { .. }), "{error:?}");
+    assert!(error.certainly_not_run());
+    assert_eq!(engine.counters().runs, 0);
+    engine.shutdown().await;
+}
+
+/// The connection breaks after the request was written. From outside it looks the same whether the
+/// engine ran it (second) or not (first), so neither may be called "not run".
+#[tokio::test]
+async fn cut_before_answer() {
+    for (stage, runs) in [(RunCut::Before, 0), (RunCut::After, 1)] {
+        let (engine, client) = loaded_engine(EngineServerSettings::default()).await;
+        engine.set_faults(cut(stage));
+        let error = client.run(engine.address(), run_call("r", 4, false)).await.unwrap_err();
+        assert!(matches!(error, RunError::Sent { .. }), "{stage:?}: {error:?}");
+        assert!(!error.certainly_not_run());
+        assert_eq!(engine.runs_of("r"), runs);
+        engine.shutdown().await;
+    }
+}
+
+/// The answer begins and is cut. The tokens before the cut are good, the end is an error and not a
+/// short answer, and the stream can be read on at the engine from where it broke.
+#[tokio::test]
+async fn cut_amid_answer() {
+    let (engine, client) = loaded_engine(EngineServerSettings::default()).await;
+    engine.set_faults(cut(RunCut::Amid));
+    let answer = client.run(engine.address(), run_call("r", 10, true)).await.unwrap();
+    let (text, end) = read_text(answer).await;
+    assert!(matches!(end, Err(RunError::Broken { .. })), "{end:?}");
+    let proof = read_answer(&text).unwrap();
+    assert!(proof.tokens < 10);
+    let rest = client.resume(engine.address(), &"r".into(), proof.tokens).await.unwrap();
+    let (rest, end) = read_text(rest).await;
+    assert_eq!(end, Ok(()));
+    assert_eq!(read_answer(&(text + &rest)).unwrap().tokens, 10);
+    assert_eq!(engine.runs_of("r"), 1);
+    engine.shutdown().await;
+}
+
+/// The engine is frozen: the request was written and no head comes in time, so it may yet run.
+#[tokio::test]
+async fn head_timeout() {
+    let (engine, client) = loaded_engine(EngineServerSettings::default()).await;
+    engine.freeze(Duration::from_millis(400));
+    let within = Some(Duration::from_millis(100));
+    let call = RunCall { within, ..run_call("r", 4, false) };
+    let error = client.run(engine.address(), call).await.unwrap_err();
+    assert_eq!(error, RunError::Timeout { stage: ExchangeStage::Head });
+    assert!(!error.certainly_not_run());
+    engine.shutdown().await;
+}
+
+/// A stream falls silent: the head and some tokens came, then nothing for longer than allowed.
+#[tokio::test]
+async fn body_timeout() {
+    let (engine, loader) = loaded_engine(EngineServerSettings::default()).await;
+    drop(loader);
+    let exchange = ExchangeSettings { body_ms: 100, ..Default::default() };
+    let client = HttpEngine::new(EngineSettings { exchange, ..Default::default() });
+    let answer = client.run(engine.address(), run_call("r", 10_000, true)).await.unwrap();
+    engine.freeze(Duration::from_millis(400));
+    let (_, end) = read_text(answer).await;
+    assert_eq!(end, Err(RunError::Timeout { stage: ExchangeStage::Body }));
+    client.cancel(engine.address(), &"r".into()).await.unwrap();
+    engine.shutdown().await;
+}
+
+/// A connection that was kept died while idle, since the engine restarted. The next request must
+/// not be sent twice, nor be lost in the dead connection: it runs once, on a new one.
+#[tokio::test]
+async fn dead_kept_connection() {
+    let (engine, client) = loaded_engine(EngineServerSettings::default()).await;
+    for round in 0..20 {
+        let id = format!("r-{round}");
+        engine.restart(Duration::ZERO);
+        let load = crate::common::load_order(SLOT, 1);
+        // The load may itself meet the dead connection; it can be repeated, since it is an order.
+        while client.load(engine.address(), &load).await.is_err() {}
+        let call = RunCall { repeatable: true, ..run_call(&id, 2, false) };
+        let (text, end) = read_text(client.run(engine.address(), call).await.unwrap()).await;
+        assert_eq!((end, read_answer(&text).unwrap().tokens), (Ok(()), 2));
+        assert_eq!(engine.runs_of(&id), 1);
+    }
+    engine.shutdown().await;
+}
+
+/// An id with a slash would reach another endpoint of the engine.
+#[tokio::test]
+async fn strange_id() {
+    let (engine, client) = loaded_engine(EngineServerSettings::default()).await;
+    let error = client.resume(engine.address(), &"../kv/r".into(), 0).await.unwrap_err();
+    assert!(error.certainly_not_run(), "{error:?}");
+    engine.shutdown().await;
+}
--- /dev/null
+++ b/standin/tests/suite/vm_list.rs
@@ -0,0 +1,60 @@
+//! The lagging list of VMs.
+
+use coltsfoothook_platform::{
+    DirectoryError, HttpDirectory, ListedVm, PlatformSettings, VmDirectory, VmState,
+};
+use coltsfoothook_standin::{
+    OutageKind, PlatformFaults, PlatformHandle, PlatformServerSettings, VmChange, start_platform,
+};
+
+async fn quick_list(list_lag_ms: u64) -> (PlatformHandle, HttpDirectory) {
+    let settings = PlatformServerSettings { list_lag_ms, ..Default::default() };
+    let platform = start_platform(settings).await.unwrap();
+    let directory = HttpDirectory::new(platform.address(), PlatformSettings::default());
+    (platform, directory)
+}
+
+fn listed(name: &str) -> ListedVm {
+    ListedVm {
+        name: name.into(),
+        caller_address: "127.0.0.1:8000".parse().unwrap(),
+        peer_address: "127.0.0.1:8001".parse().unwrap(),
+        domain: "ruaraka".into(),
+        region: "nbo".into(),
+        state: VmState::Live,
+    }
+}
+
+/// VMs come, leave and go, and the list shows each state.
+#[tokio::test]
+async fn changes_show() {
+    let (platform, directory) = quick_list(0).await;
+    platform.change_vms(VmChange::Put(listed("vm-2")));
+    platform.change_vms(VmChange::Put(listed("vm-1")));
+    platform.change_vms(VmChange::Leaving { name: "vm-2".to_owned() });
+    let vms = directory.list().await.unwrap();
+    let shown: Vec<_> = vms.iter().map(|vm| (vm.name.as_str(), vm.state)).collect();
+    assert_eq!(shown, [("vm-1", VmState::Live), ("vm-2", VmState::Leaving)]);
+    platform.change_vms(VmChange::Remove { name: "vm-1".to_owned() });
+    assert_eq!(directory.list().await.unwrap().len(), 1);
+    platform.shutdown().await;
+}
+
+/// A VM that is gone still stands in the list for a while.
+#[tokio::test]
+async fn list_lags() {
+    let (platform, directory) = quick_list(60_000).await;
+    platform.change_vms(VmChange::Put(listed("vm-1")));
+    assert_eq!(directory.list().await, Ok(Vec::new()));
+    platform.shutdown().await;
+}
+
+/// The list is out of service while the log works.
+#[tokio::test]
+async fn list_outage() {
+    let (platform, directory) = quick_list(0).await;
+    platform.set_faults(PlatformFaults { list: OutageKind::Cut, ..Default::default() });
+    let error = directory.list().await.unwrap_err();
+    assert!(matches!(error, DirectoryError::ListUnavailable { .. }), "{error:?}");
+    platform.shutdown().await;
+}
