Operators' HTTP face

One route takes every call, so that unknown paths, methods and oversized bodies get a problem document as well; a tenant's credential opens nothing, not even the list of paths.

--- /dev/null
+++ b/operator/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the operators' face, one file a feature.
+
+mod bad_calls;
+mod fake;
+mod publish_answers;
