--- a/decision/src/claim.rs
+++ b/decision/src/claim.rs
@@ -370,6 +370,11 @@
         &self.fold
     }
 
+    /// Passes over a record of the claim stream that cannot be read.
+    pub fn skip(&mut self, offset: u64) {
+        self.fold.skip(offset);
+    }
+
     /// The claims that wait for their append.
     pub fn batcher(&mut self) -> &mut ClaimBatcher {
         &mut self.batcher
--- a/decision/src/member.rs
+++ b/decision/src/member.rs
@@ -292,6 +292,12 @@
         &self.digest.vm
     }
 
+    /// What is told of it to others.
+    #[must_use]
+    pub fn digest(&self) -> &MemberDigest {
+        &self.digest
+    }
+
     /// The VM's name.
     #[must_use]
     pub fn name(&self) -> &str {
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -603,6 +603,20 @@
         self.epoch
     }
 
+    /// What the configuration says of the group.
+    #[must_use]
+    pub fn topology(&self) -> &GroupTopology {
+        &self.topology
+    }
+
+    /// Whether `server` answered its last reports.
+    #[must_use]
+    pub fn engine_up(&self, server: &str) -> bool {
+        let mut engines = self.engines.iter();
+        let found = engines.find(|engine| engine.info.server.as_str() == server);
+        found.is_some_and(|engine| !engine.down && engine.incarnation.is_some())
+    }
+
     /// Whether an engine or a report has told of a later owner.
     #[must_use]
     pub fn deposed(&self) -> bool {
--- /dev/null
+++ b/entry/src/core.rs
@@ -0,0 +1,185 @@
+//! What the parts of the process share: folds, membership, owners and clients.
+
+use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+
+use coltsfoothook_decision::claim::{ClaimOutcome, ClaimTable};
+use coltsfoothook_decision::config::{ConfigFold, ConfigVerdict};
+use coltsfoothook_decision::control::ControlFold;
+use coltsfoothook_decision::id::{
+    GroupName, IdempotencyKey, OwnerEpoch, RequestId, TenantName, VmIdentity,
+};
+use coltsfoothook_decision::invariant::{InvariantLog, InvariantName};
+use coltsfoothook_decision::member::{MemberState, MemberTable};
+use coltsfoothook_engine::EngineClient;
+use coltsfoothook_peer::{PeerPool, PeerTarget};
+use coltsfoothook_platform::{LogClient, VmDirectory};
+use coltsfoothook_service::ServiceClient;
+use coltsfoothook_telemetry::event;
+use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::ProcessClock;
+use crate::gate::RequestGate;
+use crate::health::LogHealth;
+use crate::held::{HeldGrants, lock};
+use crate::jobs::JobDesk;
+use crate::limits::LimitDesk;
+use crate::measure::EntryMetrics;
+use crate::own::OwnerShard;
+use crate::release::ReleaseDesk;
+use crate::settings::EntrySettings;
+use crate::trace::RequestTraces;
+use crate::view::ConfigView;
+use crate::write::StreamWriter;
+
+/// A request that waits for its claim to be read back.
+pub(crate) struct ClaimWaiter {
+    pub(crate) tenant: TenantName,
+    pub(crate) key: IdempotencyKey,
+    pub(crate) answer: oneshot::Sender<ClaimOutcome>,
+}
+
+/// A publication that waits for its verdict.
+pub(crate) struct PublishWaiter {
+    pub(crate) publish_id: String,
+    pub(crate) answer: oneshot::Sender<ConfigVerdict>,
+}
+
+/// The writers of the log's streams.
+pub(crate) struct LogWriters {
+    pub(crate) config: StreamWriter,
+    pub(crate) control: StreamWriter,
+    pub(crate) claims: StreamWriter,
+    pub(crate) jobs: StreamWriter,
+}
+
+/// The clients of the peers that this process talks to.
+pub(crate) struct EntryClients {
+    pub(crate) engines: Arc<dyn EngineClient>,
+    pub(crate) services: Arc<dyn ServiceClient>,
+    pub(crate) log: Arc<dyn LogClient>,
+    pub(crate) directory: Arc<dyn VmDirectory>,
+    pub(crate) peers: PeerPool,
+}
+
+/// The shared state. Each part has its own lock, none is held across an await, and no two are held
+/// at once except `members` before `control`.
+pub(crate) struct EntryCore {
+    pub(crate) settings: EntrySettings,
+    pub(crate) me: VmIdentity,
+    pub(crate) clock: ProcessClock,
+    pub(crate) clients: EntryClients,
+    pub(crate) writers: LogWriters,
+    pub(crate) view: RwLock<Arc<ConfigView>>,
+    pub(crate) config: Mutex<ConfigFold>,
+    pub(crate) control: RwLock<ControlFold>,
+    pub(crate) members: Mutex<MemberTable>,
+    pub(crate) claims: Mutex<ClaimTable>,
+    pub(crate) claim_waiters: Mutex<Vec<ClaimWaiter>>,
+    pub(crate) claim_added: Notify,
+    pub(crate) publish_waiters: Mutex<Vec<PublishWaiter>>,
+    pub(crate) jobs: JobDesk,
+    pub(crate) limits: LimitDesk,
+    /// Sorted by group.
+    pub(crate) owners: RwLock<Vec<Arc<OwnerShard>>>,
+    /// Epochs below which this VM uses no grant any more, sorted by group.
+    pub(crate) floors: Mutex<Vec<(GroupName, OwnerEpoch)>>,
+    pub(crate) held: HeldGrants,
+    pub(crate) releases: ReleaseDesk,
+    pub(crate) traces: RequestTraces,
+    pub(crate) gate: Arc<RequestGate>,
+    pub(crate) health: Arc<LogHealth>,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) invariants: Mutex<InvariantLog>,
+    pub(crate) request_numbers: std::sync::atomic::AtomicU64,
+    pub(crate) closing: CancellationToken,
+}
+
+impl EntryCore {
+    /// The configuration in force here.
+    pub(crate) fn view(&self) -> Arc<ConfigView> {
+        Arc::clone(&read(&self.view))
+    }
+
+    /// The shard of a group that this VM owns.
+    pub(crate) fn shard(&self, group: &str) -> Option<Arc<OwnerShard>> {
+        let owners = read(&self.owners);
+        let found = owners.binary_search_by(|shard| shard.group.as_str().cmp(group));
+        found.ok().map(|at| Arc::clone(&owners[at]))
+    }
+
+    /// Where another VM listens for this one, if it is known.
+    pub(crate) fn target(&self, vm: &str) -> Option<PeerTarget> {
+        let members = lock(&self.members);
+        let row = members.row(vm)?;
+        Some(PeerTarget { address: row.place().peer, vm: row.identity().vm.clone() })
+    }
+
+    /// Whether this VM may take work: it knows a configuration, and it has heard of the log or of
+    /// another VM of late, so that what it knows cannot be long out of date.
+    pub(crate) fn ready(&self) -> Result<(), &'static str> {
+        if self.view().version.0 == 0 {
+            return Err("no configuration in force");
+        }
+        if !read(&self.control).whole() {
+            return Err("state of ownership not known yet");
+        }
+        if self.health.out_of_touch(self.clock.now(), self.settings.stale_ms) {
+            return Err("neither the log nor another VM can be reached");
+        }
+        Ok(())
+    }
+
+    /// Checks an invariant, counts it and logs a violation.
+    pub(crate) fn check(
+        &self,
+        name: InvariantName,
+        holds: bool,
+        detail: impl FnOnce() -> String,
+    ) -> bool {
+        let mut text = None;
+        let holds = lock(&self.invariants).check(name, holds, || {
+            let detail = detail();
+            text = Some(detail.clone());
+            detail
+        });
+        if let Some(detail) = text {
+            event!(InvariantBroken, name = name.as_str(), detail = detail);
+        }
+        holds
+    }
+
+    /// The counts of all state machines of this process together.
+    pub(crate) fn invariant_counts(&self) -> InvariantLog {
+        let mut all = lock(&self.invariants).clone();
+        all.merge(lock(&self.config).invariants());
+        all.merge(read(&self.control).invariants());
+        all.merge(lock(&self.claims).invariants());
+        self.jobs.merge_invariants(&mut all);
+        for shard in read(&self.owners).iter() {
+            all.merge(&shard.invariants());
+        }
+        all
+    }
+
+    /// A new request's id, unique among all VMs and lives.
+    pub(crate) fn next_request_id(&self) -> RequestId {
+        let number = self.request_numbers.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        format!("{}-{:x}-{number}", self.me.vm, self.me.incarnation.0).into()
+    }
+
+    /// The state that this VM tells of itself.
+    pub(crate) fn own_state(&self) -> MemberState {
+        if self.gate.is_closed() { MemberState::Leaving } else { MemberState::Alive }
+    }
+}
+
+/// Locks for reading; a thread that panicked while it held the lock must not stop all others.
+pub(crate) fn read<T>(lock: &RwLock<T>) -> RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Locks for writing.
+pub(crate) fn write<T>(lock: &RwLock<T>) -> RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/entry/src/follow.rs
@@ -0,0 +1,242 @@
+//! Reads the streams of the log and folds them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfoothook_decision::config::{ConfigRuling, ConfigVerdict};
+use coltsfoothook_decision::control::{ControlRuling, ControlVerdict};
+use coltsfoothook_decision::id::LogOffset;
+use coltsfoothook_decision::owner::OwnerEvent;
+use coltsfoothook_decision::record::{
+    CLAIM_STREAM, CONFIG_STREAM, CONTROL_STREAM, ClaimRecord, ConfigRecord, ControlRecord,
+    JOB_STREAM, JobRecord,
+};
+use coltsfoothook_platform::{LogError, LogPage};
+use coltsfoothook_telemetry::event;
+use serde::de::DeserializeOwned;
+use tokio::time::sleep;
+
+use crate::core::{EntryCore, read, write};
+use crate::held::lock;
+use crate::own::{configuration_changed, drive_all, ownership_changed};
+use crate::view::ConfigView;
+
+/// How long a read waits for a record.
+pub(crate) const READ_WAIT: Duration = Duration::from_millis(1_000);
+/// The most records of one read.
+const READ_RECORDS: usize = 1_024;
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// A stream of the log, and how this process folds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FollowedStream {
+    Config,
+    Control,
+    Claims,
+    Jobs,
+}
+
+impl FollowedStream {
+    pub(crate) const ALL: [Self; 4] = [Self::Config, Self::Control, Self::Claims, Self::Jobs];
+
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Config => CONFIG_STREAM,
+            Self::Control => CONTROL_STREAM,
+            Self::Claims => CLAIM_STREAM,
+            Self::Jobs => JOB_STREAM,
+        }
+    }
+
+    /// The offset from which the stream is read on.
+    pub(crate) fn next(self, core: &EntryCore) -> u64 {
+        match self {
+            Self::Config => lock(&core.config).next(),
+            Self::Control => read(&core.control).next(),
+            Self::Claims => lock(&core.claims).fold().next(),
+            Self::Jobs => core.jobs.next(),
+        }
+    }
+
+    fn retained_from(self, core: &EntryCore, first: LogOffset) {
+        match self {
+            Self::Config => lock(&core.config).retained_from(first.0),
+            Self::Control => write(&core.control).retained_from(first.0),
+            // Each claim stands for itself; those that retention took protect no more.
+            Self::Claims => {
+                if first.0 > 0 {
+                    lock(&core.claims).skip(first.0 - 1);
+                }
+            }
+            Self::Jobs => core.jobs.retained_from(first.0),
+        }
+    }
+}
+
+/// Follows a stream until the process ends.
+pub(crate) async fn follow_stream(core: Arc<EntryCore>, stream: FollowedStream) {
+    while !core.closing.is_cancelled() {
+        let from = LogOffset(stream.next(&core));
+        match core.clients.log.read(stream.name(), from, READ_RECORDS, READ_WAIT).await {
+            Ok(page) => {
+                core.health.read_answered(core.clock.now());
+                if page.first_kept > from {
+                    stream.retained_from(&core, page.first_kept);
+                }
+                core.health.set_end(stream as usize, page.next.0);
+                let last = page.records.len() < READ_RECORDS;
+                fold_page(&core, stream, page);
+                if last && stream == FollowedStream::Jobs {
+                    core.jobs.caught_up();
+                }
+            }
+            Err(LogError::BehindRetention { first_kept }) => {
+                core.health.read_answered(core.clock.now());
+                event!(LogGap, stream = stream.name(), first_kept = first_kept);
+                stream.retained_from(&core, first_kept);
+            }
+            Err(error) => {
+                log::debug!("reading {} failed: {error}", stream.name());
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn fold_page(core: &Arc<EntryCore>, stream: FollowedStream, page: LogPage) {
+    for record in page.records {
+        let offset = record.offset.0;
+        match stream {
+            FollowedStream::Config => match parse::<ConfigRecord>(stream, offset, &record.data) {
+                Some(record) => fold_config(core, offset, record),
+                None => lock(&core.config).skip(offset),
+            },
+            FollowedStream::Control => match parse::<ControlRecord>(stream, offset, &record.data) {
+                Some(record) => fold_control(core, offset, record),
+                None => write(&core.control).skip(offset),
+            },
+            FollowedStream::Claims => match parse::<ClaimRecord>(stream, offset, &record.data) {
+                Some(record) => crate::claims::fold_claims(core, offset, record),
+                None => lock(&core.claims).skip(offset),
+            },
+            FollowedStream::Jobs => match parse::<JobRecord>(stream, offset, &record.data) {
+                Some(record) => core.jobs.fold(core, offset, record),
+                None => core.jobs.skip(offset),
+            },
+        }
+    }
+}
+
+/// Reads a record. One that cannot be read is passed over by every reader of this release alike.
+fn parse<T: DeserializeOwned>(stream: FollowedStream, offset: u64, data: &str) -> Option<T> {
+    match serde_json::from_str(data) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            event!(RecordSkipped, stream = stream.name(), offset = offset, error = error);
+            None
+        }
+    }
+}
+
+fn fold_config(core: &Arc<EntryCore>, offset: u64, record: ConfigRecord) {
+    if let ConfigRecord::Snapshot { through, .. } = &record {
+        core.health.snapshot_read(CONFIG_STREAM, *through);
+    }
+    let rulings = lock(&core.config).fold(offset, record);
+    let changed = rulings.iter().any(|ruling| {
+        matches!(ruling.verdict, ConfigVerdict::Accepted(_) | ConfigVerdict::Adopted(_))
+    });
+    if changed {
+        install_config(core);
+    }
+    for ruling in rulings {
+        answer_publisher(core, ruling);
+    }
+}
+
+/// Puts the fold's configuration in force in this process.
+pub(crate) fn install_config(core: &Arc<EntryCore>) {
+    let (version, manifest) = {
+        let config = lock(&core.config);
+        (config.version(), Arc::clone(config.manifest()))
+    };
+    let before = core.view().version;
+    core.check(
+        coltsfoothook_decision::invariant::InvariantName::ConfigNeverReverts,
+        version >= before,
+        || format!("version {version} after {before}"),
+    );
+    let view = Arc::new(ConfigView::new(version, manifest));
+    *write(&core.view) = view;
+    core.limits.configure(core);
+    event!(ConfigInForce, version = version);
+    configuration_changed(core);
+}
+
+fn answer_publisher(core: &EntryCore, ruling: ConfigRuling) {
+    let Some(publish_id) = ruling.publish_id else { return };
+    let mut waiters = lock(&core.publish_waiters);
+    let Some(at) = waiters.iter().position(|waiter| waiter.publish_id == publish_id) else {
+        return;
+    };
+    let waiter = waiters.swap_remove(at);
+    let _ = waiter.answer.send(ruling.verdict);
+}
+
+fn fold_control(core: &Arc<EntryCore>, offset: u64, record: ControlRecord) {
+    if let ControlRecord::Snapshot(snapshot) = &record {
+        core.health.snapshot_read(CONTROL_STREAM, snapshot.through);
+    }
+    let rulings = write(&core.control).fold(offset, record);
+    for ruling in rulings {
+        apply_control(core, ruling);
+    }
+}
+
+fn apply_control(core: &Arc<EntryCore>, ruling: ControlRuling) {
+    match ruling.verdict {
+        ControlVerdict::Owned(ownership) => ownership_changed(core, &ownership),
+        ControlVerdict::IntentValid(intent) => {
+            tell_intent(core, intent.group.as_str(), intent.epoch, intent.number, true);
+        }
+        ControlVerdict::IntentVoid(intent, _) => {
+            tell_intent(core, intent.group.as_str(), intent.epoch, intent.number, false);
+        }
+        ControlVerdict::ServerDrain(server, draining) => {
+            event!(ServerDraining, server = server, draining = draining);
+            drive_all(core, &OwnerEvent::ServerDraining { server, draining });
+        }
+        ControlVerdict::VmDrain(vm, draining) => {
+            event!(MemberLeaving, vm = vm, draining = draining);
+        }
+        ControlVerdict::Crashed(_) | ControlVerdict::Cleared(_) => tell_suspects(core),
+        ControlVerdict::Adopted => install_control(core),
+        ControlVerdict::Superseded(_) | ControlVerdict::Nothing => {}
+    }
+}
+
+fn tell_suspects(core: &Arc<EntryCore>) {
+    let suspects = read(&core.control).suspects().to_vec();
+    drive_all(core, &OwnerEvent::Suspects(suspects));
+}
+
+/// Brings this process in line with a control state that came as a whole.
+pub(crate) fn install_control(core: &Arc<EntryCore>) {
+    let owners = read(&core.control).owners().to_vec();
+    for ownership in &owners {
+        ownership_changed(core, ownership);
+    }
+    tell_suspects(core);
+}
+
+fn tell_intent(
+    core: &Arc<EntryCore>,
+    group: &str,
+    epoch: coltsfoothook_decision::id::OwnerEpoch,
+    number: u64,
+    valid: bool,
+) {
+    let Some(shard) = core.shard(group).filter(|shard| shard.epoch == epoch) else { return };
+    shard.drive(core, OwnerEvent::IntentRead { number, valid });
+}
--- /dev/null
+++ b/entry/src/jobs.rs
@@ -0,0 +1,417 @@
+//! Audit jobs: accepted once the log has them, run by one VM, their first result kept.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfoothook_caller::{
+    AnswerBody, CallProblem, CompletionCall, CompletionKind, FaceReason, JobCall, JobResult,
+    JobState, JobStatus, parse_completion,
+};
+use coltsfoothook_decision::id::{JobId, RequestFingerprint, TenantName};
+use coltsfoothook_decision::invariant::InvariantLog;
+use coltsfoothook_decision::job::{
+    JobAction, JobEnd, JobFold, JobRow, JobRunner, JobSettings, JobVerdict,
+};
+use coltsfoothook_decision::outcome::{RefusalReason, RequestOutcome};
+use coltsfoothook_decision::record::{JobEntry, JobRecord};
+use coltsfoothook_telemetry::event;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::wall_ms;
+use crate::core::EntryCore;
+use crate::held::lock;
+use crate::serve::complete;
+
+/// How long an append of a job's record is offered to the log, and how long it is then looked for.
+const ACCEPT_WITHIN: Duration = Duration::from_secs(5);
+const RECORD_WITHIN: Duration = Duration::from_secs(5);
+const PLAN_PERIOD: Duration = Duration::from_millis(100);
+const LOG_RETRY_MS: u64 = 2_000;
+const ROOM_RETRY_MS: u64 = 30_000;
+const UNFINISHED_RETRY_MS: u64 = 1_000;
+const RESULT_TYPE: &str = "application/json";
+
+/// What of a completion call a job's record keeps besides its body.
+#[derive(Serialize, Deserialize)]
+struct JobBody {
+    chat: bool,
+    fingerprint: RequestFingerprint,
+    body: Map<String, Value>,
+}
+
+struct JobTask {
+    tenant: TenantName,
+    job: JobId,
+    abort: CancellationToken,
+}
+
+/// The jobs as far as the log was read, and those that run here.
+pub(crate) struct JobDesk {
+    fold: Mutex<JobFold>,
+    runner: Mutex<JobRunner>,
+    tasks: Mutex<Vec<JobTask>>,
+    changed: Notify,
+}
+
+impl JobDesk {
+    pub(crate) fn new() -> Self {
+        Self {
+            fold: Mutex::default(),
+            runner: Mutex::new(JobRunner::new(JobSettings::default())),
+            tasks: Mutex::default(),
+            changed: Notify::new(),
+        }
+    }
+
+    pub(crate) fn next(&self) -> u64 {
+        lock(&self.fold).next()
+    }
+
+    /// Jobs stand for themselves, so those that retention took are simply gone from here on.
+    pub(crate) fn retained_from(&self, first: u64) {
+        if first > 0 {
+            lock(&self.fold).skip(first - 1);
+        }
+    }
+
+    pub(crate) fn skip(&self, offset: u64) {
+        lock(&self.fold).skip(offset);
+    }
+
+    pub(crate) fn fold(&self, core: &EntryCore, offset: u64, record: JobRecord) {
+        let ruling = lock(&self.fold).fold(core.clock.now(), offset, record);
+        if let Some(ruling) = ruling {
+            lock(&self.runner).note(&ruling);
+            match ruling.verdict {
+                JobVerdict::Accepted => {
+                    event!(JobAccepted, job = ruling.job, tenant = ruling.tenant);
+                }
+                JobVerdict::Finished => {
+                    event!(JobFinished, job = ruling.job, tenant = ruling.tenant);
+                }
+                _ => {}
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Notes that the end of the stream was read.
+    pub(crate) fn caught_up(&self) {
+        let mut fold = lock(&self.fold);
+        if !fold.is_caught_up() {
+            fold.caught_up();
+        }
+    }
+
+    pub(crate) fn merge_invariants(&self, all: &mut InvariantLog) {
+        all.merge(lock(&self.fold).invariants());
+    }
+
+    /// Jobs that wait, run and have ended.
+    pub(crate) fn counts(&self) -> (u64, u64, u64) {
+        let fold = lock(&self.fold);
+        let ended = fold.rows().iter().filter(|row| row.end().is_some()).count();
+        let started = fold.rows().iter().filter(|row| row.end().is_none());
+        let running = started.filter(|row| !row.starts().is_empty()).count();
+        let waiting = fold.rows().len() - ended - running;
+        (waiting as u64, running as u64, ended as u64)
+    }
+}
+
+/// Accepts a job; answers once the log has it.
+pub(crate) async fn submit(core: &Arc<EntryCore>, call: JobCall) -> Result<JobStatus, CallProblem> {
+    let job = call.job.clone().unwrap_or_else(|| JobId(call.call.request_id.0.clone()));
+    let tenant = call.call.tenant.clone();
+    let entry = job_entry(core, job.clone(), call)?;
+    if let Some(status) = known_job(core, &tenant, &job, &entry)? {
+        return Ok(status);
+    }
+    let has_room = lock(&core.jobs.runner).has_room(&lock(&core.jobs.fold));
+    if !has_room {
+        let detail = "too many jobs are kept";
+        return Err(CallProblem::refused(RefusalReason::Overloaded, ROOM_RETRY_MS, detail));
+    }
+    let record = JobRecord::Submitted(entry.clone());
+    append(core, &record).await?;
+    await_row(core, &tenant, &job, |row| row.entry().is_some()).await?;
+    let status = known_job(core, &tenant, &job, &entry)?;
+    status.ok_or_else(|| unsure("the job was not read back yet"))
+}
+
+/// The adapter is fixed when the job is accepted, so a later default version changes nothing.
+fn job_entry(core: &EntryCore, job: JobId, call: JobCall) -> Result<JobEntry, CallProblem> {
+    let CompletionCall { tenant, model, class, kind, body, deadline_ms, fingerprint, .. } =
+        call.call;
+    let view = core.view();
+    let version = model.version.as_ref().map(|version| version.as_str());
+    let found = view.adapter_version(model.adapter.as_str(), version);
+    let Some((entry, adapter)) = found else {
+        let detail = format!("there is no adapter {} with that version", model.adapter);
+        return Err(CallProblem::refused(RefusalReason::UnknownAdapter, LOG_RETRY_MS, detail));
+    };
+    if !entry.allows(tenant.as_str()) {
+        let detail = format!("{tenant} may not use {}", model.adapter);
+        return Err(CallProblem::refused(RefusalReason::NotAllowed, LOG_RETRY_MS, detail));
+    }
+    let mut body = body;
+    body.insert("model".to_owned(), Value::from(adapter.to_string()));
+    body.insert("stream".to_owned(), Value::from(false));
+    let kept = JobBody { chat: kind == CompletionKind::Chat, fingerprint, body };
+    let body = serde_json::to_string(&kept).expect("a body has text keys");
+    let due_ms = deadline_ms.map(|left| wall_ms().saturating_add(left));
+    Ok(JobEntry { job, tenant, adapter, class, due_ms, body, rewritten: 0 })
+}
+
+/// The state of a job that is known; an error if the id stands for another job.
+fn known_job(
+    core: &EntryCore,
+    tenant: &TenantName,
+    job: &JobId,
+    asked: &JobEntry,
+) -> Result<Option<JobStatus>, CallProblem> {
+    let fold = lock(&core.jobs.fold);
+    let Some(row) = fold.row(tenant.as_str(), job.as_str()) else { return Ok(None) };
+    let other = |entry: &JobEntry| entry.body != asked.body || entry.adapter != asked.adapter;
+    if row.entry().is_some_and(other) {
+        let detail = format!("job {job} was submitted with another body");
+        return Err(CallProblem::refused(RefusalReason::KeyReused, 0, detail));
+    }
+    Ok(Some(status_of(row)))
+}
+
+fn status_of(row: &JobRow) -> JobStatus {
+    let outcome = row.end().map(|end| end.outcome);
+    let state = match outcome {
+        Some(RequestOutcome::NotRun) => JobState::Cancelled,
+        Some(_) => JobState::Finished,
+        None if row.starts().is_empty() => JobState::Queued,
+        None => JobState::Running,
+    };
+    JobStatus { id: row.job().into(), state, outcome }
+}
+
+async fn append(core: &EntryCore, record: &JobRecord) -> Result<(), CallProblem> {
+    let data = serde_json::to_string(record).expect("records have text keys");
+    match core.writers.jobs.append(data, ACCEPT_WITHIN).await {
+        Ok(()) => Ok(()),
+        Err(crate::write::WriteError::NotAppended { cause }) => {
+            let reason = RefusalReason::LogUnavailable;
+            Err(CallProblem::refused(reason, LOG_RETRY_MS, cause))
+        }
+        Err(crate::write::WriteError::Unsure { cause }) => Err(unsure(&cause)),
+    }
+}
+
+fn unsure(detail: &str) -> CallProblem {
+    let detail = format!("{detail}; submit it again under the same id");
+    CallProblem::ended(FaceReason::AnswerLost, RequestOutcome::Unknown, detail)
+        .with_retry(LOG_RETRY_MS)
+}
+
+/// Waits until a job's row fulfils `wanted`.
+async fn await_row(
+    core: &EntryCore,
+    tenant: &TenantName,
+    job: &JobId,
+    wanted: impl Fn(&JobRow) -> bool,
+) -> Result<(), CallProblem> {
+    let until = Instant::now() + ACCEPT_WITHIN;
+    loop {
+        let changed = core.jobs.changed.notified();
+        let there = lock(&core.jobs.fold).row(tenant.as_str(), job.as_str()).is_some_and(&wanted);
+        if there {
+            return Ok(());
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if timeout(left, changed).await.is_err() {
+            return Err(unsure("the record was not read back in time"));
+        }
+    }
+}
+
+/// A job's state.
+pub(crate) fn status(
+    core: &EntryCore,
+    tenant: &TenantName,
+    job: &JobId,
+) -> Result<JobStatus, CallProblem> {
+    let fold = lock(&core.jobs.fold);
+    fold.row(tenant.as_str(), job.as_str()).map(status_of).ok_or_else(|| unknown_job(core, job))
+}
+
+/// A VM that has not read the stream's end yet does not know which jobs there are.
+fn unknown_job(core: &EntryCore, job: &JobId) -> CallProblem {
+    if !core.health.readable(core.clock.now()) {
+        let detail = "the log cannot be read, so the job may exist";
+        return CallProblem::refused(RefusalReason::LogUnavailable, LOG_RETRY_MS, detail);
+    }
+    CallProblem::not_run(FaceReason::UnknownJob, format!("there is no job {job}"))
+}
+
+/// A job's result.
+pub(crate) fn result(
+    core: &EntryCore,
+    tenant: &TenantName,
+    job: &JobId,
+) -> Result<JobResult, CallProblem> {
+    let fold = lock(&core.jobs.fold);
+    let row = fold.row(tenant.as_str(), job.as_str()).ok_or_else(|| unknown_job(core, job))?;
+    match row.end() {
+        None => Err(CallProblem::ended(
+            FaceReason::JobUnfinished,
+            RequestOutcome::Unknown,
+            format!("job {job} has no result yet"),
+        )
+        .with_retry(UNFINISHED_RETRY_MS)),
+        Some(end) if end.outcome == RequestOutcome::Done => {
+            let body = Bytes::from(end.result.clone());
+            Ok(JobResult { content_type: RESULT_TYPE.to_owned(), body })
+        }
+        Some(end) => {
+            Err(CallProblem::ended(FaceReason::BackendFailed, end.outcome, end.result.clone()))
+        }
+    }
+}
+
+/// Withdraws a job; a result that is first in the log stays.
+pub(crate) async fn cancel(
+    core: &EntryCore,
+    tenant: &TenantName,
+    job: &JobId,
+) -> Result<JobStatus, CallProblem> {
+    let now = status(core, tenant, job)?;
+    if now.outcome.is_none() {
+        let record = JobRecord::Cancelled { job: job.clone(), tenant: tenant.clone() };
+        append(core, &record).await?;
+        await_row(core, tenant, job, |row| row.end().is_some()).await?;
+    }
+    status(core, tenant, job)
+}
+
+/// Runs and keeps jobs until the process ends.
+pub(crate) async fn run_jobs(core: Arc<EntryCore>) {
+    while !core.closing.is_cancelled() {
+        sleep(PLAN_PERIOD).await;
+        if !core.health.readable(core.clock.now()) || core.ready().is_err() {
+            continue;
+        }
+        let actions = {
+            let members = lock(&core.members);
+            let mut runner = lock(&core.jobs.runner);
+            let mut fold = lock(&core.jobs.fold);
+            runner.plan(core.clock.now(), &mut fold, &members)
+        };
+        for action in actions {
+            perform(&core, action);
+        }
+    }
+}
+
+fn perform(core: &Arc<EntryCore>, action: JobAction) {
+    match action {
+        JobAction::Append(record) => {
+            let core = Arc::clone(core);
+            tokio::spawn(async move {
+                let data = serde_json::to_string(&record).expect("records have text keys");
+                let _ = core.writers.jobs.append(data, RECORD_WITHIN).await;
+            });
+        }
+        JobAction::Run(entry) => {
+            let abort = core.closing.child_token();
+            let task = JobTask {
+                tenant: entry.tenant.clone(),
+                job: entry.job.clone(),
+                abort: abort.clone(),
+            };
+            lock(&core.jobs.tasks).push(task);
+            tokio::spawn(run_job(Arc::clone(core), entry, abort));
+        }
+        JobAction::Abort { tenant, job } => {
+            let tasks = lock(&core.jobs.tasks);
+            let found = tasks.iter().find(|task| task.tenant == tenant && task.job == job);
+            if let Some(task) = found {
+                task.abort.cancel();
+            }
+        }
+    }
+}
+
+async fn run_job(core: Arc<EntryCore>, entry: JobEntry, abort: CancellationToken) {
+    let end = tokio::select! {
+        end = answer_job(&core, &entry) => end,
+        () = abort.cancelled() => not_run("the run was stopped"),
+    };
+    let (tenant, job) = (entry.tenant.as_str(), entry.job.as_str());
+    lock(&core.jobs.tasks)
+        .retain(|task| task.tenant.as_str() != tenant || task.job.as_str() != job);
+    lock(&core.jobs.runner).finish(tenant, job, end);
+}
+
+fn not_run(detail: &str) -> JobEnd {
+    JobEnd { outcome: RequestOutcome::NotRun, result: detail.to_owned() }
+}
+
+/// Runs a job's completion. Whatever may be mended by another run gives the job back; a job is not
+/// lost to an outage.
+async fn answer_job(core: &Arc<EntryCore>, entry: &JobEntry) -> JobEnd {
+    let Some(call) = job_call(core, entry) else {
+        let result = "the job's record cannot be read".to_owned();
+        return JobEnd { outcome: RequestOutcome::Failed, result };
+    };
+    match complete(core, call).await {
+        Ok(answer) => match answer.body {
+            AnswerBody::Whole(body) => JobEnd {
+                outcome: RequestOutcome::Done,
+                result: String::from_utf8_lossy(&body).into_owned(),
+            },
+            AnswerBody::Stream(_) => not_run("the answer came as a stream"),
+        },
+        Err(problem) if problem.outcome == RequestOutcome::Failed => {
+            JobEnd { outcome: RequestOutcome::Failed, result: problem.detail }
+        }
+        Err(problem) if is_final(&problem) => {
+            JobEnd { outcome: RequestOutcome::Failed, result: problem.detail }
+        }
+        Err(problem) => not_run(&problem.detail),
+    }
+}
+
+/// Refusals that no further run will change.
+fn is_final(problem: &CallProblem) -> bool {
+    use coltsfoothook_caller::ProblemReason::Refused;
+    matches!(
+        problem.reason,
+        Refused(
+            RefusalReason::UnknownAdapter | RefusalReason::NotAllowed | RefusalReason::Condemned
+        )
+    )
+}
+
+fn job_call(core: &EntryCore, entry: &JobEntry) -> Option<CompletionCall> {
+    let kept: JobBody = serde_json::from_str(&entry.body).ok()?;
+    let kind = if kept.chat { CompletionKind::Chat } else { CompletionKind::Completions };
+    let body = serde_json::to_vec(&kept.body).ok()?;
+    let read = parse_completion(kind, &body, &core.settings.caller_settings()).ok()?;
+    Some(CompletionCall {
+        kind,
+        tenant: entry.tenant.clone(),
+        request_id: core.next_request_id(),
+        caller_id: None,
+        model: read.model,
+        class: entry.class,
+        deadline_ms: None,
+        repeatable: true,
+        key: None,
+        stream: false,
+        max_tokens: read.max_tokens,
+        prompt_tokens: read.prompt_tokens,
+        prefix: read.prefix,
+        fingerprint: kept.fingerprint,
+        body: read.fields,
+    })
+}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -1,1 +1,50 @@
-//! placeholder
+//! The process on an entry VM.
+//!
+//! It only wires: decisions are taken by the state machines of `coltsfoothook_decision`, and each
+//! peer has a package of its own. docs/DESIGN.md shows how the parts fit.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), coltsfoothook_entry::EntryError> {
+//! use coltsfoothook_entry::{EntryProcess, EntrySettings};
+//!
+//! let settings = EntrySettings { vm: "vm-1".into(), ..Default::default() };
+//! let process = EntryProcess::start(settings).await?;
+//! println!("callers reach this VM at {}", process.addresses().caller);
+//! process.shut_down().await;
+//! # Ok(()) }
+//! ```
+
+mod answer;
+mod claims;
+mod clock;
+mod core;
+mod faces;
+mod follow;
+mod gate;
+mod health;
+mod held;
+mod hold;
+mod jobs;
+mod limits;
+mod measure;
+mod operate;
+mod own;
+mod peers;
+mod process;
+mod release;
+mod reserve;
+mod roster;
+mod serve;
+mod services;
+mod settings;
+mod snapshots;
+mod stream;
+mod tls;
+mod trace;
+mod view;
+mod watch;
+mod write;
+
+pub use process::{EntryAddresses, EntryError, EntryProcess};
+pub use settings::{CallerFaceSettings, EntrySettings, KeySettings, PeerFaceSettings};
+pub use view::credential_hash;
--- /dev/null
+++ b/entry/src/main.rs
@@ -0,0 +1,82 @@
+//! The program that runs on an entry VM.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use coltsfoothook_entry::{EntryProcess, EntrySettings};
+use coltsfoothook_settings::load_settings;
+use coltsfoothook_telemetry::{event, start_logs};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The exit code for settings or keys that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs an entry VM's part of coltsfoothook.
+///
+/// Example: coltsfoothook-entry --settings /etc/coltsfoothook/entry.json
+///
+/// SIGTERM ends the process without cutting a request.
+#[derive(Bpaf, Debug)]
+#[bpaf(options, version)]
+struct EntryOptions {
+    /// The settings file: JSON with comments; docs/SETTINGS.md lists the keys.
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Check the settings and end: 0 if they are good, 2 if not.
+    check_settings: bool,
+}
+
+fn main() -> ExitCode {
+    let options = entry_options().run();
+    let settings = match load_settings::<EntrySettings>(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.check_settings {
+        println!("{}: the settings are good", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = start_logs(&settings.logs) {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(run(settings)),
+        Err(error) => {
+            event!(ProcessFailed, error = error);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(settings: EntrySettings) -> ExitCode {
+    let process = match EntryProcess::start(settings).await {
+        Ok(process) => process,
+        Err(error) => {
+            event!(ProcessFailed, error = error);
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    wait_for_end().await;
+    let invariants = process.shut_down().await;
+    if invariants.violated() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Waits for SIGTERM, or SIGINT from a terminal.
+async fn wait_for_end() {
+    let (Ok(mut term), Ok(mut int)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        std::future::pending::<()>().await;
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
--- /dev/null
+++ b/entry/src/measure.rs
@@ -0,0 +1,140 @@
+//! The process's metrics, in terms of what its parts observe.
+
+use coltsfoothook_decision::attempt::CallStage;
+use coltsfoothook_decision::member::MemberState;
+use coltsfoothook_decision::outcome::RequestClass;
+use coltsfoothook_decision::owner::{EngineOrder, OrderResult, OwnerNote};
+use coltsfoothook_decision::suspect::CONDEMNED_CRASHES;
+use coltsfoothook_telemetry::{
+    EvictionReason, LoadResult, MetricSet, MetricSettings, OrderKind, OrderResult as OrderLabel,
+    RetryReason, StreamName,
+};
+
+use crate::core::{EntryCore, read};
+use crate::follow::FollowedStream;
+use crate::held::lock;
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+const MICROS_PER_SECOND: f64 = 1_000_000.0;
+
+/// Seconds of a time in milliseconds.
+pub(crate) fn seconds(millis: u64) -> f64 {
+    millis as f64 / MILLIS_PER_SECOND
+}
+
+/// Seconds of a time in microseconds.
+pub(crate) fn micro_seconds(micros: u64) -> f64 {
+    micros as f64 / MICROS_PER_SECOND
+}
+
+/// The process's metrics.
+pub(crate) struct EntryMetrics {
+    pub(crate) set: MetricSet,
+}
+
+impl EntryMetrics {
+    pub(crate) fn new(settings: &MetricSettings) -> Self {
+        Self { set: MetricSet::new(settings) }
+    }
+
+    /// Counts what an owner noticed.
+    pub(crate) fn owner_note(&self, note: &OwnerNote) {
+        match note {
+            OwnerNote::Loaded { took_ms, .. } => {
+                self.set.count_load(LoadResult::Done, seconds(*took_ms));
+            }
+            OwnerNote::LoadFailed { .. } => self.set.count_load(LoadResult::Failed, 0.0),
+            OwnerNote::Evicted { .. } => self.set.count_eviction(EvictionReason::Replaced),
+            OwnerNote::Restarted { .. }
+            | OwnerNote::Down { .. }
+            | OwnerNote::SlotLost { .. }
+            | OwnerNote::InheritedFree
+            | OwnerNote::Deposed => {}
+        }
+    }
+
+    /// Counts an order that ended.
+    pub(crate) fn order(&self, order: &EngineOrder, result: OrderResult) {
+        let kind = match order {
+            EngineOrder::Load { .. } => OrderKind::Load,
+            EngineOrder::Unload { .. } => OrderKind::Evict,
+        };
+        let result = match result {
+            OrderResult::Done => OrderLabel::Done,
+            OrderResult::Stale => OrderLabel::Fenced,
+            OrderResult::Failed => OrderLabel::Failed,
+            OrderResult::Unknown => OrderLabel::Unknown,
+        };
+        self.set.count_order(kind, result);
+    }
+
+    /// Counts a further try after one that failed at `stage`.
+    pub(crate) fn retried(&self, stage: CallStage) {
+        let reason = match stage {
+            CallStage::SlotMissing => RetryReason::SlotMissing,
+            CallStage::Connecting | CallStage::Sending => RetryReason::NotReached,
+            CallStage::OwnerLost | CallStage::GrantVoid => RetryReason::OwnerChanged,
+            CallStage::OwnerRefused | CallStage::ServerRefused => RetryReason::Refused,
+            _ => RetryReason::Broken,
+        };
+        self.set.count_retry(reason);
+    }
+
+    /// Brings the gauges up to date; done whenever the metrics are read.
+    pub(crate) fn refresh(&self, core: &EntryCore) {
+        let now = core.clock.now();
+        self.set.set_invariants(&core.invariant_counts());
+        self.set.set_config(core.view().version, core.ready().is_ok());
+        for stream in FollowedStream::ALL {
+            let name = match stream {
+                FollowedStream::Config => StreamName::Config,
+                FollowedStream::Control => StreamName::Control,
+                FollowedStream::Claims => StreamName::Claims,
+                FollowedStream::Jobs => StreamName::Jobs,
+            };
+            self.set.set_log_lag(name, 0, core.health.silent_ms(now));
+        }
+        self.refresh_groups(core);
+        self.refresh_members(core);
+        let suspects = read(&core.control).suspects().to_vec();
+        let condemned = suspects.iter().filter(|entry| entry.crashes >= CONDEMNED_CRASHES).count();
+        self.set.set_suspects((suspects.len() - condemned) as u64, condemned as u64);
+        let (waiting, running, finished) = core.jobs.counts();
+        self.set.set_jobs(waiting, running, finished);
+    }
+
+    fn refresh_groups(&self, core: &EntryCore) {
+        let shards = read(&core.owners).clone();
+        self.set.set_owned_groups(shards.len() as u64);
+        let mut waiting = [0_u64; RequestClass::ALL.len()];
+        let (mut up, mut down, mut draining) = (0, 0, 0);
+        for shard in shards {
+            let status = shard.status(core);
+            for queue in status.queues {
+                waiting[queue.class as usize] += u64::from(queue.waiting);
+            }
+            for server in status.servers {
+                match (server.draining, server.up) {
+                    (true, _) => draining += 1,
+                    (false, true) => up += 1,
+                    (false, false) => down += 1,
+                }
+            }
+        }
+        for (class, waiting) in RequestClass::ALL.into_iter().zip(waiting) {
+            self.set.set_waiting(class, waiting);
+        }
+        self.set.set_servers(up, down, draining);
+    }
+
+    fn refresh_members(&self, core: &EntryCore) {
+        let members = lock(&core.members);
+        let states =
+            [MemberState::Alive, MemberState::Leaving, MemberState::Suspect, MemberState::Dead];
+        for state in states {
+            let others = members.others().iter().filter(|row| row.state() == state).count();
+            let own = usize::from(members.own().state() == state);
+            self.set.set_members(state, (others + own) as u64);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/operate.rs
@@ -0,0 +1,220 @@
+//! What stands behind the operators' face.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use coltsfoothook_decision::config::ConfigVerdict;
+use coltsfoothook_decision::id::{RequestFingerprint, RequestId, VmName};
+use coltsfoothook_decision::member::MemberState;
+use coltsfoothook_decision::message::{ExplainCall, ExplainReply};
+use coltsfoothook_decision::record::{ConfigRecord, ControlRecord};
+use coltsfoothook_operator::{
+    DrainKind, ExplainAnswer, FleetStatus, HealthAnswer, ManifestAnswer, OperatorAuth,
+    OperatorHandler, PublishAnswer, PublishCall, VmStatus, WriteAnswer,
+};
+use coltsfoothook_peer::PeerTarget;
+use futures::future::join_all;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::core::{EntryCore, PublishWaiter, read};
+use crate::held::lock;
+use crate::peers::own_status;
+use crate::write::WriteError;
+
+/// How long an operator's record is offered to the log, and how long its verdict is waited for.
+const APPEND_WITHIN: Duration = Duration::from_secs(5);
+const VERDICT_WITHIN: Duration = Duration::from_secs(5);
+const PEER_WITHIN: Duration = Duration::from_secs(2);
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// The operators' tokens, as hashes.
+pub(crate) struct OperatorTokens {
+    hashes: Vec<[u8; 32]>,
+}
+
+impl OperatorTokens {
+    /// Keeps the hashes of `tokens` alone.
+    pub(crate) fn new<'a>(tokens: impl IntoIterator<Item = &'a str>) -> Self {
+        let hashes = tokens.into_iter().map(hash_of).collect();
+        Self { hashes }
+    }
+}
+
+fn hash_of(token: &str) -> [u8; 32] {
+    Sha256::digest(token.as_bytes()).into()
+}
+
+impl OperatorAuth for OperatorTokens {
+    fn is_operator(&self, token: &str) -> bool {
+        let asked = hash_of(token);
+        // Every hash is compared, so the time does not tell which one it was.
+        let found = self.hashes.iter().map(|hash| u8::from(bool::from(hash.ct_eq(&asked))));
+        found.sum::<u8>() > 0
+    }
+}
+
+/// Answers operators out of the shared state.
+pub(crate) struct OperatorFace {
+    pub(crate) core: Arc<EntryCore>,
+}
+
+#[async_trait]
+impl OperatorHandler for OperatorFace {
+    async fn manifest(&self) -> Option<ManifestAnswer> {
+        let view = self.core.view();
+        let known = view.version.0 > 0 && self.core.ready().is_ok();
+        known.then(|| ManifestAnswer { version: view.version, manifest: (*view.manifest).clone() })
+    }
+
+    async fn publish(&self, call: PublishCall) -> PublishAnswer {
+        publish(&self.core, call).await
+    }
+
+    async fn status(&self) -> FleetStatus {
+        let core = &self.core;
+        let others = other_vms(core).into_iter().map(|target| async move {
+            let reply = core.clients.peers.status(&target, PEER_WITHIN).await.ok();
+            VmStatus { vm: target.vm, reply }
+        });
+        let mut vms = join_all(others).await;
+        vms.push(VmStatus { vm: core.me.vm.clone(), reply: Some(own_status(core)) });
+        vms.sort_by(|left, right| left.vm.cmp(&right.vm));
+        FleetStatus { asked: core.me.vm.clone(), vms }
+    }
+
+    async fn drain(&self, kind: DrainKind, name: &str, draining: bool) -> WriteAnswer {
+        let core = &self.core;
+        let record = match kind {
+            DrainKind::Vm if lock(&core.members).row(name).is_none() => {
+                return WriteAnswer::UnknownName;
+            }
+            DrainKind::Server if core.view().manifest.server(name).is_none() => {
+                return WriteAnswer::UnknownName;
+            }
+            DrainKind::Vm => ControlRecord::DrainVm { vm: name.into(), draining },
+            DrainKind::Server => ControlRecord::DrainServer { server: name.into(), draining },
+        };
+        let name = name.to_owned();
+        write_control(core, &record, move |core| {
+            let control = read(&core.control);
+            let drains = match kind {
+                DrainKind::Vm => control.vm_drains(&name),
+                DrainKind::Server => control.server_drains(&name),
+            };
+            drains == draining
+        })
+        .await
+    }
+
+    async fn explain(&self, id: &RequestId) -> ExplainAnswer {
+        let core = &self.core;
+        let asked = other_vms(core).into_iter().map(|target| async move {
+            let call = ExplainCall { id: id.clone() };
+            core.clients.peers.explain(&target, call, PEER_WITHIN).await.ok()
+        });
+        let others = join_all(asked).await.into_iter().flatten();
+        let own = ExplainReply { vm: core.me.clone(), steps: core.traces.steps(id.as_str()) };
+        let replies = std::iter::once(own).chain(others).filter(|reply| !reply.steps.is_empty());
+        ExplainAnswer { replies: replies.collect() }
+    }
+
+    async fn lift(&self, fingerprint: RequestFingerprint) -> WriteAnswer {
+        let suspected = |core: &EntryCore| {
+            let control = read(&core.control);
+            control.suspects().iter().any(|entry| entry.fingerprint == fingerprint)
+        };
+        if !suspected(&self.core) {
+            return WriteAnswer::UnknownName;
+        }
+        let record = ControlRecord::Cleared { fingerprint };
+        write_control(&self.core, &record, move |core| !suspected(core)).await
+    }
+
+    fn metrics(&self) -> String {
+        self.core.metrics.refresh(&self.core);
+        self.core.metrics.set.text()
+    }
+
+    fn health(&self) -> HealthAnswer {
+        if self.core.gate.is_closed() {
+            return HealthAnswer { ready: false, reason: "leaving".to_owned() };
+        }
+        match self.core.ready() {
+            Ok(()) => HealthAnswer { ready: true, reason: String::new() },
+            Err(why) => HealthAnswer { ready: false, reason: why.to_owned() },
+        }
+    }
+}
+
+fn other_vms(core: &EntryCore) -> Vec<PeerTarget> {
+    let members = lock(&core.members);
+    let others = members.others().iter().filter(|row| row.state() != MemberState::Dead);
+    let targets = others
+        .map(|row| PeerTarget { address: row.place().peer, vm: VmName(row.name().to_owned()) });
+    targets.collect()
+}
+
+/// Appends a publication and waits for the fold's verdict on it.
+///
+/// The verdict is found by the publication's id and not by the append's answer, so an answer that
+/// was lost changes nothing: the record is found, or the append is repeated and the fold tells the
+/// repeat from the first.
+async fn publish(core: &Arc<EntryCore>, call: PublishCall) -> PublishAnswer {
+    if !lock(&core.config).whole() {
+        return PublishAnswer::NotReady;
+    }
+    let PublishCall { base, publish_id, change } = call;
+    let (answer, answered) = oneshot::channel();
+    let waiter = PublishWaiter { publish_id: publish_id.clone(), answer };
+    lock(&core.publish_waiters).push(waiter);
+    let record = ConfigRecord::Publish { base, publish_id: publish_id.clone(), change };
+    let data = serde_json::to_string(&record).expect("records have text keys");
+    let result = append_and_wait(core, data, answered).await;
+    lock(&core.publish_waiters)
+        .retain(|waiter| waiter.publish_id != publish_id || !waiter.answer.is_closed());
+    result
+}
+
+async fn append_and_wait(
+    core: &EntryCore,
+    data: String,
+    answered: oneshot::Receiver<ConfigVerdict>,
+) -> PublishAnswer {
+    match core.writers.config.append(data, APPEND_WITHIN).await {
+        Ok(()) | Err(WriteError::Unsure { .. }) => {}
+        Err(WriteError::NotAppended { .. }) => return PublishAnswer::LogUnavailable,
+    }
+    match timeout(VERDICT_WITHIN, answered).await {
+        Ok(Ok(ConfigVerdict::Accepted(version))) => PublishAnswer::Accepted(version),
+        Ok(Ok(ConfigVerdict::Repeated(version))) => PublishAnswer::Repeated(version),
+        Ok(Ok(ConfigVerdict::Stale { in_force, .. })) => PublishAnswer::Stale { in_force },
+        Ok(Ok(ConfigVerdict::Rejected(faults))) => PublishAnswer::Rejected(faults),
+        Ok(Ok(ConfigVerdict::Adopted(_) | ConfigVerdict::Nothing) | Err(_)) | Err(_) => {
+            PublishAnswer::Unknown
+        }
+    }
+}
+
+async fn write_control(
+    core: &Arc<EntryCore>,
+    record: &ControlRecord,
+    there: impl Fn(&EntryCore) -> bool,
+) -> WriteAnswer {
+    let data = serde_json::to_string(record).expect("records have text keys");
+    match core.writers.control.append(data, APPEND_WITHIN).await {
+        Ok(()) | Err(WriteError::Unsure { .. }) => {}
+        Err(WriteError::NotAppended { .. }) => return WriteAnswer::LogUnavailable,
+    }
+    let until = Instant::now() + VERDICT_WITHIN;
+    while Instant::now() < until {
+        if there(core) {
+            return WriteAnswer::Written;
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+    WriteAnswer::Unknown
+}
--- /dev/null
+++ b/entry/src/serve.rs
@@ -0,0 +1,554 @@
+//! Serves completions: claim, grant, run, answer, and again where that is allowed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfoothook_caller::{
+    AnswerBody, CallProblem, CompletionAnswer, CompletionCall, CompletionKind, FaceReason,
+    ProblemReason,
+};
+use coltsfoothook_decision::attempt::{AttemptNext, AttemptState, CallStage};
+use coltsfoothook_decision::claim::ClaimAnswer;
+use coltsfoothook_decision::grant::{GrantEnd, RequestSpec};
+use coltsfoothook_decision::id::{
+    AdapterVersion, GroupName, MICROS_PER_MILLI, ModelName, ServerName, TimePoint,
+};
+use coltsfoothook_decision::invariant::InvariantName;
+use coltsfoothook_decision::limit::CallDeadline;
+use coltsfoothook_decision::message::StepKind;
+use coltsfoothook_decision::outcome::{RefusalReason, RequestOutcome};
+use coltsfoothook_engine::{RunAnswer, RunCall, RunError, RunPath};
+use coltsfoothook_telemetry::{RequestMetrics, event};
+use http::{HeaderMap, StatusCode};
+use serde_json::{Map, Value};
+use tokio::time::sleep;
+
+use crate::answer::AnswerFilter;
+use crate::claims::{KeyedRequest, RunningKey, begin_key};
+use crate::core::EntryCore;
+use crate::gate::GatePass;
+use crate::hold::GrantHold;
+use crate::measure::{micro_seconds, seconds};
+use crate::reserve::{TimedGrant, reserve, usable};
+use crate::stream::AnswerRun;
+
+/// The pause before a further try.
+const AGAIN_PAUSE: Duration = Duration::from_millis(10);
+/// When to come back after a VM that shuts down, in milliseconds.
+const LEAVING_RETRY_MS: u64 = 100;
+const NOT_READY_RETRY_MS: u64 = 1_000;
+const STREAM_TYPE: &str = "text/event-stream";
+
+/// A request from its arrival to its end. Dropping it writes the request's line in the log.
+pub(crate) struct RequestRun {
+    pub(crate) core: Arc<EntryCore>,
+    pub(crate) call: CompletionCall,
+    pub(crate) adapter: AdapterVersion,
+    pub(crate) begun: TimePoint,
+    pub(crate) deadline: CallDeadline,
+    pub(crate) server: Option<ServerName>,
+    pub(crate) tokens: u32,
+    pub(crate) metrics: RequestMetrics,
+    outcome: Option<RequestOutcome>,
+    reason: Option<&'static str>,
+    key: Option<RunningKey>,
+    _pass: GatePass,
+}
+
+/// A try that failed.
+struct FailedTry {
+    stage: CallStage,
+    server: Option<ServerName>,
+    problem: CallProblem,
+}
+
+impl FailedTry {
+    fn new(stage: CallStage, problem: CallProblem) -> Self {
+        Self { stage, server: None, problem }
+    }
+}
+
+/// Runs a completion for a caller.
+pub(crate) async fn complete(
+    core: &Arc<EntryCore>,
+    call: CompletionCall,
+) -> Result<CompletionAnswer, CallProblem> {
+    let mut run = admit(core, call)?;
+    let model = match check_adapter(&run) {
+        Ok(model) => model,
+        Err(problem) => return Err(run.fail(problem)),
+    };
+    if let Err(problem) = run.claim().await {
+        return Err(run.fail(problem));
+    }
+    let spec = run.spec(model);
+    try_until_done(run, spec).await
+}
+
+/// Lets a request in, before anything of it is done.
+fn admit(core: &Arc<EntryCore>, call: CompletionCall) -> Result<RequestRun, CallProblem> {
+    let Some(pass) = core.gate.enter() else {
+        let reason = RefusalReason::Leaving;
+        core.metrics.set.count_refusal(call.class, reason);
+        return Err(CallProblem::refused(reason, LEAVING_RETRY_MS, "this VM shuts down"));
+    };
+    let begun = core.clock.now();
+    if let Err(why) = core.ready() {
+        core.metrics.set.count_refusal(call.class, RefusalReason::NotReady);
+        return Err(CallProblem::refused(RefusalReason::NotReady, NOT_READY_RETRY_MS, why));
+    }
+    if let Err(refusal) = core.limits.admit(begun, call.tenant.as_str()) {
+        let reason = RefusalReason::TenantLimit;
+        core.metrics.set.count_refusal(call.class, reason);
+        let detail = "the tenant is over its rate";
+        return Err(CallProblem::refused(reason, refusal.retry_after_ms, detail));
+    }
+    let view = core.view();
+    let deadline_ms = call.deadline_ms.unwrap_or_else(|| view.class(call.class).deadline_ms);
+    let adapter = AdapterVersion {
+        adapter: call.model.adapter.clone(),
+        version: call.model.version.clone().unwrap_or_default(),
+    };
+    let detail = format!(
+        "tenant={} class={} adapter={adapter} repeatable={}",
+        call.tenant,
+        call.class.as_str(),
+        call.repeatable
+    );
+    core.traces.begin(&call.request_id, begun, detail);
+    Ok(RequestRun {
+        core: Arc::clone(core),
+        adapter,
+        begun,
+        deadline: CallDeadline::after(begun, Some(deadline_ms)),
+        server: None,
+        tokens: 0,
+        metrics: core.metrics.set.request(call.tenant.as_str(), call.class),
+        outcome: None,
+        reason: None,
+        key: None,
+        call,
+        _pass: pass,
+    })
+}
+
+/// Finds the adapter's base model, if the tenant may use the adapter.
+fn check_adapter(run: &RequestRun) -> Result<(AdapterVersion, ModelName), CallProblem> {
+    let view = run.core.view();
+    let choice = &run.call.model;
+    let version = choice.version.as_ref().map(|version| version.as_str());
+    let Some((entry, adapter)) = view.adapter_version(choice.adapter.as_str(), version) else {
+        let detail =
+            format!("version {} of the configuration has no {}", view.version, run.adapter);
+        return Err(CallProblem::refused(
+            RefusalReason::UnknownAdapter,
+            NOT_READY_RETRY_MS,
+            detail,
+        ));
+    };
+    if !entry.allows(run.call.tenant.as_str()) {
+        let detail = format!("{} may not use {}", run.call.tenant, choice.adapter);
+        return Err(CallProblem::refused(RefusalReason::NotAllowed, NOT_READY_RETRY_MS, detail));
+    }
+    Ok((adapter, entry.model.clone()))
+}
+
+impl RequestRun {
+    /// Obtains the right to run a request that must not run twice.
+    async fn claim(&mut self) -> Result<(), CallProblem> {
+        let Some(key) = self.call.key.clone().filter(|_| !self.call.repeatable) else {
+            return Ok(());
+        };
+        let left = self.deadline.left_ms(self.core.clock.now());
+        let request = KeyedRequest {
+            tenant: &self.call.tenant,
+            key: &key,
+            fingerprint: self.call.fingerprint,
+            within: left.map(Duration::from_millis),
+        };
+        match begin_key(&self.core, &request).await {
+            Ok(running) => {
+                self.step(StepKind::Claimed, format!("key={key}"));
+                self.key = Some(running);
+                Ok(())
+            }
+            Err(answer) => Err(claim_problem(answer)),
+        }
+    }
+
+    fn spec(&mut self, found: (AdapterVersion, ModelName)) -> RequestSpec {
+        let (adapter, model) = found;
+        self.adapter = adapter.clone();
+        RequestSpec {
+            id: self.call.request_id.clone(),
+            tenant: self.call.tenant.clone(),
+            adapter,
+            model,
+            class: self.call.class,
+            deadline_left_ms: None,
+            repeatable: self.call.repeatable,
+            fingerprint: self.call.fingerprint,
+            prefix: self.call.prefix,
+            prompt_tokens: self.call.prompt_tokens,
+            max_tokens: self.call.max_tokens,
+            avoid: Vec::new(),
+        }
+    }
+
+    /// Adds a step to the request's trace.
+    pub(crate) fn step(&self, kind: StepKind, detail: String) {
+        self.core.traces.step(&self.call.request_id, self.core.clock.now(), kind, detail);
+    }
+
+    /// Notes the final outcome, for the caller's resends, the metrics and the log.
+    pub(crate) fn end(&mut self, outcome: RequestOutcome) {
+        self.outcome = Some(outcome);
+        if let Some(key) = &mut self.key {
+            key.end(outcome);
+        }
+    }
+
+    fn fail(&mut self, problem: CallProblem) -> CallProblem {
+        self.end(problem.outcome);
+        self.reason = Some(problem.row().name);
+        self.step(StepKind::Refused, format!("reason={} {}", problem.row().name, problem.detail));
+        if let ProblemReason::Refused(reason) = problem.reason {
+            self.core.metrics.set.count_refusal(self.call.class, reason);
+        }
+        problem
+    }
+}
+
+impl Drop for RequestRun {
+    fn drop(&mut self) {
+        // Without a noted outcome the caller went away in the middle.
+        let outcome = self.outcome.unwrap_or(RequestOutcome::Unknown);
+        let took_ms = self.core.clock.now().since(self.begun) / MICROS_PER_MILLI;
+        self.step(StepKind::Ended, format!("outcome={}", outcome.as_str()));
+        self.core.metrics.set.count_request(self.call.tenant.as_str(), self.call.class, outcome);
+        self.metrics.ended(seconds(took_ms));
+        event!(
+            RequestDone,
+            request_id = self.call.request_id,
+            caller_id? = self.call.caller_id,
+            tenant = self.call.tenant,
+            class = self.call.class.as_str(),
+            adapter = self.adapter,
+            vm = self.core.me.vm,
+            server? = self.server,
+            outcome = outcome.as_str(),
+            reason? = self.reason,
+            tokens = self.tokens,
+            took_ms = took_ms,
+            gone = self.outcome.is_none()
+        );
+    }
+}
+
+fn claim_problem(answer: ClaimAnswer) -> CallProblem {
+    let detail = "the idempotency key cannot be run here";
+    let mut problem = CallProblem::refused(answer.reason, NOT_READY_RETRY_MS, detail);
+    problem.outcome = answer.outcome;
+    problem
+}
+
+async fn try_until_done(
+    mut run: RequestRun,
+    mut spec: RequestSpec,
+) -> Result<CompletionAnswer, CallProblem> {
+    let core = Arc::clone(&run.core);
+    let mut attempt = AttemptState::new(run.call.repeatable, run.deadline);
+    core.limits.first_try();
+    loop {
+        let failed = match try_once(&mut run, &spec).await {
+            Ok(answer) => return finish(run, answer).await,
+            Err(failed) => failed,
+        };
+        let now = core.clock.now();
+        let next = core.limits.after_failure(|budget| attempt.fail(now, failed.stage, budget));
+        let stage = failed.stage.as_str();
+        match next {
+            AttemptNext::End(outcome) => {
+                let problem = CallProblem { outcome, ..failed.problem };
+                return Err(run.fail(problem));
+            }
+            AttemptNext::Again | AttemptNext::Resume => {
+                core.metrics.retried(failed.stage);
+                run.step(StepKind::Retried, format!("stage={stage} {}", failed.problem.detail));
+                spec.avoid.extend(failed.server);
+                sleep(AGAIN_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// The answer's first part, with all that is needed for the rest.
+struct FirstPart {
+    hold: GrantHold,
+    filter: AnswerFilter,
+    answer: RunAnswer,
+    first: Bytes,
+}
+
+async fn finish(run: RequestRun, part: FirstPart) -> Result<CompletionAnswer, CallProblem> {
+    let FirstPart { hold, filter, answer, first } = part;
+    let content_type = answer.content_type.clone();
+    let status = answer.status;
+    let body = if run.call.stream {
+        AnswerBody::Stream(AnswerRun::new(run, hold, filter, answer.body).into_stream(first))
+    } else {
+        let mut run = run;
+        let mut hold = hold;
+        run.tokens = filter.tokens();
+        hold.end(GrantEnd::Done, filter.tokens());
+        run.core.check(InvariantName::WholeAnswer, filter.finished(), || {
+            format!("{} was passed on without its end", run.call.request_id)
+        });
+        run.end(RequestOutcome::Done);
+        AnswerBody::Whole(first)
+    };
+    Ok(CompletionAnswer { status, content_type, headers: HeaderMap::new(), body })
+}
+
+async fn try_once(run: &mut RequestRun, spec: &RequestSpec) -> Result<FirstPart, FailedTry> {
+    let TimedGrant { grant, asked } = obtain_grant(run, spec).await?;
+    let core = Arc::clone(&run.core);
+    let view = core.view();
+    let Some((entry, _)) = view.engine(grant.server.as_str()) else {
+        let problem = not_run(RefusalReason::NoServer, "the engine left the configuration");
+        return Err(FailedTry::new(CallStage::GrantVoid, problem));
+    };
+    let server = grant.server.clone();
+    run.server = Some(server.clone());
+    run.step(
+        StepKind::Granted,
+        format!(
+            "server={server} slot={} why={:?} stall_ms={} queue_ms={}",
+            grant.slot, grant.why, grant.stall_ms, grant.queue_ms
+        ),
+    );
+    run.metrics.waited(seconds(grant.stall_ms), seconds(grant.queue_ms));
+    let slot = grant.slot.clone();
+    let body = engine_body(&run.call.body, slot.as_str(), grant.priority);
+    let hold = GrantHold::new(&core, grant, entry.address, &run.call.request_id, spec.fingerprint);
+    let filter = AnswerFilter::new(slot.as_str(), &shown_model(run));
+    send(run, hold, filter, body, asked)
+        .await
+        .map_err(|failed| FailedTry { server: Some(server), ..failed })
+}
+
+async fn obtain_grant(run: &mut RequestRun, spec: &RequestSpec) -> Result<TimedGrant, FailedTry> {
+    let groups = ranked_groups(run, spec)?;
+    let mut last = None;
+    for group in groups {
+        run.step(StepKind::Reserved, format!("group={group}"));
+        match reserve(&run.core, &group, spec, run.deadline).await {
+            Ok(grant) => return Ok(grant),
+            Err(refusal) => last = Some(refusal),
+        }
+        // A further group is of use only where this one is full or has lost its engines.
+        let full = [RefusalReason::Overloaded, RefusalReason::NoServer];
+        if last.is_none_or(|refusal| !full.contains(&refusal.reason)) {
+            break;
+        }
+    }
+    let Some(refusal) = last else {
+        let problem = not_run(RefusalReason::NoServer, "no engine runs the base model");
+        return Err(FailedTry::new(CallStage::OwnerRefused, problem));
+    };
+    let stage = match refusal.reason {
+        RefusalReason::LoadFailed => CallStage::LoadFailed,
+        RefusalReason::DeadlinePassed => CallStage::WaitedTooLong,
+        _ => CallStage::OwnerRefused,
+    };
+    let detail = "the request was not admitted to an engine";
+    let problem = CallProblem::refused(refusal.reason, refusal.retry_after_ms, detail);
+    Err(FailedTry::new(stage, problem))
+}
+
+fn ranked_groups(run: &RequestRun, spec: &RequestSpec) -> Result<Vec<GroupName>, FailedTry> {
+    let view = run.core.view();
+    let region = run.core.settings.region.as_str();
+    match view.groups.route(spec.adapter.adapter.as_str(), region) {
+        Ok(ranked) => Ok(ranked.iter().map(|at| view.groups.group(*at).name.clone()).collect()),
+        Err(refusal) => {
+            let detail = "no group of this region serves the adapter";
+            let problem = CallProblem::refused(refusal.reason, refusal.retry_after_ms, detail);
+            Err(FailedTry::new(CallStage::OwnerRefused, problem))
+        }
+    }
+}
+
+fn not_run(reason: RefusalReason, detail: &str) -> CallProblem {
+    CallProblem::refused(reason, NOT_READY_RETRY_MS, detail)
+}
+
+fn shown_model(run: &RequestRun) -> String {
+    match &run.call.model.version {
+        Some(version) => format!("{}@{version}", run.call.model.adapter),
+        None => run.call.model.adapter.as_str().to_owned(),
+    }
+}
+
+/// The body for the engine: the caller's, with the slot for the model and the owner's priority.
+fn engine_body(body: &Map<String, Value>, slot: &str, priority: i32) -> Bytes {
+    let mut body = body.clone();
+    body.insert("model".to_owned(), Value::from(slot));
+    body.insert("priority".to_owned(), Value::from(priority));
+    Value::Object(body).to_string().into()
+}
+
+async fn send(
+    run: &mut RequestRun,
+    mut hold: GrantHold,
+    mut filter: AnswerFilter,
+    body: Bytes,
+    asked: TimePoint,
+) -> Result<FirstPart, FailedTry> {
+    let core = Arc::clone(&run.core);
+    let path = match run.call.kind {
+        CompletionKind::Chat => RunPath::Chat,
+        CompletionKind::Completions => RunPath::Completions,
+    };
+    let within = run.deadline.left_ms(core.clock.now()).map(Duration::from_millis);
+    let call = RunCall {
+        path,
+        body,
+        id: run.call.request_id.clone(),
+        key: run.call.key.clone(),
+        repeatable: run.call.repeatable,
+        within,
+    };
+    if !usable(&core, asked, &hold.grant) {
+        hold.end(GrantEnd::NotRun, 0);
+        let problem = not_run(RefusalReason::NotOwner, "the grant came too late");
+        return Err(FailedTry::new(CallStage::GrantVoid, problem));
+    }
+    hold.sending();
+    let answer = match core.clients.engines.run(hold.address, call).await {
+        Ok(answer) => answer,
+        Err(error) => return Err(failed_run(&mut hold, &error)),
+    };
+    run.step(StepKind::Sent, format!("status={}", answer.status.as_u16()));
+    read_first(run, hold, &mut filter, answer).await.map(|(hold, answer, first)| FirstPart {
+        hold,
+        filter,
+        answer,
+        first,
+    })
+}
+
+/// Reads the answer until there is something to pass on: the first event of a stream, or the whole
+/// of an unstreamed answer. Up to here a further try is still unseen by the caller.
+async fn read_first(
+    run: &mut RequestRun,
+    mut hold: GrantHold,
+    filter: &mut AnswerFilter,
+    mut answer: RunAnswer,
+) -> Result<(GrantHold, RunAnswer, Bytes), FailedTry> {
+    use futures::StreamExt;
+    let core = Arc::clone(&run.core);
+    if run.call.stream != answer.content_type.starts_with(STREAM_TYPE) {
+        hold.end(GrantEnd::Broken, 0);
+        let problem = broken("the engine's answer has another form than asked");
+        return Err(FailedTry::new(CallStage::AnswerCrossed, problem));
+    }
+    let mut whole = Vec::new();
+    loop {
+        let piece = match answer.body.next().await {
+            Some(Ok(piece)) => piece,
+            Some(Err(error)) => return Err(failed_run(&mut hold, &RunError::from(error))),
+            None if run.call.stream => {
+                hold.end(GrantEnd::Broken, 0);
+                let problem = broken("the answer ended without its end mark");
+                return Err(FailedTry::new(CallStage::AnswerCut, problem));
+            }
+            None => break,
+        };
+        if run.call.stream {
+            let first = filter.push(&piece).map_err(|error| crossed(&core, &mut hold, &error))?;
+            if !first.is_empty() {
+                run.metrics.first_token(micro_seconds(core.clock.now().since(run.begun)));
+                run.step(StepKind::FirstByte, String::new());
+                return Ok((hold, answer, first));
+            }
+        } else {
+            whole.extend_from_slice(&piece);
+            if whole.len() > core.settings.answer_bytes {
+                hold.end(GrantEnd::Broken, 0);
+                let problem = broken("the answer is longer than the bound");
+                return Err(FailedTry::new(CallStage::AnswerCut, problem));
+            }
+        }
+    }
+    let body = filter.whole(&whole).map_err(|error| crossed(&core, &mut hold, &error))?;
+    run.metrics.first_token(micro_seconds(core.clock.now().since(run.begun)));
+    Ok((hold, answer, body))
+}
+
+/// An answer of another slot: it is not passed on, and the invariant counts it.
+pub(crate) fn note_crossed(core: &EntryCore, error: &crate::answer::AnswerError) {
+    let right = !matches!(error, crate::answer::AnswerError::WrongSlot { .. });
+    core.check(InvariantName::RightAdapter, right, || error.to_string());
+}
+
+fn crossed(
+    core: &EntryCore,
+    hold: &mut GrantHold,
+    error: &crate::answer::AnswerError,
+) -> FailedTry {
+    note_crossed(core, error);
+    hold.end(GrantEnd::Broken, 0);
+    FailedTry::new(CallStage::AnswerCrossed, broken(&error.to_string()))
+}
+
+fn broken(detail: &str) -> CallProblem {
+    CallProblem::ended(FaceReason::AnswerLost, RequestOutcome::Unknown, detail)
+}
+
+/// Translates a failed run into its stage, and notes how the grant ended.
+fn failed_run(hold: &mut GrantHold, error: &RunError) -> FailedTry {
+    let (stage, end, reason) = match error {
+        RunError::NotSent { .. }
+        | RunError::Timeout { stage: coltsfoothook_exchange::ExchangeStage::Connect } => {
+            (CallStage::Connecting, GrantEnd::NotRun, FaceReason::BackendFailed)
+        }
+        RunError::SlotMissing => {
+            (CallStage::SlotMissing, GrantEnd::SlotMissing, FaceReason::BackendFailed)
+        }
+        RunError::Refused { status, .. } if rejects_request(*status) => {
+            (CallStage::RequestRejected, GrantEnd::Failed, FaceReason::BackendFailed)
+        }
+        RunError::Refused { .. } => {
+            (CallStage::ServerRefused, GrantEnd::NotRun, FaceReason::BackendFailed)
+        }
+        RunError::Failed { .. } => {
+            (CallStage::ServerFailed, GrantEnd::Failed, FaceReason::BackendFailed)
+        }
+        RunError::Sent { .. } => {
+            (CallStage::SentNoAnswer, GrantEnd::Broken, FaceReason::AnswerLost)
+        }
+        RunError::Timeout { stage: coltsfoothook_exchange::ExchangeStage::Head } => {
+            (CallStage::SentTimeout, GrantEnd::Cancelled, FaceReason::DeadlineExceeded)
+        }
+        RunError::Timeout { .. } => {
+            (CallStage::AnswerStalled, GrantEnd::Cancelled, FaceReason::DeadlineExceeded)
+        }
+        RunError::Broken { .. } => (CallStage::InAnswer, GrantEnd::Broken, FaceReason::AnswerLost),
+        RunError::TooLarge { .. } => {
+            (CallStage::AnswerCut, GrantEnd::Broken, FaceReason::AnswerLost)
+        }
+    };
+    hold.end(end, 0);
+    let outcome = RequestOutcome::Unknown;
+    FailedTry::new(stage, CallProblem::ended(reason, outcome, error.to_string()))
+}
+
+/// A status by which the engine finds fault with the request itself, so that no other engine would
+/// take it either.
+fn rejects_request(status: StatusCode) -> bool {
+    status.is_client_error()
+        && status != StatusCode::TOO_MANY_REQUESTS
+        && status != StatusCode::CONFLICT
+}
--- /dev/null
+++ b/entry/src/services.rs
@@ -0,0 +1,264 @@
+//! Routes calls to plain services.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use coltsfoothook_caller::{AnswerBody, CallProblem, FaceReason, ServiceAnswer, ServiceCall};
+use coltsfoothook_decision::attempt::{AttemptNext, AttemptState, CallStage};
+use coltsfoothook_decision::id::{MICROS_PER_MILLI, ServerName};
+use coltsfoothook_decision::limit::CallDeadline;
+use coltsfoothook_decision::message::StepKind;
+use coltsfoothook_decision::outcome::{RefusalReason, RequestOutcome};
+use coltsfoothook_exchange::ExchangeStage;
+use coltsfoothook_service::{ServiceCall as SentCall, ServiceError};
+use coltsfoothook_telemetry::event;
+use futures::StreamExt;
+use http::StatusCode;
+
+use crate::claims::{KeyedRequest, RunningKey, begin_key};
+use crate::core::{EntryCore, read};
+use crate::gate::GatePass;
+
+const RETRY_MS: u64 = 1_000;
+const LEAVING_RETRY_MS: u64 = 100;
+
+/// A call from its arrival to the end of its answer. Dropping it writes the call's line in the log.
+struct ServiceRun {
+    core: Arc<EntryCore>,
+    call: ServiceCall,
+    begun: coltsfoothook_decision::id::TimePoint,
+    repeatable: bool,
+    deadline: CallDeadline,
+    key: Option<RunningKey>,
+    outcome: Option<RequestOutcome>,
+    server: Option<ServerName>,
+    _pass: GatePass,
+}
+
+impl ServiceRun {
+    fn end(&mut self, outcome: RequestOutcome) {
+        self.outcome = Some(outcome);
+        if let Some(key) = &mut self.key {
+            key.end(outcome);
+        }
+    }
+
+    fn fail(&mut self, problem: CallProblem) -> CallProblem {
+        self.end(problem.outcome);
+        problem
+    }
+}
+
+impl Drop for ServiceRun {
+    fn drop(&mut self) {
+        let outcome = self.outcome.unwrap_or(RequestOutcome::Unknown);
+        let (class, tenant) = (self.call.class, self.call.tenant.as_str());
+        self.core.metrics.set.count_request(tenant, class, outcome);
+        let took_ms = self.core.clock.now().since(self.begun) / MICROS_PER_MILLI;
+        let detail = format!("outcome={}", outcome.as_str());
+        let now = self.core.clock.now();
+        self.core.traces.step(&self.call.request_id, now, StepKind::Ended, detail);
+        event!(
+            RequestDone,
+            request_id = self.call.request_id,
+            tenant = tenant,
+            class = class.as_str(),
+            service = self.call.service,
+            vm = self.core.me.vm,
+            server? = self.server,
+            outcome = outcome.as_str(),
+            took_ms = took_ms
+        );
+    }
+}
+
+/// Passes a call on to one of the service's backend servers.
+pub(crate) async fn call_service(
+    core: &Arc<EntryCore>,
+    call: ServiceCall,
+) -> Result<ServiceAnswer, CallProblem> {
+    let Some(pass) = core.gate.enter() else {
+        let detail = "this VM shuts down";
+        return Err(CallProblem::refused(RefusalReason::Leaving, LEAVING_RETRY_MS, detail));
+    };
+    if let Err(why) = core.ready() {
+        return Err(CallProblem::refused(RefusalReason::NotReady, RETRY_MS, why));
+    }
+    let begun = core.clock.now();
+    let repeatable = check_service(core, &call)?;
+    if let Err(refusal) = core.limits.admit(begun, call.tenant.as_str()) {
+        let detail = "the tenant is over its rate";
+        return Err(CallProblem::refused(
+            RefusalReason::TenantLimit,
+            refusal.retry_after_ms,
+            detail,
+        ));
+    }
+    let deadline_ms = call.deadline_ms.unwrap_or_else(|| core.view().class(call.class).deadline_ms);
+    let detail = format!("tenant={} service={}", call.tenant, call.service);
+    core.traces.begin(&call.request_id, begun, detail);
+    let mut run = ServiceRun {
+        core: Arc::clone(core),
+        begun,
+        repeatable,
+        deadline: CallDeadline::after(begun, Some(deadline_ms)),
+        key: None,
+        outcome: None,
+        server: None,
+        call,
+        _pass: pass,
+    };
+    if let Err(problem) = claim(&mut run).await {
+        return Err(run.fail(problem));
+    }
+    try_until_done(run).await
+}
+
+/// Whether the tenant may call the service, and whether the call may be sent again.
+fn check_service(core: &EntryCore, call: &ServiceCall) -> Result<bool, CallProblem> {
+    let view = core.view();
+    let Some(service) = view.manifest.service(call.service.as_str()) else {
+        let detail = format!("there is no service {}", call.service);
+        return Err(CallProblem::not_run(FaceReason::UnknownService, detail));
+    };
+    if service.tenants.binary_search(&call.tenant).is_err() {
+        let detail = format!("{} may not call {}", call.tenant, call.service);
+        return Err(CallProblem::refused(RefusalReason::NotAllowed, RETRY_MS, detail));
+    }
+    let method = call.method.as_str();
+    let by_method = service.repeatable_methods.iter().any(|name| name == method);
+    Ok(call.repeatable.unwrap_or(by_method))
+}
+
+async fn claim(run: &mut ServiceRun) -> Result<(), CallProblem> {
+    let Some(key) = run.call.key.clone().filter(|_| !run.repeatable) else { return Ok(()) };
+    let left = run.deadline.left_ms(run.core.clock.now());
+    let request = KeyedRequest {
+        tenant: &run.call.tenant,
+        key: &key,
+        fingerprint: run.call.fingerprint,
+        within: left.map(Duration::from_millis),
+    };
+    match begin_key(&run.core, &request).await {
+        Ok(running) => {
+            run.key = Some(running);
+            Ok(())
+        }
+        Err(answer) => {
+            let detail = "the idempotency key cannot be run here";
+            let mut problem = CallProblem::refused(answer.reason, RETRY_MS, detail);
+            problem.outcome = answer.outcome;
+            Err(problem)
+        }
+    }
+}
+
+async fn try_until_done(mut run: ServiceRun) -> Result<ServiceAnswer, CallProblem> {
+    let core = Arc::clone(&run.core);
+    let mut attempt = AttemptState::new(run.repeatable, run.deadline);
+    let mut avoid: Vec<ServerName> = Vec::new();
+    core.limits.first_try();
+    loop {
+        let Some(server) = choose_server(&run, &avoid) else {
+            let detail = "no backend server offers the service";
+            return Err(run.fail(CallProblem::refused(RefusalReason::NoServer, RETRY_MS, detail)));
+        };
+        run.server = Some(server.0.clone());
+        let sent = sent_call(&run);
+        let error = match core.clients.services.call(server.1, sent).await {
+            Ok(answer) => return Ok(pass_on(run, answer)),
+            Err(error) => error,
+        };
+        let (stage, reason) = stage_of(&error);
+        let now = core.clock.now();
+        let next = core.limits.after_failure(|budget| attempt.fail(now, stage, budget));
+        if let AttemptNext::End(outcome) = next {
+            return Err(run.fail(CallProblem::ended(reason, outcome, error.to_string())));
+        }
+        core.metrics.retried(stage);
+        avoid.push(server.0);
+    }
+}
+
+/// A server of the service that does not drain: one that this call has not tried, if there is one.
+fn choose_server(
+    run: &ServiceRun,
+    avoid: &[ServerName],
+) -> Option<(ServerName, std::net::SocketAddr)> {
+    let view = run.core.view();
+    let control = read(&run.core.control);
+    let region = run.core.settings.region.as_str();
+    let mut servers: Vec<_> = view
+        .service_servers(run.call.service.as_str())
+        .filter(|entry| !control.server_drains(entry.name.as_str()))
+        .collect();
+    if servers.iter().any(|entry| entry.region.as_str() == region) {
+        servers.retain(|entry| entry.region.as_str() == region);
+    }
+    if servers.iter().any(|entry| !avoid.contains(&entry.name)) {
+        servers.retain(|entry| !avoid.contains(&entry.name));
+    }
+    if servers.is_empty() {
+        return None;
+    }
+    let turn = run.core.request_numbers.fetch_add(1, Ordering::Relaxed) as usize;
+    let entry = servers[turn % servers.len()];
+    Some((entry.name.clone(), entry.address))
+}
+
+fn sent_call(run: &ServiceRun) -> SentCall {
+    let left = run.deadline.left_ms(run.core.clock.now());
+    let mut headers = run.call.headers.clone();
+    if let Some(key) = &run.call.key
+        && let Ok(value) = http::HeaderValue::from_str(key.as_str())
+    {
+        headers.insert("idempotency-key", value);
+    }
+    SentCall {
+        method: run.call.method.clone(),
+        path: run.call.path_and_query.clone(),
+        headers,
+        body: run.call.body.clone(),
+        repeatable: run.repeatable,
+        within: left.map(Duration::from_millis),
+    }
+}
+
+/// Passes the answer on piece by piece. The call has ended only when its last piece was read.
+fn pass_on(mut run: ServiceRun, answer: coltsfoothook_service::ServiceAnswer) -> ServiceAnswer {
+    let coltsfoothook_service::ServiceAnswer { status, headers, body } = answer;
+    // An error that the service states is its own answer, and the call ran.
+    run.end(RequestOutcome::Unknown);
+    let pieces = futures::stream::unfold(Some((run, body)), move |state| async move {
+        let (mut run, mut body) = state?;
+        match body.next().await {
+            Some(Ok(piece)) => Some((Ok(piece), Some((run, body)))),
+            Some(Err(error)) => {
+                let outcome = RequestOutcome::Unknown;
+                let reason = FaceReason::AnswerLost;
+                Some((Err(CallProblem::ended(reason, outcome, error.to_string())), None))
+            }
+            None => {
+                run.end(answered(status));
+                None
+            }
+        }
+    });
+    ServiceAnswer { status, headers, body: AnswerBody::Stream(pieces.boxed()) }
+}
+
+fn answered(status: StatusCode) -> RequestOutcome {
+    if status.is_server_error() { RequestOutcome::Failed } else { RequestOutcome::Done }
+}
+
+fn stage_of(error: &ServiceError) -> (CallStage, FaceReason) {
+    match error {
+        ServiceError::NotSent { .. } | ServiceError::Timeout { stage: ExchangeStage::Connect } => {
+            (CallStage::Connecting, FaceReason::BackendFailed)
+        }
+        ServiceError::Sent { .. } => (CallStage::SentNoAnswer, FaceReason::AnswerLost),
+        ServiceError::Timeout { .. } => (CallStage::SentTimeout, FaceReason::DeadlineExceeded),
+        _ => (CallStage::InAnswer, FaceReason::AnswerLost),
+    }
+}
--- /dev/null
+++ b/entry/src/watch.rs
@@ -0,0 +1,132 @@
+//! Timers of an owned group: reports of its engines, ticks, schedules and what the owner must know
+//! of VMs and of the log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfoothook_decision::id::{ServerName, VmName};
+use coltsfoothook_decision::manifest::ScheduleEntry;
+use coltsfoothook_decision::member::MemberState;
+use coltsfoothook_decision::owner::OwnerEvent;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+
+use crate::clock::wall_ms;
+use crate::core::EntryCore;
+use crate::held::lock;
+use crate::own::OwnerShard;
+
+const TICK: Duration = Duration::from_millis(25);
+/// Every so many ticks the owner is told of VMs and of the log.
+const VIEW_TICKS: u32 = 10;
+/// Every so many ticks the schedules are looked through.
+const SCHEDULE_TICKS: u32 = 80;
+const MILLIS_PER_SECOND: u64 = 1_000;
+/// Schedules are told to the owner so long before their lead begins.
+const SCHEDULE_AHEAD_MS: u64 = 10_000;
+
+/// Runs until the group goes to another VM or the process ends.
+pub(crate) async fn watch_shard(core: Arc<EntryCore>, shard: Arc<OwnerShard>) {
+    let mut watched: Vec<ServerName> = Vec::new();
+    let mut timer = interval(TICK);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks = 0_u32;
+    loop {
+        tokio::select! {
+            _ = shard.ended.cancelled() => return,
+            _ = timer.tick() => {}
+        }
+        if ticks.is_multiple_of(VIEW_TICKS) {
+            tell_view(&core, &shard);
+            watch_engines(&core, &shard, &mut watched);
+        }
+        if ticks.is_multiple_of(SCHEDULE_TICKS) {
+            tell_schedules(&core, &shard);
+        }
+        shard.drive(&core, OwnerEvent::Tick);
+        ticks = ticks.wrapping_add(1);
+    }
+}
+
+fn tell_view(core: &Arc<EntryCore>, shard: &Arc<OwnerShard>) {
+    let now = core.clock.now();
+    let (vms, gone, majority) = {
+        let members = lock(&core.members);
+        let region = members.own().place().region.clone();
+        let majority = members.majority(region.as_str());
+        let all = std::iter::once(members.own()).chain(members.others());
+        let ours = all.filter(|row| row.place().region == region);
+        let vms: Vec<VmName> = ours.clone().map(|row| row.identity().vm.clone()).collect();
+        let dead = ours.filter(|row| row.state() == MemberState::Dead);
+        let gone: Vec<_> = dead.map(|row| row.identity().clone()).collect();
+        (vms, gone, majority)
+    };
+    shard.drive(core, OwnerEvent::VmLive { vms, majority });
+    for vm in gone {
+        shard.drive(core, OwnerEvent::VmGone { vm });
+    }
+    shard.drive(core, OwnerEvent::LogState { writable: core.health.writable(now) });
+}
+
+/// Starts a task for each engine that is not watched yet. A task ends when its engine leaves the
+/// configuration.
+fn watch_engines(core: &Arc<EntryCore>, shard: &Arc<OwnerShard>, watched: &mut Vec<ServerName>) {
+    let engines = shard.engines();
+    watched.retain(|server| engines.contains(server));
+    for server in engines {
+        if !watched.contains(&server) {
+            watched.push(server.clone());
+            tokio::spawn(watch_engine(Arc::clone(core), Arc::clone(shard), server));
+        }
+    }
+}
+
+async fn watch_engine(core: Arc<EntryCore>, shard: Arc<OwnerShard>, server: ServerName) {
+    let period = Duration::from_millis(core.settings.report_ms);
+    while !shard.ended.is_cancelled() {
+        let asked = Instant::now();
+        let view = core.view();
+        let Some((entry, _)) = view.engine(server.as_str()) else { return };
+        if !shard.engines().contains(&server) {
+            return;
+        }
+        let event = match core.clients.engines.report(entry.address).await {
+            Ok(report) => OwnerEvent::Report { server: server.clone(), report },
+            Err(_) => OwnerEvent::ReportFailed { server: server.clone() },
+        };
+        shard.drive(&core, event);
+        tokio::select! {
+            () = shard.ended.cancelled() => return,
+            () = sleep(period.saturating_sub(asked.elapsed())) => {}
+        }
+    }
+}
+
+fn tell_schedules(core: &Arc<EntryCore>, shard: &Arc<OwnerShard>) {
+    let view = core.view();
+    let region = core.settings.region.as_str();
+    let now = wall_ms();
+    for schedule in &view.manifest.schedules {
+        let due_in_ms = due_in_ms(schedule, now);
+        let lead_ms = u64::from(schedule.lead_s) * MILLIS_PER_SECOND;
+        if due_in_ms > lead_ms + SCHEDULE_AHEAD_MS {
+            continue;
+        }
+        let Some((_, adapter)) =
+            view.adapter_version(schedule.adapter.as_str(), Some(schedule.version.as_str()))
+        else {
+            continue;
+        };
+        let ranked = view.groups.route(schedule.adapter.as_str(), region).unwrap_or_default();
+        let ours = ranked.first().is_some_and(|at| view.groups.group(*at).name == shard.group);
+        if ours {
+            shard.drive(core, OwnerEvent::Schedule { adapter, due_in_ms, lead_ms });
+        }
+    }
+}
+
+/// Milliseconds until a schedule is due next, from `now` in wall-clock milliseconds.
+fn due_in_ms(schedule: &ScheduleEntry, now: u64) -> u64 {
+    let period = u64::from(schedule.every_s.max(1)) * MILLIS_PER_SECOND;
+    let due = u64::from(schedule.due_s) * MILLIS_PER_SECOND % period;
+    (due + period - now % period) % period
+}
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -113,6 +113,8 @@
     LoadStarted, "load_started", Debug, "An engine was ordered to load an adapter version.";
     LoadDone, "load_done", Info, "An engine loaded an adapter version.";
     LoadFailed, "load_failed", Warn, "An engine did not load an adapter version.";
+    SlotLost, "slot_lost", Warn, "An engine lost an adapter version without an order of its owner.";
+    InheritedFree, "inherited_free", Info, "Slots of earlier owners may be evicted from now on.";
     SlotEvicted, "slot_evicted", Info, "An engine evicted an adapter version.";
     OrderRefused, "order_refused", Warn, "An engine refused an order with an old fencing number.";
     ServerUp, "server_up", Info, "A backend server answers.";
