Settings of clients and stand-ins checked as a whole; odd servers tested

Settings were plain structs whose faults serde told one by one, without place or range. They are now declared with the settings macros, so the binaries refuse a file with every fault at once. The list of VMs uses the membership's own type. Idle connections of a server that is used no more are dropped.

--- a/engine/src/http_engine.rs
+++ b/engine/src/http_engine.rs
@@ -1,5 +1,6 @@
 //! Model engines over HTTP.
 
+use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,31 +33,17 @@
 const CODE_STALE_FENCING: &str = "stale_fencing";
 const CODE_LOAD_FAILED: &str = "load_failed";
 
-/// Settings of [`HttpEngine`].
-#[derive(Clone, Debug)]
-pub struct EngineSettings {
-    /// How long a load may take until its effect is held to be unknown, in milliseconds.
-    pub load_ms: u64,
-    /// The same for other orders and questions.
-    pub answer_ms: u64,
-    /// The longest report, page or KV export that is read, in bytes.
-    pub max_answer_bytes: usize,
-    /// Connections, and times of runs.
-    pub exchange: ExchangeSettings,
-}
-
-impl Default for EngineSettings {
-    fn default() -> Self {
-        Self {
-            load_ms: 15_000,
-            answer_ms: 1_000,
-            max_answer_bytes: 8 * 1024 * 1024,
-            exchange: ExchangeSettings {
-                connect_ms: 500,
-                head_ms: 120_000,
-                ..ExchangeSettings::default()
-            },
-        }
+settings_struct! {
+    /// Settings of [`HttpEngine`].
+    pub struct EngineSettings {
+        /// How long a load may take until its effect is held to be unknown, in milliseconds.
+        pub load_ms: u64 = 15_000, in 1..=3_600_000;
+        /// The same for other orders and questions.
+        pub answer_ms: u64 = 1_000, in 1..=600_000;
+        /// The longest report, page or KV export that is read, in bytes.
+        pub max_answer_bytes: usize = 8 * 1024 * 1024, in 1_024..=1_073_741_824;
+        /// Connections, and times of runs.
+        pub exchange: ExchangeSettings = ExchangeSettings { connect_ms: 500, head_ms: 120_000, ..Default::default() };
     }
 }
 
--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -1,5 +1,6 @@
 //! Sends a request and waits for the head of its answer.
 
+use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,33 +17,21 @@
 use crate::error::{ExchangeError, ExchangeStage};
 use crate::pool::{ConnectionPool, OpenConnection};
 
-/// Times and bounds of exchanges. All times are in milliseconds.
-#[derive(Clone, Debug)]
-pub struct ExchangeSettings {
-    /// For opening a connection.
-    pub connect_ms: u64,
-    /// For the head of the answer, unless the request states another time.
-    pub head_ms: u64,
-    /// For each further piece of the answer's body.
-    pub body_ms: u64,
-    /// How long an idle connection is kept.
-    pub keep_ms: u64,
-    /// Idle connections kept for each server.
-    pub idle_connections: usize,
-    /// The longest head of an answer, in bytes; at least 8,192.
-    pub max_head_bytes: usize,
-}
-
-impl Default for ExchangeSettings {
-    fn default() -> Self {
-        Self {
-            connect_ms: 1_000,
-            head_ms: 30_000,
-            body_ms: 30_000,
-            keep_ms: 20_000,
-            idle_connections: 64,
-            max_head_bytes: 64 * 1024,
-        }
+settings_struct! {
+    /// Times and bounds of exchanges. All times are in milliseconds.
+    pub struct ExchangeSettings {
+        /// For opening a connection.
+        pub connect_ms: u64 = 1_000, in 1..=600_000;
+        /// For the head of the answer, unless the request states another time.
+        pub head_ms: u64 = 30_000, in 1..=3_600_000;
+        /// For each further piece of the answer's body.
+        pub body_ms: u64 = 30_000, in 1..=3_600_000;
+        /// How long an idle connection is kept.
+        pub keep_ms: u64 = 20_000, in 0..=3_600_000;
+        /// Idle connections kept for each server.
+        pub idle_connections: usize = 64, in 0..=10_000;
+        /// The longest head of an answer, in bytes; at least 8,192.
+        pub max_head_bytes: usize = 64 * 1024, in 8_192..=16 * 1024 * 1024;
     }
 }
 
--- a/exchange/src/counted.rs
+++ b/exchange/src/counted.rs
@@ -107,3 +107,23 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::AsyncWriteExt;
+    use tokio::net::TcpListener;
+
+    use super::*;
+
+    #[tokio::test]
+    async fn sealed_stream() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let written = WrittenCount::default();
+        let mut counted = CountedStream::new(stream, written.clone());
+        counted.write_all(b"four").await.unwrap();
+        assert_eq!((written.get(), written.seal()), (4, 4));
+        counted.write_all(b"more").await.unwrap_err();
+        assert_eq!(written.get(), 4);
+    }
+}
--- a/exchange/src/pool.rs
+++ b/exchange/src/pool.rs
@@ -21,6 +21,14 @@
     pub(crate) reused: bool,
 }
 
+/// The servers of one shard, sorted by address.
+#[derive(Default)]
+struct PoolShard {
+    servers: Vec<ServerConnections>,
+    /// When old connections of all its servers are to be dropped next.
+    sweep_at: Option<Instant>,
+}
+
 struct IdleConnection {
     connection: OpenConnection,
     since: Instant,
@@ -35,7 +43,7 @@
 /// The pool, cheap to clone.
 #[derive(Clone)]
 pub(crate) struct ConnectionPool {
-    shards: Arc<[Mutex<Vec<ServerConnections>>]>,
+    shards: Arc<[Mutex<PoolShard>]>,
     keep: Duration,
     limit: usize,
 }
@@ -50,16 +58,14 @@
     /// Takes a connection that can carry an exchange now; dead and old ones are dropped.
     pub(crate) fn take(&self, address: SocketAddr) -> Option<OpenConnection> {
         let mut shard = self.shard(address);
-        let at = shard.binary_search_by_key(&address, |server| server.address).ok()?;
-        let idle = &mut shard[at].idle;
-        idle.retain(|entry| {
-            !entry.connection.sender.is_closed() && entry.since.elapsed() < self.keep
-        });
+        let at = shard.find(address).ok()?;
+        let idle = &mut shard.servers[at].idle;
+        idle.retain(|entry| entry.is_good(self.keep));
         // The newest first: the older ones then run out of time when load falls.
         let ready = idle.iter().rposition(|entry| entry.connection.sender.is_ready());
-        let found = ready.map(|index| idle.swap_remove(index).connection);
-        if shard[at].idle.is_empty() {
-            shard.remove(at);
+        let found = ready.map(|index| idle.remove(index).connection);
+        if idle.is_empty() {
+            shard.servers.remove(at);
         }
         found
     }
@@ -70,20 +76,19 @@
             return;
         }
         connection.reused = true;
+        let now = Instant::now();
         let mut shard = self.shard(address);
-        let at = match shard.binary_search_by_key(&address, |server| server.address) {
-            Ok(at) => at,
-            Err(at) => {
-                shard.insert(at, ServerConnections { address, idle: Vec::new() });
-                at
-            }
-        };
-        if shard[at].idle.len() < self.limit {
-            shard[at].idle.push(IdleConnection { connection, since: Instant::now() });
+        shard.sweep(now, self.keep);
+        let at = shard.find(address).unwrap_or_else(|at| {
+            shard.servers.insert(at, ServerConnections { address, idle: Vec::new() });
+            at
+        });
+        if shard.servers[at].idle.len() < self.limit {
+            shard.servers[at].idle.push(IdleConnection { connection, since: now });
         }
     }
 
-    fn shard(&self, address: SocketAddr) -> MutexGuard<'_, Vec<ServerConnections>> {
+    fn shard(&self, address: SocketAddr) -> MutexGuard<'_, PoolShard> {
         let spread = usize::from(address.port())
             + match address.ip() {
                 std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]),
@@ -92,3 +97,28 @@
         self.shards[spread % SHARD_COUNT].lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl PoolShard {
+    fn find(&self, address: SocketAddr) -> Result<usize, usize> {
+        self.servers.binary_search_by_key(&address, |server| server.address)
+    }
+
+    /// Drops old connections of all servers, once in a while. Without it the connections to a
+    /// server that is used no more would stay open, and hold up its graceful stop.
+    fn sweep(&mut self, now: Instant, keep: Duration) {
+        if self.sweep_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.sweep_at = Some(now + keep);
+        self.servers.retain_mut(|server| {
+            server.idle.retain(|entry| entry.is_good(keep));
+            !server.idle.is_empty()
+        });
+    }
+}
+
+impl IdleConnection {
+    fn is_good(&self, keep: Duration) -> bool {
+        !self.connection.sender.is_closed() && self.since.elapsed() < keep
+    }
+}
--- /dev/null
+++ b/exchange/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the exchange, one file a feature.
+
+mod odd_servers;
--- a/service/src/client.rs
+++ b/service/src/client.rs
@@ -8,6 +8,7 @@
 use coltsfoothook_exchange::{
     AnswerBody, ExchangeClient, ExchangeError, ExchangeRequest, ExchangeSettings, ExchangeStage,
 };
+use coltsfoothook_settings::settings_struct;
 use http::{HeaderMap, HeaderName, Method, StatusCode, header};
 use snafu::Snafu;
 
@@ -141,11 +142,12 @@
     }
 }
 
-/// Settings of [`HttpService`].
-#[derive(Clone, Debug, Default)]
-pub struct ServiceSettings {
-    /// Connections and times.
-    pub exchange: ExchangeSettings,
+settings_struct! {
+    /// Settings of [`HttpService`].
+    pub struct ServiceSettings {
+        /// Connections and times.
+        pub exchange: ExchangeSettings = ExchangeSettings::default();
+    }
 }
 
 /// Plain services over HTTP.
--- a/standin/src/batch.rs
+++ b/standin/src/batch.rs
@@ -48,6 +48,7 @@
     pub(crate) prompt_tokens: u32,
     pub(crate) first: u32,
     pub(crate) chat: bool,
+    pub(crate) created: u64,
     pub(crate) progress: watch::Sender<RunProgress>,
 }
 
@@ -162,6 +163,11 @@
         }
     }
 
+    /// An id for a request that came without one.
+    pub(crate) fn next_id(&self) -> String {
+        format!("run-{}", self.next_serial)
+    }
+
     /// Puts a run into the queue.
     pub(crate) fn enqueue(&mut self, mut run: BatchRun) {
         run.serial = self.next_serial;
--- a/standin/src/command.rs
+++ b/standin/src/command.rs
@@ -7,6 +7,8 @@
 use std::process::ExitCode;
 
 use bpaf::Parser;
+use coltsfoothook_settings::{CheckedSettings, load_settings};
+use coltsfoothook_telemetry::{LogSettings, event, start_logs};
 use serde::de::DeserializeOwned;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -18,7 +20,7 @@
 }
 
 /// Settings that say where to listen.
-pub trait ListenSettings: Default + DeserializeOwned {
+pub trait ListenSettings: Default + DeserializeOwned + CheckedSettings {
     /// Listens elsewhere.
     fn listen_on(&mut self, address: SocketAddr);
 }
@@ -69,6 +71,9 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
+    if let Err(error) = start_logs(&LogSettings::default()) {
+        return fail(name, &error.to_string());
+    }
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => return fail(name, &error.to_string()),
@@ -86,11 +91,14 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let (address, stop) = starting.await?;
     println!("{name} listening on {address}");
+    event!(ProcessStarted, process = name, address = address);
     tokio::select! {
         _ = terminate.recv() => {}
         result = tokio::signal::ctrl_c() => result?,
     }
+    event!(ShutdownStarted, process = name);
     stop.await;
+    event!(ProcessStopped, process = name);
     Ok(())
 }
 
@@ -121,11 +129,7 @@
 fn read_settings<Settings: ListenSettings>(options: &CommandOptions) -> Result<Settings, String> {
     let mut settings = match &options.settings {
         None => Settings::default(),
-        Some(path) => {
-            let text = std::fs::read_to_string(path)
-                .map_err(|error| format!("{}: {error}", path.display()))?;
-            serde_json::from_str(&text).map_err(|error| format!("{}: {error}", path.display()))?
-        }
+        Some(path) => load_settings(path).map_err(|error| error.to_string())?,
     };
     if let Some(address) = options.listen {
         settings.listen_on(address);
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -1,9 +1,10 @@
 //! The model engine stand-in: its settings, faults, handle and step loop.
 
+use coltsfoothook_settings::{FaultList, settings_struct};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_trait::async_trait;
 use coltsfoothook_decision::report::EngineReport;
@@ -17,6 +18,7 @@
 
 use crate::batch::{EngineState, StepPlan};
 use crate::count::EngineCounters;
+use crate::event::log_event;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
 use crate::tally::TallyEntry;
@@ -30,82 +32,61 @@
 const REPORT_TICK_MIN: Duration = Duration::from_millis(10);
 const REPORT_TICK_MAX: Duration = Duration::from_millis(200);
 
-/// Settings of the model engine.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct EngineServerSettings {
-    /// Where to listen; port 0 takes any free one.
-    pub listen: SocketAddr,
-    /// The weight store to load from; without one a load takes `load_ms` alone.
-    pub store: Option<SocketAddr>,
-    /// The first incarnation; each restart adds one. It must differ between processes in turn.
-    pub incarnation: u64,
-    /// How many adapters it can hold.
-    pub adapter_slots: u32,
-    /// How many requests it takes into a batch.
-    pub batch_slots: u32,
-    /// How many requests may wait for the batch.
-    pub max_waiting: usize,
-    /// The time of a step with one request, in microseconds.
-    pub step_us: u64,
-    /// What each further request adds to a step, in microseconds.
-    pub request_us: u64,
-    /// What each further adapter in the batch adds to a step, in microseconds.
-    pub adapter_us: u64,
-    /// Tokens of prompts that a step reads.
-    pub prefill_tokens: u32,
-    /// Tokens that the prefix cache holds.
-    pub cache_tokens: u32,
-    /// How long a load takes besides the weight store's time, in milliseconds.
-    pub load_ms: u64,
-    /// How long a load may wait for the weight store, in milliseconds.
-    pub store_ms: u64,
-    /// Whether orders with an old fencing number are refused.
-    pub checks_fencing: bool,
-    /// How old load reports are, in milliseconds.
-    pub report_lag_ms: u64,
-    /// How late cache events are, in milliseconds.
-    pub event_lag_ms: u64,
-    /// Every so many-th cache event is lost; 0 loses none.
-    pub event_gap_every: u64,
-    /// Tokens generated for a request that states no number.
-    pub default_tokens: u32,
-    /// The most tokens that a request may ask for.
-    pub max_tokens: u32,
-    /// The longest body of a request, in bytes.
-    pub max_body_bytes: usize,
-    /// How long a run goes on that nobody reads, in milliseconds.
-    pub unread_ms: u64,
-    /// How many streams can be resumed.
-    pub keep_streams: usize,
+settings_struct! {
+    /// Settings of the model engine.
+    pub struct EngineServerSettings {
+        /// Where to listen; port 0 takes any free one.
+        pub listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
+        /// The weight store to load from; without one a load takes `load_ms` alone.
+        pub store: Option<SocketAddr> = None;
+        /// The first incarnation; each restart adds one. 0 takes the milliseconds of the wall clock,
+        /// so that processes started one after the other differ.
+        pub incarnation: u64 = 0;
+        /// How many adapters it can hold.
+        pub adapter_slots: u32 = 8, in 1..=100_000;
+        /// How many requests it takes into a batch.
+        pub batch_slots: u32 = 16, in 1..=100_000;
+        /// How many requests may wait for the batch.
+        pub max_waiting: usize = 1_024, in 0..=1_000_000;
+        /// The time of a step with one request, in microseconds.
+        pub step_us: u64 = 10_000, in 100..=10_000_000;
+        /// What each further request adds to a step, in microseconds.
+        pub request_us: u64 = 100, in 0..=1_000_000;
+        /// What each further adapter in the batch adds to a step, in microseconds.
+        pub adapter_us: u64 = 200, in 0..=1_000_000;
+        /// Tokens of prompts that a step reads.
+        pub prefill_tokens: u32 = 2_048, in 1..=1_000_000;
+        /// Tokens that the prefix cache holds.
+        pub cache_tokens: u32 = 65_536, in 0..=100_000_000;
+        /// How long a load takes besides the weight store's time, in milliseconds.
+        pub load_ms: u64 = 50, in 0..=3_600_000;
+        /// How long a load may wait for the weight store, in milliseconds.
+        pub store_ms: u64 = 60_000, in 1..=3_600_000;
+        /// Whether orders with an old fencing number are refused.
+        pub checks_fencing: bool = true;
+        /// How old load reports are, in milliseconds.
+        pub report_lag_ms: u64 = 0, in 0..=3_600_000;
+        /// How late cache events are, in milliseconds.
+        pub event_lag_ms: u64 = 100, in 0..=3_600_000;
+        /// Every so many-th cache event is lost; 0 loses none.
+        pub event_gap_every: u64 = 0;
+        /// Tokens generated for a request that states no number.
+        pub default_tokens: u32 = 16, in 1..=1_000_000;
+        /// The most tokens that a request may ask for.
+        pub max_tokens: u32 = 16_384, in 1..=1_000_000;
+        /// The longest body of a request, in bytes.
+        pub max_body_bytes: usize = 4 * 1024 * 1024, in 1_024..=1_073_741_824;
+        /// How long a run goes on that nobody reads, in milliseconds.
+        pub unread_ms: u64 = 2_000, in 0..=3_600_000;
+        /// How many streams can be resumed.
+        pub keep_streams: usize = 4_096, in 1..=1_000_000;
+    }
+    check check_tokens
 }
 
-impl Default for EngineServerSettings {
-    fn default() -> Self {
-        Self {
-            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            store: None,
-            incarnation: 1,
-            adapter_slots: 8,
-            batch_slots: 16,
-            max_waiting: 1_024,
-            step_us: 10_000,
-            request_us: 100,
-            adapter_us: 200,
-            prefill_tokens: 2_048,
-            cache_tokens: 65_536,
-            load_ms: 50,
-            store_ms: 60_000,
-            checks_fencing: true,
-            report_lag_ms: 0,
-            event_lag_ms: 100,
-            event_gap_every: 0,
-            default_tokens: 16,
-            max_tokens: 16_384,
-            max_body_bytes: 4 * 1024 * 1024,
-            unread_ms: 2_000,
-            keep_streams: 4_096,
-        }
+fn check_tokens(settings: &EngineServerSettings, faults: &mut FaultList) {
+    if settings.default_tokens > settings.max_tokens {
+        faults.add("default_tokens", "it is above max_tokens", "at most max_tokens");
     }
 }
 
@@ -210,9 +191,10 @@
 pub async fn start_engine(settings: EngineServerSettings) -> std::io::Result<EngineHandle> {
     let control = ServerControl::new();
     let listen = settings.listen;
+    let incarnation = first_incarnation(settings.incarnation);
     let exchange = ExchangeSettings { head_ms: settings.store_ms, ..Default::default() };
     let shared = Arc::new(EngineServer {
-        inner: Mutex::new(EngineState::new(settings.clone(), settings.incarnation)),
+        inner: Mutex::new(EngineState::new(settings.clone(), incarnation)),
         settings,
         control: control.clone(),
         store: ExchangeClient::new(exchange),
@@ -223,7 +205,6 @@
         HttpServer::start(listen, control.clone(), Arc::new(EngineFace(shared.clone()))).await?;
     control.spawn(run_steps(shared.clone()));
     control.spawn(keep_reports(shared.clone()));
-    log::info!("event=engine_started address={}", server.address());
     Ok(EngineHandle { server, shared })
 }
 
@@ -290,7 +271,7 @@
     }
 
     fn set_faults(&self, faults: EngineFaults) {
-        log::info!("event=engine_faults faults={faults:?}");
+        log_event("faults_set", "engine", &faults);
         self.extra().faults = faults;
         self.control.cut_hung();
     }
@@ -298,7 +279,7 @@
     fn restart(&self, down: Duration) {
         let mut state = self.lock();
         state.restart();
-        log::info!("event=engine_restarted incarnation={}", state.incarnation);
+        log_event("engine_restarted", "engine", &state.incarnation);
         drop(state);
         self.control.go_down(down);
     }
@@ -385,6 +366,14 @@
     }
 }
 
+fn first_incarnation(setting: u64) -> u64 {
+    if setting > 0 {
+        return setting;
+    }
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
+
 /// Runs the batch, step after step.
 async fn run_steps(engine: Arc<EngineServer>) {
     let mut due = tokio::time::Instant::now();
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -22,6 +22,7 @@
 mod command;
 mod count;
 mod engine;
+mod event;
 mod orders;
 mod platform;
 mod prefix;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -1,18 +1,21 @@
 //! The platform stand-in: the append-only log and the list of VMs.
 
+use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use coltsfoothook_decision::id::LogOffset;
+use coltsfoothook_decision::member::ListedVm;
 use coltsfoothook_decision::value;
-use coltsfoothook_platform::{AppendedRange, ListedVm, LogPage};
+use coltsfoothook_platform::{AppendedRange, LogPage};
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::sync::watch;
 
+use crate::event::log_event;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
 use crate::streams::{LogStreams, ReadResult, StreamLimits};
@@ -21,43 +24,27 @@
 /// The bound on the body of a fault or a change of the list.
 const SMALL_BODY: usize = 64 * 1024;
 
-/// Settings of the log and the list of VMs.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct PlatformServerSettings {
-    /// Where to listen; port 0 takes any free one.
-    pub listen: SocketAddr,
-    /// Appends a second that the log takes.
-    pub appends_per_s: f64,
-    /// Appends that it takes at once after a rest.
-    pub append_burst: f64,
-    /// How long a record is kept, in milliseconds.
-    pub retain_ms: u64,
-    /// How many records a stream keeps.
-    pub retain_records: usize,
-    /// The longest body of an append, in bytes.
-    pub max_append_bytes: usize,
-    /// The most records and bytes in one page.
-    pub max_page_records: usize,
-    /// The longest that a read waits for a record, in milliseconds.
-    pub max_wait_ms: u64,
-    /// How long a change takes to show in the list of VMs, in milliseconds.
-    pub list_lag_ms: u64,
-}
-
-impl Default for PlatformServerSettings {
-    fn default() -> Self {
-        Self {
-            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            appends_per_s: 400.0,
-            append_burst: 100.0,
-            retain_ms: 7 * 24 * 3_600 * 1_000,
-            retain_records: 1_000_000,
-            max_append_bytes: 16 * 1024 * 1024,
-            max_page_records: 1_000,
-            max_wait_ms: 30_000,
-            list_lag_ms: 1_000,
-        }
+settings_struct! {
+    /// Settings of the log and the list of VMs.
+    pub struct PlatformServerSettings {
+        /// Where to listen; port 0 takes any free one.
+        pub listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
+        /// Appends a second that the log takes.
+        pub appends_per_s: f64 = 400.0, in 0.001..=1e6;
+        /// Appends that it takes at once after a rest.
+        pub append_burst: f64 = 100.0, in 1.0..=1e6;
+        /// How long a record is kept, in milliseconds.
+        pub retain_ms: u64 = 7 * 24 * 3_600 * 1_000;
+        /// How many records a stream keeps.
+        pub retain_records: usize = 1_000_000, in 1..=100_000_000;
+        /// The longest body of an append, in bytes.
+        pub max_append_bytes: usize = 16 * 1024 * 1024, in 1_024..=1_073_741_824;
+        /// The most records and bytes in one page.
+        pub max_page_records: usize = 1_000, in 1..=1_000_000;
+        /// The longest that a read waits for a record, in milliseconds.
+        pub max_wait_ms: u64 = 30_000, in 0..=3_600_000;
+        /// How long a change takes to show in the list of VMs, in milliseconds.
+        pub list_lag_ms: u64 = 1_000, in 0..=3_600_000;
     }
 }
 
@@ -174,7 +161,6 @@
         control: control.clone(),
     });
     let server = HttpServer::start(listen, control, shared.clone()).await?;
-    log::info!("event=platform_started address={}", server.address());
     Ok(PlatformHandle { server, shared })
 }
 
@@ -249,7 +235,7 @@
     }
 
     fn set_faults(&self, faults: PlatformFaults) {
-        log::info!("event=platform_faults faults={faults:?}");
+        log_event("faults_set", "platform", &faults);
         self.lock().faults = faults;
         self.control.cut_hung();
         // Reads that wait look at the faults again.
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use coltsfoothook_decision::id::stable_hash;
@@ -50,6 +50,7 @@
 struct Completion<'a> {
     id: &'a str,
     object: &'static str,
+    created: u64,
     model: &'a str,
     choices: [Choice; 1],
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -210,9 +211,11 @@
             None => {}
         }
         let last = first.saturating_add(count);
+        let body_hash = body_hash(&label, &prompt, &sent, count);
         let progress = watch::Sender::new(RunProgress { next: first, end: None });
         let reader = progress.subscribe();
         let slot_name = body.model.clone();
+        let id = if id.is_empty() { state.next_id() } else { id };
         let stream = Arc::new(RunStream {
             id,
             slot: slot_name,
@@ -222,6 +225,7 @@
             prompt_tokens,
             first,
             chat,
+            created: unix_seconds(),
             progress,
         });
         state.enqueue(BatchRun {
@@ -232,7 +236,7 @@
             serial: 0,
             crashes,
             key,
-            body_hash: body_hash(&prompt, &sent, count),
+            body_hash,
             unread_since: None,
         });
         Ok(QueuedRun { stream, reader, last })
@@ -297,8 +301,12 @@
 }
 
 /// What a request asks, apart from its slot, for the count of bodies that ran twice.
-fn body_hash(prompt: &str, sent: &str, count: u32) -> String {
-    format!("{:016x}", stable_hash(&[prompt, sent, &count.to_string()]))
+fn body_hash(label: &str, prompt: &str, sent: &str, count: u32) -> String {
+    format!("{:016x}", stable_hash(&[label, prompt, sent, &count.to_string()]))
+}
+
+fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
 }
 
 /// A whole answer, or a cut where the run was lost.
@@ -414,7 +422,8 @@
         usage: Option<TokenUsage>,
     ) -> Completion<'_> {
         let choices = [Choice { index: 0, content, finish_reason }];
-        Completion { id: &self.id, object, model: &self.slot, choices, usage }
+        let (id, created, model) = (self.id.as_str(), self.created, self.slot.as_str());
+        Completion { id, object, created, model, choices, usage }
     }
 
     fn write_token(&self, out: &mut String, number: u32) {
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::event::log_event;
 use crate::reply::{ConnectionCut, Reply};
 
 /// Connections that may wait to be accepted.
@@ -225,7 +226,7 @@
                     control.tasks.spawn(serving);
                 }
                 Err(error) => {
-                    log::warn!("event=accept_failed address={address} error={error:?}");
+                    log_event("accept_failed", &address.to_string(), &error);
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -1,5 +1,6 @@
 //! The plain service stand-in: a counter of tickets, readings, and an echo.
 
+use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,8 +9,8 @@
 use coltsfoothook_decision::value;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
-use serde::Deserialize;
 
+use crate::event::log_event;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
 use crate::tally::{BoundedTally, TallyEntry};
@@ -19,25 +20,15 @@
 /// How many ids are remembered.
 const ID_LIMIT: usize = 100_000;
 
-/// Settings of the plain service.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct ServiceServerSettings {
-    /// Where to listen; port 0 takes any free one.
-    pub listen: SocketAddr,
-    /// How long each call takes, in milliseconds.
-    pub call_ms: u64,
-    /// The longest body of a call, in bytes.
-    pub max_body_bytes: usize,
-}
-
-impl Default for ServiceServerSettings {
-    fn default() -> Self {
-        Self {
-            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            call_ms: 2,
-            max_body_bytes: 1024 * 1024,
-        }
+settings_struct! {
+    /// Settings of the plain service.
+    pub struct ServiceServerSettings {
+        /// Where to listen; port 0 takes any free one.
+        pub listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
+        /// How long each call takes, in milliseconds.
+        pub call_ms: u64 = 2, in 0..=3_600_000;
+        /// The longest body of a call, in bytes.
+        pub max_body_bytes: usize = 1024 * 1024, in 1_024..=1_073_741_824;
     }
 }
 
@@ -140,7 +131,6 @@
     let listen = settings.listen;
     let shared = Arc::new(ServiceServer { settings, state: Mutex::new(state) });
     let server = HttpServer::start(listen, ServerControl::new(), shared.clone()).await?;
-    log::info!("event=service_started address={}", server.address());
     Ok(ServiceHandle { server, shared })
 }
 
@@ -191,7 +181,7 @@
     }
 
     fn set_faults(&self, faults: ServiceFaults) {
-        log::info!("event=service_faults faults={faults:?}");
+        log_event("faults_set", "service", &faults);
         self.lock().faults = faults;
     }
 
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -1,5 +1,6 @@
 //! The weight store stand-in: a rate of loads, of which a few run at full speed at once.
 
+use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,10 +9,10 @@
 use coltsfoothook_decision::value;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
-use serde::Deserialize;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::event::log_event;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
 
@@ -20,31 +21,19 @@
 /// How finely the sharing of the store's speed is worked out.
 const SHARE_TICK: Duration = Duration::from_millis(2);
 
-/// Settings of the weight store.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct StoreServerSettings {
-    /// Where to listen; port 0 takes any free one.
-    pub listen: SocketAddr,
-    /// Loads that may start in a second; others wait in line.
-    pub loads_per_s: f64,
-    /// Loads that run at full speed at once; more slow all down.
-    pub full_speed: u32,
-    /// How long a load takes at full speed, in milliseconds.
-    pub load_ms: u64,
-    /// The longest wait in line, in milliseconds; beyond it a load is refused.
-    pub max_wait_ms: u64,
-}
-
-impl Default for StoreServerSettings {
-    fn default() -> Self {
-        Self {
-            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            loads_per_s: 5.0,
-            full_speed: 2,
-            load_ms: 400,
-            max_wait_ms: 30_000,
-        }
+settings_struct! {
+    /// Settings of the weight store.
+    pub struct StoreServerSettings {
+        /// Where to listen; port 0 takes any free one.
+        pub listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
+        /// Loads that may start in a second; others wait in line.
+        pub loads_per_s: f64 = 5.0, in 0.001..=1e6;
+        /// Loads that run at full speed at once; more slow all down.
+        pub full_speed: u32 = 2, in 1..=1_000_000;
+        /// How long a load takes at full speed, in milliseconds.
+        pub load_ms: u64 = 400, in 0..=3_600_000;
+        /// The longest wait in line, in milliseconds; beyond it a load is refused.
+        pub max_wait_ms: u64 = 30_000, in 0..=3_600_000;
     }
 }
 
@@ -124,7 +113,6 @@
         Arc::new(StoreServer { settings, state: Mutex::new(state), control: control.clone() });
     let handler = Arc::new(StoreFace(shared.clone()));
     let server = HttpServer::start(listen, control, handler).await?;
-    log::info!("event=store_started address={}", server.address());
     Ok(StoreHandle { server, shared })
 }
 
@@ -163,7 +151,7 @@
     }
 
     fn set_faults(&self, faults: StoreFaults) {
-        log::info!("event=store_faults faults={faults:?}");
+        log_event("faults_set", "store", &faults);
         self.lock().faults = faults;
         self.control.cut_hung();
     }
--- a/standin/src/vms.rs
+++ b/standin/src/vms.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use coltsfoothook_decision::member::{ListedState, ListedVm};
 use coltsfoothook_decision::value;
-use coltsfoothook_platform::{ListedVm, VmState};
 
 value! {
     /// A change of the list.
@@ -61,7 +61,7 @@
             },
             VmChange::Leaving { name } => {
                 if let Ok(at) = self.find(&name) {
-                    self.shown[at].state = VmState::Leaving;
+                    self.shown[at].state = ListedState::Leaving;
                 }
             }
             VmChange::Remove { name } => {
--- a/standin/tests/suite/engine_orders.rs
+++ b/standin/tests/suite/engine_orders.rs
@@ -110,6 +110,23 @@
     store.shutdown().await;
 }
 
+/// Two engines ask for weights at once and the store's line is full: the second load is refused at
+/// once instead of hanging, and no weights are fetched for it.
+#[tokio::test]
+async fn store_line() {
+    let settings =
+        StoreServerSettings { loads_per_s: 0.01, load_ms: 1, max_wait_ms: 1, ..Default::default() };
+    let store = start_store(settings).await.unwrap();
+    let settings = EngineServerSettings { store: Some(store.address()), ..Default::default() };
+    let (engine, client) = quick_engine(settings).await;
+    client.load(engine.address(), &load_order(SLOT, 1)).await.unwrap();
+    let refused = client.load(engine.address(), &load_order("other@v1#1.2", 1)).await;
+    assert!(matches!(refused, Err(OrderError::LoadFailed { .. })), "{refused:?}");
+    assert_eq!((store.counters().loads, store.counters().refused), (1, 1));
+    engine.shutdown().await;
+    store.shutdown().await;
+}
+
 /// A restart takes the slots, the number and the streams; a report that lags still shows the life
 /// before, so its incarnation must tell.
 #[tokio::test]
--- a/standin/tests/suite/vm_list.rs
+++ b/standin/tests/suite/vm_list.rs
@@ -1,8 +1,7 @@
 //! The lagging list of VMs.
 
-use coltsfoothook_platform::{
-    DirectoryError, HttpDirectory, ListedVm, PlatformSettings, VmDirectory, VmState,
-};
+use coltsfoothook_decision::member::{ListedState, ListedVm, MemberPlace};
+use coltsfoothook_platform::{DirectoryError, HttpDirectory, PlatformSettings, VmDirectory};
 use coltsfoothook_standin::{
     OutageKind, PlatformFaults, PlatformHandle, PlatformServerSettings, VmChange, start_platform,
 };
@@ -15,14 +14,13 @@
 }
 
 fn listed(name: &str) -> ListedVm {
-    ListedVm {
-        name: name.into(),
-        caller_address: "127.0.0.1:8000".parse().unwrap(),
-        peer_address: "127.0.0.1:8001".parse().unwrap(),
+    let place = MemberPlace {
+        caller: "127.0.0.1:8000".parse().unwrap(),
+        peer: "127.0.0.1:8001".parse().unwrap(),
         domain: "ruaraka".into(),
         region: "nbo".into(),
-        state: VmState::Live,
-    }
+    };
+    ListedVm { name: name.into(), place, state: ListedState::Live }
 }
 
 /// VMs come, leave and go, and the list shows each state.
@@ -34,7 +32,7 @@
     platform.change_vms(VmChange::Leaving { name: "vm-2".to_owned() });
     let vms = directory.list().await.unwrap();
     let shown: Vec<_> = vms.iter().map(|vm| (vm.name.as_str(), vm.state)).collect();
-    assert_eq!(shown, [("vm-1", VmState::Live), ("vm-2", VmState::Leaving)]);
+    assert_eq!(shown, [("vm-1", ListedState::Live), ("vm-2", ListedState::Leaving)]);
     platform.change_vms(VmChange::Remove { name: "vm-1".to_owned() });
     assert_eq!(directory.list().await.unwrap().len(), 1);
     platform.shutdown().await;
