Callers' face on hyper: first events no longer wait for acknowledgements

Cause: dropshot opens its listener itself and sets no TCP_NODELAY. On a kept connection Nagle's algorithm holds the first event of a stream back until the caller's kernel sends its delayed acknowledgement.

Change: the face is served by hyper with an accept loop of its own; it sets TCP_NODELAY, bounds connections, heads and handshakes, frees the port when it closes, and needs no catch-all route.

--- a/caller/src/answer.rs
+++ b/caller/src/answer.rs
@@ -1,15 +1,14 @@
 //! Writing answers, whole or as they come.
 
 use std::pin::Pin;
-use std::sync::Mutex;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use dropshot::Body;
-use futures::{Stream, StreamExt};
 use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
 use serde::Serialize;
 use snafu::Snafu;
 
@@ -26,6 +25,14 @@
     reason: &'static str,
 }
 
+/// The body of a response.
+pub(crate) type FaceBody = UnsyncBoxBody<Bytes, CutError>;
+
+/// A body that is there already.
+pub(crate) fn whole_body(bytes: Bytes) -> FaceBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
 /// How the end of a broken stream is told.
 #[derive(Clone, Debug)]
 enum CutSignal {
@@ -37,8 +44,7 @@
 
 /// A body of an answer as it comes. Dropping it drops the handler's stream, which cancels what runs.
 struct StreamedBody {
-    /// The lock is never taken; it makes the stream `Sync`, which the server asks of bodies.
-    stream: Mutex<AnswerStream>,
+    stream: AnswerStream,
     signal: CutSignal,
     ended: bool,
 }
@@ -54,8 +60,7 @@
         if self.ended {
             return Poll::Ready(None);
         }
-        let stream = self.stream.get_mut().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let Poll::Ready(next) = Pin::new(stream).poll_next(context) else {
+        let Poll::Ready(next) = self.stream.as_mut().poll_next(context) else {
             return Poll::Pending;
         };
         match next {
@@ -85,19 +90,15 @@
     }
 }
 
-fn answer_body(body: AnswerBody, signal: CutSignal) -> Body {
+fn answer_body(body: AnswerBody, signal: CutSignal) -> FaceBody {
     match body {
-        AnswerBody::Whole(bytes) => Body::from(bytes),
-        AnswerBody::Stream(stream) => Body::wrap(StreamedBody {
-            stream: Mutex::new(stream.fuse().boxed()),
-            signal,
-            ended: false,
-        }),
+        AnswerBody::Whole(bytes) => whole_body(bytes),
+        AnswerBody::Stream(stream) => StreamedBody { stream, signal, ended: false }.boxed_unsync(),
     }
 }
 
 /// The response to a completion.
-pub(crate) fn completion_response(answer: CompletionAnswer, ids: ProblemIds) -> Response<Body> {
+pub(crate) fn completion_response(answer: CompletionAnswer, ids: ProblemIds) -> Response<FaceBody> {
     let events = answer.content_type.starts_with(EVENT_STREAM);
     let signal = if events { CutSignal::Event(ids.clone()) } else { CutSignal::Break };
     let Ok(content_type) = HeaderValue::from_str(&answer.content_type) else {
@@ -113,27 +114,27 @@
 }
 
 /// The response of a plain service.
-pub(crate) fn service_response(answer: ServiceAnswer) -> Response<Body> {
+pub(crate) fn service_response(answer: ServiceAnswer) -> Response<FaceBody> {
     let headers = backward_headers(&answer.headers);
     respond(answer.status, headers, answer_body(answer.body, CutSignal::Break))
 }
 
 /// A response with a JSON document.
-pub(crate) fn json_response(status: StatusCode, document: &impl Serialize) -> Response<Body> {
+pub(crate) fn json_response(status: StatusCode, document: &impl Serialize) -> Response<FaceBody> {
     let bytes = serde_json::to_vec(document).unwrap_or_default();
     bytes_response(status, "application/json", bytes.into())
 }
 
 /// A response with a whole body of the given type.
-pub(crate) fn bytes_response(status: StatusCode, kind: &str, bytes: Bytes) -> Response<Body> {
+pub(crate) fn bytes_response(status: StatusCode, kind: &str, bytes: Bytes) -> Response<FaceBody> {
     let mut headers = HeaderMap::new();
     let kind = HeaderValue::from_str(kind);
     let fallback = HeaderValue::from_static("application/octet-stream");
     headers.insert(CONTENT_TYPE, kind.unwrap_or(fallback));
-    respond(status, headers, Body::from(bytes))
+    respond(status, headers, whole_body(bytes))
 }
 
-fn respond(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+fn respond(status: StatusCode, headers: HeaderMap, body: FaceBody) -> Response<FaceBody> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/caller/src/body.rs
+++ b/caller/src/body.rs
@@ -4,9 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 use coltsfoothook_decision::id::{RequestFingerprint, stable_hash};
-use dropshot::Body;
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
+use http_body::Body;
 use http_body_util::BodyExt;
 use serde_json::{Map, Value};
 
@@ -43,9 +43,9 @@
 ///
 /// A sender that trickles its body would hold memory and a connection for as long as it likes; the
 /// timeout covers the whole body, so trickling a byte now and then does not extend it.
-pub(crate) async fn read_body(
+pub(crate) async fn read_body<B: Body<Data = Bytes> + Unpin>(
     headers: &HeaderMap,
-    body: Body,
+    body: B,
     settings: &CallerSettings,
 ) -> Result<Bytes, CallProblem> {
     if announced_length(headers).is_some_and(|length| length > settings.body_bytes) {
@@ -61,7 +61,10 @@
     }
 }
 
-async fn collect_body(mut body: Body, settings: &CallerSettings) -> Result<Bytes, CallProblem> {
+async fn collect_body<B: Body<Data = Bytes> + Unpin>(
+    mut body: B,
+    settings: &CallerSettings,
+) -> Result<Bytes, CallProblem> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| malformed("the body was cut"))?;
--- a/caller/src/face.rs
+++ b/caller/src/face.rs
@@ -4,12 +4,14 @@
 
 use coltsfoothook_decision::id::{JobId, RequestFingerprint, ServiceName, TenantName, stable_hash};
 use coltsfoothook_decision::outcome::RequestClass;
-use dropshot::Body;
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode, Uri};
+use hyper::body::Incoming;
 use serde::Serialize;
 
-use crate::answer::{bytes_response, completion_response, json_response, service_response};
+use crate::answer::{
+    FaceBody, bytes_response, completion_response, json_response, service_response,
+};
 use crate::body::{completion_fingerprint, guess_kind, parse_completion, read_body};
 use crate::handler::{
     CallHandler, CompletionCall, CompletionKind, JobCall, ModelPage, ModelQuery, ServiceCall,
@@ -19,7 +21,7 @@
 use crate::route::{CallerRoute, find_route};
 use crate::settings::CallerSettings;
 
-/// The header that names a request in answers; `X-Request-Id` is taken by the HTTP library.
+/// The header that names a request in answers.
 const REQUEST_ID_HEADER: &str = "coltsfoothook-request-id";
 
 /// The face: settings and the handler behind it.
@@ -37,7 +39,7 @@
 
 impl CallerFace {
     /// Answers a request; every failure becomes a problem document.
-    pub(crate) async fn answer(&self, request: Request<Body>) -> Response<Body> {
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<FaceBody> {
         let mut ids = ProblemIds { request_id: self.handler.next_request_id().0, caller_id: None };
         let answered = self.dispatch(request, &mut ids).await;
         let mut response = answered.unwrap_or_else(|problem| problem_response(&problem, &ids));
@@ -49,9 +51,9 @@
 
     async fn dispatch(
         &self,
-        request: Request<Body>,
+        request: Request<Incoming>,
         ids: &mut ProblemIds,
-    ) -> Result<Response<Body>, CallProblem> {
+    ) -> Result<Response<FaceBody>, CallProblem> {
         self.check_path(request.uri())?;
         let route = find_route(request.method(), request.uri().path(), &self.settings)?;
         if route == CallerRoute::Health {
@@ -71,8 +73,8 @@
         &self,
         route: CallerRoute,
         call: KnownCall,
-        request: Request<Body>,
-    ) -> Result<Response<Body>, CallProblem> {
+        request: Request<Incoming>,
+    ) -> Result<Response<FaceBody>, CallProblem> {
         match route {
             CallerRoute::Health => Ok(self.health()),
             CallerRoute::Entries => self.entries(&call.tenant).await,
@@ -98,18 +100,22 @@
         Ok(())
     }
 
-    fn health(&self) -> Response<Body> {
+    fn health(&self) -> Response<FaceBody> {
         let health = self.handler.health();
         let status = if health.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         json_response(status, &health)
     }
 
-    async fn entries(&self, tenant: &TenantName) -> Result<Response<Body>, CallProblem> {
+    async fn entries(&self, tenant: &TenantName) -> Result<Response<FaceBody>, CallProblem> {
         let answer = self.handler.entries(tenant).await?;
         Ok(json_response(StatusCode::OK, &answer))
     }
 
-    async fn models(&self, tenant: &TenantName, uri: &Uri) -> Result<Response<Body>, CallProblem> {
+    async fn models(
+        &self,
+        tenant: &TenantName,
+        uri: &Uri,
+    ) -> Result<Response<FaceBody>, CallProblem> {
         let query = model_query(uri.query().unwrap_or_default(), &self.settings)?;
         let page = self.handler.models(tenant, query).await?;
         Ok(json_response(StatusCode::OK, &ModelList::from(page)))
@@ -119,8 +125,8 @@
         &self,
         kind: CompletionKind,
         call: KnownCall,
-        request: Request<Body>,
-    ) -> Result<Response<Body>, CallProblem> {
+        request: Request<Incoming>,
+    ) -> Result<Response<FaceBody>, CallProblem> {
         let ids = call.ids.clone();
         let (parts, body) = request.into_parts();
         let bytes = read_body(&parts.headers, body, &self.settings).await?;
@@ -162,8 +168,8 @@
         service: ServiceName,
         path: String,
         call: KnownCall,
-        request: Request<Body>,
-    ) -> Result<Response<Body>, CallProblem> {
+        request: Request<Incoming>,
+    ) -> Result<Response<FaceBody>, CallProblem> {
         let (parts, body) = request.into_parts();
         let path_and_query = match parts.uri.query() {
             Some(query) => format!("{path}?{query}"),
@@ -195,8 +201,8 @@
     async fn submit_job(
         &self,
         call: KnownCall,
-        request: Request<Body>,
-    ) -> Result<Response<Body>, CallProblem> {
+        request: Request<Incoming>,
+    ) -> Result<Response<FaceBody>, CallProblem> {
         let (parts, body) = request.into_parts();
         let bytes = read_body(&parts.headers, body, &self.settings).await?;
         let kind = guess_kind(&bytes, &self.settings);
@@ -214,7 +220,7 @@
         &self,
         tenant: &TenantName,
         job: &JobId,
-    ) -> Result<Response<Body>, CallProblem> {
+    ) -> Result<Response<FaceBody>, CallProblem> {
         let status = self.handler.job_status(tenant, job).await?;
         Ok(json_response(StatusCode::OK, &status))
     }
@@ -223,7 +229,7 @@
         &self,
         tenant: &TenantName,
         job: &JobId,
-    ) -> Result<Response<Body>, CallProblem> {
+    ) -> Result<Response<FaceBody>, CallProblem> {
         let result = self.handler.job_result(tenant, job).await?;
         Ok(bytes_response(StatusCode::OK, &result.content_type, result.body))
     }
@@ -232,7 +238,7 @@
         &self,
         tenant: &TenantName,
         job: &JobId,
-    ) -> Result<Response<Body>, CallProblem> {
+    ) -> Result<Response<FaceBody>, CallProblem> {
         let status = self.handler.cancel_job(tenant, job).await?;
         Ok(json_response(StatusCode::OK, &status))
     }
--- a/caller/src/problem.rs
+++ b/caller/src/problem.rs
@@ -3,11 +3,12 @@
 use bytes::Bytes;
 use coltsfoothook_decision::outcome::{RefusalReason, RequestOutcome};
 use coltsfoothook_decision::value;
-use dropshot::Body;
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{Response, StatusCode};
 use serde::Serialize;
 
+use crate::answer::{FaceBody, whole_body};
+
 /// The content type of problem documents.
 const PROBLEM_TYPE: &str = "application/problem+json";
 /// What the `type` of a problem begins with; the reason follows.
@@ -234,10 +235,10 @@
 }
 
 /// The response that tells a problem.
-pub(crate) fn problem_response(problem: &CallProblem, ids: &ProblemIds) -> Response<Body> {
+pub(crate) fn problem_response(problem: &CallProblem, ids: &ProblemIds) -> Response<FaceBody> {
     let row = problem.row();
     let json = problem_json(problem, ids);
-    let mut response = Response::new(Body::from(Bytes::from(json)));
+    let mut response = Response::new(whole_body(Bytes::from(json)));
     *response.status_mut() = row.status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(PROBLEM_TYPE));
--- a/caller/src/route.rs
+++ b/caller/src/route.rs
@@ -1,7 +1,4 @@
 //! Which operation a method and path name.
-//!
-//! dropshot's router answers an unknown path with a document of its own, which states no outcome.
-//! It gets one route for all paths instead, and this module tells the operations apart.
 
 use coltsfoothook_decision::id::{JobId, ServiceName};
 use http::Method;
--- a/caller/src/server.rs
+++ b/caller/src/server.rs
@@ -1,54 +1,67 @@
 //! The HTTP server.
+//!
+//! dropshot opens its listener itself and leaves Nagle's algorithm on, so that the first event of a
+//! stream on a connection in use waited some 30 ms for an acknowledgement. This face is therefore
+//! served by hyper directly; docs/HOUSE-STYLE.md, "Libraries", has the figures. It also bounds
+//! connections, frees the port as soon as it closes, and answers unknown paths with problem
+//! documents.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
-use dropshot::{
-    ApiDescription, ApiEndpoint, ApiEndpointVersions, Body, ConfigDropshot, ConfigTls,
-    HandlerTaskMode, HttpError, HttpServer, Path, RawRequest, RequestContext, ServerBuilder,
-};
-use http::{Method, Response};
-use schemars::JsonSchema;
-use serde::Deserialize;
-use snafu::Snafu;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::{ResultExt, Snafu};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio_rustls::TlsAcceptor;
+use tokio_util::sync::CancellationToken;
 
 use crate::face::CallerFace;
 use crate::handler::CallHandler;
 use crate::settings::CallerSettings;
 
-/// The methods that the server takes; others are refused by the HTTP library.
-const METHODS: [Method; 7] = [
-    Method::GET,
-    Method::POST,
-    Method::PUT,
-    Method::DELETE,
-    Method::PATCH,
-    Method::HEAD,
-    Method::OPTIONS,
-];
+/// How long the listener rests when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// The least bound for a request's head that the HTTP library takes.
+const LEAST_HEAD_BYTES: usize = 8_192;
+/// How long a closing connection without a request may still bring one that is on its way.
+const LAST_REQUEST: Duration = Duration::from_millis(250);
 
 /// The server did not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
-    /// The address could not be bound or the TLS settings are broken.
-    #[snafu(display("the callers' face did not start at {listen}: {reason}"))]
+    /// The address could not be bound.
+    #[snafu(display("callers cannot be served at {listen}"))]
     Listen {
         /// Where it should listen.
         listen: SocketAddr,
-        /// The library's reason.
-        reason: String,
-    },
-    /// A route was refused.
-    #[snafu(display("the callers' face has a broken route: {reason}"))]
-    Route {
-        /// The library's reason.
-        reason: String,
+        /// The cause.
+        source: std::io::Error,
     },
 }
 
 /// The running callers' face.
 pub struct CallerServer {
-    server: HttpServer<Arc<CallerFace>>,
+    address: SocketAddr,
+    shared: Arc<ServerParts>,
+    task: JoinHandle<()>,
+}
+
+/// What every connection needs.
+struct ServerParts {
+    face: CallerFace,
+    tls: Option<TlsAcceptor>,
+    room: Arc<Semaphore>,
+    refused: AtomicU64,
+    closing: CancellationToken,
 }
 
 impl CallerServer {
@@ -64,77 +77,134 @@
         tls: Option<rustls::ServerConfig>,
     ) -> Result<Self, StartError> {
         let listen = settings.listen;
-        let config = ConfigDropshot {
-            bind_address: listen,
-            default_request_body_max_bytes: settings.body_bytes,
-            // A caller that goes away must not leave its request running: the handler's future is
-            // dropped with the connection, and its guards cancel at the engine.
-            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
-            ..Default::default()
-        };
-        let face = Arc::new(CallerFace { settings, handler });
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let built = ServerBuilder::new(describe_api()?, face, log)
-            .config(config)
-            .tls(tls.map(ConfigTls::Dynamic))
-            .start();
-        let server = built.map_err(|error| StartError::Listen { listen, reason: chain(&error) })?;
-        Ok(Self { server })
+        let listener = bind(listen).context(ListenSnafu { listen })?;
+        let address = listener.local_addr().context(ListenSnafu { listen })?;
+        let shared = Arc::new(ServerParts {
+            room: Arc::new(Semaphore::new(settings.connections)),
+            face: CallerFace { settings, handler },
+            tls: tls.map(|config| TlsAcceptor::from(Arc::new(config))),
+            refused: AtomicU64::new(0),
+            closing: CancellationToken::new(),
+        });
+        let task = tokio::spawn(accept_callers(listener, shared.clone()));
+        Ok(Self { address, shared, task })
     }
 
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.server.local_addr()
+        self.address
+    }
+
+    /// Connections that are open now, for metrics.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.shared.face.settings.connections - self.shared.room.available_permits()
+    }
+
+    /// Connections refused so far: too many at once, or a failed TLS handshake.
+    #[must_use]
+    pub fn refused_connections(&self) -> u64 {
+        self.shared.refused.load(Ordering::Relaxed)
     }
 
     /// Stops taking connections and returns when the last running answer has ended.
     ///
-    /// Idle connections are closed at once. Connections that come meanwhile are neither taken nor
-    /// refused until the end, so the caller of this function makes the handler refuse new work as
-    /// "leaving" and lets the callers' kept lists of entry VMs run out first.
+    /// The port is free at once, and connections without a request are closed. For callers to have
+    /// gone elsewhere by then, the handler refuses new work as "leaving" and the VM is out of the
+    /// list of entries for longer than callers keep it.
     pub async fn close(self) {
-        if let Err(reason) = self.server.close().await {
-            log::warn!("event=caller_close_failed reason={reason:?}");
-        }
+        self.shared.closing.cancel();
+        let _ = self.task.await;
     }
 }
 
-fn describe_api() -> Result<ApiDescription<Arc<CallerFace>>, StartError> {
-    let mut api = ApiDescription::new();
-    for method in METHODS {
-        let name = format!("call_{}", method.as_str().to_ascii_lowercase());
-        let versions = ApiEndpointVersions::All;
-        let endpoint =
-            ApiEndpoint::new(name, serve, method, "application/json", "/{path:.*}", versions);
-        let registered = api.register(endpoint.visible(false));
-        registered.map_err(|error| StartError::Route { reason: error.to_string() })?;
+fn bind(listen: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+async fn accept_callers(listener: TcpListener, shared: Arc<ServerParts>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, from)) => {
+                    let Ok(permit) = shared.room.clone().try_acquire_owned() else {
+                        shared.refuse(from, "too many connections");
+                        continue;
+                    };
+                    connections.spawn(serve_stream(stream, from, permit, shared.clone()));
+                }
+                Err(error) => {
+                    log::warn!("event=caller_accept_failed reason={:?}", error.to_string());
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+            () = shared.closing.cancelled() => break,
+        }
     }
-    Ok(api)
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
-/// The variable of the one route. The face reads the path as the caller encoded it instead.
-#[derive(Deserialize, JsonSchema)]
-struct AnyPath {
-    #[serde(rename = "path")]
-    _path: Vec<String>,
+async fn serve_stream(
+    stream: TcpStream,
+    from: SocketAddr,
+    permit: OwnedSemaphorePermit,
+    shared: Arc<ServerParts>,
+) {
+    let _permit = permit;
+    // Each token is a small write; Nagle's algorithm would hold it back until the caller's kernel
+    // acknowledges the one before, which it delays by up to 40 ms.
+    let _ = stream.set_nodelay(true);
+    let Some(acceptor) = shared.tls.clone() else {
+        return serve_requests(stream, shared).await;
+    };
+    let limit = Duration::from_millis(shared.face.settings.handshake_timeout_ms);
+    match tokio::time::timeout(limit, acceptor.accept(stream)).await {
+        Ok(Ok(stream)) => serve_requests(stream, shared).await,
+        Ok(Err(error)) => shared.refuse(from, &error.to_string()),
+        Err(_) => shared.refuse(from, "the handshake took too long"),
+    }
 }
 
-async fn serve(
-    context: RequestContext<Arc<CallerFace>>,
-    _: Path<AnyPath>,
-    request: RawRequest,
-) -> Result<Response<Body>, HttpError> {
-    Ok(context.context().answer(request.into_inner()).await)
+/// Serves one connection until the caller or the server closes it. When the caller goes away, the
+/// library drops the running future and the answer's body.
+async fn serve_requests<S>(stream: S, shared: Arc<ServerParts>)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let asked = AtomicBool::new(false);
+    let service = service_fn(|request| {
+        asked.store(true, Ordering::Relaxed);
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(shared.face.answer(request).await) }
+    });
+    let settings = &shared.face.settings;
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(settings.head_timeout_ms))
+        .max_buf_size(settings.head_bytes.max(LEAST_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = shared.closing.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    // The library closes a connection between requests and lets a running answer end, but it would
+    // wait for the first request of a connection that never brought one.
+    let early = tokio::time::timeout(LAST_REQUEST, connection.as_mut()).await;
+    if early.is_err() && asked.load(Ordering::Relaxed) {
+        let _ = connection.await;
+    }
 }
 
-/// An error with its causes.
-fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(inner) = cause {
-        text = format!("{text}: {inner}");
-        cause = inner.source();
+impl ServerParts {
+    fn refuse(&self, from: SocketAddr, reason: &str) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+        log::warn!("event=caller_refused reason={reason:?} from={from}");
     }
-    text
 }
--- a/caller/src/settings.rs
+++ b/caller/src/settings.rs
@@ -11,6 +11,15 @@
 pub struct CallerSettings {
     /// Where to listen. Port 0 takes a free one.
     pub listen: SocketAddr,
+    /// The most connections at once.
+    pub connections: usize,
+    /// Milliseconds for a TLS handshake.
+    pub handshake_timeout_ms: u64,
+    /// Milliseconds in which the next request's head must have arrived; an idle connection is
+    /// closed after them.
+    pub head_timeout_ms: u64,
+    /// The largest head of a request in bytes, at least 8,192.
+    pub head_bytes: usize,
     /// The largest request body in bytes.
     pub body_bytes: usize,
     /// Milliseconds in which a request's body must have arrived whole.
@@ -45,6 +54,10 @@
     fn default() -> Self {
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            connections: 4_096,
+            handshake_timeout_ms: 5_000,
+            head_timeout_ms: 30_000,
+            head_bytes: 32 * 1024,
             body_bytes: 1024 * 1024,
             body_timeout_ms: 10_000,
             header_bytes: 256,
--- a/caller/tests/suite/graceful_close.rs
+++ b/caller/tests/suite/graceful_close.rs
@@ -50,3 +50,15 @@
     tokio::time::timeout(Duration::from_secs(10), server.close()).await.expect("closed");
     assert_eq!(stream.read(&mut buffer).await.expect("read"), 0);
 }
+
+/// A connection on which nothing was ever sent does not hold the process back either.
+#[tokio::test]
+async fn silent_connection_closes() {
+    let server = start(FakeHandler::answering(Script::Whole("{}")));
+    let mut stream = TcpStream::connect(server.address()).await.expect("connect");
+    while server.connections() == 0 {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::timeout(Duration::from_secs(10), server.close()).await.expect("closed");
+    assert_eq!(stream.read(&mut [0; 8]).await.expect("read"), 0);
+}
--- a/caller/tests/suite/slow_sender.rs
+++ b/caller/tests/suite/slow_sender.rs
@@ -3,10 +3,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coltsfoothook_caller::{CallerServer, CallerSettings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::client::{parse, request};
+use crate::client::{call, parse, request};
 use crate::fake::{FakeHandler, Script, start};
 
 /// The sender writes a byte of its body now and then, which keeps an idle timeout from firing. The
@@ -41,3 +42,28 @@
     );
     assert_eq!(handler.begun.load(Ordering::SeqCst), 0);
 }
+
+/// A head that never ends, and more connections than the bound: the former is cut off, the latter
+/// are refused and counted, and a caller that comes when there is room again is served.
+#[tokio::test]
+async fn slow_head_and_crowd() {
+    let settings = CallerSettings { connections: 2, head_timeout_ms: 100, ..Default::default() };
+    let handler = FakeHandler::answering(Script::Hang);
+    let server = CallerServer::start(settings, handler, None).expect("the face starts");
+    let mut slow = Vec::new();
+    for _ in 0..3 {
+        let mut stream = TcpStream::connect(server.address()).await.expect("connect");
+        stream.write_all(b"GET /health HT").await.expect("write");
+        slow.push(stream);
+    }
+    for stream in &mut slow {
+        let mut bytes = Vec::new();
+        let ended = tokio::time::timeout(Duration::from_secs(8), stream.read_to_end(&mut bytes));
+        let _ = ended.await.expect("the connection ends");
+    }
+    assert_eq!(server.refused_connections(), 1);
+    while server.connections() > 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(call(server.address(), "GET", "/health", "").await.status, 200);
+}
