The operators' program: check, publish, diff, status, drain, explain, lift

Pipelines publish through it, so repeating a command has to be safe and each end has an exit code of its own. A publication's id is made from its change and base; a lost answer is followed by the same id, and a later refusal does not turn an unknown outcome into "not run". The loser of a race is told the version in force. Manifests are checked offline with every fault, line and column.

Settings: a faulty entry of a list used to end the search; the entry is now taken out and places of later ones are kept, so an expectation of wrong_root tells one fault more.

--- /dev/null
+++ b/ctl/src/client.rs
@@ -0,0 +1,250 @@
+//! Calls to whichever entry VM answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfoothook_operator::{ProblemDocument, ProblemReason};
+use coltsfoothook_settings::{SecretFile, SecretText, load_settings};
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+
+use crate::arguments::ConnectArguments;
+use crate::error::CtlError;
+use crate::settings::CtlSettings;
+use crate::tls::TlsClient;
+
+/// The longest time for a connection; a VM that is away must not use up the time of the call.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// The pause before a call is repeated, where the answer names none, and the longest one.
+const DEFAULT_PAUSE_MS: u64 = 500;
+const LONGEST_PAUSE_MS: u64 = 10_000;
+
+/// Talks to entry VMs, one after the other until one answers.
+pub(crate) struct EntryClient {
+    settings: CtlSettings,
+    token: SecretText,
+    tls: Option<TlsClient>,
+}
+
+/// Why one VM gave no answer.
+enum CallFailure {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The call may have been carried out.
+    NoAnswer(String),
+}
+
+/// An answer as it came.
+struct CallAnswer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl EntryClient {
+    /// Puts the settings file and the command line together.
+    pub(crate) fn connect(arguments: ConnectArguments) -> Result<Self, CtlError> {
+        let mut settings = match &arguments.settings {
+            Some(file) => load_settings::<CtlSettings>(file)?,
+            None => CtlSettings::default(),
+        };
+        if !arguments.entries.is_empty() {
+            settings.entries = arguments.entries;
+        }
+        settings.token_file = arguments.token_file.map(SecretFile::new).or(settings.token_file);
+        settings.ca_file = arguments.ca_file.or(settings.ca_file);
+        settings.server_name = arguments.server_name.or(settings.server_name);
+        settings.plain |= arguments.plain;
+        Self::new(settings)
+    }
+
+    fn new(settings: CtlSettings) -> Result<Self, CtlError> {
+        if settings.entries.is_empty() {
+            return Err(CtlError::usage("give --entry ADDRESS, or entries in a settings file"));
+        }
+        let Some(token_file) = &settings.token_file else {
+            return Err(CtlError::usage(
+                "give --token-file FILE, or token_file in a settings file",
+            ));
+        };
+        let token = token_file.read()?;
+        let tls = match &settings.ca_file {
+            Some(ca_file) => Some(TlsClient::load(ca_file, settings.server_name.as_deref())?),
+            None => None,
+        };
+        let far = settings.entries.iter().find(|address| !address.ip().is_loopback());
+        if let (None, false, Some(address)) = (&tls, settings.plain, far) {
+            // Without this, one missing option would send the token over the network in the clear.
+            let message =
+                format!("{address} needs TLS: give --ca-file FILE, or --plain to do without");
+            return Err(CtlError::usage(message));
+        }
+        Ok(Self { settings, token, tls })
+    }
+
+    /// Reads something.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CtlError> {
+        self.call(Method::GET, path, Bytes::new()).await
+    }
+
+    /// Changes something. The call is repeated while its outcome is not known or the log is down,
+    /// so it must be one that has the same effect when it is carried out twice.
+    pub(crate) async fn change<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, CtlError> {
+        let body = serde_json::to_vec(body);
+        let body = Bytes::from(body.map_err(|error| CtlError::usage(error.to_string()))?);
+        let mut doubts = Vec::new();
+        for attempt in 1.. {
+            let error = match self.call(method.clone(), path, body.clone()).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            let pause_ms = match &error {
+                CtlError::Unknown { .. } | CtlError::NotReached { .. } => DEFAULT_PAUSE_MS,
+                CtlError::Problem { document } if worth_repeating(document) => {
+                    document.retry_after_ms.unwrap_or(DEFAULT_PAUSE_MS)
+                }
+                _ => return Err(error),
+            };
+            if may_have_effect(&error) {
+                doubts.push(error.to_string());
+            }
+            if attempt >= self.settings.attempts {
+                // "Not reached" at last does not undo an earlier attempt that may have had effect.
+                return Err(if doubts.is_empty() {
+                    error
+                } else {
+                    CtlError::Unknown { attempts: doubts }
+                });
+            }
+            tokio::time::sleep(Duration::from_millis(pause_ms.min(LONGEST_PAUSE_MS))).await;
+        }
+        Err(CtlError::Unknown { attempts: doubts })
+    }
+
+    /// Sends a call to each VM in turn until one gives a final answer.
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, CtlError> {
+        let mut attempts = Vec::new();
+        let mut sent = false;
+        let mut not_ready = None;
+        for &address in &self.settings.entries {
+            match self.call_one(address, &method, path, body.clone()).await {
+                Ok(answer) => match read_answer(&answer) {
+                    Err(CtlError::Problem { document })
+                        if document.reason == ProblemReason::NotReady.as_str() =>
+                    {
+                        not_ready = Some(CtlError::Problem { document });
+                    }
+                    result => return result,
+                },
+                Err(CallFailure::NotSent(reason)) => attempts.push(format!("{address}: {reason}")),
+                Err(CallFailure::NoAnswer(reason)) => {
+                    sent |= method != Method::GET;
+                    attempts.push(format!("{address}: {reason}"));
+                }
+            }
+        }
+        if sent {
+            return Err(CtlError::Unknown { attempts });
+        }
+        Err(not_ready.unwrap_or(CtlError::NotReached { attempts }))
+    }
+
+    async fn call_one(
+        &self,
+        address: SocketAddr,
+        method: &Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<CallAnswer, CallFailure> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, address.to_string())
+            .header(AUTHORIZATION, format!("Bearer {}", self.token.expose()))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| CallFailure::NotSent(error.to_string()))?;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = connecting
+            .map_err(|_| CallFailure::NotSent("no connection in time".to_owned()))?
+            .map_err(|error| CallFailure::NotSent(error.to_string()))?;
+        let Some(tls) = &self.tls else { return self.exchange(stream, request).await };
+        let handshake = tls.connector().connect(tls.name(address), stream);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, handshake)
+            .await
+            .map_err(|_| CallFailure::NotSent("no TLS handshake in time".to_owned()))?
+            .map_err(|error| CallFailure::NotSent(error.to_string()))?;
+        self.exchange(stream, request).await
+    }
+
+    async fn exchange<S>(
+        &self,
+        stream: S,
+        request: Request<Full<Bytes>>,
+    ) -> Result<CallAnswer, CallFailure>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) =
+            handshake.map_err(|error| CallFailure::NotSent(error.to_string()))?;
+        let driver = tokio::spawn(connection);
+        let limit = Duration::from_millis(self.settings.timeout_ms);
+        let most = self.settings.answer_bytes;
+        let answer = async {
+            let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), most).collect().await;
+            let body = body.map_err(|error| error.to_string())?.to_bytes();
+            Ok::<_, String>(CallAnswer { status, body })
+        };
+        let answered = tokio::time::timeout(limit, answer).await;
+        driver.abort();
+        match answered {
+            Ok(answer) => answer.map_err(CallFailure::NoAnswer),
+            Err(_) => Err(CallFailure::NoAnswer("no answer in time".to_owned())),
+        }
+    }
+}
+
+fn worth_repeating(document: &ProblemDocument) -> bool {
+    let repeated =
+        [ProblemReason::AppendUnknown, ProblemReason::LogUnavailable, ProblemReason::NotReady];
+    repeated.iter().any(|reason| document.reason == reason.as_str())
+}
+
+fn may_have_effect(error: &CtlError) -> bool {
+    match error {
+        CtlError::Unknown { .. } => true,
+        CtlError::Problem { document } => document.reason == ProblemReason::AppendUnknown.as_str(),
+        _ => false,
+    }
+}
+
+fn read_answer<T: DeserializeOwned>(answer: &CallAnswer) -> Result<T, CtlError> {
+    if answer.status.is_success() {
+        let parsed = serde_json::from_slice(&answer.body);
+        return parsed.map_err(|error| CtlError::OddAnswer { message: error.to_string() });
+    }
+    match serde_json::from_slice::<ProblemDocument>(&answer.body) {
+        Ok(document) => Err(CtlError::Problem { document: Box::new(document) }),
+        Err(_) => Err(CtlError::OddAnswer { message: format!("status {}", answer.status) }),
+    }
+}
--- /dev/null
+++ b/ctl/src/diff.rs
@@ -0,0 +1,97 @@
+//! What one manifest changes in another.
+
+use coltsfoothook_decision::manifest::{ManifestDelta, ServingManifest};
+use serde::Serialize;
+
+/// The difference of two manifests in normal form.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct ManifestDiff {
+    /// A line for each entry: `+` put in, `-` taken out, `~` changed with the fields that differ.
+    pub(crate) lines: Vec<String>,
+    /// The delta that makes the one manifest of the other.
+    pub(crate) delta: ManifestDelta,
+    /// Entries that a delta cannot take out; publishing the whole manifest does.
+    pub(crate) only_whole: Vec<String>,
+}
+
+impl ManifestDiff {
+    pub(crate) fn between(old: &ServingManifest, new: &ServingManifest) -> Self {
+        let mut diff = Self::default();
+        let mut delta = ManifestDelta::default();
+        let out = &mut delta.remove;
+        let put = &mut delta.put;
+        (put.models, out.models) = diff.list("models", &old.models, &new.models, |x| &x.name);
+        (put.adapters, out.adapters) =
+            diff.list("adapters", &old.adapters, &new.adapters, |x| &x.name);
+        (put.tenants, out.tenants) = diff.list("tenants", &old.tenants, &new.tenants, |x| &x.name);
+        (put.servers, out.servers) = diff.list("servers", &old.servers, &new.servers, |x| &x.name);
+        (put.services, out.services) =
+            diff.list("services", &old.services, &new.services, |x| &x.name);
+        (put.schedules, out.schedules) =
+            diff.list("schedules", &old.schedules, &new.schedules, |x| &x.name);
+        let (classes, classes_out) = diff.list("classes", &old.classes, &new.classes, |x| &x.class);
+        let (stores, stores_out) = diff.list("stores", &old.stores, &new.stores, |x| &x.region);
+        put.classes = classes;
+        put.stores = stores;
+        for class in classes_out {
+            diff.only_whole.push(format!("classes[{:?}]", class.as_str()));
+        }
+        for region in stores_out {
+            diff.only_whole.push(format!("stores[{:?}]", region.as_str()));
+        }
+        if old.policy != new.policy {
+            diff.lines.push(format!("~ policy: {}", changed_fields(&old.policy, &new.policy)));
+            put.policy = Some(new.policy.clone());
+        }
+        diff.delta = delta;
+        diff
+    }
+
+    /// Compares two sorted lists in one pass; gives what to put in and which names to take out.
+    fn list<T, K>(
+        &mut self,
+        list: &str,
+        old: &[T],
+        new: &[T],
+        key: impl Fn(&T) -> &K,
+    ) -> (Vec<T>, Vec<K>)
+    where
+        T: Clone + PartialEq + Serialize,
+        K: Clone + Ord + AsRef<str>,
+    {
+        let mut put = Vec::new();
+        let mut taken_out = Vec::new();
+        for entry in old {
+            let name = key(entry);
+            if new.binary_search_by(|other| key(other).cmp(name)).is_err() {
+                self.lines.push(format!("- {list}[{:?}]", name.as_ref()));
+                taken_out.push(name.clone());
+            }
+        }
+        for entry in new {
+            let name = key(entry);
+            let place = format!("{list}[{:?}]", name.as_ref());
+            match old.binary_search_by(|other| key(other).cmp(name)) {
+                Ok(at) if old[at] == *entry => continue,
+                Ok(at) => {
+                    self.lines.push(format!("~ {place}: {}", changed_fields(&old[at], entry)))
+                }
+                Err(_) => self.lines.push(format!("+ {place}")),
+            }
+            put.push(entry.clone());
+        }
+        (put, taken_out)
+    }
+}
+
+/// The names of the fields in which two entries differ.
+fn changed_fields<T: Serialize>(old: &T, new: &T) -> String {
+    let fields = |value: &T| serde_json::to_value(value).unwrap_or_default();
+    let (old, new) = (fields(old), fields(new));
+    let (Some(old), Some(new)) = (old.as_object(), new.as_object()) else { return String::new() };
+    let mut names: Vec<&str> = old.keys().chain(new.keys()).map(String::as_str).collect();
+    names.sort_unstable();
+    names.dedup();
+    names.retain(|&name| old.get(name) != new.get(name));
+    names.join(", ")
+}
--- /dev/null
+++ b/ctl/src/settings.rs
@@ -0,0 +1,35 @@
+//! How the program reaches entry VMs.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use coltsfoothook_settings::{FaultList, SecretFile, settings_struct};
+
+settings_struct! {
+    /// Settings of the operators' program; each can also be given on the command line.
+    pub struct CtlSettings {
+        /// Operators' addresses of entry VMs; the next is asked when one cannot be reached.
+        pub entries: Vec<SocketAddr> = Vec::new(), in 0..=64;
+        /// The file with the operator's token.
+        pub token_file: Option<SecretFile> = None;
+        /// The file with the certificates (PEM) of the authorities to trust.
+        pub ca_file: Option<PathBuf> = None;
+        /// The name in the entry VMs' certificates; without it, their IP numbers.
+        pub server_name: Option<String> = None;
+        /// Whether to speak without TLS to addresses other than loopback ones, token included.
+        pub plain: bool = false;
+        /// The longest time for a call, in milliseconds.
+        pub timeout_ms: u64 = 20_000, in 100..=600_000;
+        /// How often a call is sent when its outcome is not known or the log is down.
+        pub attempts: u32 = 5, in 1..=100;
+        /// The most bytes in an answer.
+        pub answer_bytes: usize = 64 << 20, in 1_024..=1 << 30;
+    }
+    check check_tls
+}
+
+fn check_tls(settings: &CtlSettings, faults: &mut FaultList) {
+    if settings.plain && settings.ca_file.is_some() {
+        faults.add("plain", "it contradicts ca_file", "one of the two");
+    }
+}
--- /dev/null
+++ b/ctl/tests/suite/exit_codes.rs
@@ -0,0 +1,56 @@
+//! Each kind of end has an exit code of its own.
+
+use coltsfoothook_ctl::{CtlExit, CtlStreams, run};
+
+use crate::fake::{run_alone, start};
+
+#[test]
+fn without_connection() {
+    let help = run_alone(&["--help"]);
+    assert_eq!(help.exit, CtlExit::Done);
+    assert!(help.out.contains("Examples:") && help.out.contains("5 stale base"), "{}", help.out);
+    assert!(run_alone(&["--version"]).out.contains(env!("CARGO_PKG_VERSION")));
+    assert_eq!(run_alone(&["frobnicate"]).exit, CtlExit::Usage);
+    assert_eq!(run_alone(&["status"]).exit, CtlExit::Usage);
+    let mut streams =
+        CtlStreams { read_input: Some(|| Ok("abc\n".to_owned())), ..Default::default() };
+    assert_eq!(run(&["hash-credential"], &mut streams), CtlExit::Done);
+    // The hash of "abc" that the standard of SHA-256 gives.
+    assert_eq!(streams.out, "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad\n");
+}
+
+#[test]
+fn refused_calls() {
+    let running = start("refused_calls");
+    let token = running.file("wrong", "tenant-credential");
+    let entry = running.address().to_string();
+    let stranger = run_alone(&["status", "--entry", &entry, "--token-file", &token]);
+    assert_eq!(stranger.exit, CtlExit::Unauthenticated);
+    assert!(!stranger.err.contains("tenant-credential"));
+    let away = run_alone(&["status", "--entry", "127.0.0.1:1", "--token-file", &token]);
+    assert_eq!(away.exit, CtlExit::NotReached);
+    let clear = run_alone(&["status", "--entry", "10.0.0.1:8081", "--token-file", &token]);
+    assert_eq!(clear.exit, CtlExit::Usage, "no token over the network in the clear");
+    assert_eq!(running.run(&["drain", "server", "engine-1"]).exit, CtlExit::Done);
+    assert_eq!(running.run(&["drain", "--undo", "vm", "vm-2"]).exit, CtlExit::Done);
+    assert_eq!(running.run(&["drain", "server", "gone"]).exit, CtlExit::Refused);
+    assert_eq!(running.run(&["explain", "r-1"]).exit, CtlExit::Refused);
+    assert_eq!(running.run(&["lift", "00ff"]).exit, CtlExit::Done);
+    let state = running.entry.state.lock().expect("a lock");
+    assert_eq!(state.drained, ["engine-1 true", "vm-2 false", "gone true"]);
+}
+
+#[test]
+fn rejected_change() {
+    // The server finds the faults of a delta, and the program names their places in the file.
+    let running = start("rejected_change");
+    let delta = "{\n  \"put\": {\n    \"adapters\": [\n      { \"name\": \"alarm\", \"model\": \"no\", \"versions\": [], \"tenants\": [] }\n    ]\n  }\n}";
+    let file = running.file("delta.json", delta);
+    let ended = running.run(&["publish", "--delta", &file, "--base", "0"]);
+    assert_eq!(ended.exit, CtlExit::Refused);
+    assert!(
+        ended.err.contains("delta.json:4:26: adapters[\"alarm\"].model: there is no model \"no\""),
+        "{}",
+        ended.err
+    );
+}
--- /dev/null
+++ b/ctl/tests/suite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the operators' program, one file a feature.
+
+mod check_offline;
+mod exit_codes;
+mod fake;
+mod lost_answer;
+mod publish_twice;
+mod status_table;
--- a/settings/src/document.rs
+++ b/settings/src/document.rs
@@ -47,7 +47,7 @@
 }
 
 /// A step of a path.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum PathStep {
     /// Into an object, by key.
     Key(String),
--- a/settings/src/load.rs
+++ b/settings/src/load.rs
@@ -9,15 +9,17 @@
 use serde_path_to_error::Segment;
 use snafu::{ResultExt, Snafu};
 
-use crate::document::{LocatedFault, PathStep, SettingsDocument};
+use crate::document::{LocatedFault, PathStep, SettingsDocument, parse_path};
 use crate::hint::nearest_name;
 use crate::value::SettingsFault;
 
 /// The most bytes in a settings file.
 pub const DEFAULT_FILE_BYTES: u64 = 1 << 20;
 
-/// The most faults of shape that are told. Each costs a pass over the document.
-const MOST_SHAPE_FAULTS: usize = 64;
+const SOCKET_ADDRESS: &str = "an IP number and a port, such as 127.0.0.1:8080";
+
+/// The most passes over a document. Each tells a fault of shape or takes out what one leaves behind.
+const MOST_PASSES: usize = 128;
 
 /// Settings that can tell what is wrong with their values.
 pub trait CheckedSettings {
@@ -124,16 +126,14 @@
         return Err(faults);
     };
     for fault in value.check() {
-        // What was taken out below stands at its default now and is told already.
-        if faults.iter().any(|told| told.path == fault.path) {
+        let steps = shape.gaps.in_file(&parse_path(&fault.path));
+        let path = path_text(&steps);
+        // What was taken out stands at its default now and is told already.
+        if faults.iter().any(|told| told.path == path) {
             continue;
         }
-        faults.push(LocatedFault {
-            place: document.locate(&fault.path),
-            path: fault.path,
-            problem: fault.problem,
-            allowed: fault.allowed,
-        });
+        let place = document.locate_steps(&steps);
+        faults.push(LocatedFault { place, path, problem: fault.problem, allowed: fault.allowed });
     }
     faults.sort_by_key(|fault| fault.place);
     if faults.is_empty() { Ok(value) } else { Err(faults) }
@@ -143,6 +143,7 @@
 struct DocumentShape<T> {
     value: Option<T>,
     faults: Vec<LocatedFault>,
+    gaps: ListGaps,
 }
 
 /// Reads a document; what cannot be read is told, taken out and the rest read again, since serde
@@ -150,28 +151,64 @@
 fn read_shape<T: DeserializeOwned>(document: &SettingsDocument<'_>) -> DocumentShape<T> {
     let mut json = document.to_json();
     let mut faults: Vec<LocatedFault> = Vec::new();
+    let mut gaps = ListGaps::default();
     let mut taken_out: Vec<Vec<PathStep>> = Vec::new();
-    while faults.len() < MOST_SHAPE_FAULTS {
+    for _ in 0..MOST_PASSES {
         let error = match serde_path_to_error::deserialize::<_, T>(&json) {
-            Ok(value) => return DocumentShape { value: Some(value), faults },
+            Ok(value) => return DocumentShape { value: Some(value), faults, gaps },
             Err(error) => error,
         };
         let mut steps = steps_of(error.path());
         let message = error.inner().to_string();
         if let Some(missing) = quoted_after(&message, "missing field `") {
             steps.push(PathStep::Key(missing.to_owned()));
-            if taken_out.contains(&steps) {
-                // It is missing because it was taken out; what follows would only mislead.
-                break;
-            }
         }
-        faults.push(shape_fault(document, &steps, &message));
-        if !take_out(&mut json, &steps) {
-            break;
+        let places = gaps.in_file(&steps);
+        let consequence = taken_out.contains(&places);
+        if !consequence {
+            faults.push(shape_fault(document, &places, &message));
         }
-        taken_out.push(steps);
+        // A key that is missing takes what it is missing from with it, or the pass would end there.
+        let missing = consequence || quoted_after(&message, "missing field `").is_some();
+        let cut = if missing { steps.len().saturating_sub(1) } else { steps.len() };
+        let Some(gone) = take_out(&mut json, &steps[..cut], &mut gaps) else { break };
+        taken_out.push(gone);
+    }
+    DocumentShape { value: None, faults, gaps }
+}
+
+/// Entries that were taken out of lists, so that later positions can be told as in the file.
+#[derive(Default)]
+struct ListGaps {
+    /// Paths of taken entries, in terms of the file, sorted.
+    entries: Vec<Vec<PathStep>>,
+}
+
+impl ListGaps {
+    /// Turns a path in what is left of the document into one in the file.
+    fn in_file(&self, steps: &[PathStep]) -> Vec<PathStep> {
+        let mut path: Vec<PathStep> = Vec::with_capacity(steps.len());
+        for step in steps {
+            let PathStep::Position(at) = step else {
+                path.push(step.clone());
+                continue;
+            };
+            let mut position = *at;
+            for entry in &self.entries {
+                let Some((PathStep::Position(gone), list)) = entry.split_last() else { continue };
+                if list == path && *gone <= position {
+                    position += 1;
+                }
+            }
+            path.push(PathStep::Position(position));
+        }
+        path
+    }
+
+    fn add(&mut self, entry: Vec<PathStep>) {
+        let at = self.entries.partition_point(|known| *known < entry);
+        self.entries.insert(at, entry);
     }
-    DocumentShape { value: None, faults }
 }
 
 fn steps_of(path: &serde_path_to_error::Path) -> Vec<PathStep> {
@@ -227,7 +264,7 @@
         }
     }
     let allowed = match message {
-        "invalid socket address syntax" => "an IP number and a port, such as 127.0.0.1:8080",
+        "invalid socket address syntax" => SOCKET_ADDRESS,
         "invalid IP address syntax" => "an IP number, such as 127.0.0.1",
         _ => "",
     };
@@ -243,6 +280,7 @@
         "u64" | "usize" => u64::MAX,
         "i32" | "i64" => return "a whole number".to_owned(),
         "f32" | "f64" => return "a number".to_owned(),
+        "socket address" => return SOCKET_ADDRESS.to_owned(),
         "a boolean" => return "true or false".to_owned(),
         other => return other.strip_prefix("struct ").map_or(other, |_| "an object").to_owned(),
     };
@@ -253,21 +291,26 @@
     message.strip_prefix(start)?.split('`').next()
 }
 
-/// Takes the thing at `steps` out of the document. An entry of a list takes the whole list with it:
-/// without one entry the positions of the others would no longer be those of the file.
-fn take_out(json: &mut Value, steps: &[PathStep]) -> bool {
-    let Some(last_key) = steps.iter().rposition(|step| matches!(step, PathStep::Key(_))) else {
-        return false;
-    };
-    let PathStep::Key(key) = &steps[last_key] else { return false };
+/// Takes the key or entry at `steps` out of the document and gives its path in the file.
+fn take_out(json: &mut Value, steps: &[PathStep], gaps: &mut ListGaps) -> Option<Vec<PathStep>> {
+    let (last, outer) = steps.split_last()?;
     let mut inner = json;
-    for step in &steps[..last_key] {
-        let next = match step {
-            PathStep::Key(key) | PathStep::Name(key) => inner.get_mut(key.as_str()),
-            PathStep::Position(at) => inner.get_mut(*at),
+    for step in outer {
+        inner = match step {
+            PathStep::Key(key) | PathStep::Name(key) => inner.get_mut(key.as_str())?,
+            PathStep::Position(at) => inner.get_mut(*at)?,
         };
-        let Some(next) = next else { return false };
-        inner = next;
     }
-    inner.as_object_mut().is_some_and(|object| object.remove(key).is_some())
+    let path = gaps.in_file(steps);
+    match last {
+        PathStep::Key(key) | PathStep::Name(key) => {
+            inner.as_object_mut()?.remove(key)?;
+        }
+        PathStep::Position(at) => {
+            let list = inner.as_array_mut().filter(|list| *at < list.len())?;
+            list.remove(*at);
+            gaps.add(path.clone());
+        }
+    }
+    Some(path)
 }
--- a/settings/tests/suite/bad_files.rs
+++ b/settings/tests/suite/bad_files.rs
@@ -73,6 +73,30 @@
     );
 }
 
+#[test]
+fn entries_of_lists() {
+    // A faulty entry hides neither the faults of the entries after it nor their places.
+    check(
+        r#"{ "vm": "e1", "peers": [
+  { "vm": 1 },
+  { "vm": "e2" },
+  { "wait": 2 },
+  7,
+  { "vm": "e3", "weight": "x", "share": 1 },
+  { "vm": "e4", "weight": 99 }
+] }"#,
+        expect![[r#"
+            vm.json:1:15: peers: it has 5 entries; allowed: 0 to 4 entries
+            vm.json:2:5: peers[0].vm: wrong type or value: integer `1`; allowed: a string
+            vm.json:4:3: peers[2].vm: it must be given; allowed: name of an entry VM
+            vm.json:4:5: peers[2].wait: unknown key; allowed: `vm` or `weight`
+            vm.json:5:3: peers[3]: wrong type or value: integer `7`; allowed: an object
+            vm.json:6:17: peers[4].weight: wrong type or value: string "x"; allowed: a number
+            vm.json:6:32: peers[4].share: unknown key; allowed: `vm` or `weight`
+            vm.json:7:17: peers[5].weight: 99 is out of range; allowed: 0 to 10"#]],
+    );
+}
+
 #[test]
 fn repeated_key() {
     check(
@@ -83,7 +107,12 @@
 
 #[test]
 fn wrong_root() {
-    check("[1]", expect!["vm.json:1:2: [0]: wrong type or value: integer `1`; allowed: a string"]);
+    check(
+        "[1]",
+        expect![[r#"
+        vm.json:1:1: vm: it must be given; allowed: name of an entry VM
+        vm.json:1:2: [0]: wrong type or value: integer `1`; allowed: a string"#]],
+    );
     check(
         "{\"vm\": null, \"door\": [\"10.0.0.1:80\"], \"least_ms\": -1, \"most_ms\": 1e999}",
         expect![[r#"
