--- a/entry/src/roster.rs
+++ b/entry/src/roster.rs
@@ -6,13 +6,12 @@
 
 use coltsfoothook_decision::control::ControlFold;
 use coltsfoothook_decision::member::{
-    ListedState, ListedVm, MemberAction, MemberEvent, MemberFacts, MemberPlace, MemberSettings,
-    MemberState, MemberTable, ProbeMessage, ProbeReply,
+    MemberAction, MemberEvent, MemberFacts, MemberPlace, MemberSettings, MemberState, MemberTable,
+    ProbeMessage, ProbeReply,
 };
 use coltsfoothook_decision::message::{CatchUpCall, CatchUpReply};
 use coltsfoothook_decision::takeover::{TakeoverPlan, TakeoverSettings};
 use coltsfoothook_peer::PeerTarget;
-use coltsfoothook_platform::{ListedVm as PlatformVm, VmState};
 use coltsfoothook_telemetry::event;
 use rand::{Rng, RngExt};
 use rand_pcg::Pcg64;
@@ -188,7 +187,6 @@
     while !core.closing.is_cancelled() {
         match core.clients.directory.list().await {
             Ok(list) => {
-                let list = list.into_iter().map(listed).collect();
                 driver.drive(MemberEvent::Listed(list));
             }
             Err(error) => log::warn!("the list of VMs cannot be read: {error}"),
@@ -197,20 +195,6 @@
     }
 }
 
-fn listed(vm: PlatformVm) -> ListedVm {
-    let place = MemberPlace {
-        caller: vm.caller_address,
-        peer: vm.peer_address,
-        domain: vm.domain,
-        region: vm.region,
-    };
-    let state = match vm.state {
-        VmState::Live => ListedState::Live,
-        VmState::Leaving => ListedState::Leaving,
-    };
-    ListedVm { name: vm.name, place, state }
-}
-
 /// Takes groups over whose owner is gone.
 pub(crate) async fn run_takeovers(core: Arc<EntryCore>) {
     let mut plan = TakeoverPlan::new(TakeoverSettings::default(), core.clock.now());
