Local site and first whole path

Cause: nothing yet ran from a caller to an engine. Change: a site of entry VMs and stand-ins in one process, clients that call it over HTTP, token events counted apart from the end event, and a quick look at the list of VMs right after a start.

--- a/demo/src/lib.rs
+++ b/demo/src/lib.rs
@@ -1,1 +1,25 @@
-//! placeholder
+//! A whole site in one process, and callers of it.
+//!
+//! [`LocalSite`] hosts entry VMs and stand-ins as tasks on loopback ports; [`SiteClient`] calls them
+//! as strangers do. The binary `coltsfoothook-demo` shows the main job on it.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! use coltsfoothook_demo::{CompletionAsk, LocalSite, SiteClient, SiteSettings, credential};
+//!
+//! let site = LocalSite::start(SiteSettings::default()).await?;
+//! let client = SiteClient::new(site.callers()[0], &credential(0));
+//! let ask = CompletionAsk { model: "adapter-00000@1".into(), ..Default::default() };
+//! println!("{}", client.complete(&ask).await?.text);
+//! site.stop().await;
+//! # Ok(()) }
+//! ```
+
+mod client;
+mod site;
+
+pub use client::{CompletionAsk, CompletionRead, SiteClient, SiteFailure};
+pub use site::{
+    FIRST_VERSION, LocalSite, MODEL, OPERATOR_TOKEN, REGION, SERVICE, SiteError, SiteSettings,
+    adapter_name, credential, tenant_name, version_entry, vm_name,
+};
--- a/entry/src/answer.rs
+++ b/entry/src/answer.rs
@@ -103,7 +103,7 @@
         } else {
             let mut value = parse(data)?;
             self.rename(&mut value)?;
-            self.tokens += 1;
+            self.tokens += u32::from(has_token(&value));
             out.extend_from_slice(value.to_string().as_bytes());
         }
         out.extend_from_slice(b"\n\n");
@@ -125,6 +125,13 @@
         .map_err(|error| MalformedSnafu { detail: error.to_string() }.build())
 }
 
+/// Whether an event carries a token; the last ones carry the reason of the end or figures alone.
+fn has_token(value: &Value) -> bool {
+    let text = ["/choices/0/text", "/choices/0/delta/content"];
+    text.iter()
+        .any(|at| value.pointer(at).and_then(Value::as_str).is_some_and(|text| !text.is_empty()))
+}
+
 fn completion_tokens(value: &Value) -> u32 {
     let tokens = value.pointer("/usage/completion_tokens").and_then(Value::as_u64);
     tokens.unwrap_or(0).try_into().unwrap_or(u32::MAX)
@@ -137,8 +144,10 @@
     #[test]
     fn split_events() {
         let mut filter = AnswerFilter::new("a@1#1.1", "a@1");
-        let first = filter.push(b"data: {\"model\":\"a@1#1.1\",\"x\":1}\n\nda").unwrap();
-        assert_eq!(first, "data: {\"model\":\"a@1\",\"x\":1}\n\n");
+        let first = filter
+            .push(b"data: {\"choices\":[{\"text\":\"x\"}],\"model\":\"a@1#1.1\"}\n\nda")
+            .unwrap();
+        assert_eq!(first, "data: {\"choices\":[{\"text\":\"x\"}],\"model\":\"a@1\"}\n\n");
         assert!(!filter.finished());
         let last = filter.push(b"ta: [DONE]\n\n").unwrap();
         assert_eq!(last, "data: [DONE]\n\n");
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -46,5 +46,7 @@
 mod write;
 
 pub use process::{EntryAddresses, EntryError, EntryProcess};
-pub use settings::{CallerFaceSettings, EntrySettings, KeySettings, PeerFaceSettings};
+pub use settings::{
+    CallerFaceSettings, EntrySettings, KeySettings, PeerFaceSettings, operator_settings,
+};
 pub use view::credential_hash;
--- a/entry/src/roster.rs
+++ b/entry/src/roster.rs
@@ -28,6 +28,8 @@
 const TICK: Duration = Duration::from_millis(25);
 const TAKEOVER_PERIOD: Duration = Duration::from_millis(100);
 const LIST_PERIOD: Duration = Duration::from_millis(1_000);
+/// The period while no other VM is known, right after a start.
+const FIRST_LIST_PERIOD: Duration = Duration::from_millis(100);
 const CATCH_UP_PERIOD: Duration = Duration::from_millis(500);
 const CATCH_UP_WITHIN: Duration = Duration::from_secs(5);
 /// An indirect probe takes two hops.
@@ -191,7 +193,8 @@
             }
             Err(error) => log::warn!("the list of VMs cannot be read: {error}"),
         }
-        sleep(LIST_PERIOD).await;
+        let alone = lock(&core.members).others().is_empty();
+        sleep(if alone { FIRST_LIST_PERIOD } else { LIST_PERIOD }).await;
     }
 }
 
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -175,3 +175,9 @@
         }
     }
 }
+
+/// Settings of the operators' face that listens at `listen`, for processes that host entry VMs.
+#[must_use]
+pub fn operator_settings(listen: SocketAddr) -> OperatorSettings {
+    OperatorSettings { listen, ..Default::default() }
+}
