Entry follows the one type of listed VMs

Cause: the list of VMs had two types for one thing; one of them is gone. Change: the entry process and the local site use the membership's type. Conclusion: the workspace builds again.

--- a/demo/src/site.rs
+++ b/demo/src/site.rs
@@ -12,10 +12,10 @@
     AdapterEntry, EngineEntry, ModelEntry, PlacementPolicy, ServerEntry, ServerKind, ServiceEntry,
     ServingManifest, StoreEntry, TenantEntry, VersionEntry,
 };
+use coltsfoothook_decision::member::{ListedState, ListedVm, MemberPlace};
 use coltsfoothook_entry::{
     CallerFaceSettings, EntryProcess, EntrySettings, KeySettings, PeerFaceSettings, credential_hash,
 };
-use coltsfoothook_platform::{ListedVm, VmState};
 use coltsfoothook_settings::SecretFile;
 use coltsfoothook_standin::{
     EngineHandle, EngineServerSettings, PlatformHandle, PlatformServerSettings, ServiceHandle,
@@ -205,11 +205,13 @@
         let addresses = process.addresses();
         self.platform.change_vms(VmChange::Put(ListedVm {
             name: vm_name(at),
-            caller_address: addresses.caller,
-            peer_address: addresses.peer,
-            domain: DOMAINS[at % DOMAINS.len()].into(),
-            region: REGION.into(),
-            state: VmState::Live,
+            place: MemberPlace {
+                caller: addresses.caller,
+                peer: addresses.peer,
+                domain: DOMAINS[at % DOMAINS.len()].into(),
+                region: REGION.into(),
+            },
+            state: ListedState::Live,
         }));
         self.vms[at] = Some(process);
         Ok(())
