Keys: TLS with replacement in use, mutual TLS, credentials, secrets

Cause: entry VMs need TLS towards callers and operators and mutual TLS among themselves, and keys must be replaced without a restart.

Sessions between VMs are never resumed, since that would skip the check of the certificate.

--- /dev/null
+++ b/keys/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of keys, credentials and secrets.
+
+mod credentials;
+mod key_files;
+mod replaced_keys;
--- /dev/null
+++ b/keys/tests/suite/replaced_keys.rs
@@ -0,0 +1,104 @@
+//! Keys are replaced while configurations made from them are in use.
+
+use std::sync::Arc;
+
+use coltsfoothook_keys::testing::{TestAuthority, TestDirectory};
+use coltsfoothook_keys::{KeyFiles, TlsKeys, trusting_client};
+use rustls::{ClientConfig, ServerConfig};
+use rustls_pki_types::{CertificateDer, ServerName};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
+use tokio_rustls::{TlsAcceptor, TlsConnector};
+
+/// Shakes hands in memory and gives the certificate that the client saw.
+async fn shake(
+    server: &Arc<ServerConfig>,
+    client: &Arc<ClientConfig>,
+    name: &str,
+) -> Option<CertificateDer<'static>> {
+    let (near, far) = duplex(64 * 1024);
+    let name = ServerName::try_from(name.to_owned()).expect("a name");
+    let acceptor = TlsAcceptor::from(server.clone());
+    let serving = tokio::spawn(async move {
+        let mut stream = acceptor.accept(far).await.ok()?;
+        stream.write_all(b"ok").await.ok()?;
+        stream.flush().await.ok()
+    });
+    let mut stream = TlsConnector::from(client.clone()).connect(name, near).await.ok()?;
+    let mut answer = [0; 2];
+    stream.read_exact(&mut answer).await.ok()?;
+    serving.await.ok()??;
+    stream.get_ref().1.peer_certificates()?.first().cloned()
+}
+
+/// The certificate of a VM is renewed. New handshakes show the new one with the configuration that
+/// was made before; a half-done replacement keeps the old one in use. Each look is by a new client,
+/// since a client that resumes a session is not shown a certificate.
+#[tokio::test]
+async fn renewed_certificate() {
+    let directory = TestDirectory::new("renewed_certificate");
+    let authority = TestAuthority::new();
+    let files = authority.write(directory.path(), "nbo-1");
+    let keys = TlsKeys::load(files.clone()).expect("keys");
+    let server = Arc::new(keys.server().expect("a configuration"));
+    let trusted = files.authority.clone().expect("a file");
+    let client = || Arc::new(trusting_client(&trusted).expect("a configuration"));
+    let before = shake(&server, &client(), "127.0.0.1").await.expect("a handshake");
+    assert!(!keys.reload().expect("read"), "nothing has changed");
+
+    let old_key = std::fs::read(&files.key).expect("a key");
+    let _ = authority.write(directory.path(), "nbo-1");
+    let new_key = std::fs::read(&files.key).expect("a key");
+    std::fs::write(&files.key, old_key).expect("written");
+    assert!(keys.reload().is_err(), "the new certificate with the old key");
+    assert_eq!(shake(&server, &client(), "nbo-1").await.as_ref(), Some(&before));
+
+    std::fs::write(&files.key, new_key).expect("written");
+    assert!(keys.reload().expect("read"));
+    let after = shake(&server, &client(), "nbo-1").await.expect("a handshake");
+    assert_ne!(before, after);
+}
+
+/// The authority is replaced in two steps: first all VMs trust both, then the old one is taken out.
+/// VMs talk throughout, and afterwards a key of the old authority no longer joins, not even by
+/// resuming an earlier session.
+#[tokio::test]
+async fn replaced_authority() {
+    let directory = TestDirectory::new("replaced_authority");
+    let (old, new) = (TestAuthority::new(), TestAuthority::new());
+    let one = old.write(directory.path(), "nbo-1");
+    let two = old.write(directory.path(), "nbo-2");
+    let load = |files: &KeyFiles| TlsKeys::load(files.clone()).expect("keys");
+    let (first, second) = (load(&one), load(&two));
+    let server = first.mutual_server().expect("a configuration");
+    let client = second.mutual_client().expect("a configuration");
+    assert!(shake(&server, &client, "nbo-1").await.is_some());
+    assert!(shake(&server, &client, "nbo-2").await.is_none(), "another VM answered");
+
+    let both = format!("{}{}", old.pem(), new.pem());
+    for files in [&one, &two] {
+        std::fs::write(files.authority.as_ref().expect("a file"), &both).expect("written");
+    }
+    assert!(first.reload().expect("read") && second.reload().expect("read"));
+    assert!(shake(&server, &client, "nbo-1").await.is_some());
+
+    let _ = new.write(directory.path(), "nbo-1");
+    assert!(first.reload().expect("read"));
+    assert!(shake(&server, &client, "nbo-1").await.is_none(), "the old key joins no more");
+    let _ = new.write(directory.path(), "nbo-2");
+    assert!(second.reload().expect("read"));
+    assert!(shake(&server, &client, "nbo-1").await.is_some());
+}
+
+/// A stranger with a certificate of its own authority, or with none, gets no answer.
+#[tokio::test]
+async fn stranger_refused() {
+    let directory = TestDirectory::new("stranger_refused");
+    let ours = TestAuthority::new().write(directory.path(), "nbo-1");
+    let stranger = TestAuthority::new().write(directory.path(), "nbo-9");
+    let server = TlsKeys::load(ours.clone()).expect("keys").mutual_server().expect("made");
+    let forged = KeyFiles { authority: ours.authority.clone(), ..stranger };
+    let client = TlsKeys::load(forged).expect("keys").mutual_client().expect("made");
+    assert!(shake(&server, &client, "nbo-1").await.is_none());
+    let bare = trusting_client(ours.authority.as_deref().expect("a file")).expect("made");
+    assert!(shake(&server, &Arc::new(bare), "nbo-1").await.is_none());
+}
