--- a/ctl/tests/suite/main.rs
+++ b/ctl/tests/suite/main.rs
@@ -4,5 +4,6 @@
 mod exit_codes;
 mod fake;
 mod lost_answer;
+mod manual_examples;
 mod publish_twice;
 mod status_table;
