Owner: certain removal of uncertain slots, fence at takeover, tests against faulty engines

A paused owner that wakes before its successor has sent any order could evict an inherited slot on an engine that checks fencing numbers, because the engine does not know the later number yet. The successor now makes each such engine know its epoch before it grants inherited slots. A slot whose load or unload has no known result is unloaded again until its absence is certain; it was lost for good before.

--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -95,6 +95,7 @@
             self.slot_reported(now, at, slot, actions);
         }
         self.find_lost(now, at, report, actions);
+        self.send_fence(now, at, actions);
     }
 
     fn restarted(
@@ -260,17 +261,14 @@
             let choice = SlotChoice { server: at as u16, slot: slot as u16 };
             match state.phase {
                 SlotPhase::Ready => self.lose_slot(now, choice, actions),
-                SlotPhase::Unloading if !self.is_ordered(at, slot) => self.remove_slot(now, choice),
+                SlotPhase::Unloading if !self.is_ordered(at, state) => {
+                    self.remove_slot(now, choice);
+                }
                 _ => {}
             }
         }
     }
 
-    fn is_ordered(&self, at: usize, slot: usize) -> bool {
-        let name = &self.engines[at].slots[slot].name;
-        self.orders.iter().any(|order| order.server == at && order.evict.as_ref() == Some(name))
-    }
-
     /// Takes a slot out that the engine lost without an order of this owner.
     pub(crate) fn lose_slot(
         &mut self,
--- a/decision/src/load.rs
+++ b/decision/src/load.rs
@@ -58,7 +58,18 @@
     Loading,
 }
 
-/// An eviction, if one is needed, and the load that follows it.
+/// A load that an order is to make.
+#[derive(Clone, Debug)]
+pub(crate) struct NewSlot {
+    pub(crate) name: SlotName,
+    pub(crate) adapter: u32,
+    pub(crate) version: AdapterVersion,
+    pub(crate) ahead: bool,
+    pub(crate) extra: bool,
+}
+
+/// An eviction, if one is needed, and the load that follows it. Without a load it only removes a
+/// slot of which an earlier order left nothing certain.
 #[derive(Clone, Debug)]
 pub(crate) struct LoadOrder {
     /// The number of the intent and of the order that is out.
@@ -67,15 +78,18 @@
     pub(crate) incarnation: ServerIncarnation,
     pub(crate) stage: LoadStage,
     pub(crate) evict: Option<SlotName>,
-    pub(crate) slot: SlotName,
-    pub(crate) adapter: u32,
-    pub(crate) version: AdapterVersion,
-    pub(crate) ahead: bool,
-    pub(crate) extra: bool,
+    pub(crate) load: Option<NewSlot>,
     pub(crate) begun: TimePoint,
     pub(crate) sent: TimePoint,
 }
 
+impl LoadOrder {
+    /// Whether it loads `adapter`.
+    pub(crate) fn loads(&self, adapter: u32) -> bool {
+        self.load.as_ref().is_some_and(|load| load.adapter == adapter)
+    }
+}
+
 /// The wish for an adapter, from its waiting requests or from a schedule.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LoadWish {
--- a/decision/src/order.rs
+++ b/decision/src/order.rs
@@ -3,15 +3,15 @@
 use rand::{Rng, RngExt};
 
 use crate::adapter::SlotChoice;
-use crate::id::{AdapterVersion, MICROS_PER_MILLI, TimePoint};
+use crate::id::{AdapterVersion, MICROS_PER_MILLI, SlotName, TimePoint};
 use crate::invariant::InvariantName;
-use crate::load::{LoadOrder, LoadStage, LoadWish};
+use crate::load::{LoadOrder, LoadStage, LoadWish, NewSlot};
 use crate::outcome::RequestClass;
 use crate::owner::{
     AheadLoad, EngineOrder, GroupOwner, OrderResult, OwnerAction, OwnerNote, millis,
 };
 use crate::place::LoadTarget;
-use crate::slot::{SlotPhase, SlotState, slot_name};
+use crate::slot::{EngineState, FenceState, SlotPhase, SlotState, slot_name};
 
 /// How much of a new load time enters the running mean.
 const LOAD_GAIN: f64 = 0.2;
@@ -58,13 +58,13 @@
         if self.deposed || (self.queue.is_empty() && self.ahead.is_empty()) {
             return;
         }
-        if !self.budget.ready(self.orders.len(), now) {
+        if !self.budget.ready(self.loads_under_way(), now) {
             return;
         }
         let mut wishes = self.wishes(now);
         wishes.sort_unstable_by(LoadWish::rank);
         for wish in wishes {
-            if !self.budget.ready(self.orders.len(), now) {
+            if !self.budget.ready(self.loads_under_way(), now) {
                 return;
             }
             let Some(target) = self.load_target(now, &wish) else { continue };
@@ -79,7 +79,11 @@
     /// Loads that requests of `class` would have to let pass.
     pub(crate) fn loads_before(&self, now: TimePoint, class: RequestClass) -> usize {
         self.wishes(now).iter().filter(|wish| wish.class <= class && !wish.extra).count()
-            + self.orders.len()
+            + self.loads_under_way()
+    }
+
+    fn loads_under_way(&self) -> usize {
+        self.orders.iter().filter(|order| order.load.is_some()).count()
     }
 
     /// Everything that ought to be loaded: adapters with waiting requests and no copy, further
@@ -98,13 +102,15 @@
                 waiters: 1,
                 oldest: request.arrived,
                 ahead: false,
-                extra: self.is_ready(request.adapter),
+                extra: self.is_ready(now, request.adapter),
             };
             add_wish(&mut wishes, wish);
         }
         for load in self.ahead.iter().filter(|load| load.from <= now && load.due > now) {
             let state = self.adapters.get(load.adapter);
-            if state.retry_at > now || self.is_loading(load.adapter) || self.is_ready(load.adapter)
+            if state.retry_at > now
+                || self.is_loading(load.adapter)
+                || self.is_ready(now, load.adapter)
             {
                 continue;
             }
@@ -154,25 +160,35 @@
             incarnation: engine.incarnation.unwrap_or_default(),
             stage: LoadStage::AwaitIntent,
             evict: target.evict.map(|at| engine.slots[at].name.clone()),
-            slot: slot_name(&version, self.epoch, number),
-            adapter: wish.adapter,
-            version,
-            ahead: wish.ahead,
-            extra: wish.extra,
+            load: Some(NewSlot {
+                name: slot_name(&version, self.epoch, number),
+                adapter: wish.adapter,
+                version,
+                ahead: wish.ahead,
+                extra: wish.extra,
+            }),
             begun: now,
             sent: now,
         };
+        self.begin_order(now, order, actions);
+    }
+
+    /// Sends the first order at once to an engine that checks fencing numbers. For any other the
+    /// intent must be read back first: a paused owner that wakes after a takeover could otherwise
+    /// evict a slot that its successor has granted.
+    fn begin_order(&mut self, now: TimePoint, order: LoadOrder, actions: &mut Vec<OwnerAction>) {
+        let engine = &self.engines[order.server];
         if engine.info.checks_fencing {
             self.orders.push(order);
             self.send_next(now, self.orders.len() - 1, actions);
             return;
         }
         actions.push(OwnerAction::AppendIntent {
-            number,
+            number: order.number,
             server: engine.info.server.clone(),
             incarnation: order.incarnation,
             evict: order.evict.clone(),
-            load: Some(order.slot.clone()),
+            load: order.load.as_ref().map(|load| load.name.clone()),
         });
         self.orders.push(order);
     }
@@ -215,7 +231,7 @@
             return;
         }
         let Some(name) = &order.evict else {
-            if !engine.has_free_slot() {
+            if order.load.is_none() || !engine.has_free_slot() {
                 self.orders.swap_remove(at);
                 return;
             }
@@ -224,7 +240,8 @@
         };
         let victim = engine.slot(name).filter(|&slot| {
             let slot = &engine.slots[slot];
-            slot.phase == SlotPhase::Ready && slot.pins == 0
+            let uncertain = matches!(slot.phase, SlotPhase::Unloading | SlotPhase::Unknown { .. });
+            slot.pins == 0 && (slot.phase == SlotPhase::Ready || uncertain)
         });
         let Some(victim) = victim.filter(|_| self.majority) else {
             self.orders.swap_remove(at);
@@ -266,6 +283,10 @@
     }
 
     fn send_load(&mut self, now: TimePoint, at: usize, actions: &mut Vec<OwnerAction>) {
+        let Some(load) = self.orders[at].load.clone() else {
+            self.orders.swap_remove(at);
+            return;
+        };
         let number = self.number();
         let order = &mut self.orders[at];
         order.number = number;
@@ -273,26 +294,26 @@
         order.sent = now;
         let engine = &mut self.engines[order.server];
         let slot = engine.add_slot(SlotState {
-            name: order.slot.clone(),
-            adapter: order.adapter,
+            name: load.name.clone(),
+            adapter: load.adapter,
             phase: SlotPhase::Loading,
             pins: 0,
             inherited: false,
             seen: false,
-            ahead: order.ahead,
-            extra: order.extra,
+            ahead: load.ahead,
+            extra: load.extra,
             reported: 0,
             prefix: 0,
             doomed_until: TimePoint::default(),
         });
         let choice = SlotChoice { server: order.server as u16, slot: slot as u16 };
-        self.adapters.get_mut(order.adapter).copies.push(choice);
+        self.adapters.get_mut(load.adapter).copies.push(choice);
         actions.push(OwnerAction::SendOrder {
             number,
             server: engine.info.server.clone(),
             incarnation: order.incarnation,
             epoch: self.epoch,
-            order: EngineOrder::Load { slot: order.slot.clone(), adapter: order.version.clone() },
+            order: EngineOrder::Load { slot: load.name, adapter: load.version },
         });
     }
 
@@ -304,11 +325,14 @@
         rng: &mut dyn Rng,
         actions: &mut Vec<OwnerAction>,
     ) {
-        let found = self.orders.iter().position(|order| order.number == number);
-        let Some(at) = found else { return };
         if result == OrderResult::Stale {
             self.depose(actions);
         }
+        if self.fence_done(number, result) {
+            return;
+        }
+        let found = self.orders.iter().position(|order| order.number == number);
+        let Some(at) = found else { return };
         match self.orders[at].stage {
             LoadStage::AwaitIntent => {}
             LoadStage::Unloading => self.unload_done(now, at, result, actions),
@@ -343,7 +367,7 @@
                     self.orders.swap_remove(at);
                 }
             }
-            (OrderResult::Failed | OrderResult::Stale, Some(slot)) => {
+            (OrderResult::Failed | OrderResult::Stale, Some(slot)) if order.load.is_some() => {
                 self.engines[order.server].slots[slot].phase = SlotPhase::Ready;
                 self.orders.swap_remove(at);
             }
@@ -374,7 +398,8 @@
         if self.engines[order.server].incarnation != Some(order.incarnation) {
             return;
         }
-        let Some(slot) = self.engines[order.server].slot(&order.slot) else { return };
+        let Some(load) = &order.load else { return };
+        let Some(slot) = self.engines[order.server].slot(&load.name) else { return };
         let choice = SlotChoice { server: order.server as u16, slot: slot as u16 };
         match result {
             OrderResult::Done => {
@@ -383,19 +408,19 @@
                 self.slot_ready(now, choice);
                 actions.push(OwnerAction::Note(OwnerNote::Loaded {
                     server: self.engines[order.server].info.server.clone(),
-                    adapter: order.version,
+                    adapter: load.version.clone(),
                     took_ms: now.since(order.begun) / MICROS_PER_MILLI,
-                    ahead: order.ahead,
+                    ahead: load.ahead,
                 }));
             }
             OrderResult::Failed | OrderResult::Stale => {
                 self.remove_slot(now, choice);
-                self.load_failed(now, &order, rng, actions);
+                self.load_failed(now, order.server, load, rng, actions);
             }
             OrderResult::Unknown => {
                 let phase = SlotPhase::Unknown { since: now };
                 self.engines[order.server].slots[slot].phase = phase;
-                self.load_failed(now, &order, rng, actions);
+                self.load_failed(now, order.server, load, rng, actions);
             }
         }
     }
@@ -417,29 +442,29 @@
     fn load_failed(
         &mut self,
         now: TimePoint,
-        order: &LoadOrder,
+        server: usize,
+        load: &NewSlot,
         rng: &mut dyn Rng,
         actions: &mut Vec<OwnerAction>,
     ) {
         let (first, most) = (self.settings.load_backoff_ms, self.settings.load_backoff_most_ms);
-        let state = self.adapters.get_mut(order.adapter);
+        let state = self.adapters.get_mut(load.adapter);
         state.failures += 1;
         let doubled = first.saturating_mul(1 << (state.failures - 1).min(20)).min(most);
         let pause = doubled as f64 * (1.0 + BACKOFF_JITTER * rng.random::<f64>());
         state.retry_at = now.plus((pause * MICROS_PER_MILLI as f64) as u64);
         let failures = state.failures;
         actions.push(OwnerAction::Note(OwnerNote::LoadFailed {
-            server: self.engines[order.server].info.server.clone(),
-            adapter: order.version.clone(),
+            server: self.engines[server].info.server.clone(),
+            adapter: load.version.clone(),
             failures,
         }));
-        if failures >= self.settings.load_attempts && !self.is_ready(order.adapter) {
-            self.refuse_waiters(order.adapter, pause, actions);
+        if failures >= self.settings.load_attempts && !self.is_ready(now, load.adapter) {
+            self.refuse_waiters(load.adapter, pause, actions);
         }
     }
 
-    /// Ends orders that have had no result for too long, and repeats unloads whose result is not
-    /// known. A repeat is harmless: no later load has the same name.
+    /// Ends orders that have had no result for too long.
     pub(crate) fn settle_orders(
         &mut self,
         now: TimePoint,
@@ -456,6 +481,102 @@
                 LoadStage::Loading => self.load_done(now, at, OrderResult::Unknown, rng, actions),
             }
         }
+        self.clean_slots(now, actions);
+        for server in 0..self.engines.len() {
+            self.send_fence(now, server, actions);
+        }
+    }
+
+    /// Unloads slots of which an earlier order left nothing certain, until a result is known: an
+    /// engine would otherwise lose a slot for good. A repeat is harmless, as no two loads share a
+    /// name.
+    fn clean_slots(&mut self, now: TimePoint, actions: &mut Vec<OwnerAction>) {
+        if self.deposed || !self.majority {
+            return;
+        }
+        let patience = self.settings.order_timeout_ms * MICROS_PER_MILLI;
+        for server in 0..self.engines.len() {
+            let engine = &self.engines[server];
+            if !engine.usable() || (!engine.info.checks_fencing && !self.log_writable) {
+                continue;
+            }
+            let uncertain = engine.slots.iter().position(|slot| match slot.phase {
+                SlotPhase::Unloading => !self.is_ordered(server, slot),
+                SlotPhase::Unknown { since } => {
+                    now.since(since) >= patience && !self.is_ordered(server, slot)
+                }
+                _ => false,
+            });
+            if let Some(slot) = uncertain {
+                self.begin_cleaning(now, server, slot, actions);
+            }
+        }
+    }
+
+    fn begin_cleaning(
+        &mut self,
+        now: TimePoint,
+        server: usize,
+        slot: usize,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let number = self.number();
+        let engine = &self.engines[server];
+        let order = LoadOrder {
+            number,
+            server,
+            incarnation: engine.incarnation.unwrap_or_default(),
+            stage: LoadStage::AwaitIntent,
+            evict: Some(engine.slots[slot].name.clone()),
+            load: None,
+            begun: now,
+            sent: now,
+        };
+        self.begin_order(now, order, actions);
+    }
+
+    /// Whether an order that evicts `slot` is under way.
+    pub(crate) fn is_ordered(&self, server: usize, slot: &SlotState) -> bool {
+        let evicts = |order: &LoadOrder| order.evict.as_ref() == Some(&slot.name);
+        self.orders.iter().any(|order| order.server == server && evicts(order))
+    }
+}
+
+impl GroupOwner {
+    /// Makes an engine that checks fencing numbers know this epoch, by unloading a slot that does
+    /// not exist. Until it has, a paused predecessor could evict a slot that this owner grants.
+    pub(crate) fn send_fence(
+        &mut self,
+        now: TimePoint,
+        server: usize,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let pause = self.settings.fence_retry_ms * MICROS_PER_MILLI;
+        let engine = &self.engines[server];
+        let waiting = matches!(engine.fence, FenceState::Sent { at, .. } if now.since(at) < pause);
+        let needless = !engine.info.checks_fencing || engine.fence == FenceState::Known;
+        let inherited = engine.slots.iter().any(|slot| slot.inherited);
+        if waiting || needless || !inherited || !engine.usable() || self.deposed {
+            return;
+        }
+        let number = self.number();
+        let engine = &mut self.engines[server];
+        engine.fence = FenceState::Sent { number, at: now };
+        actions.push(OwnerAction::SendOrder {
+            number,
+            server: engine.info.server.clone(),
+            incarnation: engine.incarnation.unwrap_or_default(),
+            epoch: self.epoch,
+            order: EngineOrder::Unload { slot: SlotName(format!("fence#{}.{number}", self.epoch)) },
+        });
+    }
+
+    fn fence_done(&mut self, number: u64, result: OrderResult) -> bool {
+        let sent = |engine: &&mut EngineState| matches!(engine.fence, FenceState::Sent { number: sent, .. } if sent == number);
+        let Some(engine) = self.engines.iter_mut().find(sent) else { return false };
+        let known = result == OrderResult::Done;
+        engine.fence = if known { FenceState::Known } else { FenceState::Needed };
+        true
     }
 }
 
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -65,6 +65,8 @@
     pub report_lag_ms: u64,
     /// Milliseconds after a broken connection at which a report of the same life clears it.
     pub broken_settle_ms: u64,
+    /// Milliseconds after which an engine is told this owner's epoch again.
+    pub fence_retry_ms: u64,
     /// Milliseconds between two questions to VMs that have not told what they hold.
     pub ask_held_ms: u64,
     /// The load time in milliseconds that is assumed before one was measured.
@@ -97,6 +99,7 @@
             heat_decay_ms: 300_000,
             report_lag_ms: 5_000,
             broken_settle_ms: 1_500,
+            fence_retry_ms: 1_000,
             ask_held_ms: 1_000,
             first_load_ms: 1_000,
             first_service_ms: 1_000,
@@ -692,7 +695,7 @@
         }
         let left = spec.deadline_left_ms.unwrap_or(self.class_limits(spec.class).deadline_ms);
         let deadline = now.plus(left.saturating_mul(MICROS_PER_MILLI));
-        let stalled = !self.is_ready(adapter);
+        let stalled = !self.is_ready(now, adapter);
         let arriving =
             ArrivingRequest { ticket, asker, spec, adapter, deadline: Some(deadline), stalled };
         let choice = if stalled { None } else { self.choose_for(now, &arriving.spec, adapter) };
@@ -721,7 +724,7 @@
         }
         let state = self.adapters.get(adapter);
         let failing = state.failures >= self.settings.load_attempts && state.retry_at > now;
-        if failing && !self.is_ready(adapter) {
+        if failing && !self.is_ready(now, adapter) {
             let left = state.retry_at.since(now) / MICROS_PER_MILLI;
             return refuse(RefusalReason::LoadFailed, left as f64);
         }
--- a/decision/src/place.rs
+++ b/decision/src/place.rs
@@ -6,7 +6,7 @@
 use crate::adapter::{AdapterIndex, SlotChoice};
 use crate::grant::RequestSpec;
 use crate::id::{RequestFingerprint, ServerName, TimePoint};
-use crate::load::{LoadStage, LoadWish};
+use crate::load::LoadWish;
 use crate::outcome::RequestClass;
 use crate::owner::GroupOwner;
 use crate::slot::{EngineState, SlotPhase, SlotState};
@@ -45,7 +45,8 @@
         for &choice in &self.adapters.get(adapter.0).copies {
             let engine = &self.engines[choice.server as usize];
             let slot = &engine.slots[choice.slot as usize];
-            if slot.phase != SlotPhase::Ready || slot.doomed_until > now {
+            let usable = slot.phase == SlotPhase::Ready && engine.is_fenced(slot);
+            if !usable || slot.doomed_until > now {
                 continue;
             }
             if !self.admits(engine, query) {
@@ -123,16 +124,17 @@
     }
 
     /// Whether a copy of `adapter` is loaded on an engine that takes work.
-    pub(crate) fn is_ready(&self, adapter: u32) -> bool {
+    pub(crate) fn is_ready(&self, now: TimePoint, adapter: u32) -> bool {
         self.adapters.get(adapter).copies.iter().any(|&copy| {
             let engine = &self.engines[copy.server as usize];
-            engine.usable() && engine.slots[copy.slot as usize].phase == SlotPhase::Ready
+            let slot = &engine.slots[copy.slot as usize];
+            engine.usable() && slot.phase == SlotPhase::Ready && slot.doomed_until <= now
         })
     }
 
     /// Whether a load of `adapter` is under way.
     pub(crate) fn is_loading(&self, adapter: u32) -> bool {
-        self.orders.iter().any(|order| order.adapter == adapter)
+        self.orders.iter().any(|order| order.loads(adapter))
     }
 
     /// Where to load what `wish` asks for: the engine, and the slot to evict there if one must be.
@@ -198,15 +200,7 @@
             && (!slot.inherited || self.inherited_free)
             && !needed
             && !kept
-            && !self.is_victim(server, slot)
-    }
-
-    fn is_victim(&self, server: usize, slot: &SlotState) -> bool {
-        self.orders.iter().any(|order| {
-            order.stage == LoadStage::AwaitIntent
-                && order.server == server
-                && order.evict.as_ref() == Some(&slot.name)
-        })
+            && !self.is_ordered(server, slot)
     }
 
     /// What a load on `engine` costs: the heat lost with the victim, and the worse batch.
--- a/decision/src/slot.rs
+++ b/decision/src/slot.rs
@@ -90,6 +90,22 @@
 /// The most broken runs that are kept for each engine.
 const BROKEN_RUNS: usize = 1_024;
 
+/// Whether an engine that checks fencing numbers knows this owner's epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FenceState {
+    /// It must be told before inherited slots are granted.
+    Needed,
+    /// It was told and has not answered.
+    Sent {
+        /// The order's number.
+        number: u64,
+        /// When.
+        at: TimePoint,
+    },
+    /// It knows.
+    Known,
+}
+
 /// An engine of the group.
 #[derive(Clone, Debug)]
 pub(crate) struct EngineState {
@@ -106,6 +122,7 @@
     pub(crate) waiting: u32,
     /// Grants of live VMs that run on it.
     pub(crate) running: u32,
+    pub(crate) fence: FenceState,
     /// Suspects that run on it.
     pub(crate) suspects: u32,
     pub(crate) slots: Vec<SlotState>,
@@ -128,6 +145,7 @@
             sequence: 0,
             waiting: 0,
             running: 0,
+            fence: FenceState::Needed,
             suspects: 0,
             slots: Vec::new(),
             gone: Vec::new(),
@@ -141,6 +159,11 @@
         self.listed && !self.draining && !self.down && self.incarnation.is_some()
     }
 
+    /// Whether no earlier owner can still evict `slot` unseen.
+    pub(crate) fn is_fenced(&self, slot: &SlotState) -> bool {
+        !slot.inherited || !self.info.checks_fencing || self.fence == FenceState::Known
+    }
+
     /// Whether it may become usable without a change of configuration.
     pub(crate) fn hopeful(&self) -> bool {
         self.listed && !self.draining && !self.down
@@ -179,6 +202,7 @@
             self.past.push(ended);
         }
         self.sequence = 0;
+        self.fence = FenceState::Needed;
         self.running = 0;
         self.suspects = 0;
         self.waiting = 0;
--- /dev/null
+++ b/decision/tests/suite/owner_world.rs
@@ -0,0 +1,555 @@
+//! A small world around owners: fake engines, VMs, a log, and faults, in virtual time.
+
+use coltsfoothook_decision::grant::{GrantEnd, HeldGrant, ReleaseCall, RequestSpec, SlotGrant};
+use coltsfoothook_decision::id::{
+    AdapterVersion, OwnerEpoch, RequestFingerprint, ServerIncarnation, ServerName, SlotName,
+    TimePoint, VmIdentity, VmIncarnation,
+};
+use coltsfoothook_decision::outcome::RequestClass;
+use coltsfoothook_decision::owner::{
+    EngineInfo, EngineOrder, GroupOwner, GroupTopology, OrderResult, OwnerAction, OwnerEvent,
+    OwnerSettings, StoreShare, class_defaults,
+};
+use coltsfoothook_decision::record::SuspectEntry;
+use coltsfoothook_decision::report::{EngineReport, SlotReport};
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use rand_pcg::rand_core::SeedableRng;
+
+pub const MILLI: u64 = 1_000;
+pub const SECOND: u64 = 1_000 * MILLI;
+const ADAPTERS: u64 = 30;
+const SLOTS: u32 = 4;
+
+/// What may go wrong in a run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorldFaults {
+    pub restarts: bool,
+    pub load_faults: bool,
+    pub lagging: bool,
+    pub takeover: bool,
+    pub pauses: bool,
+    pub poison: bool,
+}
+
+pub struct FakeEngine {
+    name: ServerName,
+    checks_fencing: bool,
+    incarnation: u64,
+    sequence: u64,
+    fence: u64,
+    slots: Vec<(SlotName, u32)>,
+    pub crashes: u32,
+}
+
+#[derive(Clone, Debug)]
+enum Happening {
+    Arrive,
+    Tick,
+    Report(usize),
+    Deliver(u64, OwnerEvent),
+    Execute { owner: u64, number: u64, server: usize, life: u64, epoch: u64, order: EngineOrder },
+    Use { vm: usize, asked: TimePoint, grant: SlotGrant, spec: RequestSpec },
+    Finish { vm: usize, grant: SlotGrant, life: u64, slot: SlotName },
+    Restart(usize),
+    Takeover,
+    Wake,
+    WakeVm,
+}
+
+struct Question {
+    vm: usize,
+    asked: TimePoint,
+    spec: RequestSpec,
+    answers: u32,
+    owner: u64,
+}
+
+pub struct World {
+    pub now: TimePoint,
+    rng: Pcg64,
+    faults: WorldFaults,
+    agenda: Vec<(u64, u64, Happening)>,
+    order: u64,
+    pub engines: Vec<FakeEngine>,
+    /// The owners by epoch, the first with epoch 1.
+    owners: Vec<GroupOwner>,
+    paused_owner: Option<u64>,
+    held_back: Vec<(u64, OwnerEvent)>,
+    paused_vm: Option<usize>,
+    vm_held_back: Vec<Happening>,
+    intents: Vec<(u64, ServerName, Option<SlotName>)>,
+    questions: Vec<Question>,
+    uses: Vec<(usize, SlotGrant, RequestSpec)>,
+    broken: Vec<SlotGrant>,
+    suspects: Vec<SuspectEntry>,
+    pub done: u32,
+    pub evicted_in_use: u32,
+    pub wrong_adapter: u32,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: WorldFaults) -> Self {
+        let engine = |number: usize| FakeEngine {
+            name: format!("engine-{number}").as_str().into(),
+            checks_fencing: number % 2 == 0,
+            incarnation: 100 * (number as u64 + 1),
+            sequence: 0,
+            fence: 0,
+            slots: Vec::new(),
+            crashes: 0,
+        };
+        let engines: Vec<FakeEngine> = (0..4).map(engine).collect();
+        let owner = GroupOwner::new(settings(), topology(&engines), OwnerEpoch(1), TimePoint(1));
+        let mut world = Self {
+            now: TimePoint(1),
+            rng: Pcg64::seed_from_u64(seed),
+            faults,
+            agenda: Vec::new(),
+            order: 0,
+            engines,
+            owners: vec![owner],
+            paused_owner: None,
+            held_back: Vec::new(),
+            paused_vm: None,
+            vm_held_back: Vec::new(),
+            intents: Vec::new(),
+            questions: Vec::new(),
+            uses: Vec::new(),
+            broken: Vec::new(),
+            suspects: Vec::new(),
+            done: 0,
+            evicted_in_use: 0,
+            wrong_adapter: 0,
+        };
+        world.at(0, Happening::Deliver(1, live()));
+        world.at(0, Happening::Tick);
+        for server in 0..world.engines.len() {
+            world.at(MILLI, Happening::Report(server));
+        }
+        world.at(10 * MILLI, Happening::Arrive);
+        if faults.takeover {
+            world.at(15 * SECOND, Happening::Takeover);
+        }
+        if faults.restarts {
+            world.at(7 * SECOND, Happening::Restart(0));
+            world.at(21 * SECOND, Happening::Restart(1));
+        }
+        world
+    }
+
+    fn at(&mut self, delay: u64, happening: Happening) {
+        self.order += 1;
+        let at = self.now.0 + delay;
+        let place = self.agenda.partition_point(|entry| (entry.0, entry.1) >= (at, self.order));
+        self.agenda.insert(place, (at, self.order, happening));
+    }
+
+    /// Runs arrivals until `until` and everything they caused until `drained`.
+    pub fn run(&mut self, until: u64, drained: u64) {
+        while self.agenda.last().is_some_and(|entry| entry.0 <= drained) {
+            let Some((at, _, happening)) = self.agenda.pop() else { return };
+            self.now = TimePoint(at);
+            self.happen(happening, until);
+        }
+    }
+
+    fn current(&self) -> u64 {
+        self.owners.len() as u64
+    }
+
+    fn happen(&mut self, happening: Happening, until: u64) {
+        match happening {
+            Happening::Arrive => {
+                if self.now.0 < until {
+                    self.arrive();
+                    let gap = self.rng.random_range(2 * MILLI..40 * MILLI);
+                    self.at(gap, Happening::Arrive);
+                }
+            }
+            Happening::Tick => {
+                for epoch in 1..=self.current() {
+                    self.deliver(epoch, OwnerEvent::Tick);
+                }
+                self.at(50 * MILLI, Happening::Tick);
+                if self.faults.pauses && self.paused_vm.is_none() && self.rng.random_bool(0.01) {
+                    self.paused_vm = Some(self.rng.random_range(0..3));
+                    let pause = self.rng.random_range(SECOND..8 * SECOND);
+                    self.at(pause, Happening::WakeVm);
+                }
+            }
+            Happening::Report(server) => self.send_report(server),
+            Happening::Deliver(epoch, event) => self.deliver(epoch, event),
+            Happening::Execute { owner, number, server, life, epoch, order } => {
+                self.execute(owner, number, server, life, epoch, &order);
+            }
+            Happening::Use { vm, asked, grant, spec } => {
+                if self.paused_vm == Some(vm) {
+                    self.vm_held_back.push(Happening::Use { vm, asked, grant, spec });
+                } else {
+                    self.use_grant(vm, asked, grant, spec);
+                }
+            }
+            Happening::Finish { vm, grant, life, slot } => self.finish(vm, &grant, life, &slot),
+            Happening::Restart(server) => self.restart(server),
+            Happening::Takeover => self.take_over(),
+            Happening::Wake => {
+                self.paused_owner = None;
+                for (epoch, event) in std::mem::take(&mut self.held_back) {
+                    self.deliver(epoch, event);
+                }
+            }
+            Happening::WakeVm => {
+                self.paused_vm = None;
+                for happening in std::mem::take(&mut self.vm_held_back) {
+                    self.at(0, happening);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        // Squaring a uniform number skews popularity towards the low numbers.
+        let draw: f64 = self.rng.random();
+        let adapter = (draw * draw * ADAPTERS as f64) as u64;
+        let class = RequestClass::ALL[self.rng.random_range(0..3)];
+        let fingerprint = self.rng.random_range(0..u64::MAX);
+        self.ask(adapter, class, fingerprint);
+    }
+
+    pub fn ask(&mut self, adapter: u64, class: RequestClass, fingerprint: u64) -> u64 {
+        let spec = RequestSpec {
+            id: format!("r{}", self.questions.len()).as_str().into(),
+            tenant: format!("t{}", adapter % 3).as_str().into(),
+            adapter: version(adapter),
+            model: "base".into(),
+            class,
+            deadline_left_ms: Some(if class == RequestClass::Urgent { 3_000 } else { 20_000 }),
+            repeatable: true,
+            fingerprint: RequestFingerprint(fingerprint),
+            prefix: adapter,
+            prompt_tokens: 10,
+            max_tokens: 10,
+            avoid: Vec::new(),
+        };
+        self.questions.push(Question {
+            vm: self.questions.len() % 3,
+            asked: self.now,
+            spec: spec.clone(),
+            answers: 0,
+            owner: self.current(),
+        });
+        let ticket = self.questions.len() as u64 - 1;
+        let asker = vm(ticket as usize % 3);
+        self.deliver(self.current(), OwnerEvent::Reserve { ticket, asker, spec });
+        ticket
+    }
+
+    pub fn deliver(&mut self, epoch: u64, event: OwnerEvent) {
+        if self.paused_owner == Some(epoch) {
+            self.held_back.push((epoch, event));
+            return;
+        }
+        let mut actions = Vec::new();
+        let owner = &mut self.owners[epoch as usize - 1];
+        owner.handle(self.now, event, &mut self.rng, &mut actions);
+        for action in actions {
+            self.act(epoch, action);
+        }
+    }
+
+    fn act(&mut self, epoch: u64, action: OwnerAction) {
+        match action {
+            OwnerAction::Grant { ticket, grant } => {
+                let question = &mut self.questions[ticket as usize];
+                question.answers += 1;
+                let (vm, asked, spec) = (question.vm, question.asked, question.spec.clone());
+                self.at(MILLI, Happening::Use { vm, asked, grant, spec });
+            }
+            OwnerAction::Refuse { ticket, .. } => self.questions[ticket as usize].answers += 1,
+            OwnerAction::AppendIntent { number, server, evict, .. } => {
+                let valid = epoch == self.current();
+                if valid {
+                    self.intents.push((epoch, server, evict));
+                }
+                let read = Happening::Deliver(epoch, OwnerEvent::IntentRead { number, valid });
+                let delay = self.rng.random_range(5 * MILLI..200 * MILLI);
+                self.at(delay, read);
+            }
+            OwnerAction::SendOrder { number, server, incarnation, epoch: fence, order } => {
+                let server = self.engine(&server);
+                let execute = Happening::Execute {
+                    owner: epoch,
+                    number,
+                    server,
+                    life: incarnation.0,
+                    epoch: fence.0,
+                    order,
+                };
+                self.at(2 * MILLI, execute);
+            }
+            OwnerAction::AskHeld { .. } => {
+                for at in 0..3 {
+                    if self.paused_vm == Some(at) {
+                        continue;
+                    }
+                    let held = self.held_by(at, epoch);
+                    let event = OwnerEvent::Held { vm: vm(at), grants: held };
+                    self.at(3 * MILLI, Happening::Deliver(epoch, event));
+                }
+            }
+            OwnerAction::RecordCrash { suspects, .. } => self.record_crash(&suspects),
+            OwnerAction::RecordCleared { fingerprint } => {
+                self.suspects.retain(|entry| entry.fingerprint != fingerprint);
+                self.tell_suspects();
+            }
+            OwnerAction::Note(_) => {}
+        }
+    }
+
+    fn record_crash(&mut self, suspects: &[RequestFingerprint]) {
+        for &fingerprint in suspects {
+            let found = self.suspects.iter().position(|entry| entry.fingerprint == fingerprint);
+            let at = found.unwrap_or_else(|| {
+                self.suspects.push(SuspectEntry { fingerprint, crashes: 0, alone: 0 });
+                self.suspects.len() - 1
+            });
+            self.suspects[at].crashes += 1;
+            self.suspects[at].alone += u32::from(suspects.len() == 1);
+        }
+        self.tell_suspects();
+    }
+
+    fn tell_suspects(&mut self) {
+        let event = OwnerEvent::Suspects(self.suspects.clone());
+        self.at(50 * MILLI, Happening::Deliver(self.current(), event));
+    }
+
+    fn held_by(&self, at: usize, epoch: u64) -> Vec<HeldGrant> {
+        let waiting = self.agenda.iter().filter_map(|entry| match &entry.2 {
+            Happening::Use { vm, grant, spec, .. } if *vm == at => Some((grant, spec)),
+            _ => None,
+        });
+        let using =
+            self.uses.iter().filter(|entry| entry.0 == at).map(|entry| (&entry.1, &entry.2));
+        let held = using.chain(waiting).filter(|(grant, _)| grant.id.epoch.0 < epoch);
+        let held = held.map(|(grant, spec)| HeldGrant {
+            grant: grant.id.clone(),
+            server: grant.server.clone(),
+            slot: grant.slot.clone(),
+            fingerprint: spec.fingerprint,
+        });
+        held.collect()
+    }
+
+    fn engine(&self, server: &ServerName) -> usize {
+        self.engines.iter().position(|engine| engine.name == *server).expect("a known engine")
+    }
+
+    fn execute(
+        &mut self,
+        owner: u64,
+        number: u64,
+        server: usize,
+        life: u64,
+        epoch: u64,
+        order: &EngineOrder,
+    ) {
+        let (fails, hangs, lost): (f64, f64, f64) = self.rng.random();
+        let faulty = self.faults.load_faults;
+        let engine = &mut self.engines[server];
+        let result = if engine.incarnation != life {
+            OrderResult::Failed
+        } else if engine.checks_fencing && epoch < engine.fence {
+            OrderResult::Stale
+        } else {
+            engine.fence = engine.fence.max(epoch);
+            match order {
+                EngineOrder::Unload { slot } => {
+                    let found = engine.slots.iter().position(|loaded| loaded.0 == *slot);
+                    if let Some(at) = found {
+                        let (_, running) = engine.slots.remove(at);
+                        self.evicted_in_use += u32::from(running > 0);
+                    }
+                    OrderResult::Done
+                }
+                EngineOrder::Load { slot, .. } => {
+                    let full = engine.slots.len() >= SLOTS as usize;
+                    if full || (faulty && fails < 0.2) {
+                        OrderResult::Failed
+                    } else {
+                        engine.slots.push((slot.clone(), 0));
+                        OrderResult::Done
+                    }
+                }
+            }
+        };
+        let took = self.rng.random_range(20 * MILLI..300 * MILLI);
+        let unknown = faulty && (hangs < 0.05 || lost < 0.05);
+        let result = if unknown { OrderResult::Unknown } else { result };
+        let done = OwnerEvent::OrderDone { number, result };
+        self.at(if unknown { 2 * SECOND } else { took }, Happening::Deliver(owner, done));
+    }
+
+    fn send_report(&mut self, server: usize) {
+        let engine = &mut self.engines[server];
+        engine.sequence += 1;
+        let slots = engine.slots.iter();
+        let report = EngineReport {
+            incarnation: ServerIncarnation(engine.incarnation),
+            sequence: engine.sequence,
+            running: engine.slots.iter().map(|slot| slot.1).sum(),
+            waiting: 0,
+            slots: slots.map(|slot| SlotReport { slot: slot.0.clone(), running: slot.1 }).collect(),
+        };
+        let server_name = engine.name.clone();
+        let most = if self.faults.lagging { 2 * SECOND } else { 5 * MILLI };
+        let lag = self.rng.random_range(MILLI..most);
+        for epoch in 1..=self.current() {
+            let event = OwnerEvent::Report { server: server_name.clone(), report: report.clone() };
+            self.at(lag, Happening::Deliver(epoch, event));
+        }
+        self.at(300 * MILLI, Happening::Report(server));
+    }
+
+    fn use_grant(&mut self, at: usize, asked: TimePoint, grant: SlotGrant, spec: RequestSpec) {
+        let late = self.now.since(asked) > grant.use_within_ms * MILLI;
+        // A VM that answered a later owner uses no further grants of an earlier one.
+        let old = grant.id.epoch.0 < self.current();
+        if late || old {
+            self.release(at, &grant, GrantEnd::NotRun);
+            return;
+        }
+        let server = self.engine(&grant.server);
+        let engine = &mut self.engines[server];
+        let found = engine.slots.iter_mut().find(|slot| slot.0 == grant.slot);
+        let Some(slot) = found.filter(|_| engine.incarnation == grant.incarnation.0) else {
+            self.release(at, &grant, GrantEnd::SlotMissing);
+            return;
+        };
+        slot.1 += 1;
+        let names = format!("{}#", spec.adapter);
+        self.wrong_adapter += u32::from(!grant.slot.as_str().starts_with(&names));
+        let life = engine.incarnation;
+        let poison = self.faults.poison && spec.fingerprint.0 == POISON;
+        self.uses.push((at, grant.clone(), spec));
+        if poison {
+            self.at(10 * MILLI, Happening::Restart(server));
+            return;
+        }
+        let took = self.rng.random_range(20 * MILLI..400 * MILLI);
+        let slot = grant.slot.clone();
+        self.at(took, Happening::Finish { vm: at, grant, life, slot });
+    }
+
+    fn finish(&mut self, at: usize, grant: &SlotGrant, life: u64, slot: &SlotName) {
+        let Some(used) = self.uses.iter().position(|entry| entry.1.id == grant.id) else { return };
+        self.uses.swap_remove(used);
+        let server = self.engine(&grant.server);
+        let engine = &mut self.engines[server];
+        if engine.incarnation == life
+            && let Some(loaded) = engine.slots.iter_mut().find(|loaded| loaded.0 == *slot)
+        {
+            loaded.1 -= 1;
+        }
+        self.done += 1;
+        self.release(at, grant, GrantEnd::Done);
+    }
+
+    fn release(&mut self, at: usize, grant: &SlotGrant, end: GrantEnd) {
+        let call = ReleaseCall { holder: vm(at), grant: grant.id.clone(), end, tokens: 10 };
+        for epoch in grant.id.epoch.0..=self.current() {
+            let event = OwnerEvent::Release(call.clone());
+            self.at(MILLI, Happening::Deliver(epoch, event));
+        }
+    }
+
+    fn restart(&mut self, server: usize) {
+        let engine = &mut self.engines[server];
+        engine.incarnation += 1;
+        engine.sequence = 0;
+        engine.fence = 0;
+        engine.crashes += 1;
+        engine.slots.clear();
+        let name = engine.name.clone();
+        let (lost, kept) =
+            std::mem::take(&mut self.uses).into_iter().partition(|entry| entry.1.server == name);
+        self.uses = kept;
+        let lost: Vec<(usize, SlotGrant, RequestSpec)> = lost;
+        for (at, grant, spec) in lost {
+            self.broken.push(grant.clone());
+            self.release(at, &grant, GrantEnd::Broken);
+            if self.faults.poison && spec.fingerprint.0 == POISON {
+                // Its caller sends it again at once, under a new id and through another VM.
+                self.ask(spec.prefix, spec.class, POISON);
+            }
+        }
+    }
+
+    /// The owner is paused; another VM takes over; later the old one wakes and carries on.
+    fn take_over(&mut self) {
+        let old = self.current();
+        self.paused_owner = Some(old);
+        let epoch = OwnerEpoch(old + 1);
+        self.owners.push(GroupOwner::new(settings(), topology(&self.engines), epoch, self.now));
+        for (by, server, evict) in self.intents.clone() {
+            if by <= old {
+                self.deliver(old + 1, OwnerEvent::OldIntent { server, evict });
+            }
+        }
+        self.deliver(old + 1, live());
+        let pause = self.rng.random_range(SECOND..10 * SECOND);
+        self.at(pause, Happening::Wake);
+    }
+
+    /// Fails on every rule that was broken. Questions to an owner that was deposed may be open.
+    pub fn check(&self) {
+        assert_eq!(self.evicted_in_use, 0, "an adapter in use was evicted");
+        assert_eq!(self.wrong_adapter, 0, "a request ran on another adapter");
+        for owner in &self.owners {
+            assert_eq!(owner.invariants().details(), &[]);
+        }
+        for (ticket, question) in self.questions.iter().enumerate() {
+            assert!(question.answers <= 1, "question {ticket} has several answers");
+            let lasting = question.owner == self.current();
+            assert!(!lasting || question.answers == 1, "question {ticket} has no answer");
+        }
+    }
+}
+
+/// The fingerprint of the request that crashes every engine which runs it.
+pub const POISON: u64 = 666;
+
+pub fn version(adapter: u64) -> AdapterVersion {
+    AdapterVersion { adapter: format!("a{adapter}").as_str().into(), version: "v1".into() }
+}
+
+pub fn vm(at: usize) -> VmIdentity {
+    VmIdentity { vm: format!("vm-{at}").as_str().into(), incarnation: VmIncarnation(1) }
+}
+
+fn live() -> OwnerEvent {
+    OwnerEvent::VmLive { vms: (0..3).map(|at| vm(at).vm).collect(), majority: true }
+}
+
+fn settings() -> OwnerSettings {
+    OwnerSettings { order_timeout_ms: 3_000, ..Default::default() }
+}
+
+fn topology(engines: &[FakeEngine]) -> GroupTopology {
+    GroupTopology {
+        group: "r/base/000".into(),
+        engines: engines
+            .iter()
+            .map(|engine| EngineInfo {
+                server: engine.name.clone(),
+                adapter_slots: SLOTS,
+                batch_slots: 4,
+                checks_fencing: engine.checks_fencing,
+            })
+            .collect(),
+        store: StoreShare { loads_per_s: 20.0, full_speed: 3 },
+        classes: RequestClass::ALL.map(class_defaults).to_vec(),
+        ..Default::default()
+    }
+}
