--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -3,8 +3,12 @@
 //! Each subcommand is a module of its own and prints a table for people or, with `--json`, one
 //! line for programs.
 
+mod arrival;
+mod baseline;
 mod compare;
 mod decide;
+mod model;
+mod ours;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/load/src/ours.rs
@@ -0,0 +1,236 @@
+//! Drives the owner of the `decision` package in the model.
+
+use coltsfoothook_decision::grant::{GrantEnd, GrantId, ReleaseCall, RequestSpec};
+use coltsfoothook_decision::id::{
+    AdapterVersion, OwnerEpoch, RequestFingerprint, ServerIncarnation, ServerName, SlotName,
+    TimePoint, VmIdentity, VmIncarnation,
+};
+use coltsfoothook_decision::manifest::{ClassEntry, PlacementPolicy};
+use coltsfoothook_decision::outcome::RequestClass;
+use coltsfoothook_decision::owner::{
+    EngineInfo, EngineOrder, GroupOwner, GroupTopology, OrderResult, OwnerAction, OwnerEvent,
+    OwnerSettings, StoreShare,
+};
+use coltsfoothook_decision::report::{EngineReport, SlotReport};
+use rand_pcg::Pcg64;
+use rand_pcg::rand_core::SeedableRng;
+
+use crate::model::{PlaceModel, RequestPlacer, class_deadline};
+
+/// The owner, and what the process around it would keep.
+pub(crate) struct OwnerPlacer {
+    owner: GroupOwner,
+    rng: Pcg64,
+    grants: Vec<Option<(GrantId, usize)>>,
+    slots: Vec<Vec<SlotName>>,
+    loads: Vec<(u64, u64, usize, u32, SlotName)>,
+    sequence: u64,
+    reported_at: u64,
+    next_load: u64,
+    questions: Vec<usize>,
+}
+
+/// How often engines report.
+const REPORT_MICROS: u64 = 500_000;
+/// How far ahead of its due time a handover's adapter is loaded.
+const LEAD_MS: u64 = 60_000;
+/// How far ahead the owner is told of a schedule.
+const TOLD_MICROS: u64 = 90_000_000;
+
+impl OwnerPlacer {
+    pub(crate) fn new(model: &PlaceModel, seed: u64) -> Self {
+        let shape = &model.shape;
+        let engine = |at: u32| EngineInfo {
+            server: server(at as usize),
+            adapter_slots: shape.slots,
+            batch_slots: shape.batch,
+            checks_fencing: true,
+        };
+        let topology = GroupTopology {
+            group: "compare".into(),
+            engines: (0..shape.servers).map(engine).collect(),
+            store: StoreShare { loads_per_s: shape.loads_per_s, full_speed: shape.full_speed },
+            classes: RequestClass::ALL
+                .map(|class| {
+                    let deadline_ms = class_deadline(class) / 1_000;
+                    ClassEntry { class, deadline_ms, queue: 100_000 }
+                })
+                .to_vec(),
+            tenants: Vec::new(),
+            policy: PlacementPolicy { stall_weight: shape.stall_weight, ..Default::default() },
+        };
+        let owner =
+            GroupOwner::new(OwnerSettings::default(), topology, OwnerEpoch(1), TimePoint(0));
+        Self {
+            owner,
+            rng: Pcg64::seed_from_u64(seed),
+            grants: vec![None; model.arrivals.len()],
+            slots: vec![Vec::new(); model.engines.len()],
+            loads: Vec::new(),
+            sequence: 0,
+            reported_at: 0,
+            next_load: 0,
+            questions: Vec::new(),
+        }
+    }
+
+    /// The invariants that broke.
+    pub(crate) fn violations(&self) -> u64 {
+        self.owner.invariants().violated()
+    }
+
+    fn deliver(&mut self, model: &mut PlaceModel, event: OwnerEvent) {
+        let mut actions = Vec::new();
+        self.owner.handle(TimePoint(model.now), event, &mut self.rng, &mut actions);
+        for action in actions {
+            self.act(model, action);
+        }
+    }
+
+    fn act(&mut self, model: &mut PlaceModel, action: OwnerAction) {
+        match action {
+            OwnerAction::Grant { ticket, grant } => {
+                let request = self.questions[ticket as usize];
+                let engine = engine_of(&grant.server);
+                model.fates[request].stall_us += grant.stall_ms * 1_000;
+                self.grants[request] = Some((grant.id, engine));
+                model.start(request, engine);
+            }
+            OwnerAction::Refuse { ticket, .. } => {
+                model.give_up(self.questions[ticket as usize]);
+            }
+            OwnerAction::SendOrder { number, server, order, .. } => {
+                let engine = engine_of(&server);
+                match order {
+                    EngineOrder::Unload { slot } => {
+                        self.slots[engine].retain(|loaded| *loaded != slot);
+                        let result = OrderResult::Done;
+                        self.deliver(model, OwnerEvent::OrderDone { number, result });
+                    }
+                    EngineOrder::Load { slot, .. } => {
+                        self.next_load += 1;
+                        let life = model.engines[engine].life;
+                        self.loads.push((self.next_load, number, engine, life, slot));
+                        model.load(self.next_load);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn report(&mut self, model: &mut PlaceModel) {
+        self.sequence += 1;
+        for engine in 0..self.slots.len() {
+            let slots = self.slots[engine].iter();
+            let report = EngineReport {
+                incarnation: ServerIncarnation(u64::from(model.engines[engine].life) + 1),
+                sequence: self.sequence,
+                running: model.running(engine) as u32,
+                waiting: 0,
+                slots: slots.map(|slot| SlotReport { slot: slot.clone(), running: 0 }).collect(),
+            };
+            let server = server(engine);
+            self.deliver(model, OwnerEvent::Report { server, report });
+        }
+    }
+
+    fn tell_schedules(&mut self, model: &mut PlaceModel) {
+        let near = model.now + TOLD_MICROS;
+        let told = model.now + TOLD_MICROS - REPORT_MICROS;
+        let due: Vec<(u32, u64)> = model
+            .arrivals
+            .iter()
+            .filter(|arrival| arrival.handover && (told..near).contains(&arrival.at))
+            .map(|arrival| (arrival.adapter, arrival.at))
+            .collect();
+        for (number, at) in due {
+            let due_in_ms = (at - model.now) / 1_000;
+            let adapter = adapter(number);
+            let event = OwnerEvent::Schedule { adapter, due_in_ms, lead_ms: LEAD_MS };
+            self.deliver(model, event);
+        }
+    }
+}
+
+impl RequestPlacer for OwnerPlacer {
+    fn arrive(&mut self, model: &mut PlaceModel, request: usize) {
+        let arrival = model.arrivals[request];
+        let left = model.deadline_us(request).saturating_sub(model.now);
+        let spec = RequestSpec {
+            id: "r".into(),
+            tenant: "t".into(),
+            adapter: adapter(arrival.adapter),
+            model: "base".into(),
+            class: arrival.class,
+            deadline_left_ms: Some(left / 1_000),
+            repeatable: true,
+            fingerprint: RequestFingerprint(request as u64),
+            prefix: 0,
+            prompt_tokens: 100,
+            max_tokens: arrival.tokens,
+            avoid: Vec::new(),
+        };
+        let ticket = self.questions.len() as u64;
+        self.questions.push(request);
+        self.deliver(model, OwnerEvent::Reserve { ticket, asker: asker(), spec });
+    }
+
+    fn finished(&mut self, model: &mut PlaceModel, request: usize) {
+        self.release(model, request, GrantEnd::Done);
+    }
+
+    fn loaded(&mut self, model: &mut PlaceModel, load: u64) {
+        let Some(at) = self.loads.iter().position(|running| running.0 == load) else { return };
+        let (_, number, engine, life, slot) = self.loads.swap_remove(at);
+        if model.engines[engine].life == life {
+            self.slots[engine].push(slot);
+        }
+        let result = OrderResult::Done;
+        self.deliver(model, OwnerEvent::OrderDone { number, result });
+    }
+
+    fn restarted(&mut self, model: &mut PlaceModel, engine: usize, lost: &[usize]) {
+        self.slots[engine].clear();
+        for &request in lost {
+            self.release(model, request, GrantEnd::Broken);
+        }
+        self.report(model);
+    }
+
+    fn tick(&mut self, model: &mut PlaceModel) {
+        if self.reported_at == 0 || model.now >= self.reported_at + REPORT_MICROS {
+            self.reported_at = model.now.max(1);
+            let event = OwnerEvent::VmLive { vms: vec![asker().vm], majority: true };
+            self.deliver(model, event);
+            self.report(model);
+            self.tell_schedules(model);
+        }
+        self.deliver(model, OwnerEvent::Tick);
+    }
+}
+
+impl OwnerPlacer {
+    fn release(&mut self, model: &mut PlaceModel, request: usize, end: GrantEnd) {
+        let Some((grant, _)) = self.grants[request].take() else { return };
+        let tokens = model.arrivals[request].tokens;
+        let call = ReleaseCall { holder: asker(), grant, end, tokens };
+        self.deliver(model, OwnerEvent::Release(call));
+    }
+}
+
+fn server(at: usize) -> ServerName {
+    ServerName(format!("{at:04}"))
+}
+
+fn engine_of(server: &ServerName) -> usize {
+    server.as_str().parse().unwrap_or(0)
+}
+
+fn adapter(number: u32) -> AdapterVersion {
+    AdapterVersion { adapter: format!("a{number}").as_str().into(), version: "v1".into() }
+}
+
+fn asker() -> VmIdentity {
+    VmIdentity { vm: "vm".into(), incarnation: VmIncarnation(1) }
+}
