--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -456,5 +456,9 @@
         self.keep_scheduled(now);
         self.give_up(now, actions);
         self.ask_held(now, actions);
+        for at in 0..self.engines.len() {
+            self.engines[at].warmth = self.warmth(now, &self.engines[at]);
+        }
+        self.gather(now, actions);
     }
 }
--- a/decision/src/load.rs
+++ b/decision/src/load.rs
@@ -35,6 +35,11 @@
         self.tokens >= 1.0 && under_way < self.share.full_speed.max(1) as usize
     }
 
+    /// Whether the whole burst is unspent, so that a load takes nothing from anybody.
+    pub(crate) fn is_full(&self) -> bool {
+        self.tokens >= f64::from(self.share.full_speed.max(1))
+    }
+
     pub(crate) fn spend(&mut self) {
         self.tokens -= 1.0;
     }
@@ -90,10 +95,26 @@
     }
 }
 
+/// How soon a load is wanted. The order of the variants is the order of loads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum LoadPressure {
+    /// For an urgent request.
+    Urgent,
+    /// For a request or a schedule whose deadline is near.
+    Pressing,
+    /// For any other request, the oldest first: whoever has time may still not wait for ever.
+    Waiting,
+    /// For a schedule that has time: it takes loads that nobody else wants.
+    Ahead,
+    /// To bring a much used adapter to an engine with a larger batch.
+    Gather,
+}
+
 /// The wish for an adapter, from its waiting requests or from a schedule.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LoadWish {
     pub(crate) adapter: u32,
+    pub(crate) pressure: LoadPressure,
     pub(crate) class: RequestClass,
     pub(crate) deadline: Option<TimePoint>,
     pub(crate) waiters: u32,
@@ -103,17 +124,26 @@
 }
 
 impl LoadWish {
-    /// The order in which wishes are served: class, deadline, number of waiters, age.
+    /// The order in which wishes are served: pressure, then deadline where it presses, then age,
+    /// where each waiting request counts as some time of waiting.
     pub(crate) fn rank(&self, other: &Self) -> Ordering {
-        let due = |wish: &Self| wish.deadline.map_or(u64::MAX, |due| due.0 / DEADLINE_GRAIN_MICROS);
-        self.class
-            .cmp(&other.class)
-            .then(due(self).cmp(&due(other)))
-            .then(other.waiters.cmp(&self.waiters))
-            .then(self.oldest.cmp(&other.oldest))
+        self.pressure
+            .cmp(&other.pressure)
+            .then(self.time_rank().cmp(&other.time_rank()))
             .then(self.adapter.cmp(&other.adapter))
     }
+
+    fn time_rank(&self) -> u64 {
+        let due = self.deadline.map_or(u64::MAX, |due| due.0);
+        match self.pressure {
+            LoadPressure::Pressing | LoadPressure::Ahead => due,
+            LoadPressure::Urgent | LoadPressure::Waiting | LoadPressure::Gather => {
+                let bonus = u64::from(self.waiters.saturating_sub(1)) * WAITER_MICROS;
+                self.oldest.0.saturating_sub(bonus)
+            }
+        }
+    }
 }
 
-/// Deadlines that differ by less are taken as equal, or the number of waiters would never count.
-const DEADLINE_GRAIN_MICROS: u64 = 5_000_000;
+/// How much earlier a load is made for each further request that waits for it.
+const WAITER_MICROS: u64 = 500_000;
--- a/decision/src/order.rs
+++ b/decision/src/order.rs
@@ -5,7 +5,7 @@
 use crate::adapter::SlotChoice;
 use crate::id::{AdapterVersion, MICROS_PER_MILLI, SlotName, TimePoint};
 use crate::invariant::InvariantName;
-use crate::load::{LoadOrder, LoadStage, LoadWish, NewSlot};
+use crate::load::{LoadOrder, LoadPressure, LoadStage, LoadWish, NewSlot};
 use crate::outcome::RequestClass;
 use crate::owner::{
     AheadLoad, EngineOrder, GroupOwner, OrderResult, OwnerAction, OwnerNote, millis,
@@ -41,6 +41,20 @@
         self.ahead.insert(at, AheadLoad { due, from, adapter });
     }
 
+    /// Ends the keeping of an adapter whose scheduled request has come.
+    pub(crate) fn schedule_served(&mut self, now: TimePoint, adapter: u32, class: RequestClass) {
+        let near = self.settings.pressing_ms * MICROS_PER_MILLI;
+        let served =
+            |load: &AheadLoad| load.adapter == adapter && load.due.0.abs_diff(now.0) < near;
+        if class != RequestClass::Scheduled || self.adapters.get(adapter).kept_until <= now {
+            return;
+        }
+        if let Some(at) = self.ahead.iter().position(served) {
+            self.ahead.remove(at);
+            self.adapters.get_mut(adapter).kept_until = now;
+        }
+    }
+
     /// Keeps adapters whose schedule is near, and forgets schedules that are over.
     pub(crate) fn keep_scheduled(&mut self, now: TimePoint) {
         let grace = self.settings.schedule_grace_ms * MICROS_PER_MILLI;
@@ -55,22 +69,31 @@
 
     /// Starts as many loads as the weight store's share allows, the most wanted first.
     pub(crate) fn plan_loads(&mut self, now: TimePoint, actions: &mut Vec<OwnerAction>) {
-        if self.deposed || (self.queue.is_empty() && self.ahead.is_empty()) {
-            return;
-        }
-        if !self.budget.ready(self.loads_under_way(), now) {
+        if self.deposed || !self.budget.ready(self.loads_under_way(), now) {
             return;
         }
         let mut wishes = self.wishes(now);
         wishes.sort_unstable_by(LoadWish::rank);
-        for wish in wishes {
+        for wish in &wishes {
             if !self.budget.ready(self.loads_under_way(), now) {
                 return;
             }
-            let Some(target) = self.load_target(now, &wish) else { continue };
-            if wish.extra && !self.pays(&wish, &target) {
+            let Some(target) = self.load_target(now, wish) else { continue };
+            if wish.extra && !self.pays(wish, &target) {
                 continue;
             }
+            self.budget.spend();
+            self.begin_load(now, wish, &target, actions);
+        }
+    }
+
+    /// Spends loads that nobody wants on bringing much used adapters together, one at a time.
+    pub(crate) fn gather(&mut self, now: TimePoint, actions: &mut Vec<OwnerAction>) {
+        let idle = self.queue.is_empty() && self.orders.is_empty() && !self.deposed;
+        if !idle || !self.budget.ready(0, now) || !self.budget.is_full() {
+            return;
+        }
+        if let Some((wish, target)) = self.gather_target(now) {
             self.budget.spend();
             self.begin_load(now, &wish, &target, actions);
         }
@@ -78,7 +101,10 @@
 
     /// Loads that requests of `class` would have to let pass.
     pub(crate) fn loads_before(&self, now: TimePoint, class: RequestClass) -> usize {
-        self.wishes(now).iter().filter(|wish| wish.class <= class && !wish.extra).count()
+        self.wishes(now)
+            .iter()
+            .filter(|wish| wish.class <= class && !wish.extra && !wish.ahead)
+            .count()
             + self.loads_under_way()
     }
 
@@ -95,8 +121,14 @@
             {
                 continue;
             }
+            let pressure = match request.spec.class {
+                RequestClass::Urgent => LoadPressure::Urgent,
+                _ if self.presses(now, request.deadline) => LoadPressure::Pressing,
+                _ => LoadPressure::Waiting,
+            };
             let wish = LoadWish {
                 adapter: request.adapter,
+                pressure,
                 class: request.spec.class,
                 deadline: request.deadline,
                 waiters: 1,
@@ -114,8 +146,10 @@
             {
                 continue;
             }
+            let presses = self.presses(now, Some(load.due));
             let wish = LoadWish {
                 adapter: load.adapter,
+                pressure: if presses { LoadPressure::Pressing } else { LoadPressure::Ahead },
                 class: RequestClass::Scheduled,
                 deadline: Some(load.due),
                 waiters: 0,
@@ -128,6 +162,12 @@
         wishes
     }
 
+    /// Whether a deadline is so near that a load must start now.
+    fn presses(&self, now: TimePoint, deadline: Option<TimePoint>) -> bool {
+        let margin = (self.settings.pressing_ms as f64).max(4.0 * self.load_ms);
+        deadline.is_some_and(|due| millis(due.since(now)) < margin)
+    }
+
     /// Whether a further copy is worth it: what the waiting requests save must outweigh the load
     /// and the requests that the victim's adapter will miss.
     fn pays(&self, wish: &LoadWish, target: &LoadTarget) -> bool {
@@ -589,6 +629,7 @@
         Ok(at) => {
             let known = &mut wishes[at];
             known.class = known.class.min(wish.class);
+            known.pressure = known.pressure.min(wish.pressure);
             known.deadline = match (known.deadline, wish.deadline) {
                 (Some(left), Some(right)) => Some(left.min(right)),
                 (left, right) => left.or(right),
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -73,6 +73,8 @@
     pub first_load_ms: u64,
     /// The service time in milliseconds that is assumed before one was measured.
     pub first_service_ms: u64,
+    /// Milliseconds before a deadline at which a load for it goes before those that have time.
+    pub pressing_ms: u64,
     /// Milliseconds for which a scheduled adapter is kept after its due time.
     pub schedule_grace_ms: u64,
     /// The most schedules that are kept.
@@ -96,13 +98,14 @@
             zombie_window_ms: 120_000,
             use_grace_ms: 2_000,
             urgent_reserve_percent: 10,
-            heat_decay_ms: 300_000,
+            heat_decay_ms: 1_800_000,
             report_lag_ms: 5_000,
             broken_settle_ms: 1_500,
             fence_retry_ms: 1_000,
             ask_held_ms: 1_000,
             first_load_ms: 1_000,
             first_service_ms: 1_000,
+            pressing_ms: 10_000,
             schedule_grace_ms: 30_000,
             schedules: 65_536,
             grants: 65_536,
@@ -919,6 +922,7 @@
         };
         slot.pins += 1;
         slot.ahead = false;
+        let adapter = slot.adapter;
         slot.prefix = spec.prefix;
         engine.running += 1;
         engine.suspects += u32::from(suspect);
@@ -942,6 +946,7 @@
             granted: now,
             orphaned: None,
         });
+        self.schedule_served(now, adapter, spec.class);
         grant
     }
 
--- a/decision/src/place.rs
+++ b/decision/src/place.rs
@@ -6,7 +6,7 @@
 use crate::adapter::{AdapterIndex, SlotChoice};
 use crate::grant::RequestSpec;
 use crate::id::{RequestFingerprint, ServerName, TimePoint};
-use crate::load::LoadWish;
+use crate::load::{LoadPressure, LoadWish};
 use crate::outcome::RequestClass;
 use crate::owner::GroupOwner;
 use crate::slot::{EngineState, SlotPhase, SlotState};
@@ -180,7 +180,8 @@
             if !self.evictable(now, server, slot, wish) {
                 continue;
             }
-            let loss = self.adapters.get(slot.adapter).heat(now, self.decay_micros());
+            let loss = self.loss(now, server, slot);
+            let loss = if self.is_kept(now, slot) { loss + KEPT_LOSS } else { loss };
             if best.is_none_or(|(_, least)| loss < least) {
                 best = Some((at, loss));
             }
@@ -188,11 +189,87 @@
         best.map(|(at, loss)| (Some(at), loss))
     }
 
+    /// What is lost with `slot`: the heat of its adapter, and little if a copy on a warmer engine
+    /// is loaded, which then serves its requests.
+    fn loss(&self, now: TimePoint, server: usize, slot: &SlotState) -> f64 {
+        let adapter = self.adapters.get(slot.adapter);
+        let heat = adapter.heat(now, self.decay_micros());
+        let own = self.engines[server].warmth;
+        let warmer = adapter.copies.iter().any(|copy| {
+            let engine = &self.engines[copy.server as usize];
+            let ready = engine.slots[copy.slot as usize].phase == SlotPhase::Ready;
+            let further = copy.server as usize != server;
+            further && ready && engine.usable() && engine.warmth >= own
+        });
+        if warmer { heat * COPY_LOSS } else { heat }
+    }
+
+    /// A much used adapter on an engine with a small batch, and a slot on an engine with a larger
+    /// one whose adapter is used much less. Only where full batches count.
+    pub(crate) fn gather_target(&self, now: TimePoint) -> Option<(LoadWish, LoadTarget)> {
+        if self.pack() < GATHER_PACK {
+            return None;
+        }
+        let mut best: Option<(f64, LoadWish, LoadTarget)> = None;
+        for engine in self.engines.iter().filter(|engine| engine.usable()) {
+            for slot in engine.slots.iter().filter(|slot| slot.phase == SlotPhase::Ready) {
+                let adapter = self.adapters.get(slot.adapter);
+                if adapter.copies.len() != 1 {
+                    continue;
+                }
+                let heat = adapter.heat(now, self.decay_micros());
+                if heat < GATHER_HEAT || best.as_ref().is_some_and(|(most, ..)| heat <= *most) {
+                    continue;
+                }
+                let wish = gather_wish(now, slot.adapter);
+                let warmth = engine.warmth;
+                let Some(target) = self.warmer_target(now, &wish, warmth, heat) else { continue };
+                best = Some((heat, wish, target));
+            }
+        }
+        best.map(|(_, wish, target)| (wish, target))
+    }
+
+    /// The heat of all adapters of an engine together.
+    pub(crate) fn warmth(&self, now: TimePoint, engine: &EngineState) -> f64 {
+        let ready = engine.slots.iter().filter(|slot| slot.phase == SlotPhase::Ready);
+        ready.map(|slot| self.adapters.get(slot.adapter).heat(now, self.decay_micros())).sum()
+    }
+
+    fn warmer_target(
+        &self,
+        now: TimePoint,
+        wish: &LoadWish,
+        warmth: f64,
+        heat: f64,
+    ) -> Option<LoadTarget> {
+        let mut best: Option<(f64, LoadTarget)> = None;
+        for (server, engine) in self.engines.iter().enumerate() {
+            if !engine.usable() || (!engine.info.checks_fencing && !self.log_writable) {
+                continue;
+            }
+            let other = engine.warmth;
+            let crowded = fill(engine) > GATHER_FILL;
+            if crowded || other <= warmth || best.as_ref().is_some_and(|(most, _)| other <= *most) {
+                continue;
+            }
+            let Some((evict, loss)) = self.make_room(now, server, wish) else { continue };
+            if loss < heat * GATHER_LOSS {
+                best = Some((other, LoadTarget { server, evict, loss }));
+            }
+        }
+        best.map(|(_, target)| target)
+    }
+
+    fn is_kept(&self, now: TimePoint, slot: &SlotState) -> bool {
+        self.adapters.get(slot.adapter).kept_until > now
+    }
+
     /// Whether `slot` may be evicted for `wish`; see docs/DESIGN.md, "When a slot may be evicted".
     fn evictable(&self, now: TimePoint, server: usize, slot: &SlotState, wish: &LoadWish) -> bool {
         let adapter = self.adapters.get(slot.adapter);
         let needed = adapter.waiting > 0 && adapter.copies.len() == 1;
-        let kept = adapter.kept_until > now && (wish.ahead || wish.class != RequestClass::Urgent);
+        let kept = self.is_kept(now, slot) && wish.pressure != LoadPressure::Urgent;
         slot.phase == SlotPhase::Ready
             && slot.pins == 0
             && slot.reported == 0
@@ -208,12 +285,39 @@
         let fill = fill(engine);
         let full = engine.room_for(false, self.settings.urgent_reserve_percent) == 0;
         let crowd = if full { FULL_COST } else { 0.0 };
-        loss + self.pack() * (1.0 - fill) * PACK_COST + self.spread() * fill * SPREAD_COST + crowd
+        loss + self.pack() * PACK_COST / f64::from(1 + engine.running)
+            + self.spread() * fill * SPREAD_COST
+            + crowd
+    }
+}
+
+fn gather_wish(now: TimePoint, adapter: u32) -> LoadWish {
+    LoadWish {
+        adapter,
+        pressure: LoadPressure::Gather,
+        class: RequestClass::Audit,
+        deadline: None,
+        waiters: 0,
+        oldest: now,
+        ahead: false,
+        extra: true,
     }
 }
 
+/// From which weight of full batches on much used adapters are brought together.
+const GATHER_PACK: f64 = 0.6;
+/// The least heat of an adapter that is worth a load to bring it elsewhere.
+const GATHER_HEAT: f64 = 4.0;
+/// The most that the victim's heat may be, as a part of the gathered adapter's.
+const GATHER_LOSS: f64 = 0.4;
+/// An engine that is fuller gets no more adapters gathered.
+const GATHER_FILL: f64 = 0.6;
+/// What is lost with one of several copies, as a part of the adapter's heat.
+const COPY_LOSS: f64 = 0.1;
 /// What an empty batch costs a load, in requests of the victim's heat.
-const PACK_COST: f64 = 3.0;
+const PACK_COST: f64 = 2.0;
+/// What it costs to evict an adapter that a schedule needs; only urgent requests may.
+const KEPT_LOSS: f64 = 1_000.0;
 /// What a full batch costs a load where stalls count.
 const SPREAD_COST: f64 = 0.5;
 /// What it costs to load where there is no room to run.
--- a/decision/src/slot.rs
+++ b/decision/src/slot.rs
@@ -123,6 +123,8 @@
     /// Grants of live VMs that run on it.
     pub(crate) running: u32,
     pub(crate) fence: FenceState,
+    /// The heat of its adapters together, as of the last tick.
+    pub(crate) warmth: f64,
     /// Suspects that run on it.
     pub(crate) suspects: u32,
     pub(crate) slots: Vec<SlotState>,
@@ -146,6 +148,7 @@
             waiting: 0,
             running: 0,
             fence: FenceState::Needed,
+            warmth: 0.0,
             suspects: 0,
             slots: Vec::new(),
             gone: Vec::new(),
--- a/decision/tests/suite/owner_world.rs
+++ b/decision/tests/suite/owner_world.rs
@@ -92,7 +92,7 @@
     pub fn new(seed: u64, faults: WorldFaults) -> Self {
         let engine = |number: usize| FakeEngine {
             name: format!("engine-{number}").as_str().into(),
-            checks_fencing: number % 2 == 0,
+            checks_fencing: number.is_multiple_of(2),
             incarnation: 100 * (number as u64 + 1),
             sequence: 0,
             fence: 0,
--- a/load/src/baseline.rs
+++ b/load/src/baseline.rs
@@ -127,13 +127,13 @@
         }
     }
 
-    /// Starts queued loads in order of class and age, as the store's budget allows.
+    /// Starts queued loads, urgent ones first and then by age, as the store's budget allows.
     fn start_loads(&mut self, model: &mut PlaceModel) {
         let most = f64::from(model.shape.full_speed);
         let earned = (model.now - self.tokens_at) as f64 / MICROS as f64 * model.shape.loads_per_s;
         self.tokens = (self.tokens + earned).min(most);
         self.tokens_at = model.now;
-        self.queued.sort_by_key(|load| (load.class, load.asked));
+        self.queued.sort_by_key(|load| (load.class != RequestClass::Urgent, load.asked));
         let mut at = 0;
         while at < self.queued.len()
             && self.tokens >= 1.0
--- a/load/src/compare.rs
+++ b/load/src/compare.rs
@@ -2,8 +2,10 @@
 //!
 //! docs/PLACEMENT.md tells what the model leaves out and what the figures mean.
 
+use std::ops::Range;
 use std::process::ExitCode;
 use std::str::FromStr;
+use std::thread;
 
 use bpaf::Bpaf;
 use coltsfoothook_decision::outcome::RequestClass;
@@ -62,7 +64,7 @@
     #[bpaf(argument("N"))]
     pub(crate) tokens: Option<u32>,
     /// Seconds of arrivals
-    #[bpaf(argument("SECONDS"), fallback(600), display_fallback)]
+    #[bpaf(argument("SECONDS"), fallback(1_800), display_fallback)]
     pub(crate) duration: u64,
     /// Part of the adapters that change their popularity within an hour
     #[bpaf(argument("PART"), fallback(0.3), display_fallback)]
@@ -92,7 +94,7 @@
             handovers: 100,
             tokens: 150,
             duration_s: self.duration.max(1),
-            warmup_s: self.duration / 6,
+            warmup_s: self.duration / 3,
             stall_weight: 0.9,
         };
         let mut shape = match self.deployment {
@@ -168,7 +170,7 @@
 pub(crate) fn run(options: &CompareOptions) -> ExitCode {
     let shape = options.shape();
     let seeds = options.first_seed..options.first_seed + options.seeds.max(1);
-    let runs: Vec<Vec<PolicyFigures>> = seeds.map(|seed| run_seed(&shape, seed)).collect();
+    let runs = run_seeds(&shape, seeds);
     let report = summarize(options, &shape, &runs);
     if options.json {
         match serde_json::to_string(&report) {
@@ -181,6 +183,14 @@
     ExitCode::from(u8::from(report.policies.iter().any(|policy| policy.violations > 0.0)))
 }
 
+/// Runs the seeds side by side; each run is single and deterministic.
+fn run_seeds(shape: &ModelShape, seeds: Range<u64>) -> Vec<Vec<PolicyFigures>> {
+    thread::scope(|scope| {
+        let runs: Vec<_> = seeds.map(|seed| scope.spawn(move || run_seed(shape, seed))).collect();
+        runs.into_iter().filter_map(|run| run.join().ok()).collect()
+    })
+}
+
 fn run_seed(shape: &ModelShape, seed: u64) -> Vec<PolicyFigures> {
     let arrivals = draw_arrivals(shape, &mut Pcg64::seed_from_u64(seed));
     let mut model = PlaceModel::new(shape, &arrivals);
--- a/load/src/ours.rs
+++ b/load/src/ours.rs
@@ -33,9 +33,9 @@
 /// How often engines report.
 const REPORT_MICROS: u64 = 500_000;
 /// How far ahead of its due time a handover's adapter is loaded.
-const LEAD_MS: u64 = 60_000;
+const LEAD_MS: u64 = 180_000;
 /// How far ahead the owner is told of a schedule.
-const TOLD_MICROS: u64 = 90_000_000;
+const TOLD_MICROS: u64 = 200_000_000;
 
 impl OwnerPlacer {
     pub(crate) fn new(model: &PlaceModel, seed: u64) -> Self {
