--- a/peer/src/wire.rs
+++ b/peer/src/wire.rs
@@ -243,3 +243,83 @@
         Sink::<Bytes>::poll_close(Pin::new(&mut self.framed), context)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use coltsfoothook_decision::id::RequestFingerprint;
+    use coltsfoothook_decision::message::RevokeCall;
+    use proptest::prelude::*;
+
+    use super::*;
+
+    const MOST: Duration = Duration::from_secs(5);
+
+    fn call_frame() -> Vec<u8> {
+        let fingerprint = RequestFingerprint(7);
+        let call = RevokeCall { tenant: "t".into(), key: "k".into(), fingerprint };
+        let mut context = context::current();
+        context.deadline = Instant::now() + Duration::from_secs(90);
+        let request = Request { context, id: 4, message: VmPeerRequest::Revoke { call } };
+        ClientCodec::encode(ClientMessage::Request(request)).expect("a frame")
+    }
+
+    /// A sender that names an endless deadline would overflow the clock, or hold a place for ever.
+    #[test]
+    fn deadline_is_bounded() {
+        let head = FrameHead { left_ms: Some(u64::MAX), ..head(1, FrameKind::Call) };
+        let frame = write_frame(&head, Some(&"Status")).expect("a frame");
+        let decoded = ServerCodec::decode(&frame, MOST).expect("a call");
+        let ClientMessage::Request(request) = decoded else { panic!("no call") };
+        assert!(matches!(
+            request.message,
+            VmPeerRequest::Status {} | VmPeerRequest::Unsupported { .. }
+        ));
+        assert!(request.context.deadline <= Instant::now() + MOST);
+    }
+
+    #[test]
+    fn frame_comes_back() {
+        let decoded = ServerCodec::decode(&call_frame(), MOST).expect("a call");
+        let ClientMessage::Request(request) = decoded else { panic!("no call") };
+        assert_eq!(request.id, 4);
+        assert!(
+            matches!(request.message, VmPeerRequest::Revoke { call } if call.key.as_str() == "k")
+        );
+    }
+
+    /// Parsers recurse; a frame of nothing but opening brackets must not exhaust the stack.
+    #[test]
+    fn deep_frame() {
+        let frame = [
+            write_frame(&head(1, FrameKind::Call), None::<&()>).expect("a head"),
+            vec![0x91; 1_000_000],
+        ]
+        .concat();
+        let decoded = ServerCodec::decode(&frame, MOST).expect("a call");
+        let ClientMessage::Request(request) = decoded else { panic!("no call") };
+        assert!(matches!(request.message, VmPeerRequest::Unsupported { .. }));
+        assert!(ServerCodec::decode(&vec![0x91; 1_000_000], MOST).is_err());
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+        /// Whatever arrives as a frame, the parsers answer and do not panic.
+        #[test]
+        fn any_frame(frame in prop::collection::vec(any::<u8>(), 0..200)) {
+            let _ = ServerCodec::decode(&frame, MOST);
+            let _ = ClientCodec::decode(&frame, MOST);
+        }
+
+        /// The same for frames that are nearly right.
+        #[test]
+        fn near_frame(at in 0usize..400, byte in any::<u8>(), cut in 0usize..400) {
+            let mut frame = call_frame();
+            let length = frame.len();
+            frame[at % length] = byte;
+            frame.truncate(length - cut % length);
+            let _ = ServerCodec::decode(&frame, MOST);
+            let _ = ClientCodec::decode(&frame, MOST);
+        }
+    }
+}
--- /dev/null
+++ b/peer/tests/suite/other_release.rs
@@ -0,0 +1,89 @@
+//! Messages of another release, written byte for byte as it would write them.
+
+use serde::Serialize;
+use serde::de::IgnoredAny;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::fake::{FakeVm, plain, start};
+
+#[derive(Serialize)]
+struct Head<'a> {
+    id: u64,
+    kind: &'a str,
+    hop_count: u8,
+}
+
+#[derive(Serialize)]
+enum Call {
+    Withdraw { call: Withdraw },
+    Revoke { call: Revoke },
+    Summarise { lines: u32 },
+}
+
+/// A withdrawal with a field that this release does not know.
+#[derive(Serialize)]
+struct Withdraw {
+    mood: Vec<u8>,
+    asker: Identity,
+    group: &'static str,
+    id: &'static str,
+}
+
+#[derive(Serialize)]
+struct Identity {
+    vm: &'static str,
+    incarnation: u64,
+    boot: Option<u8>,
+}
+
+/// A revocation that lacks what this release needs.
+#[derive(Serialize)]
+struct Revoke {
+    tenant: &'static str,
+}
+
+async fn send(stream: &mut TcpStream, id: u64, call: &Call) -> (u64, String) {
+    let mut frame =
+        rmp_serde::to_vec_named(&Head { id, kind: "call", hop_count: 3 }).expect("a head");
+    frame.extend(rmp_serde::to_vec_named(call).expect("a message"));
+    let length = u32::try_from(frame.len()).expect("a short frame");
+    stream.write_all(&length.to_be_bytes()).await.expect("write");
+    stream.write_all(&frame).await.expect("write");
+    let length = stream.read_u32().await.expect("a length");
+    let mut answer = vec![0; usize::try_from(length).expect("a short frame")];
+    stream.read_exact(&mut answer).await.expect("a frame");
+    let mut parser = rmp_serde::Deserializer::new(&answer[..]);
+    #[derive(serde::Deserialize)]
+    struct AnswerHead {
+        id: u64,
+    }
+    let head: AnswerHead = serde::Deserialize::deserialize(&mut parser).expect("a head");
+    let rest = parser.into_inner();
+    let _: IgnoredAny = rmp_serde::from_slice(rest).expect("a message");
+    (head.id, String::from_utf8_lossy(rest).into_owned())
+}
+
+/// VMs are replaced one by one. A newer one sends fields that this one ignores, and calls that it
+/// does not know or cannot read; those are answered as unsupported, each under its own number, and
+/// the connection goes on. Closing it instead would fail all other calls of that VM.
+#[tokio::test]
+async fn newer_release() {
+    let vm = FakeVm::new("b", 0);
+    let (server, _, _) = start(vm.clone(), plain());
+    let mut stream = TcpStream::connect(server.address()).await.expect("connect");
+    let asker = || Identity { vm: "a", incarnation: 1, boot: Some(1) };
+    let withdraw =
+        || Call::Withdraw { call: Withdraw { mood: vec![1], asker: asker(), group: "g", id: "r" } };
+    let (id, answer) = send(&mut stream, 1, &withdraw()).await;
+    assert!(id == 1 && answer.contains("Ok"), "{answer}");
+    let (id, answer) = send(&mut stream, 2, &Call::Summarise { lines: 4 }).await;
+    assert!(id == 2 && answer.contains("unsupported"), "{answer}");
+    let revoke = Call::Revoke { call: Revoke { tenant: "t" } };
+    let (id, answer) = send(&mut stream, 3, &revoke).await;
+    assert!(id == 3 && answer.contains("missing field"), "{answer}");
+    let (id, answer) = send(&mut stream, 4, &withdraw()).await;
+    assert!(id == 4 && answer.contains("Ok"), "{answer}");
+    assert_eq!(vm.withdrawn.load(std::sync::atomic::Ordering::SeqCst), 2);
+    assert_eq!(server.counters().unsupported_messages(), 2);
+}
