--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -7,12 +7,12 @@
 
 use bpaf::{Args, ParseFailure};
 use coltsfoothook_decision::id::ConfigVersion;
+use coltsfoothook_keys::CredentialHash;
 use coltsfoothook_operator::{
     DrainCall, ExplainAnswer, FleetStatus, LiftCall, ManifestAnswer, WrittenAnswer,
 };
 use http::Method;
 use serde_json::json;
-use sha2::{Digest, Sha256};
 
 use crate::arguments::{ConnectArguments, CtlCommand, DrainTarget, ctl_command};
 use crate::client::EntryClient;
@@ -218,7 +218,7 @@
 fn hash_credential(generate: bool, streams: &CtlStreams) -> Result<CtlReport, CtlError> {
     let credential = if generate { new_credential() } else { given_credential(streams) }
         .map_err(|error| CtlError::usage(format!("no credential: {error}")))?;
-    let hash = hexadecimal(&Sha256::digest(credential.as_bytes()));
+    let hash = CredentialHash::of(&credential).to_hex();
     if generate {
         let text = format!("credential {credential}\nhash       {hash}");
         return Ok(CtlReport::done(text, &json!({ "credential": credential, "hash": hash })));
--- a/ctl/src/error.rs
+++ b/ctl/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use coltsfoothook_keys::KeyError;
 use coltsfoothook_operator::{ProblemDocument, ProblemReason};
 use coltsfoothook_settings::{LocatedFault, SecretError, SettingsError};
 use snafu::Snafu;
@@ -40,6 +41,8 @@
     Settings { source: SettingsError },
     #[snafu(display("{source}"), context(false))]
     Secret { source: SecretError },
+    #[snafu(display("{source}"), context(false))]
+    Keys { source: KeyError },
     #[snafu(display("{}", fault_lines(file, faults)))]
     Faulty { file: PathBuf, faults: Vec<LocatedFault> },
     #[snafu(display("no entry VM could be reached:\n  {}", attempts.join("\n  ")))]
@@ -72,6 +75,7 @@
             Self::Usage { .. }
             | Self::Unreadable { .. }
             | Self::Settings { .. }
+            | Self::Keys { .. }
             | Self::Secret { .. } => CtlExit::Usage,
             Self::Faulty { .. } => CtlExit::Refused,
             Self::NotReached { .. } => CtlExit::NotReached,
--- a/ctl/tests/suite/fake.rs
+++ b/ctl/tests/suite/fake.rs
@@ -124,12 +124,16 @@
 }
 
 pub fn start(test: &str) -> Running {
+    start_with(test, None)
+}
+
+pub fn start_with(test: &str, tls: Option<rustls::ServerConfig>) -> Running {
     let runtime = Runtime::new().expect("a runtime");
     let entry = Arc::new(FakeEntry { state: Mutex::default() });
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = OperatorSettings { listen, ..Default::default() };
     let started = runtime.block_on(async {
-        OperatorServer::start(&settings, entry.clone(), Arc::new(FakeAuth), None)
+        OperatorServer::start(&settings, entry.clone(), Arc::new(FakeAuth), tls)
     });
     let server = started.expect("a free port");
     let (address, directory) = (server.address(), directory(test));
--- a/ctl/tests/suite/main.rs
+++ b/ctl/tests/suite/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the operators' program, one file a feature.
 
 mod check_offline;
+mod doc_links;
 mod exit_codes;
 mod fake;
 mod lost_answer;
 mod manual_examples;
 mod publish_twice;
 mod status_table;
+mod tls_calls;
