Log lines name the process that wrote them; clearer refusals of operators' calls

Lines collected from many VMs could not be told apart where they spoke of another VM. Unknown names are told by what was asked for: a lift no longer points to the list of servers.

--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -6,7 +6,7 @@
 use bpaf::Bpaf;
 use coltsfoothook_entry::{EntryProcess, EntrySettings};
 use coltsfoothook_settings::load_settings;
-use coltsfoothook_telemetry::{event, start_logs};
+use coltsfoothook_telemetry::{event, name_process, start_logs};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The exit code for settings or keys that cannot be used.
@@ -40,6 +40,7 @@
         println!("{}: the settings are good", options.settings.display());
         return ExitCode::SUCCESS;
     }
+    name_process(settings.vm.as_str());
     if let Err(error) = start_logs(&settings.logs) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
--- a/operator/src/face.rs
+++ b/operator/src/face.rs
@@ -192,7 +192,11 @@
             return Err(OperatorProblem::new(ProblemReason::MalformedRequest, NAME_RULE));
         }
         let call: DrainCall = parse_json(&self.read_body(request).await?)?;
-        written_response(self.handler.drain(kind, name, call.draining).await)
+        let unknown = match kind {
+            DrainKind::Vm => "GET /v1/status names the VMs",
+            DrainKind::Server => "GET /v1/manifest names the backend servers",
+        };
+        written_response(self.handler.drain(kind, name, call.draining).await, unknown)
     }
 
     async fn explain(&self, id: &str) -> Result<Response<Body>, OperatorProblem> {
@@ -215,7 +219,9 @@
             let detail = "fingerprint: it is not allowed; allowed: up to 16 hexadecimal digits";
             return Err(OperatorProblem::new(ProblemReason::MalformedRequest, detail));
         };
-        written_response(self.handler.lift(RequestFingerprint(fingerprint)).await)
+        let unknown = "the request is neither suspect nor condemned; the event request_condemned \
+                       names the fingerprint";
+        written_response(self.handler.lift(RequestFingerprint(fingerprint)).await, unknown)
     }
 
     async fn read_body(&self, request: Request<Body>) -> Result<Bytes, OperatorProblem> {
@@ -266,15 +272,12 @@
     }
 }
 
-fn written_response(answer: WriteAnswer) -> Result<Response<Body>, OperatorProblem> {
+fn written_response(answer: WriteAnswer, unknown: &str) -> Result<Response<Body>, OperatorProblem> {
     match answer {
         WriteAnswer::Written => json_response(StatusCode::OK, &WrittenAnswer { written: true }),
         WriteAnswer::Unknown => Err(append_unknown()),
         WriteAnswer::LogUnavailable => Err(log_unavailable()),
-        WriteAnswer::UnknownName => {
-            let detail = "GET /v1/status names the VMs, GET /v1/manifest the backend servers";
-            Err(OperatorProblem::new(ProblemReason::UnknownName, detail))
-        }
+        WriteAnswer::UnknownName => Err(OperatorProblem::new(ProblemReason::UnknownName, unknown)),
     }
 }
 
@@ -303,7 +306,7 @@
     let parsed = serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
         let path = error.path().to_string();
         let detail = if matches!(path.as_str(), "." | "?") {
-            error.to_string()
+            error.inner().to_string()
         } else {
             format!("{path}: {}", error.inner())
         };
--- a/telemetry/src/lib.rs
+++ b/telemetry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Logs and metrics, the same in every process.
 //!
-//! A log line is one event: key=value pairs, of which `ts`, `level` and `event` always stand first.
+//! A log line is one event: key=value pairs, of which `ts`, `level`, `at` (the
+//! VM or process that wrote it) and `event` always stand first.
 //! The names of all events stand in one table, [`EventName`], so that none is spelled in two ways and
 //! docs/METRICS.md lists them all.
 //!
@@ -40,7 +41,7 @@
     AppendResult, ClaimResult, EvictionReason, LoadResult, OrderKind, OrderResult, PublishResult,
     RetryReason, SlotState, StreamName, TrafficKind,
 };
-pub use logging::{LogError, LogLevel, LogSettings, start_logs};
+pub use logging::{LogError, LogLevel, LogSettings, name_process, start_logs};
 pub use metric::{MetricSet, MetricSettings, RequestMetrics};
 pub use process::{ProcessFigures, process_figures};
 pub use reference::metrics_page;
--- a/telemetry/src/logging.rs
+++ b/telemetry/src/logging.rs
@@ -1,6 +1,7 @@
 //! Where log lines go.
 
 use std::fmt::Arguments;
+use std::sync::OnceLock;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use coltsfoothook_settings::{settings_choice, settings_struct};
@@ -54,6 +55,16 @@
     }
 }
 
+/// The name of the VM or process, once [`name_process`] has set it.
+static PROCESS_NAME: OnceLock<String> = OnceLock::new();
+
+/// Puts `at=NAME` into each line of this process, so that lines collected from many VMs tell where
+/// they were written; fields such as `vm` may speak of another VM. The first name stays.
+pub fn name_process(name: &str) {
+    // A second name would make one process look like two.
+    let _ = PROCESS_NAME.set(name.to_owned());
+}
+
 /// Sends the log of the process to standard error.
 ///
 /// # Errors
@@ -64,7 +75,8 @@
         .level(settings.libraries.to_filter())
         .level_for(EVENT_TARGET, settings.level.to_filter())
         .format(|out, message, record| {
-            let line = log_line(SystemTime::now(), record, message);
+            let name = PROCESS_NAME.get().map(String::as_str);
+            let line = log_line(SystemTime::now(), name, record, message);
             out.finish(format_args!("{line}"));
         })
         .chain(std::io::stderr());
@@ -72,9 +84,16 @@
 }
 
 /// A whole line; a library's message is put into a field of its own.
-fn log_line(now: SystemTime, record: &log::Record<'_>, message: &Arguments<'_>) -> String {
+fn log_line(
+    now: SystemTime,
+    name: Option<&str>,
+    record: &log::Record<'_>,
+    message: &Arguments<'_>,
+) -> String {
     let since_epoch = now.duration_since(UNIX_EPOCH).unwrap_or_default();
-    let start = format!("ts={} level={}", timestamp(since_epoch), level_name(record.level()));
+    let (time, level) = (timestamp(since_epoch), level_name(record.level()));
+    let at = name.map(|name| format!(" at={name}")).unwrap_or_default();
+    let start = format!("ts={time} level={level}{at}");
     if record.target() == EVENT_TARGET {
         return format!("{start} {message}");
     }
@@ -151,8 +170,8 @@
         let message = format_args!("two\nlines");
         let record = log::Record::builder().target("hyper").level(log::Level::Warn).build();
         assert_eq!(
-            log_line(UNIX_EPOCH, &record, &message),
-            r#"ts=1970-01-01T00:00:00.000Z level=warn event=library_message target=hyper message="two\nlines""#
+            log_line(UNIX_EPOCH, Some("nbo-1"), &record, &message),
+            r#"ts=1970-01-01T00:00:00.000Z level=warn at=nbo-1 event=library_message target=hyper message="two\nlines""#
         );
     }
 }
--- a/telemetry/src/reference.rs
+++ b/telemetry/src/reference.rs
@@ -31,8 +31,8 @@
     }
     page.push_str(
         "\n## Log events\n\n\
-         A log line is one event: `ts=… level=… event=…` and then further `key=value` pairs. A value \
-         with blanks, quotes or control characters is quoted.\n\n\
+         A log line is one event: `ts=… level=… at=… event=…` and then further `key=value` pairs; `at` is \
+         the VM or process that wrote it. A value with blanks, quotes or control characters is quoted.\n\n\
          | event | level | meaning |\n|---|---|---|\n",
     );
     for event in EventName::ALL {
