--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -19,6 +19,7 @@
 use crate::batch::{EngineState, StepPlan};
 use crate::count::EngineCounters;
 use crate::event::log_event;
+use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
 use crate::tally::TallyEntry;
@@ -225,7 +226,7 @@
     /// What happened so far.
     #[must_use]
     pub fn counters(&self) -> EngineCounters {
-        self.shared.lock().counters
+        self.shared.counters()
     }
 
     /// How often runs with each idempotency key began, sorted by key. Doubles may also lie in two
@@ -268,6 +269,10 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn counters(&self) -> EngineCounters {
+        self.lock().counters
+    }
+
     pub(crate) fn extra(&self) -> MutexGuard<'_, EngineExtra> {
         self.extra.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -312,7 +317,7 @@
     ) -> Result<Reply, Refusal> {
         match (request.method().as_str(), action) {
             ("GET", "faults") => Ok(reply::ok(&self.extra().faults)),
-            ("GET", "counters") => Ok(reply::ok(&self.lock().counters)),
+            ("GET", "counters") => Ok(reply::ok(&self.counters())),
             ("GET", "keys") => Ok(reply::ok(&self.lock().keys.entries())),
             ("POST", "faults") => {
                 let faults: EngineFaults = reply::read_json(request, SMALL_BODY).await?;
@@ -361,6 +366,7 @@
             (&Method::GET, ["v1", "kv", id]) => engine.handle_export(id),
             (&Method::PUT, ["v1", "kv", id]) => engine.handle_import(request, id).await,
             (&Method::GET, ["health"]) => Ok(reply::ok(&"ok")),
+            (&Method::GET, ["metrics"]) => metrics("engine", &engine.counters()),
             (_, ["standin", action]) => engine.handle_admin(request, action).await,
             _ => Err(reply::no_endpoint()),
         };
--- /dev/null
+++ b/standin/src/metric.rs
@@ -0,0 +1,45 @@
+//! Counters of a stand-in in the text format of Prometheus.
+
+use coltsfoothook_telemetry::process_figures;
+use http::StatusCode;
+use prometheus::{Gauge, IntCounter, Registry, TextEncoder};
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::reply::{self, Refusal, Reply};
+
+const TEXT_FORMAT: &str = "text/plain; version=0.0.4";
+
+/// Answers with `counters`, whose fields are numbers, and with the memory and processor time of the
+/// process, which other stand-ins may share.
+pub(crate) fn metrics(server: &str, counters: &impl Serialize) -> Result<Reply, Refusal> {
+    let fields = match serde_json::to_value(counters) {
+        Ok(Value::Object(fields)) => fields,
+        _ => Map::new(),
+    };
+    let text = encode(server, &fields).map_err(|error| {
+        reply::refusal(StatusCode::INTERNAL_SERVER_ERROR, "metrics", &error.to_string())
+    })?;
+    Ok(reply::whole(StatusCode::OK, TEXT_FORMAT, text.into_bytes()))
+}
+
+fn encode(server: &str, fields: &Map<String, Value>) -> prometheus::Result<String> {
+    let registry = Registry::new();
+    for (name, value) in fields {
+        let full_name = format!("coltsfoothook_standin_{server}_{name}_total");
+        let help = format!("See {name} in docs/STANDINS.md");
+        let counter = IntCounter::new(full_name, help)?;
+        counter.inc_by(value.as_u64().unwrap_or_default());
+        registry.register(Box::new(counter))?;
+    }
+    let figures = process_figures();
+    for (name, help, value) in [
+        ("process_resident_memory_bytes", "Resident memory.", figures.resident_bytes as f64),
+        ("process_cpu_seconds_total", "Processor time.", figures.cpu_seconds),
+    ] {
+        let gauge = Gauge::new(name, help)?;
+        gauge.set(value);
+        registry.register(Box::new(gauge))?;
+    }
+    TextEncoder::new().encode_to_string(&registry.gather())
+}
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use crate::event::log_event;
+use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
 use crate::streams::{LogStreams, PageLimit, ReadResult, StreamLimits};
@@ -187,7 +188,7 @@
     /// What happened so far.
     #[must_use]
     pub fn counters(&self) -> PlatformCounters {
-        self.shared.lock().counters
+        self.shared.counters()
     }
 
     /// Changes the list of VMs; the change shows after the list's lag.
@@ -236,6 +237,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn counters(&self) -> PlatformCounters {
+        self.lock().counters
+    }
+
     fn set_faults(&self, faults: PlatformFaults) {
         log_event("faults_set", "platform", &faults);
         self.lock().faults = faults;
@@ -399,7 +404,7 @@
     ) -> Result<Reply, Refusal> {
         match (request.method().as_str(), action) {
             ("GET", "faults") => Ok(reply::ok(&self.lock().faults)),
-            ("GET", "counters") => Ok(reply::ok(&self.lock().counters)),
+            ("GET", "counters") => Ok(reply::ok(&self.counters())),
             ("POST", "faults") => {
                 let faults: PlatformFaults = reply::read_json(request, SMALL_BODY).await?;
                 self.set_faults(faults.clone());
@@ -429,6 +434,7 @@
                 self.handle_log(request, stream.to_owned()).await
             }
             ["v1", "vms"] if request.method() == Method::GET => self.handle_list().await,
+            ["metrics"] => Ok(reply::either(metrics("log", &self.counters()))),
             ["standin", action] => Ok(reply::either(self.handle_admin(request, action).await)),
             _ => Ok(reply::no_endpoint().into()),
         }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::event::log_event;
+use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
 use crate::tally::{BoundedTally, TallyEntry};
@@ -149,7 +150,7 @@
     /// What happened so far.
     #[must_use]
     pub fn counters(&self) -> ServiceCounters {
-        self.shared.lock().counters
+        self.shared.counters()
     }
 
     /// How many tickets were made for each id, sorted by id. Doubles may also lie in two services,
@@ -180,6 +181,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn counters(&self) -> ServiceCounters {
+        self.lock().counters
+    }
+
     fn set_faults(&self, faults: ServiceFaults) {
         log_event("faults_set", "service", &faults);
         self.lock().faults = faults;
@@ -266,7 +271,7 @@
     ) -> Result<Reply, Refusal> {
         match (request.method().as_str(), action) {
             ("GET", "faults") => Ok(reply::ok(&self.lock().faults)),
-            ("GET", "counters") => Ok(reply::ok(&self.lock().counters)),
+            ("GET", "counters") => Ok(reply::ok(&self.counters())),
             ("POST", "faults") => {
                 let limit = self.settings.max_body_bytes;
                 let faults: ServiceFaults = reply::read_json(request, limit).await?;
@@ -285,6 +290,7 @@
         match reply::segments(&path)[..] {
             ["standin", action] => Ok(reply::either(self.handle_admin(request, action).await)),
             ["health"] => Ok(reply::ok(&"ok")),
+            ["metrics"] => Ok(reply::either(metrics("service", &self.counters()))),
             _ => self.handle_call(request).await,
         }
     }
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::event::log_event;
+use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
 
@@ -131,7 +132,7 @@
     /// What happened so far.
     #[must_use]
     pub fn counters(&self) -> StoreCounters {
-        self.shared.lock().counters
+        self.shared.counters()
     }
 
     /// Refuses connections for `time`.
@@ -150,6 +151,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn counters(&self) -> StoreCounters {
+        self.lock().counters
+    }
+
     fn set_faults(&self, faults: StoreFaults) {
         log_event("faults_set", "store", &faults);
         self.lock().faults = faults;
@@ -234,9 +239,9 @@
             let elapsed_us = (now - before).as_micros() as f64;
             before = now;
             let mut state = self.lock();
-            let share = f64::from(self.settings.full_speed) / state.active.len().max(1) as f64;
             let slow = f64::from(state.faults.slow_factor.max(1));
-            let progress = elapsed_us * share.min(1.0) / slow;
+            let share = speed_share(state.active.len(), self.settings.full_speed);
+            let progress = elapsed_us * share / slow;
             for load in &mut state.active {
                 load.left_us -= progress;
             }
@@ -258,7 +263,7 @@
     ) -> Result<Reply, Refusal> {
         match (request.method().as_str(), action) {
             ("GET", "faults") => Ok(reply::ok(&self.lock().faults)),
-            ("GET", "counters") => Ok(reply::ok(&self.lock().counters)),
+            ("GET", "counters") => Ok(reply::ok(&self.counters())),
             ("POST", "faults") => {
                 let faults: StoreFaults = reply::read_json(request, SMALL_BODY).await?;
                 self.set_faults(faults.clone());
@@ -269,6 +274,11 @@
     }
 }
 
+/// The share of the full speed that each of `active` loads gets.
+fn speed_share(active: usize, full_speed: u32) -> f64 {
+    (f64::from(full_speed) / active.max(1) as f64).min(1.0)
+}
+
 /// The HTTP face, which needs the store's reference count for its task.
 struct StoreFace(Arc<StoreServer>);
 
@@ -278,9 +288,20 @@
         let path = request.uri().path().to_owned();
         let result = match reply::segments(&path)[..] {
             ["v1", "weights"] if request.method() == Method::POST => self.0.fetch(request).await,
+            ["metrics"] => metrics("store", &self.0.counters()),
             ["standin", action] => self.0.handle_admin(request, action).await,
             _ => Err(reply::no_endpoint()),
         };
         Ok(reply::either(result))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn more_slow_all_down() {
+        assert_eq!([0, 1, 2, 4].map(|active| speed_share(active, 2)), [1.0, 1.0, 1.0, 0.5]);
+    }
+}
--- a/standin/tests/suite/run_order.rs
+++ b/standin/tests/suite/run_order.rs
@@ -38,6 +38,23 @@
     engine.shutdown().await;
 }
 
+/// The engine is stopped while a stream runs and another request waits: both get their whole
+/// answers, and nobody new gets in.
+#[tokio::test]
+async fn graceful_stop() {
+    let settings = EngineServerSettings { batch_slots: 1, ..Default::default() };
+    let (engine, client) = loaded_engine(settings).await;
+    let address = engine.address();
+    let first = client.run(address, run_call("first", 100, true)).await.unwrap();
+    let second = client.run(address, run_call("second", 100, true)).await.unwrap();
+    let (first, second, ()) = tokio::join!(read_text(first), read_text(second), engine.shutdown());
+    for (text, end) in [first, second] {
+        assert_eq!((end, read_answer(&text).unwrap().tokens), (Ok(()), 100));
+    }
+    let error = client.run(address, run_call("third", 1, true)).await.unwrap_err();
+    assert!(error.certainly_not_run(), "{error:?}");
+}
+
 /// A cancelled run stops, frees its slot, and is cancelled again without an error.
 #[tokio::test]
 async fn cancelled() {
