Callers' face takes bursts of connections

Cause: the library listens with a backlog of 128; in a burst the kernel drops further connections and a caller tries again after a second. Change: the face listens with a backlog of 4096. The new test opens 300 connections that nobody accepts: it fails with 128 and passes with 4096.

--- a/caller/src/server.rs
+++ b/caller/src/server.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::{ResultExt, Snafu};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_rustls::TlsAcceptor;
@@ -28,6 +28,8 @@
 use crate::handler::CallHandler;
 use crate::settings::CallerSettings;
 
+/// Connections that may wait to be accepted; the kernel may allow fewer.
+const LISTEN_BACKLOG: u32 = 4_096;
 /// How long the listener rests when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// The least bound for a request's head that the HTTP library takes.
@@ -119,10 +121,16 @@
     }
 }
 
+/// Listens with room for a burst of callers. The library's own bound is 128 connections that wait to
+/// be accepted; the kernel drops those beyond it, and a caller tries again only after a second.
 fn bind(listen: SocketAddr) -> std::io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(listen)?;
-    listener.set_nonblocking(true)?;
-    TcpListener::from_std(listener)
+    let socket = match listen {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(listen)?;
+    socket.listen(LISTEN_BACKLOG)
 }
 
 async fn accept_callers(listener: TcpListener, shared: Arc<ServerParts>) {
@@ -208,3 +216,22 @@
         log::warn!("event=caller_refused reason={reason:?} from={from}");
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Hundreds of callers connect at once while the process is busy and accepts nothing. None of
+    /// them may have to try again; with the library's bound the 130th would.
+    #[tokio::test]
+    async fn burst_of_callers() {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let address = listener.local_addr().unwrap();
+        let connect = |_| {
+            let within = Duration::from_secs(1);
+            std::net::TcpStream::connect_timeout(&address, within).unwrap()
+        };
+        let callers: Vec<_> = (0..300).map(connect).collect();
+        assert_eq!(callers.len(), 300);
+    }
+}
