Demonstration: mixed load, restart, change of configuration, VMs that leave

Cause: the whole path needs a show that a newcomer can run, and that checks the promises from the callers' side. Change: callers with skewed load, tickets and audit jobs against a local site; the run restarts an engine, publishes new versions, and stops two VMs, one of them the owner of the engines. Two faults that it showed are mended: a shard that was taken over went on ordering evictions, which its successor saw as lost slots (ten in three seconds); and engines that check fencing numbers did not know the new owner's before its first order, so they would have obeyed the old one. An ended shard does nothing now, and a new owner raises the fence before it learns an engine's slots.

--- a/demo/src/client.rs
+++ b/demo/src/client.rs
@@ -159,6 +159,11 @@
         self.address
     }
 
+    /// Whether it calls `address` with `credential`.
+    pub(crate) fn is_for(&self, address: SocketAddr, credential: &str) -> bool {
+        self.address == address && self.credential == credential
+    }
+
     /// Publishes a whole manifest.
     ///
     /// # Errors
@@ -199,6 +204,19 @@
             .map_err(|error| SiteFailure::Unreadable { detail: error.to_string() })
     }
 
+    /// Reads text, such as metrics.
+    ///
+    /// # Errors
+    ///
+    /// See [`SiteFailure`].
+    pub async fn text(&self, path: &str) -> Result<String, SiteFailure> {
+        let answer = self.send(self.request(Method::GET, path, None)).await?;
+        let body = answer.body.collect(ANSWER_BYTES).await;
+        let body = body.map_err(|source| SiteFailure::Exchange { source })?;
+        String::from_utf8(body.to_vec())
+            .map_err(|error| SiteFailure::Unreadable { detail: error.to_string() })
+    }
+
     /// Runs a completion and reads its whole answer.
     ///
     /// # Errors
--- a/demo/src/lib.rs
+++ b/demo/src/lib.rs
@@ -16,10 +16,14 @@
 //! ```
 
 mod client;
+mod show;
 mod site;
+mod traffic;
 
 pub use client::{CompletionAsk, CompletionRead, SiteClient, SiteFailure};
+pub use show::{DemoFailure, DemoOptions, DemoReport, run_demo};
 pub use site::{
     FIRST_VERSION, LocalSite, MODEL, OPERATOR_TOKEN, REGION, SERVICE, SiteError, SiteSettings,
     adapter_name, credential, tenant_name, version_entry, vm_name,
 };
+pub use traffic::{KnownEntries, SiteTraffic, TrafficCounts, TrafficSettings, TrafficTimes};
--- a/entry/src/own.rs
+++ b/entry/src/own.rs
@@ -70,7 +70,14 @@
 
 impl OwnerShard {
     /// Hands an event to the owner and carries out what it wants.
+    ///
+    /// A shard that has ended does nothing more. Events still come in, such as the end of an order
+    /// or a request that is withdrawn; a deposed owner that answered them with further orders would
+    /// evict slots that its successor has granted.
     pub(crate) fn drive(self: &Arc<Self>, core: &Arc<EntryCore>, event: OwnerEvent) {
+        if self.ended.is_cancelled() {
+            return;
+        }
         let mut others = Vec::new();
         {
             let mut state = lock(&self.state);
@@ -199,7 +206,7 @@
             OwnerAction::SendOrder { number, server, incarnation: _, epoch, order } => {
                 let (core, shard) = (Arc::clone(core), Arc::clone(self));
                 tokio::spawn(async move {
-                    let result = send_order(&core, server.as_str(), epoch, &order).await;
+                    let result = send_order(&core, &shard, server.as_str(), epoch, &order).await;
                     shard.drive(&core, OwnerEvent::OrderDone { number, result });
                 });
             }
@@ -476,7 +483,8 @@
 }
 
 async fn send_order(
-    core: &EntryCore,
+    core: &Arc<EntryCore>,
+    shard: &Arc<OwnerShard>,
     server: &str,
     fencing: OwnerEpoch,
     order: &EngineOrder,
@@ -495,6 +503,11 @@
         }
     };
     let result = order_result(&sent);
+    if matches!(sent, Err(OrderError::OrderNotSent { .. })) {
+        // An engine that refuses connections is down; waiting for its next reports to fail would
+        // send it one load after another.
+        shard.drive(core, OwnerEvent::ReportFailed { server: server.into() });
+    }
     if let Err(error) = sent {
         if result == OrderResult::Stale {
             event!(OrderRefused, server = server, epoch = fencing);
--- a/entry/src/reserve.rs
+++ b/entry/src/reserve.rs
@@ -27,8 +27,9 @@
 const OWNER_PAUSE: Duration = Duration::from_millis(50);
 /// The longest wait at an owner for a request without a deadline.
 const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
-/// What is left of a request's time when it is asked for in another VM, for the way back.
-const WAY_BACK: Duration = Duration::from_millis(20);
+/// How much longer than its deadline a question to an owner may take: the owner refuses a request
+/// whose deadline passes, and its word tells that the request did not run.
+const WAY_BACK: Duration = Duration::from_millis(250);
 const WITHDRAW_WITHIN: Duration = Duration::from_secs(2);
 /// Numbers of grants without an owner begin here, where no owner counts to.
 const OWNERLESS_NUMBERS: u64 = 1 << 62;
--- a/entry/src/watch.rs
+++ b/entry/src/watch.rs
@@ -1,13 +1,15 @@
 //! Timers of an owned group: reports of its engines, ticks, schedules and what the owner must know
 //! of VMs and of the log.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfoothook_decision::id::{ServerName, VmName};
+use coltsfoothook_decision::id::{ServerName, SlotName, VmName};
 use coltsfoothook_decision::manifest::ScheduleEntry;
 use coltsfoothook_decision::member::MemberState;
 use coltsfoothook_decision::owner::OwnerEvent;
+use coltsfoothook_engine::UnloadOrder;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::clock::wall_ms;
@@ -20,6 +22,8 @@
 const VIEW_TICKS: u32 = 10;
 /// Every so many ticks the schedules are looked through.
 const SCHEDULE_TICKS: u32 = 80;
+/// The pause before a fence that was not raised is tried again.
+const FENCE_PAUSE: Duration = Duration::from_millis(50);
 const MILLIS_PER_SECOND: u64 = 1_000;
 /// Schedules are told to the owner so long before their lead begins.
 const SCHEDULE_AHEAD_MS: u64 = 10_000;
@@ -82,14 +86,23 @@
 
 async fn watch_engine(core: Arc<EntryCore>, shard: Arc<OwnerShard>, server: ServerName) {
     let period = Duration::from_millis(core.settings.report_ms);
+    let mut fenced = None;
     while !shard.ended.is_cancelled() {
         let asked = Instant::now();
         let view = core.view();
-        let Some((entry, _)) = view.engine(server.as_str()) else { return };
+        let Some((entry, engine)) = view.engine(server.as_str()) else { return };
         if !shard.engines().contains(&server) {
             return;
         }
-        let event = match core.clients.engines.report(entry.address).await {
+        let report = core.clients.engines.report(entry.address).await;
+        let life = report.as_ref().ok().map(|report| report.incarnation);
+        if engine.checks_fencing && life.is_some() && fenced != life {
+            if raise_fence(&core, &shard, entry.address).await {
+                fenced = life;
+            }
+            continue;
+        }
+        let event = match report {
             Ok(report) => OwnerEvent::Report { server: server.clone(), report },
             Err(_) => OwnerEvent::ReportFailed { server: server.clone() },
         };
@@ -101,6 +114,21 @@
     }
 }
 
+/// Makes an engine that checks fencing numbers know this owner's, by an order that changes nothing.
+///
+/// Until the engine has seen the number it obeys a deposed owner that does not know yet that it is
+/// one, and would evict slots that this owner has granted. The owner learns of an engine's slots
+/// only by its reports, so it grants none of them before the engine is fenced.
+async fn raise_fence(core: &EntryCore, shard: &OwnerShard, address: SocketAddr) -> bool {
+    let slot = SlotName(format!("fence#{}", shard.epoch));
+    let order = UnloadOrder { slot, fencing: shard.epoch };
+    let raised = core.clients.engines.unload(address, &order).await;
+    if raised.is_err() {
+        sleep(FENCE_PAUSE).await;
+    }
+    raised.is_ok()
+}
+
 fn tell_schedules(core: &Arc<EntryCore>, shard: &Arc<OwnerShard>) {
     let view = core.view();
     let region = core.settings.region.as_str();
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -7,7 +7,6 @@
 mod baseline;
 mod compare;
 mod decide;
-mod fleet;
 mod model;
 mod ours;
 
