Tests that each safeguard of faces and keys can fail

Cause: with 14 safeguards broken on purpose, one at a time, four went unnoticed: waiting for streams at close, capitals in VM names, and TLS resumption at either end between VMs.

Change: the close test pauses for longer than connections without a request are left; a VM begins under its name in capitals; a thief with a stolen key resumes its session after the authority was replaced, as client and as server.

--- a/caller/tests/suite/cut_stream.rs
+++ b/caller/tests/suite/cut_stream.rs
@@ -27,6 +27,7 @@
     parts.send(Ok(Bytes::from_static(b"data: {\"t\":1}\n\n"))).expect("send");
     parts.send(Err(lost())).expect("send");
     parts.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).expect("send");
+    drop(parts);
     let answer = call(server.address(), "POST", "/v1/completions", BODY).await;
     assert_eq!(answer.header("content-type"), Some("text/event-stream"));
     expect![[r#"
--- a/caller/tests/suite/graceful_close.rs
+++ b/caller/tests/suite/graceful_close.rs
@@ -11,7 +11,8 @@
 use crate::fake::{FakeHandler, Script, reaches, start};
 
 /// The VM is told to stop while a caller reads a stream. Closing must wait for the stream's end; a
-/// server that only waits for handlers would return when the status line is out and cut the rest.
+/// server that only waits for handlers would return when the status line is out and cut the rest. The
+/// pause is longer than the time that closing leaves to connections without a request.
 #[tokio::test]
 async fn waits_for_stream() {
     let (parts, script) = mpsc::unbounded_channel();
@@ -25,7 +26,7 @@
     parts.send(Ok(Bytes::from_static(b"data: 1\n\n"))).expect("send");
     reaches(&handler.begun, 1).await;
     let mut closing = tokio::spawn(server.close());
-    let early = tokio::time::timeout(Duration::from_millis(100), &mut closing).await;
+    let early = tokio::time::timeout(Duration::from_millis(600), &mut closing).await;
     assert!(early.is_err(), "closing waits");
     parts.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).expect("send");
     drop(parts);
--- a/keys/tests/suite/replaced_keys.rs
+++ b/keys/tests/suite/replaced_keys.rs
@@ -4,8 +4,9 @@
 
 use coltsfoothook_keys::testing::{TestAuthority, TestDirectory};
 use coltsfoothook_keys::{KeyFiles, TlsKeys, trusting_client};
-use rustls::{ClientConfig, ServerConfig};
-use rustls_pki_types::{CertificateDer, ServerName};
+use rustls::{ClientConfig, RootCertStore, ServerConfig};
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
 use tokio_rustls::{TlsAcceptor, TlsConnector};
 
@@ -89,6 +90,59 @@
     assert!(shake(&server, &client, "nbo-1").await.is_some());
 }
 
+/// Parses the files of a VM for a configuration that is not ours.
+fn parse(
+    files: &KeyFiles,
+) -> (RootCertStore, Vec<CertificateDer<'static>>, PrivateKeyDer<'static>) {
+    let mut roots = RootCertStore::empty();
+    let authority = files.authority.as_ref().expect("a file");
+    roots.add(CertificateDer::from_pem_file(authority).expect("a certificate")).expect("a root");
+    let chain = CertificateDer::pem_file_iter(&files.chain).expect("a file");
+    let chain = chain.collect::<Result<_, _>>().expect("certificates");
+    (roots, chain, PrivateKeyDer::from_pem_file(&files.key).expect("a key"))
+}
+
+/// A VM with a stolen key connects with a program of its own, which keeps its TLS session. After the
+/// authority was replaced it resumes the session, which would skip the check of its certificate.
+#[tokio::test]
+async fn thief_resumes_as_client() {
+    let directory = TestDirectory::new("thief_resumes_as_client");
+    let (old, new) = (TestAuthority::new(), TestAuthority::new());
+    let keys = TlsKeys::load(old.write(directory.path(), "nbo-1")).expect("keys");
+    let server = keys.mutual_server().expect("a configuration");
+    let (mut roots, chain, key) = parse(&old.write(directory.path(), "nbo-2"));
+    let added = CertificateDer::from_pem_slice(new.pem().as_bytes()).expect("a certificate");
+    roots.add(added).expect("a root");
+    let provider = Arc::new(rustls::crypto::aws_lc_rs::default_provider());
+    let builder = ClientConfig::builder_with_provider(provider);
+    let builder = builder.with_safe_default_protocol_versions().expect("versions");
+    let thief = builder.with_root_certificates(roots).with_client_auth_cert(chain, key);
+    let thief = Arc::new(thief.expect("a configuration"));
+    assert!(shake(&server, &thief, "nbo-1").await.is_some());
+    let _ = new.write(directory.path(), "nbo-1");
+    assert!(keys.reload().expect("read"));
+    assert!(shake(&server, &thief, "nbo-1").await.is_none());
+}
+
+/// The same the other way round: the thief answers at the address of the VM whose key it has.
+#[tokio::test]
+async fn thief_resumes_as_server() {
+    let directory = TestDirectory::new("thief_resumes_as_server");
+    let (old, new) = (TestAuthority::new(), TestAuthority::new());
+    let keys = TlsKeys::load(old.write(directory.path(), "nbo-1")).expect("keys");
+    let client = keys.mutual_client().expect("a configuration");
+    let (_, chain, key) = parse(&old.write(directory.path(), "nbo-2"));
+    let provider = Arc::new(rustls::crypto::aws_lc_rs::default_provider());
+    let builder = ServerConfig::builder_with_provider(provider);
+    let builder = builder.with_safe_default_protocol_versions().expect("versions");
+    let thief = builder.with_no_client_auth().with_single_cert(chain, key);
+    let thief = Arc::new(thief.expect("a configuration"));
+    assert!(shake(&thief, &client, "nbo-2").await.is_some());
+    let _ = new.write(directory.path(), "nbo-1");
+    assert!(keys.reload().expect("read"));
+    assert!(shake(&thief, &client, "nbo-2").await.is_none());
+}
+
 /// A stranger with a certificate of its own authority, or with none, gets no answer.
 #[tokio::test]
 async fn stranger_refused() {
--- a/peer/tests/suite/forged_names.rs
+++ b/peer/tests/suite/forged_names.rs
@@ -50,6 +50,20 @@
     assert!(pool.reserve(&target, reserve_call("a", 1), LONG).await.is_ok());
 }
 
+/// DNS names match whatever the case. If VM `a` could begin as `A`, two VMs would stand for one
+/// certificate, and grants held under one name would be missing under the other.
+#[tokio::test]
+async fn capital_first() {
+    let directory = TestDirectory::new("capital_first");
+    let authority = TestAuthority::new();
+    let server = server(&authority.write(directory.path(), "b"), FakeVm::new("b", 1));
+    let pool = pool(&authority.write(directory.path(), "a"));
+    let target = target(&server, "b");
+    assert!(pool.reserve(&target, reserve_call("A", 1), LONG).await.is_err());
+    assert_eq!(server.counters().forged_names(), 1);
+    assert!(pool.reserve(&target, reserve_call("a", 1), LONG).await.is_ok());
+}
+
 /// A VM was replaced, and another one has its address now. The call must not reach the wrong one.
 #[tokio::test]
 async fn another_vm_at_address() {
