--- a/load/src/soak.rs
+++ b/load/src/soak.rs
@@ -19,7 +19,8 @@
     #[bpaf(argument("E"), fallback(30_000))]
     pub(crate) events: u64,
     /// Breaks a safeguard on purpose, to show that the checks notice: held-unasked, claim-unread,
-    /// issued-reused, intent-unread, grant-late, old-epoch-used or revoke-unasked.
+    /// issued-reused, intent-unread, grant-late, old-epoch-used,
+    /// revoke-unasked or fence-untold.
     #[bpaf(argument("SAFEGUARD"), fallback(BrokenSafeguard::None))]
     pub(crate) broken: BrokenSafeguard,
     /// Print one JSON line.
--- a/load/src/vm.rs
+++ b/load/src/vm.rs
@@ -17,6 +17,7 @@
 use coltsfoothook_decision::invariant::InvariantLog;
 use coltsfoothook_decision::job::{JobFold, JobRunner, JobSettings};
 use coltsfoothook_decision::limit::{RetryBudget, RetrySettings};
+use coltsfoothook_decision::manifest::ServerKind;
 use coltsfoothook_decision::member::{
     ListedVm, MemberAction, MemberEvent, MemberFacts, MemberPlace, MemberSettings, MemberState,
     MemberTable, ProbeMessage, ProbeReply,
@@ -65,11 +66,13 @@
     OldEpochUsed,
     /// A resend to another VM runs there without asking the issuer.
     RevokeUnasked,
+    /// A new owner does not tell engines that check fencing numbers of its epoch.
+    FenceUntold,
 }
 
 impl BrokenSafeguard {
     /// All of them, with their names on the command line.
-    pub const ALL: [(Self, &'static str); 8] = [
+    pub const ALL: [(Self, &'static str); 9] = [
         (Self::None, "none"),
         (Self::HeldUnasked, "held-unasked"),
         (Self::ClaimUnread, "claim-unread"),
@@ -78,6 +81,7 @@
         (Self::GrantLate, "grant-late"),
         (Self::OldEpochUsed, "old-epoch-used"),
         (Self::RevokeUnasked, "revoke-unasked"),
+        (Self::FenceUntold, "fence-untold"),
     ];
 }
 
@@ -153,8 +157,8 @@
         number: u64,
         /// The engine and its life.
         server: ServerName,
-        /// The engine's life.
-        incarnation: ServerIncarnation,
+        /// The engine's life; none for an order to any.
+        incarnation: Option<ServerIncarnation>,
         /// The order.
         order: EngineOrder,
     },
@@ -276,8 +280,13 @@
     pub group: GroupName,
     /// Its owner's state.
     pub owner: GroupOwner,
+    /// Engines that check fencing numbers and know this epoch.
+    pub fenced: Vec<ServerName>,
 }
 
+/// The number of the order that only tells an engine the epoch.
+const FENCE_ORDER: u64 = u64::MAX;
+
 /// One life of an entry VM.
 pub struct SoakVm {
     /// Who it is.
@@ -456,6 +465,7 @@
                 }
                 MemberAction::Changed(change) => {
                     if change.state == MemberState::Dead {
+                        self.drop_tickets(now, &change.vm.vm, rng, out);
                         let event = OwnerEvent::VmGone { vm: change.vm };
                         self.tell_owners(now, &event, rng, out);
                     }
@@ -464,6 +474,24 @@
         }
     }
 
+    /// The questions of a VM that is gone are withdrawn, as when its connection breaks.
+    fn drop_tickets(
+        &mut self,
+        now: TimePoint,
+        vm: &VmName,
+        rng: &mut dyn Rng,
+        out: &mut Vec<VmOutput>,
+    ) {
+        let (gone, kept) =
+            std::mem::take(&mut self.tickets).into_iter().partition(|ticket| ticket.1 == *vm);
+        self.tickets = kept;
+        let gone: Vec<(u64, VmName, u64, GroupName)> = gone;
+        for (ticket, _, _, group) in gone {
+            let epoch = self.control.epoch(group.as_str());
+            self.owner(now, &group, epoch, OwnerEvent::Withdraw { ticket }, rng, out);
+        }
+    }
+
     fn read_streams(&mut self, out: &mut Vec<VmOutput>) {
         for stream in LogStream::ALL {
             if !std::mem::replace(&mut self.reading[stream as usize], true) {
@@ -588,6 +616,7 @@
                 let event = OwnerEvent::ServerDraining { server, draining };
                 return self.tell_owners(now, &event, rng, out);
             }
+            ControlVerdict::Adopted => return self.tell_all_state(now, rng, out),
             _ => return,
         };
         let event = OwnerEvent::IntentRead { number: intent.number, valid };
@@ -647,7 +676,7 @@
             }
             let topology = self.groups.topology(&group, self.config.manifest());
             let owner = GroupOwner::new(OwnerSettings::default(), topology, owned.epoch, now);
-            self.owners.push(OwnedGroup { group: group.name.clone(), owner });
+            self.owners.push(OwnedGroup { group: group.name.clone(), owner, fenced: Vec::new() });
             let intents: Vec<_> = self.control.intents(group.name.as_str()).cloned().collect();
             for intent in intents.into_iter().filter(|intent| intent.epoch < owned.epoch) {
                 let event = OwnerEvent::OldIntent { server: intent.server, evict: intent.evict };
@@ -658,6 +687,14 @@
         }
     }
 
+    /// A state that was adopted whole brings no single events; owners are told all that it says.
+    fn tell_all_state(&mut self, now: TimePoint, rng: &mut dyn Rng, out: &mut Vec<VmOutput>) {
+        for group in self.groups.groups().to_vec() {
+            let epoch = self.control.epoch(group.name.as_str());
+            self.tell_state(now, &group, epoch, rng, out);
+        }
+    }
+
     /// Tells a new owner what the control stream said before it took over: it missed those events.
     fn tell_state(
         &mut self,
@@ -768,6 +805,7 @@
             }
             OwnerAction::SendOrder { number, server, incarnation, epoch, order } => {
                 let group = group.clone();
+                let incarnation = Some(incarnation);
                 out.push(VmOutput::Order { group, epoch, number, server, incarnation, order });
             }
             OwnerAction::AskHeld { vms } => self.ask_held(now, group, epoch, vms, rng, out),
@@ -868,15 +906,29 @@
             return;
         }
         self.reported = now;
-        for owner in &self.owners {
-            let group = &owner.group;
-            let servers = self.groups.find_group(group.as_str()).map(|group| group.servers.clone());
-            for server in servers.unwrap_or_default() {
-                out.push(VmOutput::Report(group.clone(), server));
+        for owned in &self.owners {
+            let listed = self.groups.find_group(owned.group.as_str());
+            let servers = listed.map(|group| group.servers.clone()).unwrap_or_default();
+            for server in servers {
+                match self.must_fence(owned, &server) {
+                    true => out.push(fence_order(owned, server)),
+                    false => out.push(VmOutput::Report(owned.group.clone(), server)),
+                }
             }
         }
     }
 
+    /// An engine that checks fencing numbers learns a new epoch only from an order. Until then a
+    /// deposed owner that was paused may still evict there, under the requests of the new owner;
+    /// so the new owner tells the engine its epoch before it takes any slot over.
+    fn must_fence(&self, owned: &OwnedGroup, server: &ServerName) -> bool {
+        let entry = self.config.manifest().server(server.as_str());
+        let kind = entry.map(|entry| &entry.serves);
+        let checks = matches!(kind, Some(ServerKind::Engine(engine)) if engine.checks_fencing);
+        let broken = self.broken == BrokenSafeguard::FenceUntold;
+        checks && !broken && !owned.fenced.contains(server)
+    }
+
     /// An engine's report came, or none did.
     pub fn report(
         &mut self,
@@ -899,6 +951,7 @@
     pub fn ordered(
         &mut self,
         now: TimePoint,
+        server: ServerName,
         group: &GroupName,
         epoch: OwnerEpoch,
         number: u64,
@@ -906,6 +959,13 @@
         rng: &mut dyn Rng,
         out: &mut Vec<VmOutput>,
     ) {
+        if number == FENCE_ORDER {
+            let owned = self.owners.iter_mut().find(|owned| owned.group == *group);
+            if let (OrderResult::Done, Some(owned)) = (result, owned) {
+                owned.fenced.push(server);
+            }
+            return;
+        }
         self.owner(now, group, epoch, OwnerEvent::OrderDone { number, result }, rng, out);
     }
 
@@ -966,6 +1026,7 @@
         }
         if reply.control.is_some_and(|state| self.control.adopt(state)) {
             self.sync_owners(now, rng, out);
+            self.tell_all_state(now, rng, out);
         }
     }
 
@@ -979,3 +1040,15 @@
 
 /// The only tenant of the soak.
 pub const TENANT: &str = "wanjiru";
+
+fn fence_order(owned: &OwnedGroup, server: ServerName) -> VmOutput {
+    let epoch = owned.owner.epoch();
+    VmOutput::Order {
+        group: owned.group.clone(),
+        epoch,
+        number: FENCE_ORDER,
+        server,
+        incarnation: None,
+        order: EngineOrder::Unload { slot: format!("none#{epoch}.0").into() },
+    }
+}
--- a/load/src/world.rs
+++ b/load/src/world.rs
@@ -104,7 +104,7 @@
     Peer(VmName, PeerMessage),
     Page(LogStream, Option<LogPage>),
     RunEnded(u64, RunEnd),
-    Ordered(GroupName, OwnerEpoch, u64, OrderResult),
+    Ordered(ServerName, GroupName, OwnerEpoch, u64, OrderResult),
     Report(GroupName, ServerName, Option<EngineReport>),
     Served(u64, RequestOutcome),
     Request(SoakRequest),
@@ -119,7 +119,7 @@
     group: GroupName,
     epoch: OwnerEpoch,
     number: u64,
-    incarnation: ServerIncarnation,
+    incarnation: Option<ServerIncarnation>,
     order: EngineOrder,
 }
 
@@ -436,8 +436,8 @@
             VmEvent::Peer(from, message) => vm.peer(now, from, message, rng, &mut out),
             VmEvent::Page(stream, page) => vm.page(now, stream, page, rng, &mut out),
             VmEvent::RunEnded(id, end) => vm.run_ended(now, id, end, rng, &mut out),
-            VmEvent::Ordered(group, epoch, number, result) => {
-                vm.ordered(now, &group, epoch, number, result, rng, &mut out);
+            VmEvent::Ordered(server, group, epoch, number, result) => {
+                vm.ordered(now, server, &group, epoch, number, result, rng, &mut out);
             }
             VmEvent::Report(group, server, report) => {
                 vm.report(now, &group, server, report, rng, &mut out);
@@ -573,7 +573,7 @@
 
     fn order_arrives(&mut self, call: OrderCall) {
         let engine = &mut self.engines[call.engine];
-        let gone = engine.incarnation != call.incarnation;
+        let gone = call.incarnation.is_some_and(|life| life != engine.incarnation);
         if gone || engine.fences(call.epoch) {
             let result = if gone { OrderResult::Failed } else { OrderResult::Stale };
             return self.tell_order(&call, result);
@@ -585,7 +585,8 @@
     }
 
     fn order_acts(&mut self, call: OrderCall) {
-        if self.engines[call.engine].incarnation != call.incarnation {
+        let life = self.engines[call.engine].incarnation;
+        if call.incarnation.is_some_and(|known| known != life) {
             return;
         }
         let load = matches!(call.order, EngineOrder::Load { .. });
@@ -593,7 +594,7 @@
             return self.tell_order(&call, OrderResult::Failed);
         }
         let (result, cut) = self.engines[call.engine].obey(&call.order);
-        self.result.unloads += u64::from(!load);
+        self.result.unloads += u64::from(!load && call.incarnation.is_some());
         if !cut.is_empty() {
             let detail = format!("{:?} by epoch {} cut runs {cut:?}", call.order, call.epoch);
             self.oracle.violate(self.now.0, "no_eviction_in_use", detail);
@@ -604,7 +605,9 @@
     }
 
     fn tell_order(&mut self, call: &OrderCall, result: OrderResult) {
-        let event = VmEvent::Ordered(call.group.clone(), call.epoch, call.number, result);
+        let server = self.engines[call.engine].name.clone();
+        let (group, epoch, number) = (call.group.clone(), call.epoch, call.number);
+        let event = VmEvent::Ordered(server, group, epoch, number, result);
         self.push_micros(800, WorldEvent::Vm(call.vm, call.life, event));
     }
 
