--- a/load/src/fake.rs
+++ b/load/src/fake.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogRecord {
     /// Of the configuration stream.
-    Config(ConfigRecord),
+    Config(Box<ConfigRecord>),
     /// Of the control stream.
     Control(ControlRecord),
     /// Of the claim stream.
--- a/load/src/vm.rs
+++ b/load/src/vm.rs
@@ -174,6 +174,21 @@
     InForce,
 }
 
+/// How an order ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrderEnd {
+    /// The engine.
+    pub server: ServerName,
+    /// The group of the owner that sent it.
+    pub group: GroupName,
+    /// The owner's epoch.
+    pub epoch: OwnerEpoch,
+    /// The order's number.
+    pub number: u64,
+    /// How it ended.
+    pub result: OrderResult,
+}
+
 /// What runs on an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunSubject {
@@ -565,11 +580,11 @@
     ) {
         match record {
             LogRecord::Config(record) => {
-                if let ConfigRecord::Snapshot { through, .. } = &record {
+                if let ConfigRecord::Snapshot { through, .. } = &*record {
                     self.snapshots[0].note(now, *through);
                 }
                 let before = self.config.version();
-                self.config.fold(offset, record);
+                self.config.fold(offset, *record);
                 if self.config.version() != before {
                     self.config_changed(now, rng, out);
                 }
@@ -951,22 +966,19 @@
     pub fn ordered(
         &mut self,
         now: TimePoint,
-        server: ServerName,
-        group: &GroupName,
-        epoch: OwnerEpoch,
-        number: u64,
-        result: OrderResult,
+        end: OrderEnd,
         rng: &mut dyn Rng,
         out: &mut Vec<VmOutput>,
     ) {
+        let OrderEnd { server, group, epoch, number, result } = end;
         if number == FENCE_ORDER {
-            let owned = self.owners.iter_mut().find(|owned| owned.group == *group);
+            let owned = self.owners.iter_mut().find(|owned| owned.group == group);
             if let (OrderResult::Done, Some(owned)) = (result, owned) {
                 owned.fenced.push(server);
             }
             return;
         }
-        self.owner(now, group, epoch, OwnerEvent::OrderDone { number, result }, rng, out);
+        self.owner(now, &group, epoch, OwnerEvent::OrderDone { number, result }, rng, out);
     }
 
     fn plan_records(&mut self, now: TimePoint, out: &mut Vec<VmOutput>) {
@@ -983,7 +995,8 @@
             out.push(VmOutput::Append(LogRecord::Control(record)));
         }
         if self.snapshots[0].due(now, self.config.next(), &self.members) {
-            out.extend(self.config.snapshot().map(LogRecord::Config).map(VmOutput::Append));
+            let record = self.config.snapshot().map(Box::new);
+            out.extend(record.map(LogRecord::Config).map(VmOutput::Append));
         }
         if self.snapshots[1].due(now, self.control.next(), &self.members) {
             let record =
--- a/load/src/world.rs
+++ b/load/src/world.rs
@@ -26,7 +26,7 @@
 use crate::fake::{FakeEngine, FakeLog, LogPage, LogRecord, LogStream};
 use crate::oracle::{SoakOracle, SoakViolation};
 use crate::vm::{
-    BrokenSafeguard, PeerMessage, RunSubject, SoakKind, SoakRequest, SoakVm, VmOutput,
+    BrokenSafeguard, OrderEnd, PeerMessage, RunSubject, SoakKind, SoakRequest, SoakVm, VmOutput,
 };
 
 /// Settings of a run.
@@ -104,7 +104,7 @@
     Peer(VmName, PeerMessage),
     Page(LogStream, Option<LogPage>),
     RunEnded(u64, RunEnd),
-    Ordered(ServerName, GroupName, OwnerEpoch, u64, OrderResult),
+    Ordered(OrderEnd),
     Report(GroupName, ServerName, Option<EngineReport>),
     Served(u64, RequestOutcome),
     Request(SoakRequest),
@@ -286,7 +286,7 @@
             publish_id: "first".to_owned(),
             change: ConfigChange::Whole(self.first_manifest()),
         };
-        self.log.append(self.now, LogRecord::Config(first));
+        self.log.append(self.now, LogRecord::Config(Box::new(first)));
         for at in 0..self.seats.len() {
             self.push(0, WorldEvent::Boot(at));
         }
@@ -385,7 +385,7 @@
             WorldEvent::Resend(request) => self.resend(request),
             WorldEvent::Publish => self.publish(),
             WorldEvent::Republish(record) => {
-                self.log.append(self.now, LogRecord::Config(record));
+                self.log.append(self.now, LogRecord::Config(Box::new(record)));
             }
             WorldEvent::Job => self.job(),
             WorldEvent::Resubmit(entry, tries) => self.resubmit(entry, tries),
@@ -436,9 +436,7 @@
             VmEvent::Peer(from, message) => vm.peer(now, from, message, rng, &mut out),
             VmEvent::Page(stream, page) => vm.page(now, stream, page, rng, &mut out),
             VmEvent::RunEnded(id, end) => vm.run_ended(now, id, end, rng, &mut out),
-            VmEvent::Ordered(server, group, epoch, number, result) => {
-                vm.ordered(now, server, &group, epoch, number, result, rng, &mut out);
-            }
+            VmEvent::Ordered(end) => vm.ordered(now, end, rng, &mut out),
             VmEvent::Report(group, server, report) => {
                 vm.report(now, &group, server, report, rng, &mut out);
             }
@@ -607,7 +605,7 @@
     fn tell_order(&mut self, call: &OrderCall, result: OrderResult) {
         let server = self.engines[call.engine].name.clone();
         let (group, epoch, number) = (call.group.clone(), call.epoch, call.number);
-        let event = VmEvent::Ordered(server, group, epoch, number, result);
+        let event = VmEvent::Ordered(OrderEnd { server, group, epoch, number, result });
         self.push_micros(800, WorldEvent::Vm(call.vm, call.life, event));
     }
 
