Dropped faces die at once; large bodies see their refusal; one kind of secret

Cause: dropping the callers' or the peers' server left its tasks running, so a VM that a test let die went on answering. A caller that writes a body far beyond the bound met a reset connection instead of the problem document. A secret text stood in both keys and settings.

Change: dropping a server ends its connections. The rest of a body that is too large is read and thrown away, up to 16 times the bound and within the body's time. keys leaves secrets to settings. The peers' port takes a backlog of 1,024.

--- a/caller/src/body.rs
+++ b/caller/src/body.rs
@@ -16,6 +16,8 @@
 
 /// Bytes of English text that make a token, as a rule of thumb; only planning relies on it.
 const BYTES_PER_TOKEN: usize = 4;
+/// How many times the bound of a body is read and thrown away for the caller to see the refusal.
+const DISCARD_FACTOR: usize = 16;
 /// The depth to which the JSON parser follows; a larger setting has no effect.
 const PARSER_DEPTH: usize = 120;
 /// Fields that tell who asks or how the answer is carried, not what is asked. A poison request must
@@ -48,11 +50,8 @@
     body: B,
     settings: &CallerSettings,
 ) -> Result<Bytes, CallProblem> {
-    if announced_length(headers).is_some_and(|length| length > settings.body_bytes) {
-        return Err(too_large(settings));
-    }
     let limit = Duration::from_millis(settings.body_timeout_ms);
-    match tokio::time::timeout(limit, collect_body(body, settings)).await {
+    match tokio::time::timeout(limit, collect_body(headers, body, settings)).await {
         Ok(read) => read,
         Err(_) => {
             let detail = format!("the body must arrive within {} ms", settings.body_timeout_ms);
@@ -62,19 +61,49 @@
 }
 
 async fn collect_body<B: Body<Data = Bytes> + Unpin>(
+    headers: &HeaderMap,
     mut body: B,
     settings: &CallerSettings,
 ) -> Result<Bytes, CallProblem> {
+    let most = settings.body_bytes;
     let mut whole = BytesMut::new();
+    let mut fits = announced_length(headers).is_none_or(|length| length <= most);
+    while fits && let Some(part) = next_part(&mut body).await? {
+        fits = whole.len() + part.len() <= most;
+        if fits {
+            whole.extend_from_slice(&part);
+        }
+    }
+    if !fits {
+        drop(whole);
+        discard_body(body, most.saturating_mul(DISCARD_FACTOR)).await;
+        return Err(too_large(settings));
+    }
+    Ok(whole.freeze())
+}
+
+async fn next_part<B: Body<Data = Bytes> + Unpin>(
+    body: &mut B,
+) -> Result<Option<Bytes>, CallProblem> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| malformed("the body was cut"))?;
-        let Ok(part) = frame.into_data() else { continue };
-        if whole.len() + part.len() > settings.body_bytes {
-            return Err(too_large(settings));
+        if let Ok(part) = frame.into_data() {
+            return Ok(Some(part));
+        }
+    }
+    Ok(None)
+}
+
+/// Reads on without keeping anything. Closing while the caller still writes would reset the
+/// connection, and it would see that instead of the answer.
+async fn discard_body<B: Body<Data = Bytes> + Unpin>(mut body: B, most: usize) {
+    let mut read = 0;
+    while let Ok(Some(part)) = next_part(&mut body).await {
+        read += part.len();
+        if read > most {
+            return;
         }
-        whole.extend_from_slice(&part);
     }
-    Ok(whole.freeze())
 }
 
 fn announced_length(headers: &HeaderMap) -> Option<usize> {
--- a/caller/src/server.rs
+++ b/caller/src/server.rs
@@ -115,9 +115,16 @@
     /// The port is free at once, and connections without a request are closed. For callers to have
     /// gone elsewhere by then, the handler refuses new work as "leaving" and the VM is out of the
     /// list of entries for longer than callers keep it.
-    pub async fn close(self) {
+    pub async fn close(mut self) {
         self.shared.closing.cancel();
-        let _ = self.task.await;
+        let _ = (&mut self.task).await;
+    }
+}
+
+/// Dropping the face without closing it cuts everything at once, as the death of the process would.
+impl Drop for CallerServer {
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
 
--- a/caller/tests/suite/bad_input.rs
+++ b/caller/tests/suite/bad_input.rs
@@ -3,7 +3,7 @@
 
 use std::sync::atomic::Ordering;
 
-use coltsfoothook_caller::{CallerSettings, CompletionKind, parse_completion};
+use coltsfoothook_caller::{CallerServer, CallerSettings, CompletionKind, parse_completion};
 use proptest::prelude::*;
 
 use crate::client::{RawAnswer, call, request, send};
@@ -133,6 +133,17 @@
     assert_refused(&send(server.address(), &chunked).await, 413, "body_too_large");
 }
 
+/// The caller writes a large body before it reads. A face that closed at once would reset the
+/// connection, and the caller would report a broken connection and not know that nothing ran.
+#[tokio::test]
+async fn large_body_sees_answer() {
+    let handler = FakeHandler::answering(Script::Hang);
+    let server = CallerServer::start(CallerSettings::default(), handler, None).expect("a face");
+    let large = "x".repeat(12 * 1024 * 1024);
+    let answer = call(server.address(), "POST", "/v1/completions", &large).await;
+    assert_refused(&answer, 413, "body_too_large");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(512))]
 
--- a/caller/tests/suite/graceful_close.rs
+++ b/caller/tests/suite/graceful_close.rs
@@ -63,3 +63,26 @@
     tokio::time::timeout(Duration::from_secs(10), server.close()).await.expect("closed");
     assert_eq!(stream.read(&mut [0; 8]).await.expect("read"), 0);
 }
+
+/// A process that dies closes nothing in order. Dropping the face stands for that in tests and in
+/// the demonstration, so it must cut streams and free the port at once.
+#[tokio::test]
+async fn drop_cuts() {
+    let (parts, script) = mpsc::unbounded_channel();
+    let handler = FakeHandler::answering(Script::Stream(script));
+    let server = start(handler.clone());
+    let address = server.address();
+    let body = r#"{"model":"a@1","prompt":"x","stream":true}"#;
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    let text = request("POST", "/v1/completions", "", body);
+    stream.write_all(text.as_bytes()).await.expect("write");
+    parts.send(Ok(Bytes::from_static(b"data: 1\n\n"))).expect("send");
+    let mut buffer = [0; 1_024];
+    assert!(stream.read(&mut buffer).await.expect("read") > 0);
+    drop(server);
+    reaches(&handler.dropped, 1).await;
+    let mut rest = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(10), stream.read_to_end(&mut rest)).await;
+    assert!(!rest.ends_with(b"0\r\n\r\n"), "a cut stream has no regular end");
+    assert!(TcpStream::connect(address).await.is_err());
+}
--- a/keys/src/error.rs
+++ b/keys/src/error.rs
@@ -60,10 +60,4 @@
     /// A hash of a credential is no SHA-256 in hexadecimal.
     #[snafu(display("a credential's hash must have 64 hexadecimal digits"))]
     BadHash,
-    /// A secret file is empty or holds more than one line.
-    #[snafu(display("{} must hold one line that is not empty", path.display()))]
-    BadSecret {
-        /// The file.
-        path: PathBuf,
-    },
 }
--- a/keys/src/files.rs
+++ b/keys/src/files.rs
@@ -16,8 +16,8 @@
 
 use crate::error::{AuthoritySnafu, KeyError, NoPemSnafu, ReadSnafu, TooLargeSnafu, UnusableSnafu};
 
-/// The largest file of certificates or of a secret that is read.
-pub(crate) const FILE_BYTES: u64 = 1024 * 1024;
+/// The largest file that is read.
+const FILE_BYTES: u64 = 1024 * 1024;
 
 /// The files of a VM's key.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -96,7 +96,7 @@
 }
 
 /// Reads a file within the bound.
-pub(crate) fn read_bounded(path: &Path) -> Result<Vec<u8>, KeyError> {
+fn read_bounded(path: &Path) -> Result<Vec<u8>, KeyError> {
     let file = File::open(path).context(ReadSnafu { path })?;
     let mut bytes = Vec::new();
     file.take(FILE_BYTES + 1).read_to_end(&mut bytes).context(ReadSnafu { path })?;
--- a/keys/src/lib.rs
+++ b/keys/src/lib.rs
@@ -1,4 +1,4 @@
-//! TLS, credentials and secrets.
+//! TLS keys and credentials.
 //!
 //! Keys are read from files that the settings name and are replaced without a restart: every
 //! configuration that [`TlsKeys`] gives out looks its certificate and authorities up at each
@@ -26,7 +26,6 @@
 mod credential;
 mod error;
 mod files;
-mod secret;
 #[cfg(feature = "testing")]
 pub mod testing;
 mod verify;
@@ -35,4 +34,3 @@
 pub use credential::{CredentialHash, CredentialTable};
 pub use error::KeyError;
 pub use files::KeyFiles;
-pub use secret::SecretText;
--- a/keys/tests/suite/main.rs
+++ b/keys/tests/suite/main.rs
@@ -1,4 +1,4 @@
-//! Tests of keys, credentials and secrets.
+//! Tests of keys and credentials.
 
 mod credentials;
 mod key_files;
--- a/peer/src/server.rs
+++ b/peer/src/server.rs
@@ -8,7 +8,7 @@
 use snafu::ResultExt;
 use tarpc::server::{BaseChannel, Channel, Config};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_rustls::TlsAcceptor;
@@ -20,6 +20,8 @@
 use crate::settings::{ListenSnafu, PeerCounters, PeerSettings, SetupError};
 use crate::wire::{FrameTransport, ServerCodec};
 
+/// Connections that may wait to be accepted; the kernel may allow fewer.
+const LISTEN_BACKLOG: u32 = 1_024;
 /// How long the listener rests when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a closing connection still writes answers that are ready.
@@ -84,16 +86,30 @@
 
     /// Stops taking connections and calls, waits for running calls as long as the settings say, and
     /// closes the connections.
-    pub async fn close(self) {
+    pub async fn close(mut self) {
         self.closing.cancel();
-        let _ = self.task.await;
+        let _ = (&mut self.task).await;
     }
 }
 
+/// Dropping the server without closing it cuts all connections at once, as the death of the process
+/// would.
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Listens with room for all VMs at once: after a failure domain is lost they turn to a new owner
+/// together, and the kernel drops connections beyond the library's bound of 128.
 fn bind(listen: SocketAddr) -> std::io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(listen)?;
-    listener.set_nonblocking(true)?;
-    TcpListener::from_std(listener)
+    let socket = match listen {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(listen)?;
+    socket.listen(LISTEN_BACKLOG)
 }
 
 async fn accept_peers(listener: TcpListener, parts: Arc<ServerParts>) {
--- a/peer/tests/suite/broken_lines.rs
+++ b/peer/tests/suite/broken_lines.rs
@@ -52,6 +52,22 @@
     assert!(pool.status(&target, LONG).await.is_ok(), "the pool connects again by itself");
 }
 
+/// A server that is dropped without closing stands for a VM that dies: its connections end.
+#[tokio::test]
+async fn dropped_server() {
+    let vm = FakeVm::new("b", 0);
+    let (server, pool, target) = start(vm.clone(), plain());
+    assert!(pool.status(&target, LONG).await.is_ok());
+    let (reserved, ()) = tokio::join!(pool.reserve(&target, reserve_call("a", 1), LONG), async {
+        until(|| vm.reserving.load(Ordering::SeqCst) == 1).await;
+        drop(server);
+    });
+    assert!(reserved.expect_err("the VM died").may_have_run());
+    until(|| vm.dropped.load(Ordering::SeqCst) == 1).await;
+    let error = pool.status(&target, LONG).await.expect_err("nobody there");
+    assert!(!error.may_have_run());
+}
+
 /// The answer does not come by the deadline.
 #[tokio::test]
 async fn deadline() {
