A resend under a known key is not called 'not run'

Cause: every refusal was built with the outcome 'not run', also where another attempt under the key may have run. A caller that believes it takes a new key, and the ticket is doubled. The callers' page said the same.

Change: without better knowledge such refusals say 'unknown'; the page tells that the outcome speaks of the request under the key. Names of reasons come from decision alone.

--- a/caller/src/problem.rs
+++ b/caller/src/problem.rs
@@ -86,12 +86,19 @@
 }
 
 impl CallProblem {
-    /// A refusal; the request did not run.
+    /// A refusal before this attempt ran.
+    ///
+    /// Where another attempt under the same key may have run, the outcome is "unknown" unless the
+    /// handler knows better: a caller that is told "not run" takes a new key and sends it again.
     #[must_use]
     pub fn refused(reason: RefusalReason, retry_after_ms: u64, detail: impl Into<String>) -> Self {
+        let outcome = match reason {
+            RefusalReason::AlreadyClaimed | RefusalReason::KeyExpired => RequestOutcome::Unknown,
+            _ => RequestOutcome::NotRun,
+        };
         Self {
             reason: ProblemReason::Refused(reason),
-            outcome: RequestOutcome::NotRun,
+            outcome,
             detail: detail.into(),
             retry_after_ms: Some(retry_after_ms),
         }
@@ -136,29 +143,26 @@
 fn refusal_row(reason: RefusalReason) -> ProblemRow {
     use RefusalReason as R;
     use StatusCode as S;
+    let name = reason.as_str();
     match reason {
-        R::Overloaded => row("overloaded", S::SERVICE_UNAVAILABLE, "Overloaded", true),
-        R::TenantLimit => row("tenant_limit", S::TOO_MANY_REQUESTS, "Tenant's limit reached", true),
-        R::DeadlinePassed => row("deadline_passed", S::GATEWAY_TIMEOUT, "Deadline passed", true),
-        R::NotReady => row("not_ready", S::SERVICE_UNAVAILABLE, "Not ready", true),
-        R::UnknownAdapter => row("unknown_adapter", S::NOT_FOUND, "Unknown adapter", false),
-        R::NotAllowed => row("not_allowed", S::FORBIDDEN, "Not allowed", false),
-        R::LoadFailed => row("load_failed", S::SERVICE_UNAVAILABLE, "Adapter not loaded", true),
-        R::NoServer => row("no_server", S::SERVICE_UNAVAILABLE, "No backend server", true),
-        R::Condemned => row("condemned", S::UNPROCESSABLE_ENTITY, "Request condemned", false),
-        R::NotOwner => row("not_owner", S::SERVICE_UNAVAILABLE, "Owner changed", true),
-        R::OwnerUnreachable => {
-            row("owner_unreachable", S::SERVICE_UNAVAILABLE, "Owner unreachable", true)
-        }
-        R::AlreadyClaimed => row("already_claimed", S::CONFLICT, "Already claimed", false),
-        R::LogUnavailable => {
-            row("log_unavailable", S::SERVICE_UNAVAILABLE, "Log unavailable", true)
-        }
-        R::KeyReused => row("key_reused", S::UNPROCESSABLE_ENTITY, "Idempotency key reused", false),
-        R::KeyExpired => row("key_expired", S::GONE, "Idempotency key expired", false),
-        R::Cancelled => row("cancelled", S::CONFLICT, "Cancelled", false),
-        R::Leaving => row("leaving", S::SERVICE_UNAVAILABLE, "VM is leaving", true),
-        R::RetryBudget => row("retry_budget", S::SERVICE_UNAVAILABLE, "Retries exhausted", true),
+        R::Overloaded => row(name, S::SERVICE_UNAVAILABLE, "Overloaded", true),
+        R::TenantLimit => row(name, S::TOO_MANY_REQUESTS, "Tenant's limit reached", true),
+        R::DeadlinePassed => row(name, S::GATEWAY_TIMEOUT, "Deadline passed", true),
+        R::NotReady => row(name, S::SERVICE_UNAVAILABLE, "Not ready", true),
+        R::UnknownAdapter => row(name, S::NOT_FOUND, "Unknown adapter", false),
+        R::NotAllowed => row(name, S::FORBIDDEN, "Not allowed", false),
+        R::LoadFailed => row(name, S::SERVICE_UNAVAILABLE, "Adapter not loaded", true),
+        R::NoServer => row(name, S::SERVICE_UNAVAILABLE, "No backend server", true),
+        R::Condemned => row(name, S::UNPROCESSABLE_ENTITY, "Request condemned", false),
+        R::NotOwner => row(name, S::SERVICE_UNAVAILABLE, "Owner changed", true),
+        R::OwnerUnreachable => row(name, S::SERVICE_UNAVAILABLE, "Owner unreachable", true),
+        R::AlreadyClaimed => row(name, S::CONFLICT, "Already claimed", false),
+        R::LogUnavailable => row(name, S::SERVICE_UNAVAILABLE, "Log unavailable", true),
+        R::KeyReused => row(name, S::UNPROCESSABLE_ENTITY, "Idempotency key reused", false),
+        R::KeyExpired => row(name, S::GONE, "Idempotency key expired", false),
+        R::Cancelled => row(name, S::CONFLICT, "Cancelled", false),
+        R::Leaving => row(name, S::SERVICE_UNAVAILABLE, "VM is leaving", true),
+        R::RetryBudget => row(name, S::SERVICE_UNAVAILABLE, "Retries exhausted", true),
     }
 }
 
--- a/caller/tests/suite/problem_table.rs
+++ b/caller/tests/suite/problem_table.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use coltsfoothook_caller::{CallProblem, FaceReason, ProblemReason, problem_row};
-use coltsfoothook_decision::outcome::RefusalReason;
+use coltsfoothook_decision::outcome::{RefusalReason, RequestOutcome};
 use expect_test::expect;
 
 use crate::client::call;
@@ -132,3 +132,15 @@
     assert_eq!((answer.status, answer.header("retry-after")), (422, None));
     assert_eq!(answer.json()["retry_after_ms"], serde_json::Value::Null);
 }
+
+/// The caller resends a ticket's request after a lost answer, and its key is known as claimed. "Not
+/// run" would make it take a new key, and two technicians would climb the same ladder.
+#[test]
+fn claimed_may_have_run() {
+    for reason in REFUSALS {
+        let outcome = CallProblem::refused(reason, 0, "").outcome;
+        let key_seen = matches!(reason, RefusalReason::AlreadyClaimed | RefusalReason::KeyExpired);
+        let want = if key_seen { RequestOutcome::Unknown } else { RequestOutcome::NotRun };
+        assert_eq!(outcome, want, "{reason:?}");
+    }
+}
