Metrics by class and by tenant apart, so that collecting them fits the budget

One family by tenant and class gave 1,111,295 bytes for a full set of 50 tenants, 74 KB/s when collected every 15 s, where control may use 16 KB/s. Each measure now has a family by class and a coarser one by tenant, and 20 tenants are told apart by default: 112,210 bytes, 7.5 KB/s at 15 s.

--- a/telemetry/src/family.rs
+++ b/telemetry/src/family.rs
@@ -11,6 +11,9 @@
 /// From a millisecond, which the system itself may take, to minutes, which an audit may wait.
 const SECONDS_BUCKETS: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
+/// Coarser, since there is a series for each tenant: a whole set of metrics has to be collected twice
+/// a minute within the bytes that control may use; see docs/CAPACITY.md.
+const TENANT_SECONDS_BUCKETS: [f64; 8] = [0.01, 0.05, 0.1, 0.2, 0.5, 2.0, 10.0, 60.0];
 /// Sizes of batches.
 const SIZE_BUCKETS: [f64; 9] = [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0, 256.0];
 
@@ -69,6 +72,25 @@
     };
 }
 
+/// A histogram by tenant.
+pub(crate) struct TenantHistogramVec(pub(crate) HistogramVec);
+
+impl MetricFamily for TenantHistogramVec {
+    const KIND: &'static str = HistogramVec::KIND;
+
+    fn register(
+        registry: &Registry,
+        name: &str,
+        labels: &[&str],
+        help: &str,
+    ) -> prometheus::Result<Self> {
+        let opts = HistogramOpts::new(name, help).namespace(NAMESPACE);
+        let family = HistogramVec::new(opts.buckets(TENANT_SECONDS_BUCKETS.to_vec()), labels)?;
+        registry.register(Box::new(family.clone()))?;
+        Ok(Self(family))
+    }
+}
+
 macro_rules! metric_families {
     ($($field:ident: $type:ty, $name:literal, [$($label:literal),*], $meaning:literal;)*) => {
         /// All families, registered.
@@ -97,16 +119,26 @@
 }
 
 metric_families! {
-    first_token: HistogramVec, "first_token_seconds", ["tenant", "class"],
+    first_token: HistogramVec, "first_token_seconds", ["class"],
         "Time from a request's arrival to the first token of its answer.";
-    between_tokens: HistogramVec, "between_tokens_seconds", ["tenant", "class"],
+    tenant_first_token: TenantHistogramVec, "tenant_first_token_seconds", ["tenant"],
+        "The same by tenant, in coarser steps.";
+    between_tokens: HistogramVec, "between_tokens_seconds", ["class"],
         "Time between two tokens of an answer.";
-    load_stall: HistogramVec, "load_stall_seconds", ["tenant", "class"],
+    tenant_between_tokens: TenantHistogramVec, "tenant_between_tokens_seconds", ["tenant"],
+        "The same by tenant, in coarser steps.";
+    load_stall: HistogramVec, "load_stall_seconds", ["class"],
         "Time a request waited for its adapter to load; 0 where it was loaded.";
-    queueing: HistogramVec, "queue_seconds", ["tenant", "class"],
+    tenant_load_stall: TenantHistogramVec, "tenant_load_stall_seconds", ["tenant"],
+        "The same by tenant, in coarser steps.";
+    queueing: HistogramVec, "queue_seconds", ["class"],
         "Time a request waited for room on an engine, load stalls apart.";
-    duration: HistogramVec, "request_seconds", ["tenant", "class"],
+    tenant_queueing: TenantHistogramVec, "tenant_queue_seconds", ["tenant"],
+        "The same by tenant, in coarser steps.";
+    duration: HistogramVec, "request_seconds", ["class"],
         "Time from a request's arrival to the end of its answer.";
+    tenant_duration: TenantHistogramVec, "tenant_request_seconds", ["tenant"],
+        "The same by tenant, in coarser steps.";
     requests: IntCounterVec, "requests_total", ["class", "outcome"],
         "Requests that ended, by outcome.";
     tenant_requests: IntCounterVec, "tenant_requests_total", ["tenant", "outcome"],
--- a/telemetry/src/metric.rs
+++ b/telemetry/src/metric.rs
@@ -8,9 +8,9 @@
 use coltsfoothook_decision::member::MemberState;
 use coltsfoothook_decision::outcome::{RefusalReason, RequestClass, RequestOutcome};
 use coltsfoothook_settings::settings_struct;
-use prometheus::{Histogram, IntCounter, IntGauge, Registry, TextEncoder};
+use prometheus::{Histogram, HistogramVec, IntCounter, IntGauge, Registry, TextEncoder};
 
-use crate::family::MetricFamilies;
+use crate::family::{MetricFamilies, TenantHistogramVec};
 use crate::label::{
     AppendResult, ClaimResult, EvictionReason, LoadResult, OrderKind, OrderResult, PublishResult,
     RetryReason, SlotState, StreamName, TenantLabels, TrafficKind, member_state,
@@ -20,8 +20,9 @@
 settings_struct! {
     /// What metrics tell apart.
     pub struct MetricSettings {
-        /// The most tenants with series of their own; all others are counted as `other`.
-        pub tenants: usize = 50, in 0..=1_000;
+        /// The most tenants with series of their own; all others are counted as `other`. Each costs some
+        /// 5 KB of text whenever metrics are collected.
+        pub tenants: usize = 20, in 0..=1_000;
     }
 }
 
@@ -65,16 +66,19 @@
     #[must_use]
     pub fn request(&self, tenant: &str, class: RequestClass) -> RequestMetrics {
         let tenant = self.tenants.label(tenant);
-        let labels = [tenant, class.as_str()];
         let families = &self.families;
         let running = families.running.with_label_values(&[class.as_str()]);
         running.inc();
+        let pair = |by_class: &HistogramVec, by_tenant: &TenantHistogramVec| HistogramPair {
+            class: by_class.with_label_values(&[class.as_str()]),
+            tenant: by_tenant.0.with_label_values(&[tenant]),
+        };
         RequestMetrics {
-            first_token: families.first_token.with_label_values(&labels),
-            between_tokens: families.between_tokens.with_label_values(&labels),
-            load_stall: families.load_stall.with_label_values(&labels),
-            queueing: families.queueing.with_label_values(&labels),
-            duration: families.duration.with_label_values(&labels),
+            first_token: pair(&families.first_token, &families.tenant_first_token),
+            between_tokens: pair(&families.between_tokens, &families.tenant_between_tokens),
+            load_stall: pair(&families.load_stall, &families.tenant_load_stall),
+            queueing: pair(&families.queueing, &families.tenant_queueing),
+            duration: pair(&families.duration, &families.tenant_duration),
             tokens: families.tokens.with_label_values(&[class.as_str()]),
             running,
         }
@@ -242,14 +246,28 @@
     }
 }
 
+/// The same measure by class and by tenant. One family by both would have three times the series.
+#[derive(Debug)]
+struct HistogramPair {
+    class: Histogram,
+    tenant: Histogram,
+}
+
+impl HistogramPair {
+    fn observe(&self, seconds: f64) {
+        self.class.observe(seconds);
+        self.tenant.observe(seconds);
+    }
+}
+
 /// The metrics of one request. While it lives, the request counts as running.
 #[derive(Debug)]
 pub struct RequestMetrics {
-    first_token: Histogram,
-    between_tokens: Histogram,
-    load_stall: Histogram,
-    queueing: Histogram,
-    duration: Histogram,
+    first_token: HistogramPair,
+    between_tokens: HistogramPair,
+    load_stall: HistogramPair,
+    queueing: HistogramPair,
+    duration: HistogramPair,
     tokens: IntCounter,
     running: IntGauge,
 }
