--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -83,6 +83,10 @@
     }
 
     fn into_http(self, address: SocketAddr) -> Result<Request<Full<Bytes>>, ExchangeError> {
+        // A whole URL would name another host in the request line than the one that is connected.
+        if !self.path.starts_with('/') {
+            return Err(ExchangeError::NotSent { cause: "the path must begin with /".to_owned() });
+        }
         let mut request = Request::builder()
             .method(self.method)
             .uri(&self.path)
--- a/exchange/tests/suite/odd_servers.rs
+++ b/exchange/tests/suite/odd_servers.rs
@@ -139,9 +139,11 @@
 #[tokio::test]
 async fn bad_request() {
     let (address, mut told) = odd_server(vec![WHOLE]).await;
-    let request = ExchangeRequest::get("/with blank");
-    let error = client(ExchangeSettings::default()).send(address, request).await.unwrap_err();
-    assert!(error.certainly_not_sent());
+    for path in ["/with blank", "http://10.0.0.1/x", "*", ""] {
+        let request = ExchangeRequest::get(path);
+        let error = client(ExchangeSettings::default()).send(address, request).await.unwrap_err();
+        assert!(error.certainly_not_sent(), "{path:?}");
+    }
     assert!(told.try_recv().is_err());
     for text in ["", "..", "a/b", "a?b", "a b", "ä"] {
         assert!(path_segment(text).is_err(), "{text:?}");
--- a/service/src/client.rs
+++ b/service/src/client.rs
@@ -12,11 +12,12 @@
 use http::{HeaderMap, HeaderName, Method, StatusCode, header};
 use snafu::Snafu;
 
-/// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1), and those
-/// that the exchange sets itself.
-const HOP_HEADERS: [HeaderName; 9] = [
+/// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1), those that
+/// the exchange sets itself, and `Expect`, which the whole body that follows at once makes void.
+const HOP_HEADERS: [HeaderName; 10] = [
     header::CONNECTION,
     header::CONTENT_LENGTH,
+    header::EXPECT,
     header::HOST,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
