--- a/standin/src/orders.rs
+++ b/standin/src/orders.rs
@@ -122,11 +122,12 @@
     }
 
     async fn fetch(&self, path: &str) -> Result<(), String> {
+        let hung = self.control.hung();
         let fault = self.extra().faults.load;
         match fault {
             LoadFault::Fail => return Err("load fault".to_owned()),
             LoadFault::Hang => {
-                self.control.hang().await;
+                hung.cancelled().await;
                 return Err("load hung".to_owned());
             }
             LoadFault::None | LoadFault::Late { .. } => {}
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::event::log_event;
 use crate::metric::metrics;
@@ -264,7 +265,11 @@
         range
     }
 
-    async fn outage(&self, kind: OutageKind) -> Result<Option<Reply>, ConnectionCut> {
+    async fn outage(
+        &self,
+        kind: OutageKind,
+        hung: CancellationToken,
+    ) -> Result<Option<Reply>, ConnectionCut> {
         match kind {
             OutageKind::None => Ok(None),
             OutageKind::Refuse => {
@@ -272,7 +277,7 @@
                 Ok(Some(reply::refusal(status, "outage", "out of service").into()))
             }
             OutageKind::Hang => {
-                self.control.hang().await;
+                hung.cancelled().await;
                 Err(ConnectionCut)
             }
             OutageKind::Cut => Err(ConnectionCut),
@@ -284,8 +289,9 @@
         request: Request<Incoming>,
         stream: String,
     ) -> Result<Reply, ConnectionCut> {
+        let hung = self.control.hung();
         let faults = self.lock().faults.clone();
-        if let Some(refusal) = self.outage(faults.log).await? {
+        if let Some(refusal) = self.outage(faults.log, hung).await? {
             return Ok(refusal);
         }
         if faults.delay_ms > 0 {
@@ -389,8 +395,9 @@
     }
 
     async fn handle_list(&self) -> Result<Reply, ConnectionCut> {
+        let hung = self.control.hung();
         let outage = self.lock().faults.list;
-        if let Some(refusal) = self.outage(outage).await? {
+        if let Some(refusal) = self.outage(outage, hung).await? {
             return Ok(refusal);
         }
         let vms = self.lock().vms.show(Instant::now());
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -59,12 +59,13 @@
 impl ServerControl {
     /// A control without faults.
     pub(crate) fn new() -> Arc<Self> {
+        let stop = CancellationToken::new();
         Arc::new(Self {
             connections: Mutex::default(),
             down_until: watch::Sender::new(None),
             frozen_until: watch::Sender::new(None),
-            hung: Mutex::default(),
-            stop: CancellationToken::new(),
+            hung: Mutex::new(stop.child_token()),
+            stop,
             stopped: CancellationToken::new(),
             tasks: TaskTracker::new(),
         })
@@ -72,21 +73,22 @@
 
     /// Cuts every connection.
     pub(crate) fn cut_connections(&self) {
-        renew(&self.connections);
+        let mut token = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        token.cancel();
+        *token = CancellationToken::new();
     }
 
-    /// Returns when the requests that hang now are to end.
-    pub(crate) async fn hang(&self) {
-        let token = current(&self.hung);
-        tokio::select! {
-            () = token.cancelled() => {}
-            () = self.stop.cancelled() => {}
-        }
+    /// Cancelled when the requests that hang now are to end. It is taken before the faults are
+    /// looked at: a fault that is switched off in between would else be waited on for ever.
+    pub(crate) fn hung(&self) -> CancellationToken {
+        current(&self.hung)
     }
 
     /// Ends the requests that hang.
     pub(crate) fn cut_hung(&self) {
-        renew(&self.hung);
+        let mut token = self.hung.lock().unwrap_or_else(PoisonError::into_inner);
+        token.cancel();
+        *token = self.stop.child_token();
     }
 
     /// Whether the server is on its way out.
@@ -135,12 +137,6 @@
     token.lock().unwrap_or_else(PoisonError::into_inner).clone()
 }
 
-fn renew(token: &Mutex<CancellationToken>) {
-    let mut token = token.lock().unwrap_or_else(PoisonError::into_inner);
-    token.cancel();
-    *token = CancellationToken::new();
-}
-
 impl HttpServer {
     /// Listens on `listen` and answers with `handler`.
     pub(crate) async fn start(
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -182,8 +182,9 @@
         let start = self.reserve_start()?;
         sleep_until(start).await;
         self.refuse_by_fault(path)?;
+        let hung = self.control.hung();
         if self.lock().faults.hang {
-            self.control.hang().await;
+            hung.cancelled().await;
             return Err(reply::refusal(StatusCode::SERVICE_UNAVAILABLE, "outage", "was hanging"));
         }
         let done = self.begin();
