--- a/standin/src/batch.rs
+++ b/standin/src/batch.rs
@@ -338,3 +338,149 @@
     }
     run.unread_since.or(Some(now))
 }
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    use super::*;
+
+    /// Something that happens to an engine.
+    #[derive(Clone, Debug)]
+    enum EngineStep {
+        Load(u8),
+        Unload(u8),
+        Run { slot: u8, tokens: u32, priority: i32, read: bool },
+        Cancel(u8),
+        Step,
+        Restart,
+    }
+
+    fn engine_step() -> impl Strategy<Value = EngineStep> {
+        let run =
+            (0..4u8, 1..5u32, 0..3i32, any::<bool>()).prop_map(|(slot, tokens, priority, read)| {
+                EngineStep::Run { slot, tokens, priority, read }
+            });
+        prop_oneof![
+            3 => (0..4u8).prop_map(EngineStep::Load),
+            1 => (0..4u8).prop_map(EngineStep::Unload),
+            6 => run,
+            1 => (0..40u8).prop_map(EngineStep::Cancel),
+            8 => Just(EngineStep::Step),
+            1 => Just(EngineStep::Restart),
+        ]
+    }
+
+    /// An engine with the readers of its runs.
+    struct SteppedEngine {
+        state: EngineState,
+        readers: Vec<(u32, watch::Receiver<RunProgress>)>,
+        now: Instant,
+    }
+
+    impl SteppedEngine {
+        fn take(&mut self, step: EngineStep) {
+            match step {
+                EngineStep::Load(slot) => self.load(slot),
+                EngineStep::Unload(slot) => {
+                    if let Ok(at) = self.state.slot(&slot.to_string()) {
+                        self.state.remove_slot(at);
+                    }
+                }
+                EngineStep::Run { slot, tokens, priority, read } => {
+                    self.run(slot, tokens, priority, read);
+                }
+                EngineStep::Cancel(id) => drop(self.state.cancel(&format!("run-{id}"))),
+                EngineStep::Step => {
+                    self.now += Duration::from_secs(1);
+                    if matches!(self.state.plan(self.now), StepPlan::Step(_)) {
+                        self.state.finish_step();
+                    }
+                }
+                EngineStep::Restart => self.state.restart(),
+            }
+        }
+
+        fn load(&mut self, slot: u8) {
+            let name = slot.to_string();
+            if let Err(at) = self.state.slot(&name) {
+                let loaded = watch::Sender::new(Some(Ok(())));
+                let slot = AdapterSlot { weights: name.clone(), name, running: 0, loaded };
+                self.state.slots.insert(at, slot);
+            }
+        }
+
+        fn run(&mut self, slot: u8, tokens: u32, priority: i32, read: bool) {
+            let slot = slot.to_string();
+            if self.state.slot(&slot).is_err() {
+                return;
+            }
+            let progress = watch::Sender::new(RunProgress::default());
+            if read {
+                self.readers.push((tokens, progress.subscribe()));
+            }
+            let stream = Arc::new(RunStream {
+                id: self.state.next_id(),
+                weights: slot.clone(),
+                label: slot.clone(),
+                slot,
+                prompt: 0,
+                prompt_tokens: 1,
+                first: 0,
+                chat: false,
+                created: 0,
+                progress,
+            });
+            self.state.enqueue(BatchRun {
+                stream,
+                prefill_left: 1,
+                last: tokens,
+                priority,
+                serial: 0,
+                crashes: false,
+                key: String::new(),
+                body_hash: String::new(),
+                unread_since: None,
+            });
+        }
+
+        fn check(&self) {
+            let state = &self.state;
+            let alive = || state.waiting.iter().chain(&state.running);
+            for slot in &state.slots {
+                let using = alive().filter(|run| run.stream.slot == slot.name).count();
+                assert_eq!(slot.running as usize, using, "slot {}", slot.name);
+            }
+            let over = alive().filter(|run| is_over(&run.stream)).count();
+            assert_eq!(over, 0, "a run that is over stays in the batch");
+            assert!(state.running.len() <= state.settings.batch_slots as usize);
+            for (tokens, reader) in &self.readers {
+                let progress = *reader.borrow();
+                assert_eq!(progress.end == Some(RunEnd::Done), progress.next == *tokens);
+            }
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            rng_seed: RngSeed::Fixed(7),
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        })]
+
+        /// Whatever happens to an engine, its count of the requests on a slot is right, and a run
+        /// is told to be done if and only if all its tokens are there.
+        #[test]
+        fn counts_stay_right(steps in prop::collection::vec(engine_step(), 1..120)) {
+            let settings = EngineServerSettings { batch_slots: 3, ..Default::default() };
+            let state = EngineState::new(settings, 1);
+            let mut engine =
+                SteppedEngine { state, readers: Vec::new(), now: Instant::now() };
+            for step in steps {
+                engine.take(step);
+                engine.check();
+            }
+        }
+    }
+}
