Same request on two engines at most, urgent copies under load

Four callers that sent one poison request together could fell four engines, and a resend that came before the broken connection was reported could fell a third. The same request now runs on two engines at most, and a suspect alone. Tests poison_together and broken_connection_settles.

--- a/decision/src/order.rs
+++ b/decision/src/order.rs
@@ -172,7 +172,9 @@
     /// and the requests that the victim's adapter will miss.
     fn pays(&self, wish: &LoadWish, target: &LoadTarget) -> bool {
         let engine = &self.engines[target.server];
-        if engine.room_for(false, self.settings.urgent_reserve_percent) == 0 {
+        // Urgent requests get the next place that is free; others would only wait elsewhere.
+        let urgent = wish.class == RequestClass::Urgent;
+        if !urgent && engine.room_for(false, self.settings.urgent_reserve_percent) == 0 {
             return false;
         }
         let copies = self.adapters.get(wish.adapter).copies.len().max(1) as f64;
--- a/decision/src/place.rs
+++ b/decision/src/place.rs
@@ -23,8 +23,13 @@
     pub prefix: u64,
     /// Servers to avoid where another can do it.
     pub avoid: &'spec [ServerName],
+    /// The only engines that may be chosen, by their places at the owner.
+    pub confined: Option<[u16; CONFINED_ENGINES]>,
 }
 
+/// On how many engines the same request may run at a time. Were it poison, it would fell them all.
+const CONFINED_ENGINES: usize = 2;
+
 /// What a slot is worth more if the engine saw the prompt's beginning there last.
 const PREFIX_BONUS: f64 = 0.05;
 /// What a server is worth less if it failed the request before.
@@ -49,7 +54,8 @@
             if !usable || slot.doomed_until > now {
                 continue;
             }
-            if !self.admits(engine, query) {
+            let barred = query.confined.is_some_and(|open| !open.contains(&choice.server));
+            if barred || !self.admits(engine, query) {
                 continue;
             }
             let worth = self.worth(engine, slot, query);
@@ -67,11 +73,33 @@
         adapter: u32,
     ) -> Option<SlotChoice> {
         let standing = self.standing(spec.fingerprint);
-        if standing == SuspectVerdict::Condemned {
+        let (engines, count) = self.engines_running(spec.fingerprint);
+        let alone = standing == SuspectVerdict::Clear || count == 0;
+        if standing == SuspectVerdict::Condemned || !alone {
             return None;
         }
-        let (class, prefix, avoid) = (spec.class, spec.prefix, spec.avoid.as_slice());
-        self.choose(now, AdapterIndex(adapter), &PlaceQuery { class, standing, prefix, avoid })
+        let query = PlaceQuery {
+            class: spec.class,
+            standing,
+            prefix: spec.prefix,
+            avoid: &spec.avoid,
+            confined: (count == CONFINED_ENGINES).then_some(engines),
+        };
+        self.choose(now, AdapterIndex(adapter), &query)
+    }
+
+    /// The first engines that run a request of `fingerprint`, and how many of them there are.
+    fn engines_running(&self, fingerprint: RequestFingerprint) -> ([u16; CONFINED_ENGINES], usize) {
+        let mut engines = [0; CONFINED_ENGINES];
+        let mut count = 0;
+        for grant in self.grants.iter().filter(|grant| grant.fingerprint == fingerprint) {
+            let server = grant.choice.server;
+            if count < CONFINED_ENGINES && !engines[..count].contains(&server) {
+                engines[count] = server;
+                count += 1;
+            }
+        }
+        (engines, count)
     }
 
     /// How `fingerprint` stands, with broken runs that may turn out to be crashes. One such run
--- a/decision/tests/suite/owner_rules.rs
+++ b/decision/tests/suite/owner_rules.rs
@@ -329,3 +329,61 @@
     let refused = refusals(&desk.ask(1, RequestClass::Urgent));
     assert_eq!(refused[0].1, RefusalReason::NoServer);
 }
+
+// At most two servers fall to a request that crashes them, also if it is sent many times at once.
+// All engines have its adapter and room. Four callers send the same request before any has crashed.
+// One engine crashes; a resend comes before anybody knows why its connection broke.
+#[test]
+fn poison_together() {
+    let mut desk = Desk::new(1, 4, 1, true);
+    desk.live(true);
+    for engine in 0..4 {
+        desk.report(engine, 1, &[&format!("a1@v1#1.{engine}")]);
+    }
+    let mut granted = Vec::new();
+    for _ in 0..4 {
+        granted.extend(grants(&desk.ask_as(1, RequestClass::Urgent, "t", 666)));
+    }
+    let mut servers: Vec<_> = granted.iter().map(|grant| grant.server.clone()).collect();
+    servers.sort();
+    servers.dedup();
+    assert_eq!(servers.len(), 2);
+    let (first, rest): (Vec<_>, Vec<_>) =
+        granted.iter().partition(|grant| grant.server == servers[0]);
+    for grant in &first {
+        assert_eq!(grants(&desk.release(grant, GrantEnd::Broken)), &[]);
+    }
+    assert_eq!(grants(&desk.ask_as(1, RequestClass::Urgent, "t", 666)), &[], "others still run");
+    for grant in &rest {
+        assert_eq!(grants(&desk.release(grant, GrantEnd::Broken)), &[]);
+    }
+    assert_eq!(grants(&desk.ask_as(1, RequestClass::Urgent, "t", 666)), &[], "two are broken");
+    assert_eq!(grants(&desk.ask_as(1, RequestClass::Urgent, "t", 7)).len(), 1, "others go on");
+    let mut refused = Vec::new();
+    for server in &servers {
+        let engine = server.as_str()[1..].parse().expect("a number");
+        refused.extend(refusals(&desk.report(engine, 2, &[])));
+    }
+    desk.tick(SECOND);
+    let last = refusals(&desk.ask_as(1, RequestClass::Urgent, "t", 666));
+    assert_eq!(last[0].1, RefusalReason::Condemned);
+}
+
+// A request whose connection broke for another reason is not held against it.
+// The engine goes on in the same life, and says so after the settling time: the request runs as any
+// other again.
+#[test]
+fn broken_connection_settles() {
+    let mut desk = Desk::new(1, 1, 1, true);
+    desk.live(true);
+    desk.report(0, 1, &["a1@v1#1.7"]);
+    let granted = grants(&desk.ask_as(1, RequestClass::Urgent, "t", 5));
+    desk.release(&granted[0], GrantEnd::Broken);
+    let again = grants(&desk.ask_as(1, RequestClass::Urgent, "t", 5));
+    assert_eq!(again[0].why, PlacementReason::Isolated);
+    desk.release(&again[0], GrantEnd::Done);
+    desk.tick(2 * SECOND);
+    desk.report(0, 1, &["a1@v1#1.7"]);
+    let settled = grants(&desk.ask_as(1, RequestClass::Urgent, "t", 5));
+    assert_eq!(settled[0].why, PlacementReason::Loaded);
+}
--- a/load/src/decide.rs
+++ b/load/src/decide.rs
@@ -136,6 +136,7 @@
         standing: SuspectVerdict::Clear,
         prefix: 0,
         avoid: &[],
+        confined: None,
     };
     std::hint::black_box(owner.choose(TimePoint(1), number, &query)).is_some()
 }
