--- a/caller/tests/suite/main.rs
+++ b/caller/tests/suite/main.rs
@@ -10,3 +10,4 @@
 mod graceful_close;
 mod problem_table;
 mod slow_sender;
+mod tls_face;
--- /dev/null
+++ b/peer/examples/reserve_trip.rs
@@ -0,0 +1,182 @@
+//! Measures round trips of `reserve` between two VMs over loopback, with and without mutual TLS.
+//!
+//! ```text
+//! cargo run --release -p coltsfoothook-peer --example reserve_trip -- [calls] [at_once]
+//! ```
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use coltsfoothook_decision::grant::{
+    GrantId, PlacementReason, ReleaseCall, RequestSpec, ReserveCall, ReserveReply, SlotGrant,
+};
+use coltsfoothook_decision::id::{
+    AdapterVersion, ConfigVersion, OwnerEpoch, RequestFingerprint, ServerIncarnation, VmIdentity,
+    VmIncarnation,
+};
+use coltsfoothook_decision::member::{MemberState, ProbeMessage, ProbeReply};
+use coltsfoothook_decision::message::{
+    CatchUpCall, CatchUpReply, ExplainCall, ExplainReply, HeldCall, HeldReply, RevokeCall,
+    RevokeReply, StatusReply, WithdrawCall,
+};
+use coltsfoothook_decision::outcome::RequestClass;
+use coltsfoothook_keys::TlsKeys;
+use coltsfoothook_keys::testing::{TestAuthority, TestDirectory};
+use coltsfoothook_peer::{PeerHandler, PeerPool, PeerServer, PeerSettings, PeerTarget};
+use hdrhistogram::Histogram;
+
+const LIMIT: Duration = Duration::from_secs(20);
+/// The longest round trip that is told apart.
+const LONGEST_NANOS: u64 = 60_000_000_000;
+
+/// Grants at once, so that the calls themselves are measured.
+struct GrantingVm;
+
+fn identity(name: &str) -> VmIdentity {
+    VmIdentity { vm: name.into(), incarnation: VmIncarnation(0x1234_5678_9abc) }
+}
+
+#[async_trait]
+impl PeerHandler for GrantingVm {
+    async fn probe(&self, message: ProbeMessage) -> ProbeReply {
+        ProbeReply { number: 0, from: message.from, reached: true, news: Vec::new() }
+    }
+
+    async fn reserve(&self, call: ReserveCall) -> ReserveReply {
+        ReserveReply::Granted(SlotGrant {
+            id: GrantId { group: call.group, epoch: OwnerEpoch(3), number: 123_456 },
+            server: "uy-salto-engine-3".into(),
+            incarnation: ServerIncarnation(0x1234_5678_9abc),
+            slot: "relay-report-1734@2026-05-03#3.1412".into(),
+            priority: 10,
+            use_within_ms: 500,
+            stall_ms: 0,
+            queue_ms: 3,
+            why: PlacementReason::Loaded,
+        })
+    }
+
+    async fn withdraw(&self, _: WithdrawCall) {}
+
+    async fn release(&self, _: Vec<ReleaseCall>) {}
+
+    async fn held(&self, _: HeldCall) -> HeldReply {
+        HeldReply { vm: identity("b"), grants: Vec::new() }
+    }
+
+    async fn revoke(&self, _: RevokeCall) -> RevokeReply {
+        RevokeReply::Running
+    }
+
+    async fn catch_up(&self, _: CatchUpCall) -> CatchUpReply {
+        CatchUpReply { config: None, control: None }
+    }
+
+    async fn status(&self) -> StatusReply {
+        StatusReply {
+            vm: identity("b"),
+            state: MemberState::Alive,
+            config: ConfigVersion(0),
+            streams: Vec::new(),
+            owners: Vec::new(),
+            groups: Vec::new(),
+            live: Vec::new(),
+            invariants: Vec::new(),
+        }
+    }
+
+    async fn explain(&self, _: ExplainCall) -> ExplainReply {
+        ExplainReply { vm: identity("b"), steps: Vec::new() }
+    }
+}
+
+fn reserve_call() -> ReserveCall {
+    ReserveCall {
+        asker: identity("b"),
+        group: "summaries/uy-norte/0".into(),
+        spec: RequestSpec {
+            id: "uy-paysandu-1.5123.88123".into(),
+            tenant: "ramsa".into(),
+            adapter: AdapterVersion {
+                adapter: "relay-report-1734".into(),
+                version: "2026-05-03".into(),
+            },
+            model: "summaries".into(),
+            class: RequestClass::Urgent,
+            deadline_left_ms: Some(5_000),
+            repeatable: true,
+            fingerprint: RequestFingerprint(0x1234_5678_9abc_def0),
+            prefix: 0x1234_5678_9abc_def0,
+            prompt_tokens: 800,
+            max_tokens: 200,
+            avoid: Vec::new(),
+        },
+    }
+}
+
+async fn measure(name: &str, pool: PeerPool, target: PeerTarget, calls: u32, at_once: u32) {
+    let pool = Arc::new(pool);
+    pool.status(&target, LIMIT).await.expect("a connection");
+    let (sent, received) = (pool.counters().sent_bytes(), pool.counters().received_bytes());
+    let start = Instant::now();
+    let workers = (0..at_once).map(|_| {
+        let (pool, target) = (pool.clone(), target.clone());
+        tokio::spawn(async move {
+            let mut times = Vec::new();
+            for _ in 0..calls / at_once {
+                let begun = Instant::now();
+                pool.reserve(&target, reserve_call(), LIMIT).await.expect("a grant");
+                times.push(begun.elapsed());
+            }
+            times
+        })
+    });
+    let mut histogram =
+        Histogram::<u64>::new_with_bounds(1, LONGEST_NANOS, 3).expect("a histogram");
+    for times in futures::future::join_all(workers).await {
+        for time in times.expect("a worker") {
+            histogram.saturating_record(u64::try_from(time.as_nanos()).unwrap_or(u64::MAX));
+        }
+    }
+    let took = start.elapsed().as_secs_f64();
+    let made = histogram.len();
+    let micros = |quantile| histogram.value_at_quantile(quantile) / 1_000;
+    println!(
+        "{{\"line\":\"{name}\",\"calls\":{made},\"at_once\":{at_once},\"p50_us\":{},\"p95_us\":{},\
+         \"p99_us\":{},\"calls_per_s\":{:.0},\"call_bytes\":{},\"reply_bytes\":{}}}",
+        micros(0.5),
+        micros(0.95),
+        micros(0.99),
+        made as f64 / took,
+        (pool.counters().sent_bytes() - sent) / made,
+        (pool.counters().received_bytes() - received) / made,
+    );
+}
+
+#[tokio::main]
+async fn main() {
+    let mut arguments = std::env::args().skip(1).map(|text| text.parse().expect("a number"));
+    let calls = arguments.next().unwrap_or(20_000);
+    let at_once = arguments.next().unwrap_or(1);
+
+    let settings = PeerSettings { plaintext: true, ..Default::default() };
+    let server = PeerServer::start(settings.clone(), Arc::new(GrantingVm), None);
+    let server = server.expect("a server");
+    let pool = PeerPool::new(settings, None).expect("a pool");
+    let target = PeerTarget { vm: "b".into(), address: server.address() };
+    measure("plain", pool, target, calls, at_once).await;
+
+    let directory = TestDirectory::new("reserve_trip");
+    let files = TestAuthority::new().write(directory.path(), "b");
+    let keys = TlsKeys::load(files).expect("keys");
+    let settings = PeerSettings::default();
+    let tls = keys.mutual_server().expect("a configuration");
+    let server = PeerServer::start(settings.clone(), Arc::new(GrantingVm), Some(tls));
+    let server = server.expect("a server");
+    let tls = keys.mutual_client().expect("a configuration");
+    let pool = PeerPool::new(settings, Some(tls)).expect("a pool");
+    let target = PeerTarget { vm: "b".into(), address: server.address() };
+    // The test certificate is the answering VM's, so the asker has its name too.
+    measure("mutual_tls", pool, target, calls, at_once).await;
+}
--- a/peer/src/settings.rs
+++ b/peer/src/settings.rs
@@ -87,7 +87,7 @@
     },
 }
 
-/// Counts of refused peers and broken frames, for metrics.
+/// Counts of refused peers, broken frames and bytes, for metrics.
 #[derive(Debug, Default)]
 pub struct PeerCounters {
     handshakes: AtomicU64,
@@ -95,6 +95,8 @@
     forged: AtomicU64,
     unsupported: AtomicU64,
     crowded: AtomicU64,
+    sent: AtomicU64,
+    received: AtomicU64,
 }
 
 impl PeerCounters {
@@ -128,6 +130,26 @@
         self.crowded.load(Ordering::Relaxed)
     }
 
+    /// Bytes of frames sent, without what TLS and TCP add.
+    #[must_use]
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Bytes of frames received, without what TLS and TCP add.
+    #[must_use]
+    pub fn received_bytes(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_sent(&self, frame: usize) {
+        self.sent.fetch_add(frame_bytes(frame), Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_received(&self, frame: usize) {
+        self.received.fetch_add(frame_bytes(frame), Ordering::Relaxed);
+    }
+
     pub(crate) fn count_handshake(&self) {
         self.handshakes.fetch_add(1, Ordering::Relaxed);
     }
@@ -148,3 +170,10 @@
         self.crowded.fetch_add(1, Ordering::Relaxed);
     }
 }
+
+/// Bytes of the length that precedes each frame.
+const LENGTH_BYTES: usize = 4;
+
+fn frame_bytes(frame: usize) -> u64 {
+    u64::try_from(frame + LENGTH_BYTES).unwrap_or(u64::MAX)
+}
--- a/peer/src/wire.rs
+++ b/peer/src/wire.rs
@@ -214,7 +214,10 @@
             Some(frame) => frame,
             None => return Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
         };
-        let decoded = frame.and_then(|bytes| C::decode(&bytes, self.call_most));
+        let decoded = frame.and_then(|bytes| {
+            self.counters.count_received(bytes.len());
+            C::decode(&bytes, self.call_most)
+        });
         if let Err(error) = &decoded {
             self.counters.count_frame();
             log::warn!("event=peer_frame_broken reason={:?}", error.to_string());
@@ -232,6 +235,7 @@
 
     fn start_send(mut self: Pin<&mut Self>, message: C::Sent) -> io::Result<()> {
         let frame = C::encode(message)?;
+        self.counters.count_sent(frame.len());
         Pin::new(&mut self.framed).start_send(Bytes::from(frame))
     }
 
