--- a/decision/src/job.rs
+++ b/decision/src/job.rs
@@ -10,7 +10,7 @@
 use crate::member::{MemberState, MemberTable};
 use crate::outcome::RequestOutcome;
 use crate::record::{JobEntry, JobRecord};
-use crate::takeover::rank_among_live;
+use crate::takeover::{PauseWatch, rank_among_live};
 
 /// Forgotten jobs that are remembered as such, so that a job that was written again at the very
 /// moment it was forgotten does not come back to life.
@@ -421,13 +421,15 @@
     settings: JobSettings,
     runs: Vec<JobRun>,
     burials: Vec<(TenantName, JobId)>,
+    pauses: PauseWatch,
 }
 
 impl JobRunner {
     /// The runner of a VM that has just started.
     #[must_use]
     pub fn new(settings: JobSettings) -> Self {
-        Self { settings, runs: Vec::new(), burials: Vec::new() }
+        let pauses = PauseWatch::default();
+        Self { settings, runs: Vec::new(), burials: Vec::new(), pauses }
     }
 
     /// Whether a further job may be written; if not, the caller is refused before it is accepted.
@@ -467,6 +469,7 @@
         fold: &mut JobFold,
         members: &MemberTable,
     ) -> Vec<JobAction> {
+        self.pauses.ask(now);
         let mut actions = Vec::new();
         self.end_runs(now, fold, members, &mut actions);
         let able = members.own().state() == MemberState::Alive;
@@ -555,7 +558,7 @@
     ) -> Option<JobAction> {
         let since = *row.orphan.get_or_insert(now);
         let wait = rank_among_live(&row.key(), members) * self.settings.rank_ms;
-        let turn = now.since(since) >= wait * MICROS_PER_MILLI;
+        let turn = self.pauses.passed(now, since, wait);
         let repeat = self.settings.repeat_ms * MICROS_PER_MILLI;
         if !turn || row.asked.is_some_and(|asked| now.since(asked) < repeat) {
             return None;
@@ -582,7 +585,10 @@
         actions: &mut Vec<JobAction>,
     ) {
         let rank = rank_among_live(&row.key(), members) * self.settings.rank_ms;
-        let passed = |since: TimePoint, ms: u64| now.since(since) >= (ms + rank) * MICROS_PER_MILLI;
+        let passed = |since: TimePoint, ms: u64| {
+            self.pauses.passed(now, since.plus(ms * MICROS_PER_MILLI), rank)
+                && now.since(since) >= ms * MICROS_PER_MILLI
+        };
         let repeat = self.settings.repeat_ms * MICROS_PER_MILLI;
         if row.asked.is_some_and(|asked| now.since(asked) < repeat) {
             return;
--- a/decision/src/snapshot.rs
+++ b/decision/src/snapshot.rs
@@ -6,7 +6,7 @@
 
 use crate::id::{MICROS_PER_MILLI, TimePoint};
 use crate::member::{MemberState, MemberTable};
-use crate::takeover::rank_among_live;
+use crate::takeover::{PauseWatch, rank_among_live};
 
 /// Settings of snapshots.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,13 +37,22 @@
     seen: Option<(TimePoint, u64)>,
     due_since: Option<TimePoint>,
     asked: Option<TimePoint>,
+    pauses: PauseWatch,
 }
 
 impl SnapshotPlan {
     /// The plan for `stream` of a VM that started at `now`.
     #[must_use]
     pub fn new(settings: SnapshotSettings, stream: &'static str, now: TimePoint) -> Self {
-        Self { settings, stream, started: now, seen: None, due_since: None, asked: None }
+        Self {
+            settings,
+            stream,
+            started: now,
+            seen: None,
+            due_since: None,
+            asked: None,
+            pauses: PauseWatch::default(),
+        }
     }
 
     /// A snapshot of the state before `through` was read from the log.
@@ -57,13 +66,14 @@
     /// Whether this VM is to write a snapshot now; `next` is the offset that its fold will read
     /// next. The first VM by rank writes, a later one only if the earlier ones did not.
     pub fn due(&mut self, now: TimePoint, next: u64, members: &MemberTable) -> bool {
+        self.pauses.ask(now);
         if next == 0 || !self.needed(now, next) {
             self.due_since = None;
             return false;
         }
         let since = *self.due_since.get_or_insert(now);
         let wait = rank_among_live(self.stream, members) * self.settings.rank_ms;
-        let turn = now.since(since) >= wait * MICROS_PER_MILLI;
+        let turn = self.pauses.passed(now, since, wait);
         let repeat = self.settings.repeat_ms * MICROS_PER_MILLI;
         let waits = self.asked.is_some_and(|asked| now.since(asked) < repeat);
         let able = members.own().state() == MemberState::Alive;
--- a/decision/src/takeover.rs
+++ b/decision/src/takeover.rs
@@ -48,6 +48,33 @@
     pub region: String,
 }
 
+/// Notices that a plan was not asked for a while: the log was down, or this VM stood still.
+///
+/// Ranks wait their turn from then on. Without it all VMs would find their turn long past when the
+/// log comes back, and all would write the same records at once.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PauseWatch {
+    last: Option<TimePoint>,
+    resumed: TimePoint,
+}
+
+/// A plan is asked several times a second, so this long without being asked is a pause.
+const PLAN_PAUSE_MS: u64 = 1_000;
+
+impl PauseWatch {
+    pub(crate) fn ask(&mut self, now: TimePoint) {
+        let last = self.last.replace(now);
+        if last.is_none_or(|last| now.since(last) > PLAN_PAUSE_MS * MICROS_PER_MILLI) {
+            self.resumed = now;
+        }
+    }
+
+    /// Whether `wait_ms` have passed since `since`, or since the end of the last pause.
+    pub(crate) fn passed(&self, now: TimePoint, since: TimePoint, wait_ms: u64) -> bool {
+        now.since(since.max(self.resumed)) >= wait_ms * MICROS_PER_MILLI
+    }
+}
+
 /// Why a group is up for takeover.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum GroupNeed {
@@ -72,13 +99,15 @@
     started: TimePoint,
     open: Vec<OpenNeed>,
     relieved: Option<TimePoint>,
+    pauses: PauseWatch,
 }
 
 impl TakeoverPlan {
     /// The plan of a VM that started at `now`.
     #[must_use]
     pub fn new(settings: TakeoverSettings, now: TimePoint) -> Self {
-        Self { settings, started: now, open: Vec::new(), relieved: None }
+        let pauses = PauseWatch::default();
+        Self { settings, started: now, open: Vec::new(), relieved: None, pauses }
     }
 
     /// The takeovers to append now; called several times a second. `groups` is sorted by name.
@@ -93,6 +122,7 @@
         members: &MemberTable,
         control: &ControlFold,
     ) -> Vec<ControlRecord> {
+        self.pauses.ask(now);
         let settled = now.since(self.started) >= self.settings.settle_ms * MICROS_PER_MILLI;
         let region = members.own().place().region.as_str();
         let able =
@@ -162,7 +192,7 @@
         });
         let rank = rank(group.name.as_str(), members, control)?;
         let open = &mut self.open[at];
-        let turn = now.since(open.since) >= rank * self.settings.rank_ms * MICROS_PER_MILLI;
+        let turn = self.pauses.passed(now, open.since, rank * self.settings.rank_ms);
         let repeat = self.settings.repeat_ms * MICROS_PER_MILLI;
         let waits = open.asked.is_some_and(|asked| now.since(asked) < repeat);
         if !turn || waits {
--- a/load/src/vm.rs
+++ b/load/src/vm.rs
@@ -645,8 +645,9 @@
             self.submitting.swap_remove(at);
             out.push(VmOutput::JobAccepted(job.to_owned()));
         }
+        // While the stream is replayed, a late result may be read before the one that counts.
         let end = self.jobs.row(TENANT, job).and_then(|row| row.end());
-        if let Some(end) = end {
+        if let (Some(end), true) = (end, self.jobs.is_caught_up()) {
             let end = format!("{:?} {}", end.outcome, end.result);
             out.push(VmOutput::JobEnded(job.to_owned(), end));
         }
