--- a/decision/src/member.rs
+++ b/decision/src/member.rs
@@ -197,6 +197,9 @@
 const DEAD_PROBE_EVERY: u64 = 5;
 /// Rounds of spreading a piece of news, times the binary logarithm of the number of VMs.
 const SPREAD_ROUNDS: u32 = 3;
+/// The fewest milliseconds between two pushes of urgent news. In the worst case, a part of the fleet
+/// that falls silent, a VM sends so some twenty small messages a second for a few seconds.
+const PUSH_EVERY_MS: u64 = 100;
 /// A VM's place rides on news of it for so long.
 const PLACE_NEWS_MS: u64 = 60_000;
 /// A pause of so many periods means that this VM stood still, not the others.
@@ -282,6 +285,7 @@
     since: TimePoint,
     born: TimePoint,
     urgent: bool,
+    pushed: Option<TimePoint>,
     told: u32,
 }
 
@@ -369,6 +373,7 @@
     last_tick: Option<TimePoint>,
     pending: Option<MemberFacts>,
     next_spread: TimePoint,
+    next_push: TimePoint,
 }
 
 impl MemberTable {
@@ -390,6 +395,7 @@
             since: TimePoint(0),
             born: TimePoint(0),
             urgent: true,
+            pushed: None,
             told: 0,
         };
         Self {
@@ -404,6 +410,7 @@
             last_tick: None,
             pending: None,
             next_spread: TimePoint(0),
+            next_push: TimePoint(0),
         }
     }
 
@@ -426,6 +433,7 @@
             MemberEvent::ProbeTimeout { number } => self.take_timeout(now, number, rng, actions),
             MemberEvent::Leave => self.leave(now, rng, actions),
         }
+        self.push_urgent(now, rng, actions);
     }
 
     /// When the next tick is due.
@@ -595,6 +603,24 @@
         }
     }
 
+    /// Passes a change of state on at once. With the news of one period waiting for the next, the
+    /// last of many VMs would hear of a death too late to keep callers away from it within 3 s.
+    /// Such changes are rare, and a burst of them is told together.
+    fn push_urgent(&mut self, now: TimePoint, rng: &mut dyn Rng, actions: &mut Vec<MemberAction>) {
+        let pending = self.rows.iter().any(|row| row.urgent && row.pushed.is_none());
+        if !pending || now < self.next_push {
+            return;
+        }
+        self.next_push = now.plus(PUSH_EVERY_MS * MICROS_PER_MILLI);
+        for row in &mut self.rows {
+            row.pushed = Some(now);
+        }
+        let none = VmName::default();
+        for to in self.pick_helpers(&none, rng) {
+            self.probe(now, to, actions);
+        }
+    }
+
     fn pick_helpers(&self, target: &VmName, rng: &mut dyn Rng) -> Vec<VmName> {
         let able = self.rows.iter().filter(|row| row.answers() && row.digest.vm.vm != *target);
         let mut names: Vec<&VmName> = able.map(|row| &row.digest.vm.vm).collect();
@@ -948,7 +974,17 @@
 
     fn heard(now: TimePoint, digest: MemberDigest, place: MemberPlace) -> Self {
         let (since, born) = (now, now);
-        Self { digest, place, listed: None, heard: true, since, born, urgent: true, told: 0 }
+        Self {
+            digest,
+            place,
+            listed: None,
+            heard: true,
+            since,
+            born,
+            urgent: false,
+            pushed: None,
+            told: 0,
+        }
     }
 
     fn probed(&self) -> bool {
@@ -966,6 +1002,7 @@
         self.digest.state = state;
         self.since = now;
         self.urgent = true;
+        self.pushed = None;
         self.told = 0;
         self.report(was, actions);
     }
@@ -989,6 +1026,7 @@
         self.digest = digest;
         self.heard = true;
         self.urgent = turned;
+        self.pushed = None;
         self.told = 0;
         if turned {
             self.since = now;
--- /dev/null
+++ b/decision/tests/suite/member_probes.rs
@@ -0,0 +1,265 @@
+// VMs die, stand still, restart and are parted from each other while the platform's list lags. A
+// dead VM is out of every view within 3 s, one that only stood still or restarted comes back, and
+// two sides of a partition never both see a majority.
+
+use std::net::SocketAddr;
+
+use coltsfoothook_decision::id::{MICROS_PER_MILLI, TimePoint, VmIdentity, VmIncarnation};
+use coltsfoothook_decision::member::{
+    ListedState, ListedVm, MemberAction, MemberEvent, MemberFacts, MemberPlace, MemberSettings,
+    MemberState, MemberTable, ProbeMessage, ProbeReply,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+enum Message {
+    Probe(ProbeMessage),
+    Reply(ProbeReply),
+}
+
+struct Flying {
+    at: TimePoint,
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+struct Seat {
+    table: Option<MemberTable>,
+    paused: bool,
+    side: bool,
+}
+
+/// A few VMs with a millisecond or two between them, ticked every 20 ms.
+struct Fleet {
+    now: TimePoint,
+    rng: Pcg64,
+    seats: Vec<Seat>,
+    flying: Vec<Flying>,
+    calls: Vec<(u64, usize, usize)>,
+    digests: usize,
+}
+
+fn place(at: usize) -> MemberPlace {
+    let address: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 9_000 + at as u16));
+    MemberPlace { caller: address, peer: address, domain: "d".into(), region: "r".into() }
+}
+
+fn name(at: usize) -> String {
+    format!("vm-{at:03}")
+}
+
+fn start(at: usize, life: u64) -> MemberTable {
+    let vm = VmIdentity { vm: name(at).into(), incarnation: VmIncarnation(life) };
+    MemberTable::new(MemberSettings::default(), vm, place(at))
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Self {
+        let seats =
+            (0..count).map(|at| Seat { table: Some(start(at, 900)), paused: false, side: false });
+        let mut fleet = Self {
+            now: TimePoint(0),
+            rng: Pcg64::seed_from_u64(seed),
+            seats: seats.collect(),
+            flying: Vec::new(),
+            calls: Vec::new(),
+            digests: 0,
+        };
+        for at in 0..count {
+            fleet.list(at);
+        }
+        fleet.run(6_000);
+        fleet
+    }
+
+    fn list(&mut self, at: usize) {
+        let entries = (0..self.seats.len()).map(|other| ListedVm {
+            name: name(other).into(),
+            place: place(other),
+            state: ListedState::Live,
+        });
+        let event = MemberEvent::Listed(entries.collect());
+        self.handle(at, event);
+    }
+
+    fn handle(&mut self, at: usize, event: MemberEvent) {
+        let Some(table) = &mut self.seats[at].table else { return };
+        let mut actions = Vec::new();
+        table.handle(self.now, event, &mut self.rng, &mut actions);
+        for action in actions {
+            match action {
+                MemberAction::SendProbe { to, message, .. }
+                | MemberAction::SendIndirect { via: to, message, .. } => {
+                    self.digests = self.digests.max(message.news.len());
+                    self.send(at, to.as_str(), Message::Probe(message));
+                }
+                MemberAction::Reply { call, reply } => {
+                    let (_, _, to) = self.calls[call as usize];
+                    self.send(at, &name(to), Message::Reply(reply));
+                }
+                MemberAction::Changed(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: Message) {
+        let Some(to) = (0..self.seats.len()).find(|at| name(*at) == to) else { return };
+        let at = self.now.plus(self.rng.random_range(500..2_000));
+        self.flying.push(Flying { at, from, to, message });
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.now.plus(ms * MICROS_PER_MILLI);
+        while self.now < end {
+            self.now = self.now.plus(20 * MICROS_PER_MILLI);
+            for at in 0..self.seats.len() {
+                if !self.seats[at].paused {
+                    self.handle(at, MemberEvent::Tick);
+                }
+            }
+            self.deliver();
+            self.deliver();
+        }
+    }
+
+    fn deliver(&mut self) {
+        for flying in std::mem::take(&mut self.flying) {
+            let (from, to) = (flying.from, flying.to);
+            if self.seats[to].paused {
+                self.flying.push(flying);
+                continue;
+            }
+            let _ = flying.at;
+            if self.seats[from].side != self.seats[to].side || self.seats[to].table.is_none() {
+                continue;
+            }
+            match flying.message {
+                Message::Probe(message) => {
+                    let call = self.calls.len() as u64;
+                    self.calls.push((call, to, from));
+                    self.handle(to, MemberEvent::Probe { call, message });
+                }
+                Message::Reply(reply) => self.handle(to, MemberEvent::Reply(reply)),
+            }
+        }
+    }
+
+    fn table(&self, at: usize) -> &MemberTable {
+        self.seats[at].table.as_ref().expect("it runs")
+    }
+
+    fn seen_live(&self, by: usize) -> usize {
+        self.table(by).live().count()
+    }
+
+    fn running(&self) -> Vec<usize> {
+        (0..self.seats.len()).filter(|at| self.seats[*at].table.is_some()).collect()
+    }
+}
+
+#[test]
+fn all_meet() {
+    for count in [2, 6, 60] {
+        // Nobody knows anybody at first: the more VMs, the longer they need.
+        let mut fleet = Fleet::new(count, 1);
+        fleet.run(200 * count as u64);
+        for at in 0..count {
+            assert_eq!(fleet.seen_live(at), count, "VM {at} of {count}");
+        }
+    }
+}
+
+#[test]
+fn dead_vm_gone_in_three_seconds() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(9, seed);
+        fleet.seats[4].table = None;
+        fleet.run(3_000);
+        for at in fleet.running() {
+            let state = fleet.table(at).state_of("vm-004");
+            assert!(
+                !fleet.table(at).live().any(|row| row.name() == "vm-004"),
+                "seed {seed}: {at} still has it as {state:?}"
+            );
+        }
+        fleet.run(1_500);
+        for at in fleet.running() {
+            assert_eq!(fleet.table(at).state_of("vm-004"), Some(MemberState::Dead), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn paused_vm_blames_nobody() {
+    let mut fleet = Fleet::new(5, 3);
+    fleet.seats[2].paused = true;
+    fleet.run(60_000);
+    assert_eq!(fleet.table(0).state_of("vm-002"), Some(MemberState::Dead));
+    fleet.seats[2].paused = false;
+    fleet.run(100);
+    assert_eq!(fleet.seen_live(2), 5, "it does not take its own pause for the others' death");
+    fleet.run(5_000);
+    for at in 0..5 {
+        assert_eq!(fleet.seen_live(at), 5, "{at} takes it back");
+    }
+}
+
+#[test]
+fn restarted_vm_replaces_itself() {
+    // The later life has the lower number, as after a clock that jumped back.
+    let mut fleet = Fleet::new(5, 4);
+    fleet.seats[1].table = Some(start(1, 3));
+    fleet.list(1);
+    fleet.run(4_000);
+    let old = VmIdentity { vm: "vm-001".into(), incarnation: VmIncarnation(900) };
+    for at in 0..5 {
+        assert!(!fleet.table(at).runs(&old), "{at} believes in the earlier life");
+        assert_eq!(fleet.seen_live(at), 5);
+    }
+}
+
+#[test]
+fn one_side_has_the_majority() {
+    let mut fleet = Fleet::new(5, 5);
+    for at in [0, 1] {
+        fleet.seats[at].side = true;
+    }
+    fleet.run(5_000);
+    let majorities: Vec<bool> = (0..5).map(|at| fleet.table(at).majority("r")).collect();
+    assert_eq!(majorities, [false, false, true, true, true]);
+    fleet.run(120_000);
+    fleet.seats.iter_mut().for_each(|seat| seat.side = false);
+    fleet.run(20_000);
+    for at in 0..5 {
+        assert_eq!(fleet.seen_live(at), 5, "{at} finds the others after a long time apart");
+    }
+}
+
+#[test]
+fn leaving_vm_is_told_everywhere() {
+    let mut fleet = Fleet::new(6, 6);
+    fleet.handle(3, MemberEvent::Leave);
+    fleet.run(3_000);
+    for at in 0..6 {
+        assert_eq!(fleet.table(at).state_of("vm-003"), Some(MemberState::Leaving));
+        assert!(!fleet.table(at).live().any(|row| row.name() == "vm-003"));
+        assert!(fleet.table(at).majority("r"));
+    }
+}
+
+#[test]
+fn facts_spread_in_bounded_messages() {
+    let mut fleet = Fleet::new(20, 7);
+    let facts = MemberFacts { weight: 7, reads_log: true, ..Default::default() };
+    for at in 0..20 {
+        fleet.handle(at, MemberEvent::Facts(facts.clone()));
+    }
+    fleet.digests = 0;
+    fleet.run(12_000);
+    assert!(fleet.digests <= MemberSettings::default().digests, "{} digests", fleet.digests);
+    for at in 0..20 {
+        let known = fleet.table(at).others().iter().filter(|row| row.facts().weight == 7).count();
+        assert_eq!(known, 19, "{at} knows the facts of {known}");
+    }
+}
--- /dev/null
+++ b/decision/tests/suite/takeover_rank.rs
@@ -0,0 +1,147 @@
+// An owner dies and several VMs could take its group over. The first by rank does so at once and
+// the next waits; a VM that sees no majority takes nothing; and without the log a VM dispatches
+// without an owner only when the owner is surely gone.
+
+use std::net::SocketAddr;
+
+use coltsfoothook_decision::control::ControlFold;
+use coltsfoothook_decision::id::{
+    MICROS_PER_MILLI, OwnerEpoch, TimePoint, VmIdentity, VmIncarnation,
+};
+use coltsfoothook_decision::member::{
+    ListedState, ListedVm, MemberDigest, MemberEvent, MemberFacts, MemberPlace, MemberSettings,
+    MemberState, MemberTable, ProbeMessage,
+};
+use coltsfoothook_decision::record::ControlRecord;
+use coltsfoothook_decision::takeover::{
+    OwnerlessRuling, TakeoverGroup, TakeoverPlan, TakeoverSettings, ownerless,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+const VMS: [&str; 3] = ["a", "b", "c"];
+
+fn ms(ms: u64) -> TimePoint {
+    TimePoint(ms * MICROS_PER_MILLI)
+}
+
+fn place() -> MemberPlace {
+    let address: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    MemberPlace { caller: address, peer: address, domain: "d".into(), region: "r".into() }
+}
+
+fn vm(name: &str, life: u64) -> VmIdentity {
+    VmIdentity { vm: name.into(), incarnation: VmIncarnation(life) }
+}
+
+/// What `me` sees: all three VMs are listed, and those in `states` were heard of.
+fn members(me: &str, now: TimePoint, states: &[(&str, u64, MemberState)]) -> MemberTable {
+    let mut table = MemberTable::new(MemberSettings::default(), vm(me, 1), place());
+    let listed =
+        VMS.map(|name| ListedVm { name: name.into(), place: place(), state: ListedState::Live });
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut actions = Vec::new();
+    table.handle(now, MemberEvent::Listed(listed.to_vec()), &mut rng, &mut actions);
+    for (name, life, state) in states {
+        let from = MemberDigest {
+            vm: vm(name, *life),
+            sequence: 5,
+            state: *state,
+            place: Some(place()),
+            facts: MemberFacts::default(),
+        };
+        let message = ProbeMessage { number: 1, from, target: None, news: Vec::new() };
+        table.handle(now, MemberEvent::Probe { call: 1, message }, &mut rng, &mut actions);
+    }
+    table
+}
+
+fn group() -> TakeoverGroup {
+    TakeoverGroup { name: "g".into(), region: "r".to_owned() }
+}
+
+fn owned_by(owner: VmIdentity) -> ControlFold {
+    let mut fold = ControlFold::default();
+    let record = ControlRecord::Takeover { group: "g".into(), after: OwnerEpoch(0), owner };
+    fold.fold(0, record);
+    fold
+}
+
+/// The millisecond at which `me` takes the group over, asked every 100 ms for 6 s.
+fn takes_over_at(
+    me: &str,
+    states: &[(&str, u64, MemberState)],
+    control: &ControlFold,
+) -> Option<u64> {
+    let table = members(me, ms(0), states);
+    let mut plan = TakeoverPlan::new(TakeoverSettings::default(), ms(0));
+    (0..60)
+        .map(|step| step * 100)
+        .find(|at| !plan.plan(ms(*at), &[group()], &table, control).is_empty())
+}
+
+use MemberState::{Alive, Dead, Leaving, Suspect};
+
+#[test]
+fn ranks_act_in_turn() {
+    let control = ControlFold::default();
+    let mut times: Vec<u64> = VMS
+        .iter()
+        .map(|me| {
+            let others: Vec<_> =
+                VMS.iter().filter(|name| *name != me).map(|name| (*name, 1, Alive)).collect();
+            takes_over_at(me, &others, &control).expect("each would in the end")
+        })
+        .collect();
+    times.sort_unstable();
+    assert_eq!(times, [2_000, 2_700, 3_400]);
+}
+
+#[test]
+fn only_gone_owners_lose_their_group() {
+    let control = owned_by(vm("b", 1));
+    let takes = |state, life| {
+        takes_over_at("a", &[("b", life, state), ("c", 1, Alive)], &control).is_some()
+    };
+    assert!(!takes(Alive, 1));
+    assert!(!takes(Suspect, 1), "a suspected owner may refute it");
+    assert!(takes(Dead, 1));
+    assert!(takes(Leaving, 1));
+    assert!(takes(Alive, 2), "the life that owned it is over");
+}
+
+#[test]
+fn minority_takes_nothing() {
+    let control = owned_by(vm("b", 1));
+    assert_eq!(takes_over_at("a", &[("b", 1, Dead), ("c", 1, Dead)], &control), None);
+}
+
+#[test]
+fn lost_takeover_is_repeated() {
+    let table = members("a", ms(0), &[("b", 1, Dead), ("c", 1, Alive)]);
+    let control = owned_by(vm("b", 1));
+    let mut plan = TakeoverPlan::new(TakeoverSettings::default(), ms(0));
+    let asked: Vec<u64> = (0..60)
+        .map(|step| step * 100)
+        .filter(|at| !plan.plan(ms(*at), &[group()], &table, &control).is_empty())
+        .collect();
+    assert!(asked.len() >= 2 && asked[1] - asked[0] == 1_500, "asked at {asked:?}");
+}
+
+#[test]
+fn dispatch_without_owner() {
+    let settings = TakeoverSettings::default();
+    let control = owned_by(vm("b", 1));
+    let ruling = |now, read, states: &[(&str, u64, MemberState)]| {
+        let table = members("a", ms(0), states);
+        ownerless(ms(now), &settings, &group(), read, &table, &control)
+    };
+    let dead = [("b", 1, Alive), ("b", 1, Dead), ("c", 1, Alive)];
+    assert_eq!(ruling(5_000, false, &dead), OwnerlessRuling::Allowed);
+    assert_eq!(ruling(1_000, false, &dead), OwnerlessRuling::OwnerMayLive);
+    assert_eq!(ruling(5_000, true, &dead), OwnerlessRuling::LogUp);
+    let alive = [("b", 1, Alive), ("c", 1, Alive)];
+    assert_eq!(ruling(5_000, false, &alive), OwnerlessRuling::OwnerMayLive);
+    let cut_off = [("b", 1, Dead), ("c", 1, Dead)];
+    assert_eq!(ruling(5_000, false, &cut_off), OwnerlessRuling::NoMajority);
+}
