Faces log events by name; traffic between VMs is counted by kind

Cause: the faces and keys wrote log lines of their own, which the page of events did not list, and nothing counted the bytes between VMs, which have a budget.

Change: they use the table of events, with accept_failed as a new one. The peers' counters tell frames and bytes of probes, grants and other calls; the server counts where its handler says, so the process has one account of both directions and brings it into the metrics when they are read.

Conclusion: control_bytes and control_messages speak of peers from now on.

--- a/caller/src/server.rs
+++ b/caller/src/server.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use coltsfoothook_telemetry::event;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -153,7 +154,7 @@
                     connections.spawn(serve_stream(stream, from, permit, shared.clone()));
                 }
                 Err(error) => {
-                    log::warn!("event=caller_accept_failed reason={:?}", error.to_string());
+                    event!(AcceptFailed, face = "caller", reason = error);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -220,7 +221,7 @@
 impl ServerParts {
     fn refuse(&self, from: SocketAddr, reason: &str) {
         self.refused.fetch_add(1, Ordering::Relaxed);
-        log::warn!("event=caller_refused reason={reason:?} from={from}");
+        event!(CallerRefused, reason = reason, from = from);
     }
 }
 
--- a/entry/src/measure.rs
+++ b/entry/src/measure.rs
@@ -7,7 +7,7 @@
 use coltsfoothook_decision::suspect::CONDEMNED_CRASHES;
 use coltsfoothook_telemetry::{
     EvictionReason, LoadResult, MetricSet, MetricSettings, OrderKind, OrderResult as OrderLabel,
-    RetryReason, StreamName,
+    RetryReason, StreamName, TrafficKind,
 };
 
 use crate::core::{EntryCore, read};
@@ -101,6 +101,10 @@
         self.set.set_suspects((suspects.len() - condemned) as u64, condemned as u64);
         let (waiting, running, finished) = core.jobs.counts();
         self.set.set_jobs(waiting, running, finished);
+        for kind in [TrafficKind::Probe, TrafficKind::Grant, TrafficKind::Call] {
+            let traffic = core.clients.peers.counters().take_traffic(kind);
+            self.set.add_control(kind, traffic.messages, traffic.bytes);
+        }
     }
 
     fn refresh_groups(&self, core: &EntryCore) {
--- a/entry/src/peers.rs
+++ b/entry/src/peers.rs
@@ -10,7 +10,7 @@
     CatchUpCall, CatchUpReply, ExplainCall, ExplainReply, HeldCall, HeldReply, InvariantCount,
     RevokeCall, RevokeReply, StatusReply, StreamStatus, WithdrawCall,
 };
-use coltsfoothook_peer::PeerHandler;
+use coltsfoothook_peer::{PeerCounters, PeerHandler};
 
 use crate::core::{EntryCore, read};
 use crate::follow::FollowedStream;
@@ -27,6 +27,10 @@
 
 #[async_trait]
 impl PeerHandler for PeerFace {
+    fn counters(&self) -> Arc<PeerCounters> {
+        Arc::clone(self.core.clients.peers.counters())
+    }
+
     async fn probe(&self, message: ProbeMessage) -> ProbeReply {
         let number = message.number;
         let reply = self.roster.answer(message).await;
--- a/keys/src/config.rs
+++ b/keys/src/config.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
+use coltsfoothook_telemetry::event;
 use rustls::client::{ResolvesClientCert, Resumption, WebPkiServerVerifier};
 use rustls::server::{
     ClientHello, NoServerSessionStorage, ResolvesServerCert, WebPkiClientVerifier,
@@ -132,12 +133,12 @@
             match read {
                 Ok(Ok(false)) => {}
                 Ok(Ok(true)) => {
-                    log::info!("event=keys_replaced chain={:?}", self.files.chain.display());
+                    event!(KeysReplaced, file = self.files.chain.display());
                 }
                 Ok(Err(error)) => {
-                    log::error!("event=keys_not_replaced reason={:?}", error.to_string());
+                    event!(KeysRefused, reason = error);
                 }
-                Err(error) => log::error!("event=keys_not_read reason={:?}", error.to_string()),
+                Err(error) => event!(KeysRefused, reason = error),
             }
         }
     }
--- a/peer/src/handler.rs
+++ b/peer/src/handler.rs
@@ -1,5 +1,7 @@
 //! What the entry process implements to answer other VMs.
 
+use std::sync::Arc;
+
 use async_trait::async_trait;
 use coltsfoothook_decision::grant::{ReleaseCall, ReserveCall, ReserveReply};
 use coltsfoothook_decision::member::{ProbeMessage, ProbeReply};
@@ -8,9 +10,17 @@
     RevokeReply, StatusReply, WithdrawCall,
 };
 
+use crate::settings::PeerCounters;
+
 /// Answers calls of other VMs. The names in messages have been checked against the certificates.
 #[async_trait]
 pub trait PeerHandler: Send + Sync + 'static {
+    /// Where to count traffic and refusals, usually the counters of the pool, so that both
+    /// directions add up. By default the server has counters of its own.
+    fn counters(&self) -> Arc<PeerCounters> {
+        Arc::default()
+    }
+
     /// Answers a probe, or probes the named VM on the sender's behalf.
     async fn probe(&self, message: ProbeMessage) -> ProbeReply;
 
--- a/peer/src/lib.rs
+++ b/peer/src/lib.rs
@@ -30,4 +30,4 @@
 pub use pool::{PeerError, PeerPool, PeerTarget};
 pub use server::PeerServer;
 pub use service::{FaultReason, PeerFault};
-pub use settings::{PeerCounters, PeerSettings, SetupError};
+pub use settings::{PeerCounters, PeerSettings, SetupError, TrafficCount};
--- a/peer/src/pool.rs
+++ b/peer/src/pool.rs
@@ -14,6 +14,7 @@
     RevokeReply, StatusReply, WithdrawCall,
 };
 use coltsfoothook_decision::value;
+use coltsfoothook_telemetry::event;
 use rustls_pki_types::ServerName;
 use snafu::Snafu;
 use tarpc::client::{Config, RpcError};
@@ -255,11 +256,7 @@
             return Ok(());
         }
         self.counters.count_forged();
-        log::warn!(
-            "event=peer_name_forged claimed={:?} expected={:?}",
-            name.as_str(),
-            target.vm.as_str()
-        );
+        event!(PeerRefused, reason = "forged_name", vm = name, expected = target.vm);
         let reason = format!("{name} answered in its place");
         Err(PeerError::Unknown { vm: target.vm.clone(), reason })
     }
@@ -372,7 +369,7 @@
             Ok(stream) => Ok(self.start(stream)),
             Err(reason) => {
                 self.counters.count_handshake();
-                log::warn!("event=peer_handshake_failed vm={} reason={reason:?}", target.vm);
+                event!(PeerRefused, reason = "handshake", detail = reason, vm = target.vm);
                 Err(reason)
             }
         }
@@ -391,11 +388,9 @@
         let closed = Arc::new(AtomicBool::new(false));
         let flag = closed.clone();
         tokio::spawn(async move {
-            let ended = made.dispatch.await;
+            // How a connection ended is told by the calls on it.
+            let _ = made.dispatch.await;
             flag.store(true, Ordering::Release);
-            if let Err(error) = ended {
-                log::debug!("event=peer_connection_ended reason={:?}", error.to_string());
-            }
         });
         LiveConnection { client: made.client, closed }
     }
--- a/peer/src/server.rs
+++ b/peer/src/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfoothook_telemetry::event;
 use futures::StreamExt;
 use snafu::ResultExt;
 use tarpc::server::{BaseChannel, Channel, Config};
@@ -59,7 +60,7 @@
         let listen = settings.listen;
         let listener = bind(listen).context(ListenSnafu { listen })?;
         let address = listener.local_addr().context(ListenSnafu { listen })?;
-        let counters = Arc::new(PeerCounters::default());
+        let counters = handler.counters();
         let closing = CancellationToken::new();
         let parts = ServerParts {
             settings,
@@ -121,13 +122,13 @@
                 Ok((stream, from)) => {
                     let Ok(permit) = room.clone().try_acquire_owned() else {
                         parts.counters.count_crowded();
-                        log::warn!("event=peer_refused reason=too_many_connections from={from}");
+                        event!(PeerRefused, reason = "too_many_connections", from = from);
                         continue;
                     };
                     connections.spawn(serve_stream(stream, from, permit, parts.clone()));
                 }
                 Err(error) => {
-                    log::warn!("event=peer_accept_failed reason={:?}", error.to_string());
+                    event!(AcceptFailed, face = "peer", reason = error);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -167,7 +168,7 @@
 
 fn refuse_handshake(parts: &ServerParts, from: SocketAddr, reason: &str) {
     parts.counters.count_handshake();
-    log::warn!("event=peer_refused reason={reason:?} from={from}");
+    event!(PeerRefused, reason = "handshake", detail = reason, from = from);
 }
 
 /// Serves one connection until it breaks or the server closes.
--- a/peer/src/service.rs
+++ b/peer/src/service.rs
@@ -10,6 +10,7 @@
     RevokeReply, StatusReply, WithdrawCall,
 };
 use coltsfoothook_decision::value;
+use coltsfoothook_telemetry::event;
 use serde::{Deserialize, Serialize};
 use tarpc::context::Context;
 
@@ -74,7 +75,7 @@
             return Ok(());
         }
         self.counters.count_forged();
-        log::warn!("event=peer_name_forged claimed={:?}", claimed.as_str());
+        event!(PeerRefused, reason = "forged_name", vm = claimed);
         let detail = format!("the certificate is not that of {claimed}");
         Err(PeerFault { reason: FaultReason::ForgedName, detail })
     }
@@ -128,7 +129,7 @@
 
     async fn unsupported(self, _: Context, detail: String) -> Result<(), PeerFault> {
         self.counters.count_unsupported();
-        log::warn!("event=peer_message_unsupported detail={detail:?}");
+        event!(PeerRefused, reason = "unsupported_message", detail = detail);
         Err(PeerFault { reason: FaultReason::Unsupported, detail })
     }
 }
--- a/peer/src/settings.rs
+++ b/peer/src/settings.rs
@@ -4,9 +4,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use coltsfoothook_telemetry::TrafficKind;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+/// Bytes of the length that precedes each frame.
+const LENGTH_BYTES: usize = 4;
+
 /// Settings of the calls between entry VMs.
 ///
 /// Two releases talk to each other while VMs are replaced one by one: fields are sent by name,
@@ -97,6 +101,25 @@
     crowded: AtomicU64,
     sent: AtomicU64,
     received: AtomicU64,
+    probes: TrafficCounter,
+    grants: TrafficCounter,
+    calls: TrafficCounter,
+}
+
+/// Frames of one kind that are not yet told.
+#[derive(Debug, Default)]
+struct TrafficCounter {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+/// Frames, both ways.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TrafficCount {
+    /// How many.
+    pub messages: u64,
+    /// Their bytes.
+    pub bytes: u64,
 }
 
 impl PeerCounters {
@@ -142,12 +165,38 @@
         self.received.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn count_sent(&self, frame: usize) {
-        self.sent.fetch_add(frame_bytes(frame), Ordering::Relaxed);
+    /// Frames of a kind since this was asked the last time.
+    #[must_use]
+    pub fn take_traffic(&self, kind: TrafficKind) -> TrafficCount {
+        let counter = self.traffic(kind);
+        TrafficCount {
+            messages: counter.messages.swap(0, Ordering::Relaxed),
+            bytes: counter.bytes.swap(0, Ordering::Relaxed),
+        }
+    }
+
+    fn traffic(&self, kind: TrafficKind) -> &TrafficCounter {
+        match kind {
+            TrafficKind::Probe => &self.probes,
+            TrafficKind::Grant => &self.grants,
+            _ => &self.calls,
+        }
+    }
+
+    pub(crate) fn count_sent(&self, kind: TrafficKind, frame: usize) {
+        self.sent.fetch_add(self.count_traffic(kind, frame), Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_received(&self, kind: TrafficKind, frame: usize) {
+        self.received.fetch_add(self.count_traffic(kind, frame), Ordering::Relaxed);
     }
 
-    pub(crate) fn count_received(&self, frame: usize) {
-        self.received.fetch_add(frame_bytes(frame), Ordering::Relaxed);
+    fn count_traffic(&self, kind: TrafficKind, frame: usize) -> u64 {
+        let bytes = u64::try_from(frame + LENGTH_BYTES).unwrap_or(u64::MAX);
+        let counter = self.traffic(kind);
+        counter.messages.fetch_add(1, Ordering::Relaxed);
+        counter.bytes.fetch_add(bytes, Ordering::Relaxed);
+        bytes
     }
 
     pub(crate) fn count_handshake(&self) {
@@ -170,10 +219,3 @@
         self.crowded.fetch_add(1, Ordering::Relaxed);
     }
 }
-
-/// Bytes of the length that precedes each frame.
-const LENGTH_BYTES: usize = 4;
-
-fn frame_bytes(frame: usize) -> u64 {
-    u64::try_from(frame + LENGTH_BYTES).unwrap_or(u64::MAX)
-}
--- a/peer/src/wire.rs
+++ b/peer/src/wire.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use coltsfoothook_telemetry::{TrafficKind, event};
 use futures::{Sink, Stream, ready};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,9 @@
     type Sent;
     type Received;
 
+    /// What a message is for; messages without a body count as other calls.
+    fn sent_kind(message: &Self::Sent) -> TrafficKind;
+    fn received_kind(message: &Self::Received) -> TrafficKind;
     fn encode(message: Self::Sent) -> io::Result<Vec<u8>>;
     fn decode(frame: &[u8], call_most: Duration) -> io::Result<Self::Received>;
 }
@@ -75,6 +79,14 @@
     type Sent = ClientMessage<VmPeerRequest>;
     type Received = Response<VmPeerResponse>;
 
+    fn sent_kind(message: &Self::Sent) -> TrafficKind {
+        call_kind(message)
+    }
+
+    fn received_kind(message: &Self::Received) -> TrafficKind {
+        answer_kind(message)
+    }
+
     fn encode(message: Self::Sent) -> io::Result<Vec<u8>> {
         match message {
             ClientMessage::Request(request) => {
@@ -108,6 +120,14 @@
     type Sent = Response<VmPeerResponse>;
     type Received = ClientMessage<VmPeerRequest>;
 
+    fn sent_kind(message: &Self::Sent) -> TrafficKind {
+        answer_kind(message)
+    }
+
+    fn received_kind(message: &Self::Received) -> TrafficKind {
+        call_kind(message)
+    }
+
     fn encode(response: Self::Sent) -> io::Result<Vec<u8>> {
         match response.message {
             Ok(message) => {
@@ -148,6 +168,29 @@
     }
 }
 
+fn call_kind(message: &ClientMessage<VmPeerRequest>) -> TrafficKind {
+    use VmPeerRequest as Call;
+    let ClientMessage::Request(request) = message else { return TrafficKind::Call };
+    match request.message {
+        Call::Probe { .. } => TrafficKind::Probe,
+        Call::Reserve { .. } | Call::Withdraw { .. } | Call::Release { .. } | Call::Held { .. } => {
+            TrafficKind::Grant
+        }
+        _ => TrafficKind::Call,
+    }
+}
+
+fn answer_kind(response: &Response<VmPeerResponse>) -> TrafficKind {
+    use VmPeerResponse as Answer;
+    match response.message {
+        Ok(Answer::Probe(_)) => TrafficKind::Probe,
+        Ok(Answer::Reserve(_) | Answer::Withdraw(_) | Answer::Release(_) | Answer::Held(_)) => {
+            TrafficKind::Grant
+        }
+        _ => TrafficKind::Call,
+    }
+}
+
 fn head(id: u64, kind: FrameKind) -> FrameHead {
     FrameHead { id, kind, left_ms: None, error: None }
 }
@@ -215,12 +258,13 @@
             None => return Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
         };
         let decoded = frame.and_then(|bytes| {
-            self.counters.count_received(bytes.len());
-            C::decode(&bytes, self.call_most)
+            let message = C::decode(&bytes, self.call_most)?;
+            self.counters.count_received(C::received_kind(&message), bytes.len());
+            Ok(message)
         });
         if let Err(error) = &decoded {
             self.counters.count_frame();
-            log::warn!("event=peer_frame_broken reason={:?}", error.to_string());
+            event!(PeerRefused, reason = "broken_frame", detail = error);
         }
         Poll::Ready(Some(decoded))
     }
@@ -234,8 +278,9 @@
     }
 
     fn start_send(mut self: Pin<&mut Self>, message: C::Sent) -> io::Result<()> {
+        let kind = C::sent_kind(&message);
         let frame = C::encode(message)?;
-        self.counters.count_sent(frame.len());
+        self.counters.count_sent(kind, frame.len());
         Pin::new(&mut self.framed).start_send(Bytes::from(frame))
     }
 
--- a/peer/tests/suite/good_calls.rs
+++ b/peer/tests/suite/good_calls.rs
@@ -8,6 +8,7 @@
     CatchUpCall, ExplainCall, HeldCall, RevokeCall, RevokeReply, WithdrawCall,
 };
 use coltsfoothook_peer::{PeerPool, PeerServer, PeerSettings};
+use coltsfoothook_telemetry::TrafficKind;
 
 use crate::fake::{FakeVm, LONG, digest, identity, mark, plain, release_call, reserve_call, start};
 
@@ -61,6 +62,23 @@
     }
 }
 
+/// Traffic of control has a budget, so it is counted by what it is for: the frames of a probe and a
+/// reservation, each with its answer, and nothing a second time.
+#[tokio::test]
+async fn traffic_by_kind() {
+    let (_server, pool, target) = start(FakeVm::new("b", 1), plain());
+    let probe = ProbeMessage { number: 9, from: digest("a"), target: None, news: Vec::new() };
+    pool.probe(&target, probe, LONG).await.expect("an answer");
+    pool.reserve(&target, reserve_call("a", 1), LONG).await.expect("an answer");
+    let counters = pool.counters();
+    let probes = counters.take_traffic(TrafficKind::Probe);
+    let grants = counters.take_traffic(TrafficKind::Grant);
+    assert_eq!((probes.messages, grants.messages), (2, 2));
+    let total = counters.sent_bytes() + counters.received_bytes();
+    assert_eq!(probes.bytes + grants.bytes, total);
+    assert_eq!(counters.take_traffic(TrafficKind::Grant).messages, 0);
+}
+
 /// Leaving the keys out of the settings must not open the port to everybody.
 #[tokio::test]
 async fn plaintext_is_asked_for() {
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -125,6 +125,7 @@
     MemberSuspected, "member_suspected", Warn, "An entry VM does not answer probes.";
     MemberDead, "member_dead", Warn, "An entry VM is taken to be dead.";
     MemberLeaving, "member_leaving", Info, "An entry VM is leaving.";
+    AcceptFailed, "accept_failed", Error, "A face could not take a connection, mostly for want of file descriptors.";
     PeerRefused, "peer_refused", Warn, "A peer's connection or message was refused.";
     Overloaded, "overloaded", Warn, "A queue is full and requests are shed; told once in a while for each queue.";
     InvariantBroken, "invariant_broken", Error, "A rule that must always hold was found broken.";
--- a/telemetry/src/metric.rs
+++ b/telemetry/src/metric.rs
@@ -231,6 +231,12 @@
         self.families.control_bytes.with_label_values(&[kind.as_str()]).inc_by(bytes);
     }
 
+    /// Counts many messages of control traffic at once.
+    pub fn add_control(&self, kind: TrafficKind, messages: u64, bytes: u64) {
+        self.families.control_messages.with_label_values(&[kind.as_str()]).inc_by(messages);
+        self.families.control_bytes.with_label_values(&[kind.as_str()]).inc_by(bytes);
+    }
+
     /// All metrics in Prometheus's text format, with the process's figures as of now.
     #[must_use]
     pub fn text(&self) -> String {
