--- a/caller/tests/suite/slow_sender.rs
+++ b/caller/tests/suite/slow_sender.rs
@@ -67,3 +67,18 @@
     }
     assert_eq!(call(server.address(), "GET", "/health", "").await.status, 200);
 }
+
+/// A caller keeps a connection and does not use it. It is closed after the time for a head, so that
+/// callers which went away without a word do not use up the connections.
+#[tokio::test]
+async fn unused_connection_ends() {
+    let settings = CallerSettings { head_timeout_ms: 100, ..Default::default() };
+    let handler = FakeHandler::answering(Script::Hang);
+    let server = CallerServer::start(settings, handler, None).expect("the face starts");
+    let mut stream = TcpStream::connect(server.address()).await.expect("connect");
+    stream.write_all(b"GET /health HTTP/1.1\r\nhost: vm\r\n\r\n").await.expect("write");
+    let mut bytes = Vec::new();
+    let ended = tokio::time::timeout(Duration::from_secs(8), stream.read_to_end(&mut bytes));
+    let _ = ended.await.expect("the connection ends");
+    assert_eq!(parse(&bytes).status, 200);
+}
