Entry writes the events and metrics that the manual names

The manual told operators to look for log_down, config_stale and request_condemned, which nothing wrote. They are written now, once for each change; retries carry request, tenant and server. A change that the fold would reject is refused before it is appended.

--- a/ctl/src/settings.rs
+++ b/ctl/src/settings.rs
@@ -21,7 +21,7 @@
         /// The longest time for a call, in milliseconds.
         pub timeout_ms: u64 = 20_000, in 100..=600_000;
         /// How often a call is sent when its outcome is not known or the log is down.
-        pub attempts: u32 = 5, in 1..=100;
+        pub attempts: u32 = 3, in 1..=100;
         /// The most bytes in an answer.
         pub answer_bytes: usize = 64 << 20, in 1_024..=1 << 30;
     }
--- a/entry/src/core.rs
+++ b/entry/src/core.rs
@@ -89,7 +89,7 @@
     pub(crate) traces: RequestTraces,
     pub(crate) gate: Arc<RequestGate>,
     pub(crate) health: Arc<LogHealth>,
-    pub(crate) metrics: EntryMetrics,
+    pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) invariants: Mutex<InvariantLog>,
     pub(crate) request_numbers: std::sync::atomic::AtomicU64,
     pub(crate) closing: CancellationToken,
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -11,6 +11,7 @@
     CLAIM_STREAM, CONFIG_STREAM, CONTROL_STREAM, ClaimRecord, ConfigRecord, ControlRecord,
     JOB_STREAM, JobRecord,
 };
+use coltsfoothook_decision::suspect::{SuspectVerdict, verdict_of};
 use coltsfoothook_platform::{LogError, LogPage};
 use coltsfoothook_telemetry::event;
 use serde::de::DeserializeOwned;
@@ -80,7 +81,7 @@
         let from = LogOffset(stream.next(&core));
         match core.clients.log.read(stream.name(), from, READ_RECORDS, READ_WAIT).await {
             Ok(page) => {
-                core.health.read_answered(core.clock.now());
+                log_answered(&core);
                 if page.first_kept > from {
                     stream.retained_from(&core, page.first_kept);
                 }
@@ -92,18 +93,37 @@
                 }
             }
             Err(LogError::BehindRetention { first_kept }) => {
-                core.health.read_answered(core.clock.now());
+                log_answered(&core);
                 event!(LogGap, stream = stream.name(), first_kept = first_kept);
                 stream.retained_from(&core, first_kept);
             }
             Err(error) => {
-                log::debug!("reading {} failed: {error}", stream.name());
+                log_failed(&core, stream, &error);
                 sleep(RETRY_PAUSE).await;
             }
         }
     }
 }
 
+/// Notes that the log answered, and says so after an outage.
+fn log_answered(core: &EntryCore) {
+    if core.health.read_answered(core.clock.now()) {
+        event!(LogUp, vm = core.me.vm);
+    }
+}
+
+/// Says once that the log is down, and once that this VM is out of touch with other VMs as well.
+fn log_failed(core: &EntryCore, stream: FollowedStream, error: &LogError) {
+    let now = core.clock.now();
+    let silent_ms = core.health.silent_ms(now);
+    if core.health.found_down(now) {
+        event!(LogDown, stream = stream.name(), silent_ms = silent_ms, error = error);
+    }
+    if core.health.found_stale(now, core.settings.stale_ms) {
+        event!(ConfigStale, version = core.view().version, silent_ms = silent_ms);
+    }
+}
+
 fn fold_page(core: &Arc<EntryCore>, stream: FollowedStream, page: LogPage) {
     for record in page.records {
         let offset = record.offset.0;
@@ -151,6 +171,15 @@
         install_config(core);
     }
     for ruling in rulings {
+        if let ConfigVerdict::Rejected(faults) = &ruling.verdict {
+            let first = faults.first().map(ToString::to_string);
+            event!(
+                ConfigRejected,
+                publish_id? = ruling.publish_id,
+                faults = faults.len(),
+                first? = first
+            );
+        }
         answer_publisher(core, ruling);
     }
 }
@@ -210,7 +239,19 @@
         ControlVerdict::VmDrain(vm, draining) => {
             event!(MemberLeaving, vm = vm, draining = draining);
         }
-        ControlVerdict::Crashed(_) | ControlVerdict::Cleared(_) => tell_suspects(core),
+        ControlVerdict::Crashed(suspects) => {
+            for suspect in &suspects {
+                if verdict_of(suspect) == SuspectVerdict::Condemned {
+                    let fingerprint = format!("{:016x}", suspect.fingerprint.0);
+                    event!(RequestCondemned, fingerprint = fingerprint, crashes = suspect.crashes);
+                }
+            }
+            tell_suspects(core);
+        }
+        ControlVerdict::Cleared(fingerprint) => {
+            event!(SuspicionCleared, fingerprint = format!("{:016x}", fingerprint.0));
+            tell_suspects(core);
+        }
         ControlVerdict::Adopted => install_control(core),
         ControlVerdict::Superseded(_) | ControlVerdict::Nothing => {}
     }
--- a/entry/src/health.rs
+++ b/entry/src/health.rs
@@ -1,6 +1,6 @@
 //! How long ago the log and other VMs were last heard of.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use coltsfoothook_decision::id::{MICROS_PER_MILLI, TimePoint};
 use coltsfoothook_decision::record::CONFIG_STREAM;
@@ -21,12 +21,28 @@
     peer: AtomicU64,
     ends: [AtomicU64; STREAMS],
     config_snapshot: AtomicU64,
+    down: AtomicBool,
+    stale: AtomicBool,
     control_snapshot: AtomicU64,
 }
 
 impl LogHealth {
-    pub(crate) fn read_answered(&self, now: TimePoint) {
+    /// Notes an answered read, and tells whether it ends an outage that was found.
+    pub(crate) fn read_answered(&self, now: TimePoint) -> bool {
         self.read.store(now.0.max(1), Ordering::Relaxed);
+        self.stale.store(false, Ordering::Relaxed);
+        self.down.swap(false, Ordering::Relaxed)
+    }
+
+    /// Whether the log is down and this is the first to find it.
+    pub(crate) fn found_down(&self, now: TimePoint) -> bool {
+        !self.readable(now) && !self.down.swap(true, Ordering::Relaxed)
+    }
+
+    /// Whether this VM is out of touch and this is the first to find it.
+    pub(crate) fn found_stale(&self, now: TimePoint, limit_ms: u64) -> bool {
+        let stale = self.out_of_touch(now, limit_ms);
+        stale && !self.stale.swap(stale, Ordering::Relaxed)
     }
 
     /// Notes the offset after a stream's last record, as the log said.
--- a/entry/src/operate.rs
+++ b/entry/src/operate.rs
@@ -11,9 +11,10 @@
 use coltsfoothook_decision::record::{ConfigRecord, ControlRecord};
 use coltsfoothook_operator::{
     DrainKind, ExplainAnswer, FleetStatus, HealthAnswer, ManifestAnswer, OperatorAuth,
-    OperatorHandler, PublishAnswer, PublishCall, VmStatus, WriteAnswer,
+    OperatorHandler, PublishAnswer, PublishCall, VmStatus, WriteAnswer, publish_faults,
 };
 use coltsfoothook_peer::PeerTarget;
+use coltsfoothook_telemetry::PublishResult;
 use futures::future::join_all;
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
@@ -71,7 +72,9 @@
     }
 
     async fn publish(&self, call: PublishCall) -> PublishAnswer {
-        publish(&self.core, call).await
+        let answer = publish(&self.core, call).await;
+        self.core.metrics.set.count_publication(publish_label(&answer));
+        answer
     }
 
     async fn status(&self) -> FleetStatus {
@@ -167,6 +170,14 @@
     if !lock(&core.config).whole() {
         return PublishAnswer::NotReady;
     }
+    let in_force = lock(&core.config).in_force();
+    if in_force.version == call.base {
+        // A change that the fold would reject is refused before it takes room in the log.
+        let faults = publish_faults(&call.change, &in_force);
+        if !faults.is_empty() {
+            return PublishAnswer::Rejected(faults);
+        }
+    }
     let PublishCall { base, publish_id, change } = call;
     let (answer, answered) = oneshot::channel();
     let waiter = PublishWaiter { publish_id: publish_id.clone(), answer };
@@ -179,6 +190,17 @@
     result
 }
 
+fn publish_label(answer: &PublishAnswer) -> PublishResult {
+    match answer {
+        PublishAnswer::Accepted(_) => PublishResult::Accepted,
+        PublishAnswer::Repeated(_) => PublishResult::Repeated,
+        PublishAnswer::Stale { .. } => PublishResult::Stale,
+        PublishAnswer::Rejected(_) => PublishResult::Rejected,
+        PublishAnswer::Unknown => PublishResult::Unknown,
+        PublishAnswer::LogUnavailable | PublishAnswer::NotReady => PublishResult::Unavailable,
+    }
+}
+
 async fn append_and_wait(
     core: &EntryCore,
     data: String,
--- a/entry/src/own.rs
+++ b/entry/src/own.rs
@@ -18,7 +18,7 @@
 use coltsfoothook_decision::owner::{
     EngineOrder, GroupOwner, GroupTopology, OrderResult, OwnerAction, OwnerEvent, OwnerNote,
 };
-use coltsfoothook_decision::record::{ControlRecord, GroupOwnership};
+use coltsfoothook_decision::record::{CONTROL_STREAM, ControlRecord, GroupOwnership};
 use coltsfoothook_engine::{LoadOrder, OrderError, UnloadOrder};
 use coltsfoothook_telemetry::event;
 use rand_pcg::Pcg64;
@@ -66,6 +66,7 @@
     number: u64,
     asker: VmIdentity,
     id: RequestId,
+    server: ServerName,
 }
 
 impl OwnerShard {
@@ -242,7 +243,7 @@
             Ok(reply) => {
                 self.drive(core, OwnerEvent::Held { vm: reply.vm, grants: reply.grants });
             }
-            Err(error) => log::warn!("{vm} did not tell what it holds: {error}"),
+            Err(error) => event!(HeldUnknown, vm = vm, error = error),
         }
     }
 }
@@ -267,20 +268,30 @@
         self.owner.handle(core.clock.now(), event, &mut self.rng, &mut actions);
         for action in actions {
             match action {
-                OwnerAction::Grant { ticket, grant } => self.grant(ticket, grant, events),
+                OwnerAction::Grant { ticket, grant } => {
+                    core.metrics.set.batch_size(self.running_with(&grant.server));
+                    self.grant(ticket, grant, events);
+                }
                 OwnerAction::Refuse { ticket, refusal } => self.refuse(ticket, refusal),
                 other => others.push(other),
             }
         }
     }
 
+    /// How many requests run on `server` once one more does.
+    fn running_with(&self, server: &ServerName) -> u32 {
+        let others = self.out.iter().filter(|out| out.server == *server).count();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
     fn grant(&mut self, ticket: u64, grant: SlotGrant, events: &mut Vec<OwnerEvent>) {
         let number = grant.id.number;
         let id = grant.id.clone();
         let Some(waiting) = self.take_waiting(ticket) else { return };
         let holder = waiting.asker.clone();
         let at = self.out.partition_point(|out| out.number < number);
-        self.out.insert(at, OutGrant { number, asker: waiting.asker, id: waiting.id });
+        let server = grant.server.clone();
+        self.out.insert(at, OutGrant { number, asker: waiting.asker, id: waiting.id, server });
         if waiting.answer.send(ReserveReply::Granted(grant)).is_err() {
             let call = ReleaseCall { holder, grant: id, end: GrantEnd::NotRun, tokens: 0 };
             events.push(OwnerEvent::Release(call));
@@ -477,7 +488,7 @@
     let core = Arc::clone(core);
     tokio::spawn(async move {
         if let Err(error) = core.writers.control.append(data, RECORD_WITHIN).await {
-            log::warn!("a control record was given up: {error}");
+            event!(RecordGivenUp, stream = CONTROL_STREAM, error = error);
         }
     });
 }
@@ -512,7 +523,7 @@
         if result == OrderResult::Stale {
             event!(OrderRefused, server = server, epoch = fencing);
         }
-        log::warn!("order {order:?} to {server} failed: {error}");
+        event!(OrderFailed, server = server, order = format!("{order:?}"), error = error);
     }
     core.metrics.order(order, result);
     result
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -269,9 +269,11 @@
     let clock = ProcessClock::start();
     let health = Arc::new(LogHealth::default());
     let log: Arc<dyn LogClient> = Arc::new(HttpLog::new(settings.log, PlatformSettings::default()));
+    let metrics = Arc::new(EntryMetrics::new(&settings.metrics));
     let writer = |stream| {
         let health = report_health(Arc::clone(&health), clock);
-        StreamWriter::start(WriterParts { stream, log: Arc::clone(&log), health })
+        let metrics = Arc::clone(&metrics);
+        StreamWriter::start(WriterParts { stream, log: Arc::clone(&log), health, metrics })
     };
     let writers = LogWriters {
         config: writer(CONFIG_STREAM),
@@ -316,7 +318,7 @@
         traces: crate::trace::RequestTraces::default(),
         gate: Arc::new(RequestGate::default()),
         health,
-        metrics: EntryMetrics::new(&settings.metrics),
+        metrics,
         invariants: Mutex::default(),
         request_numbers: std::sync::atomic::AtomicU64::new(1),
         closing: CancellationToken::new(),
--- a/entry/src/roster.rs
+++ b/entry/src/roster.rs
@@ -186,12 +186,18 @@
 /// Reads the platform's list of VMs.
 pub(crate) async fn run_listing(driver: Arc<RosterDriver>) {
     let core = Arc::clone(&driver.core);
+    let mut down = false;
     while !core.closing.is_cancelled() {
         match core.clients.directory.list().await {
             Ok(list) => {
+                if std::mem::take(&mut down) {
+                    event!(ListUp, vms = list.len());
+                }
                 driver.drive(MemberEvent::Listed(list));
             }
-            Err(error) => log::warn!("the list of VMs cannot be read: {error}"),
+            // Once for each outage: at ten tries a second the log would hold little else.
+            Err(error) if !std::mem::replace(&mut down, true) => event!(ListDown, error = error),
+            Err(_) => {}
         }
         let alone = lock(&core.members).others().is_empty();
         sleep(if alone { FIRST_LIST_PERIOD } else { LIST_PERIOD }).await;
@@ -231,7 +237,7 @@
         match core.clients.peers.catch_up(&target, call, CATCH_UP_WITHIN).await {
             Ok(reply) => take_catch_up(&core, reply),
             Err(error) => {
-                log::warn!("catching up from {} failed: {error}", target.vm);
+                event!(CatchUpFailed, vm = target.vm, error = error);
             }
         }
     }
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -275,6 +275,14 @@
             }
             AttemptNext::Again | AttemptNext::Resume => {
                 core.metrics.retried(failed.stage);
+                event!(
+                    RequestRetried,
+                    request_id = run.call.request_id,
+                    tenant = run.call.tenant,
+                    adapter = run.adapter,
+                    server? = failed.server,
+                    stage = stage
+                );
                 run.step(StepKind::Retried, format!("stage={stage} {}", failed.problem.detail));
                 spec.avoid.extend(failed.server);
                 sleep(AGAIN_PAUSE).await;
--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -177,6 +177,14 @@
             return Err(run.fail(CallProblem::ended(reason, outcome, error.to_string())));
         }
         core.metrics.retried(stage);
+        event!(
+            RequestRetried,
+            request_id = run.call.request_id,
+            tenant = run.call.tenant,
+            service = run.call.service,
+            server = server.0,
+            stage = stage.as_str()
+        );
         avoid.push(server.0);
     }
 }
--- a/entry/src/write.rs
+++ b/entry/src/write.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use coltsfoothook_platform::{LogClient, LogError};
+use coltsfoothook_telemetry::{AppendResult, event};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::clock::ProcessClock;
 use crate::health::LogHealth;
+use crate::measure::EntryMetrics;
 
 /// Records that wait for their append; further ones are refused.
 const QUEUED_RECORDS: usize = 4_096;
@@ -61,6 +63,7 @@
     pub(crate) stream: &'static str,
     pub(crate) log: Arc<dyn LogClient>,
     pub(crate) health: Arc<dyn Fn(bool) + Send + Sync>,
+    pub(crate) metrics: Arc<EntryMetrics>,
 }
 
 impl StreamWriter {
@@ -111,13 +114,14 @@
         let error = match parts.log.append(parts.stream, &records).await {
             Ok(_) => {
                 (parts.health)(true);
+                parts.metrics.appended(parts.stream, AppendResult::Done);
                 answer_all(batch, &Ok(()));
                 return;
             }
             Err(error) => error,
         };
         (parts.health)(matches!(error, LogError::TooLarge | LogError::Throttled { .. }));
-        log::warn!("append to {} failed: {error}", parts.stream);
+        log::debug!("append to {} failed: {error}", parts.stream);
         if error == LogError::TooLarge {
             if let [_] = batch.as_slice() {
                 let cause = error.to_string();
@@ -131,6 +135,11 @@
             return;
         }
         let unsure = matches!(error, LogError::Unknown { .. } | LogError::BadAnswer { .. });
+        let result = if unsure { AppendResult::Unknown } else { AppendResult::Failed };
+        parts.metrics.appended(parts.stream, result);
+        if unsure {
+            event!(AppendUnknown, stream = parts.stream, records = batch.len(), error = error);
+        }
         batch.iter_mut().for_each(|item| item.unsure |= unsure);
         batch = drop_expired(batch, &error);
         if batch.is_empty() {
