Whole-site tests of failures; what they found is mended

Change: tests of whole sites on loopback ports for owners that die, log outages, claims, restarts, cut streams, poison requests, callers that go away, shutdowns, publishing races, drains, jobs and roles. What they found: - a request waited at a dead or deposed owner until its deadline (120 s); it now leaves as soon as the owner is dead or another one is read from the log; - the owner learnt of broken runs only after five attempts to cancel at an engine that was down, so a poison request met the same neighbours again and all were told 'unknown'; broken grants now come back at once, a further try waits until the owner knows, and a refused connection counts like a failed report; - a stream that its engine lost is continued at another one from the prompt and what was sent; - a ticket made at two servers of the service was not seen as doubled by the demonstration.

--- a/decision/src/grant.rs
+++ b/decision/src/grant.rs
@@ -128,6 +128,8 @@
         Cancelled,
         /// Nothing was sent, or the engine refused before it ran.
         NotRun,
+        /// No connection to the engine could be opened; nothing was sent.
+        Unreachable,
         /// The engine does not know the slot: its report was stale or it restarted.
         SlotMissing,
         /// The connection broke after the request was sent; the engine may have crashed.
--- a/decision/src/limit.rs
+++ b/decision/src/limit.rs
@@ -191,7 +191,7 @@
 
 impl Default for RetrySettings {
     fn default() -> Self {
-        Self { per_mille: 100, burst: 20, tries: 3, least_left_ms: 20 }
+        Self { per_mille: 100, burst: 20, tries: 4, least_left_ms: 20 }
     }
 }
 
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -843,6 +843,12 @@
                     self.lose_slot(now, grant.choice, actions);
                 }
             }
+            // Counts like a report that failed: without it a request would be sent to an engine that
+            // is down again and again until the engine's own reports have failed.
+            GrantEnd::Unreachable => {
+                let server = engine.info.server.clone();
+                self.report_failed(now, &server, actions);
+            }
             GrantEnd::Cancelled | GrantEnd::NotRun | GrantEnd::Failed => {}
         }
     }
--- a/demo/src/client.rs
+++ b/demo/src/client.rs
@@ -173,9 +173,22 @@
         &self,
         base: ConfigVersion,
         manifest: &ServingManifest,
+    ) -> Result<ConfigVersion, SiteFailure> {
+        self.publish_as(&format!("publish-on-{base}"), base, manifest).await
+    }
+
+    /// Publishes a whole manifest under an id of the operator's.
+    ///
+    /// # Errors
+    ///
+    /// The problem that the VM states.
+    pub async fn publish_as(
+        &self,
+        publish_id: &str,
+        base: ConfigVersion,
+        manifest: &ServingManifest,
     ) -> Result<ConfigVersion, SiteFailure> {
         let change = ConfigChange::Whole(manifest.clone());
-        let publish_id = format!("publish-on-{base}");
         let call = json!({ "base": base, "publish_id": publish_id, "change": change });
         let answer = self.json(Method::POST, "/v1/publish", Some(call)).await?;
         let version = answer.get("version").and_then(Value::as_u64);
--- a/demo/src/show.rs
+++ b/demo/src/show.rs
@@ -242,11 +242,10 @@
     let counters: Vec<_> = site.engines.iter().map(|engine| engine.counters()).collect();
     let steps: u64 = counters.iter().map(|counters| counters.steps).sum();
     let batched: u64 = counters.iter().map(|counters| counters.batch_sum).sum();
-    let doubled = site.services.iter().map(|service| service.counters().doubled).sum();
     let (ttft_p95_ms, urgent_ttft_p95_ms) = traffic.first_p95_ms();
     DemoReport {
         counts: traffic.counts(),
-        doubled,
+        doubled: site.doubled(),
         evicted_in_use: site.evicted_in_use(),
         invariant_violations: 0,
         config_in_force_ms: 0.0,
--- a/demo/src/site.rs
+++ b/demo/src/site.rs
@@ -14,8 +14,9 @@
 };
 use coltsfoothook_decision::member::{ListedState, ListedVm, MemberPlace};
 use coltsfoothook_entry::{
-    CallerFaceSettings, EntryProcess, EntrySettings, KeySettings, PeerFaceSettings, credential_hash,
+    CallerFaceSettings, EntryProcess, EntrySettings, KeySettings, PeerFaceSettings,
 };
+use coltsfoothook_keys::CredentialHash;
 use coltsfoothook_settings::SecretFile;
 use coltsfoothook_standin::{
     EngineHandle, EngineServerSettings, PlatformHandle, PlatformServerSettings, ServiceHandle,
@@ -329,6 +330,17 @@
         self.engines.iter().map(|engine| engine.counters().evicted_in_use).sum()
     }
 
+    /// Tickets that were made more than once, at one server of the plain service or at two.
+    #[must_use]
+    pub fn doubled(&self) -> u64 {
+        let mut made: Vec<_> =
+            self.services.iter().flat_map(|service| service.tickets_by_id()).collect();
+        made.sort_by(|left, right| left.text.cmp(&right.text));
+        let times = made.chunk_by(|left, right| left.text == right.text);
+        let times = times.map(|same| same.iter().map(|entry| u64::from(entry.count)).sum::<u64>());
+        times.map(|times| times.saturating_sub(1)).sum()
+    }
+
     /// Stops everything, the VMs as an operator does. Returns the violated invariants.
     pub async fn stop(mut self) -> u64 {
         let mut violated = 0;
@@ -420,7 +432,7 @@
 fn tenant_entry(at: usize) -> TenantEntry {
     TenantEntry {
         name: tenant_name(at).into(),
-        credentials: vec![credential_hash(&credential(at))],
+        credentials: vec![CredentialHash::of(&credential(at)).to_hex()],
         requests_per_s: None,
         burst: 100,
         weight: 1.0,
--- a/entry/src/answer.rs
+++ b/entry/src/answer.rs
@@ -36,17 +36,22 @@
 pub(crate) struct AnswerFilter {
     slot: String,
     shown: String,
+    id: String,
     pending: BytesMut,
     finished: bool,
     tokens: u32,
+    text: String,
 }
 
 impl AnswerFilter {
-    /// A filter for an answer of `slot` that shows the caller `shown` as the model.
-    pub(crate) fn new(slot: &str, shown: &str) -> Self {
+    /// A filter for an answer of `slot` that shows the caller `shown` as the model and `id` as the
+    /// answer's id, which stays the same when the answer is continued by another engine.
+    pub(crate) fn new(slot: &str, shown: &str, id: &str) -> Self {
         Self {
             slot: slot.to_owned(),
             shown: shown.to_owned(),
+            id: id.to_owned(),
+            text: String::new(),
             pending: BytesMut::new(),
             finished: false,
             tokens: 0,
@@ -63,6 +68,11 @@
         self.tokens
     }
 
+    /// The text of the events so far.
+    pub(crate) fn text(&self) -> &str {
+        &self.text
+    }
+
     /// Forgets a half-read event, before the stream is resumed on a new connection.
     pub(crate) fn restart_event(&mut self) {
         self.pending.clear();
@@ -103,7 +113,10 @@
         } else {
             let mut value = parse(data)?;
             self.rename(&mut value)?;
-            self.tokens += u32::from(has_token(&value));
+            if let Some(text) = token_text(&value) {
+                self.tokens += 1;
+                self.text.push_str(text);
+            }
             out.extend_from_slice(value.to_string().as_bytes());
         }
         out.extend_from_slice(b"\n\n");
@@ -116,6 +129,7 @@
             return WrongSlotSnafu { wanted: &self.slot, found }.fail();
         }
         value["model"] = Value::from(self.shown.as_str());
+        value["id"] = Value::from(self.id.as_str());
         Ok(())
     }
 }
@@ -125,11 +139,11 @@
         .map_err(|error| MalformedSnafu { detail: error.to_string() }.build())
 }
 
-/// Whether an event carries a token; the last ones carry the reason of the end or figures alone.
-fn has_token(value: &Value) -> bool {
-    let text = ["/choices/0/text", "/choices/0/delta/content"];
-    text.iter()
-        .any(|at| value.pointer(at).and_then(Value::as_str).is_some_and(|text| !text.is_empty()))
+/// The token of an event; the last events carry the reason of the end or figures alone.
+fn token_text(value: &Value) -> Option<&str> {
+    let paths = ["/choices/0/text", "/choices/0/delta/content"];
+    let mut texts = paths.iter().filter_map(|path| value.pointer(path).and_then(Value::as_str));
+    texts.find(|text| !text.is_empty())
 }
 
 fn completion_tokens(value: &Value) -> u32 {
@@ -143,11 +157,14 @@
 
     #[test]
     fn split_events() {
-        let mut filter = AnswerFilter::new("a@1#1.1", "a@1");
+        let mut filter = AnswerFilter::new("a@1#1.1", "a@1", "r-1");
         let first = filter
             .push(b"data: {\"choices\":[{\"text\":\"x\"}],\"model\":\"a@1#1.1\"}\n\nda")
             .unwrap();
-        assert_eq!(first, "data: {\"choices\":[{\"text\":\"x\"}],\"model\":\"a@1\"}\n\n");
+        assert_eq!(
+            first,
+            "data: {\"choices\":[{\"text\":\"x\"}],\"id\":\"r-1\",\"model\":\"a@1\"}\n\n"
+        );
         assert!(!filter.finished());
         let last = filter.push(b"ta: [DONE]\n\n").unwrap();
         assert_eq!(last, "data: [DONE]\n\n");
@@ -157,7 +174,7 @@
 
     #[test]
     fn crossed_answer() {
-        let mut filter = AnswerFilter::new("a@1#1.1", "a@1");
+        let mut filter = AnswerFilter::new("a@1#1.1", "a@1", "r-1");
         let crossed = filter.push(b"data: {\"model\":\"b@1#1.2\"}\n\n");
         assert!(matches!(crossed, Err(AnswerError::WrongSlot { .. })));
     }
--- a/entry/src/hold.rs
+++ b/entry/src/hold.rs
@@ -6,6 +6,8 @@
 
 use coltsfoothook_decision::grant::{GrantEnd, HeldGrant, ReleaseCall, SlotGrant};
 use coltsfoothook_decision::id::{RequestFingerprint, RequestId};
+use coltsfoothook_engine::OrderError;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 use crate::core::EntryCore;
@@ -27,6 +29,7 @@
     end: Option<GrantEnd>,
     sent: bool,
     tokens: u32,
+    given_back: bool,
 }
 
 impl GrantHold {
@@ -52,6 +55,31 @@
             end: None,
             sent: false,
             tokens: 0,
+            given_back: false,
+        }
+    }
+
+    /// Gives the grant back now. The receiver resolves once the owner knows how the use ended.
+    ///
+    /// A request whose engine broke waits for it before its next try: until the owner knows which
+    /// runs broke it cannot keep suspects apart, and a poison request would meet the same neighbours
+    /// on its second server.
+    pub(crate) fn give_back(&mut self) -> oneshot::Receiver<()> {
+        let (delivered, receiver) = oneshot::channel();
+        if !std::mem::replace(&mut self.given_back, true) {
+            self.release(delivered);
+        }
+        receiver
+    }
+
+    fn release(&self, delivered: oneshot::Sender<()>) {
+        let unknown = if self.sent { GrantEnd::Cancelled } else { GrantEnd::NotRun };
+        let call = self.release_call(self.end.unwrap_or(unknown));
+        let core = Arc::clone(&self.core);
+        if self.may_run() {
+            tokio::spawn(cancel_run(core, self.address, self.id.clone(), call, delivered));
+        } else {
+            hand_back(&core, call, delivered);
         }
     }
 
@@ -71,9 +99,13 @@
         match self.end {
             None => self.sent,
             Some(GrantEnd::Broken | GrantEnd::Cancelled) => self.sent,
-            Some(GrantEnd::Done | GrantEnd::NotRun | GrantEnd::SlotMissing | GrantEnd::Failed) => {
-                false
-            }
+            Some(
+                GrantEnd::Done
+                | GrantEnd::NotRun
+                | GrantEnd::Unreachable
+                | GrantEnd::SlotMissing
+                | GrantEnd::Failed,
+            ) => false,
         }
     }
 
@@ -89,35 +121,34 @@
 
 impl Drop for GrantHold {
     fn drop(&mut self) {
-        let end =
-            self.end.unwrap_or(if self.sent { GrantEnd::Cancelled } else { GrantEnd::NotRun });
-        let call = self.release_call(end);
-        if self.may_run() {
-            tokio::spawn(cancel_run(Arc::clone(&self.core), self.address, self.id.clone(), call));
-        } else {
-            give_back(&self.core, call);
-        }
+        drop(self.give_back());
     }
 }
 
+/// Cancels a run before its grant is given back. An engine that refuses the connection is down, and
+/// the run with it; waiting for it would keep from the owner which runs broke.
 async fn cancel_run(
     core: Arc<EntryCore>,
     address: SocketAddr,
     id: RequestId,
     mut call: ReleaseCall,
+    delivered: oneshot::Sender<()>,
 ) {
     for _ in 0..CANCEL_TRIES {
-        if core.clients.engines.cancel(address, &id).await.is_ok() {
-            give_back(&core, call);
-            return;
+        match core.clients.engines.cancel(address, &id).await {
+            Ok(()) => {
+                hand_back(&core, call, delivered);
+                return;
+            }
+            Err(OrderError::OrderNotSent { .. }) => break,
+            Err(_) => sleep(CANCEL_PAUSE).await,
         }
-        sleep(CANCEL_PAUSE).await;
     }
     call.end = GrantEnd::Broken;
-    give_back(&core, call);
+    hand_back(&core, call, delivered);
 }
 
-fn give_back(core: &EntryCore, call: ReleaseCall) {
+fn hand_back(core: &EntryCore, call: ReleaseCall, delivered: oneshot::Sender<()>) {
     core.held.remove(&call.grant);
-    core.releases.release(call);
+    core.releases.release(call, Some(delivered));
 }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -49,4 +49,3 @@
 pub use settings::{
     CallerFaceSettings, EntrySettings, KeySettings, PeerFaceSettings, operator_settings,
 };
-pub use view::credential_hash;
--- a/entry/src/operate.rs
+++ b/entry/src/operate.rs
@@ -9,6 +9,7 @@
 use coltsfoothook_decision::member::MemberState;
 use coltsfoothook_decision::message::{ExplainCall, ExplainReply};
 use coltsfoothook_decision::record::{ConfigRecord, ControlRecord};
+use coltsfoothook_keys::{CredentialHash, CredentialTable};
 use coltsfoothook_operator::{
     DrainKind, ExplainAnswer, FleetStatus, HealthAnswer, ManifestAnswer, OperatorAuth,
     OperatorHandler, PublishAnswer, PublishCall, VmStatus, WriteAnswer, publish_faults,
@@ -16,8 +17,6 @@
 use coltsfoothook_peer::PeerTarget;
 use coltsfoothook_telemetry::PublishResult;
 use futures::future::join_all;
-use sha2::{Digest, Sha256};
-use subtle::ConstantTimeEq;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -32,29 +31,23 @@
 const PEER_WITHIN: Duration = Duration::from_secs(2);
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
-/// The operators' tokens, as hashes.
+/// The operators' tokens, as hashes. Tenants' credentials are in a table of their own, so that they
+/// open no call here.
 pub(crate) struct OperatorTokens {
-    hashes: Vec<[u8; 32]>,
+    table: CredentialTable<()>,
 }
 
 impl OperatorTokens {
     /// Keeps the hashes of `tokens` alone.
     pub(crate) fn new<'a>(tokens: impl IntoIterator<Item = &'a str>) -> Self {
-        let hashes = tokens.into_iter().map(hash_of).collect();
-        Self { hashes }
+        let hashes = tokens.into_iter().map(|token| (CredentialHash::of(token), ()));
+        Self { table: CredentialTable::new(hashes.collect()) }
     }
 }
 
-fn hash_of(token: &str) -> [u8; 32] {
-    Sha256::digest(token.as_bytes()).into()
-}
-
 impl OperatorAuth for OperatorTokens {
     fn is_operator(&self, token: &str) -> bool {
-        let asked = hash_of(token);
-        // Every hash is compared, so the time does not tell which one it was.
-        let found = self.hashes.iter().map(|hash| u8::from(bool::from(hash.ct_eq(&asked))));
-        found.sum::<u8>() > 0
+        self.table.find(token).is_some()
     }
 }
 
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -126,14 +126,14 @@
         let caller = CallerServer::start(
             core.settings.caller_settings(),
             Arc::new(CallFace { core: Arc::clone(&core) }),
-            keys.face.clone(),
+            keys.face()?,
         )
         .context(CallerSnafu)?;
         let operator = OperatorServer::start(
             &core.settings.operator,
             Arc::new(OperatorFace { core: Arc::clone(&core) }),
             Arc::new(tokens),
-            keys.face.clone(),
+            keys.face()?,
         )
         .context(OperatorSnafu)?;
         roster.begin(caller.address(), peer.address());
@@ -143,7 +143,7 @@
             peer: peer.address(),
         };
         spawn_tasks(&core, &roster, receiver);
-        keys.watch(core.closing.clone());
+        keys.watch(&core.closing);
         event!(
             ProcessStarted,
             vm = core.me.vm,
--- a/entry/src/release.rs
+++ b/entry/src/release.rs
@@ -10,7 +10,7 @@
 use coltsfoothook_decision::grant::ReleaseCall;
 use coltsfoothook_decision::id::VmName;
 use coltsfoothook_decision::owner::OwnerEvent;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::core::{EntryCore, read};
@@ -28,6 +28,8 @@
 pub(crate) struct PendingRelease {
     call: ReleaseCall,
     until: Instant,
+    /// Dropped once an owner has taken the release, or nobody ever will.
+    _delivered: Option<oneshot::Sender<()>>,
 }
 
 /// Takes releases from requests that ended.
@@ -44,8 +46,10 @@
         (Self { sender }, receiver)
     }
 
-    pub(crate) fn release(&self, call: ReleaseCall) {
-        let _ = self.sender.send(PendingRelease { call, until: Instant::now() + KEPT });
+    /// Gives a grant back; `delivered` is dropped once its owner knows.
+    pub(crate) fn release(&self, call: ReleaseCall, delivered: Option<oneshot::Sender<()>>) {
+        let until = Instant::now() + KEPT;
+        let _ = self.sender.send(PendingRelease { call, until, _delivered: delivered });
     }
 
     fn again(&self, pending: Vec<PendingRelease>) {
--- a/entry/src/reserve.rs
+++ b/entry/src/reserve.rs
@@ -7,7 +7,7 @@
 use coltsfoothook_decision::grant::{
     GrantId, GrantRefusal, PlacementReason, RequestSpec, ReserveCall, ReserveReply, SlotGrant,
 };
-use coltsfoothook_decision::id::{GroupName, MICROS_PER_MILLI, RequestId, TimePoint};
+use coltsfoothook_decision::id::{GroupName, MICROS_PER_MILLI, RequestId, TimePoint, VmIdentity};
 use coltsfoothook_decision::limit::CallDeadline;
 use coltsfoothook_decision::message::WithdrawCall;
 use coltsfoothook_decision::outcome::RefusalReason;
@@ -93,7 +93,7 @@
         let Some(target) = core.target(owner.vm.as_str()).filter(|_| runs) else {
             return OwnerAnswer::NoOwner;
         };
-        match ask_peer(core, target, group, spec).await {
+        match ask_peer(core, target, &owner, group, spec).await {
             Ok(reply) => reply,
             Err(error) => {
                 log::debug!("asking {} for a grant failed: {error}", owner.vm);
@@ -113,6 +113,7 @@
 async fn ask_peer(
     core: &Arc<EntryCore>,
     target: PeerTarget,
+    owner: &VmIdentity,
     group: &GroupName,
     spec: &RequestSpec,
 ) -> Result<ReserveReply, PeerError> {
@@ -125,11 +126,31 @@
         id: spec.id.clone(),
         open: true,
     };
-    let reply = core.clients.peers.reserve(&target, call, limit).await;
+    let reply = tokio::select! {
+        reply = core.clients.peers.reserve(&target, call, limit) => reply,
+        () = owner_gone(core, group, owner) => {
+            let reason = "it does not own the group any more".to_owned();
+            return Err(PeerError::Unknown { vm: target.vm.clone(), reason });
+        }
+    };
     guard.open = reply.as_ref().is_err_and(PeerError::may_have_run);
     reply
 }
 
+/// Returns when `owner` no longer owns the group or is taken to be dead.
+///
+/// A VM that stands still keeps its connections open: without this a request that waits there would
+/// wait until its deadline, although another VM has long taken the group over.
+async fn owner_gone(core: &EntryCore, group: &GroupName, owner: &VmIdentity) {
+    loop {
+        sleep(OWNER_PAUSE).await;
+        let owned = read(&core.control).owner(group.as_str()).map(|owned| owned.owner.clone());
+        if owned.as_ref() != Some(owner) || !lock(&core.members).runs(owner) {
+            return;
+        }
+    }
+}
+
 /// Tells the owner to forget a request whose answer will not be taken: the caller went away or the
 /// answer was lost. Without it a grant that nobody knows of would pin its slot.
 struct WithdrawGuard {
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -22,7 +22,8 @@
 use coltsfoothook_telemetry::{RequestMetrics, event};
 use http::{HeaderMap, StatusCode};
 use serde_json::{Map, Value};
-use tokio::time::sleep;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
 
 use crate::answer::AnswerFilter;
 use crate::claims::{KeyedRequest, RunningKey, begin_key};
@@ -33,8 +34,12 @@
 use crate::reserve::{TimedGrant, reserve, usable};
 use crate::stream::AnswerRun;
 
-/// The pause before a further try.
+/// The pause before a second try; each further one waits four times as long, so that an engine
+/// that just went down is known to be before the tries are spent.
 const AGAIN_PAUSE: Duration = Duration::from_millis(10);
+const PAUSE_FACTOR: u32 = 4;
+/// How long a further try waits until the owner knows how the one before ended.
+pub(crate) const RELEASE_WAIT: Duration = Duration::from_millis(1_000);
 /// When to come back after a VM that shuts down, in milliseconds.
 const LEAVING_RETRY_MS: u64 = 100;
 const NOT_READY_RETRY_MS: u64 = 1_000;
@@ -57,15 +62,24 @@
 }
 
 /// A try that failed.
-struct FailedTry {
+pub(crate) struct FailedTry {
     stage: CallStage,
     server: Option<ServerName>,
-    problem: CallProblem,
+    pub(crate) problem: CallProblem,
+    /// Resolves once the owner knows how the try ended.
+    released: Option<oneshot::Receiver<()>>,
 }
 
 impl FailedTry {
+    /// Waits until the owner knows of it, for a bounded time.
+    pub(crate) async fn settle(&mut self) {
+        if let Some(released) = self.released.take() {
+            let _ = timeout(RELEASE_WAIT, released).await;
+        }
+    }
+
     fn new(stage: CallStage, problem: CallProblem) -> Self {
-        Self { stage, server: None, problem }
+        Self { stage, server: None, problem, released: None }
     }
 }
 
@@ -260,9 +274,10 @@
     let core = Arc::clone(&run.core);
     let mut attempt = AttemptState::new(run.call.repeatable, run.deadline);
     core.limits.first_try();
+    let mut pause = AGAIN_PAUSE;
     loop {
-        let failed = match try_once(&mut run, &spec).await {
-            Ok(answer) => return finish(run, answer).await,
+        let mut failed = match try_once(&mut run, &spec).await {
+            Ok(answer) => return finish(run, spec, answer).await,
             Err(failed) => failed,
         };
         let now = core.clock.now();
@@ -284,27 +299,33 @@
                     stage = stage
                 );
                 run.step(StepKind::Retried, format!("stage={stage} {}", failed.problem.detail));
+                failed.settle().await;
                 spec.avoid.extend(failed.server);
-                sleep(AGAIN_PAUSE).await;
+                sleep(pause).await;
+                pause *= PAUSE_FACTOR;
             }
         }
     }
 }
 
 /// The answer's first part, with all that is needed for the rest.
-struct FirstPart {
-    hold: GrantHold,
-    filter: AnswerFilter,
-    answer: RunAnswer,
-    first: Bytes,
+pub(crate) struct FirstPart {
+    pub(crate) hold: GrantHold,
+    pub(crate) filter: AnswerFilter,
+    pub(crate) answer: RunAnswer,
+    pub(crate) first: Bytes,
 }
 
-async fn finish(run: RequestRun, part: FirstPart) -> Result<CompletionAnswer, CallProblem> {
+async fn finish(
+    run: RequestRun,
+    spec: RequestSpec,
+    part: FirstPart,
+) -> Result<CompletionAnswer, CallProblem> {
     let FirstPart { hold, filter, answer, first } = part;
     let content_type = answer.content_type.clone();
     let status = answer.status;
     let body = if run.call.stream {
-        AnswerBody::Stream(AnswerRun::new(run, hold, filter, answer.body).into_stream(first))
+        AnswerBody::Stream(AnswerRun::new(run, spec, hold, filter, answer.body).into_stream(first))
     } else {
         let mut run = run;
         let mut hold = hold;
@@ -319,7 +340,11 @@
     Ok(CompletionAnswer { status, content_type, headers: HeaderMap::new(), body })
 }
 
-async fn try_once(run: &mut RequestRun, spec: &RequestSpec) -> Result<FirstPart, FailedTry> {
+/// Runs a request once, up to the first part of its answer.
+pub(crate) async fn try_once(
+    run: &mut RequestRun,
+    spec: &RequestSpec,
+) -> Result<FirstPart, FailedTry> {
     let TimedGrant { grant, asked } = obtain_grant(run, spec).await?;
     let core = Arc::clone(&run.core);
     let view = core.view();
@@ -340,7 +365,7 @@
     let slot = grant.slot.clone();
     let body = engine_body(&run.call.body, slot.as_str(), grant.priority);
     let hold = GrantHold::new(&core, grant, entry.address, &run.call.request_id, spec.fingerprint);
-    let filter = AnswerFilter::new(slot.as_str(), &shown_model(run));
+    let filter = AnswerFilter::new(slot.as_str(), &shown_model(run), run.call.request_id.as_str());
     send(run, hold, filter, body, asked)
         .await
         .map_err(|failed| FailedTry { server: Some(server), ..failed })
@@ -520,7 +545,7 @@
     let (stage, end, reason) = match error {
         RunError::NotSent { .. }
         | RunError::Timeout { stage: coltsfoothook_exchange::ExchangeStage::Connect } => {
-            (CallStage::Connecting, GrantEnd::NotRun, FaceReason::BackendFailed)
+            (CallStage::Connecting, GrantEnd::Unreachable, FaceReason::BackendFailed)
         }
         RunError::SlotMissing => {
             (CallStage::SlotMissing, GrantEnd::SlotMissing, FaceReason::BackendFailed)
@@ -549,8 +574,8 @@
         }
     };
     hold.end(end, 0);
-    let outcome = RequestOutcome::Unknown;
-    FailedTry::new(stage, CallProblem::ended(reason, outcome, error.to_string()))
+    let problem = CallProblem::ended(reason, RequestOutcome::Unknown, error.to_string());
+    FailedTry { released: Some(hold.give_back()), ..FailedTry::new(stage, problem) }
 }
 
 /// A status by which the engine finds fault with the request itself, so that no other engine would
--- a/entry/src/stream.rs
+++ b/entry/src/stream.rs
@@ -1,35 +1,47 @@
-//! Passes a streamed answer on, event by event, and resumes it at its engine if it breaks.
+//! Passes a streamed answer on, event by event. If it breaks, it is resumed at its engine, or
+//! continued at another one from the prompt and what was already sent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfoothook_caller::{AnswerStream, CallProblem, FaceReason};
-use coltsfoothook_decision::grant::GrantEnd;
+use coltsfoothook_caller::{AnswerStream, CallProblem, CompletionKind, FaceReason};
+use coltsfoothook_decision::grant::{GrantEnd, RequestSpec};
 use coltsfoothook_decision::id::TimePoint;
 use coltsfoothook_decision::invariant::InvariantName;
 use coltsfoothook_decision::message::StepKind;
 use coltsfoothook_decision::outcome::RequestOutcome;
 use coltsfoothook_engine::RunError;
 use coltsfoothook_exchange::AnswerBody;
+use coltsfoothook_telemetry::event;
 use futures::{StreamExt, stream};
+use serde_json::Value;
+use tokio::time::{sleep, timeout};
 
 use crate::answer::AnswerFilter;
 use crate::hold::GrantHold;
 use crate::measure::micro_seconds;
-use crate::serve::{RequestRun, note_crossed};
+use crate::serve::{RELEASE_WAIT, RequestRun, note_crossed, try_once};
 
-/// Resumptions of one stream.
+/// Resumptions of one stream at its engine.
 const MOST_RESUMES: u32 = 3;
+/// Continuations of one stream at other engines.
+const MOST_CONTINUATIONS: u32 = 3;
+const CONTINUE_PAUSE: Duration = Duration::from_millis(50);
+const PROMPT: &str = "prompt";
+const MAX_TOKENS: &str = "max_tokens";
 
 /// A streamed answer under way. Dropping it, because the caller went away, cancels the run at the
 /// engine and releases the grant.
 pub(crate) struct AnswerRun {
     run: RequestRun,
+    spec: RequestSpec,
     hold: GrantHold,
     filter: AnswerFilter,
     body: AnswerBody,
     last: TimePoint,
     resumes: u32,
+    continuations: u32,
 }
 
 enum StreamStep {
@@ -41,12 +53,13 @@
 impl AnswerRun {
     pub(crate) fn new(
         run: RequestRun,
+        spec: RequestSpec,
         hold: GrantHold,
         filter: AnswerFilter,
         body: AnswerBody,
     ) -> Self {
         let last = run.core.clock.now();
-        Self { run, hold, filter, body, last, resumes: 0 }
+        Self { run, spec, hold, filter, body, last, resumes: 0, continuations: 0 }
     }
 
     /// The stream of events, which begins with `first`.
@@ -81,11 +94,15 @@
                 None if self.filter.finished() => return self.finish(),
                 None => RunError::Broken { cause: "no end mark".to_owned() },
             };
-            if !self.resume(&error).await {
-                self.hold.end(GrantEnd::Broken, self.filter.tokens());
-                let detail = format!("the answer was cut: {error}");
-                return self.fail(FaceReason::AnswerLost, &detail);
+            if self.resume(&error).await {
+                continue;
             }
+            self.hold.end(GrantEnd::Broken, self.filter.tokens());
+            if let Some(first) = self.continue_elsewhere(&error).await {
+                return StreamStep::Pass(first);
+            }
+            let detail = format!("the answer was cut: {error}");
+            return self.fail(FaceReason::AnswerLost, &detail);
         }
     }
 
@@ -129,19 +146,71 @@
         }
     }
 
+    /// Runs the rest at another engine, which generates on from the prompt and all that the caller
+    /// has seen: one text, not a splice of two. Only for requests that may be repeated, and for text
+    /// prompts, where "go on from here" needs no extension of the engines' interface.
+    async fn continue_elsewhere(&mut self, error: &RunError) -> Option<Bytes> {
+        if !self.run.call.repeatable || self.run.call.kind != CompletionKind::Completions {
+            return None;
+        }
+        self.extend_prompt()?;
+        let _ = timeout(RELEASE_WAIT, self.hold.give_back()).await;
+        let core = Arc::clone(&self.run.core);
+        while self.continuations < MOST_CONTINUATIONS {
+            self.continuations += 1;
+            if !core.limits.after_failure(|budget| budget.take()) {
+                return None;
+            }
+            self.run
+                .step(StepKind::Retried, format!("continue tokens={} {error}", self.run.tokens));
+            event!(StreamResumed, request_id = self.run.call.request_id, error = error);
+            self.spec.avoid.extend(self.run.server.take());
+            match try_once(&mut self.run, &self.spec).await {
+                Ok(part) => {
+                    self.resumes = 0;
+                    self.hold = part.hold;
+                    self.filter = part.filter;
+                    self.body = part.answer.body;
+                    return Some(part.first);
+                }
+                Err(mut failed) => {
+                    log::debug!("a continuation failed: {}", failed.problem.detail);
+                    failed.settle().await;
+                }
+            }
+            sleep(CONTINUE_PAUSE * self.continuations).await;
+        }
+        None
+    }
+
+    /// Puts what was sent behind the prompt; none if there is nothing left to generate.
+    fn extend_prompt(&mut self) -> Option<()> {
+        let sent = self.filter.tokens();
+        let body = &mut self.run.call.body;
+        let Some(Value::String(prompt)) = body.get_mut(PROMPT) else { return None };
+        prompt.push_str(self.filter.text());
+        if let Some(most) = body.get(MAX_TOKENS).and_then(Value::as_u64) {
+            let left = most.checked_sub(u64::from(sent)).filter(|left| *left > 0)?;
+            body.insert(MAX_TOKENS.to_owned(), Value::from(left));
+        }
+        self.run.tokens += sent;
+        self.spec.max_tokens = self.spec.max_tokens.saturating_sub(sent).max(1);
+        Some(())
+    }
+
     fn finish(&mut self) -> StreamStep {
         let finished = self.filter.finished();
         self.run.core.check(InvariantName::WholeAnswer, finished, || {
             format!("{} ended without its end mark", self.run.call.request_id)
         });
-        self.run.tokens = self.filter.tokens();
+        self.run.tokens += self.filter.tokens();
         self.hold.end(GrantEnd::Done, self.filter.tokens());
         self.run.end(RequestOutcome::Done);
         StreamStep::End
     }
 
     fn fail(&mut self, reason: FaceReason, detail: &str) -> StreamStep {
-        self.run.tokens = self.filter.tokens();
+        self.run.tokens += self.filter.tokens();
         self.run.end(RequestOutcome::Unknown);
         StreamStep::Fail(CallProblem::ended(reason, RequestOutcome::Unknown, detail))
     }
--- a/entry/src/view.rs
+++ b/entry/src/view.rs
@@ -10,17 +10,7 @@
 use coltsfoothook_decision::owner::class_defaults;
 use coltsfoothook_decision::route::GroupMap;
 use coltsfoothook_decision::takeover::TakeoverGroup;
-use sha2::{Digest, Sha256};
-use subtle::ConstantTimeEq;
-
-const HASH_BYTES: usize = 32;
-
-/// A credential's hash and whose it is.
-#[derive(Debug)]
-struct CredentialEntry {
-    hash: [u8; HASH_BYTES],
-    tenant: TenantName,
-}
+use coltsfoothook_keys::{CredentialHash, CredentialTable};
 
 /// A version of the configuration. Requests in progress keep the one that they began with.
 #[derive(Debug, Default)]
@@ -30,8 +20,7 @@
     pub(crate) groups: GroupMap,
     /// Sorted by name.
     pub(crate) takeover_groups: Vec<TakeoverGroup>,
-    /// Sorted by hash.
-    credentials: Vec<CredentialEntry>,
+    credentials: CredentialTable<TenantName>,
 }
 
 impl ConfigView {
@@ -51,22 +40,8 @@
     }
 
     /// The tenant of a bearer credential.
-    ///
-    /// The search runs over hashes, so its time tells nothing of a credential; the last comparison
-    /// takes the same time wherever the hashes differ.
     pub(crate) fn tenant_of(&self, bearer: &str) -> Option<&TenantName> {
-        let hash: [u8; HASH_BYTES] = Sha256::digest(bearer.as_bytes()).into();
-        let prefix = &hash[..8];
-        let start = self.credentials.partition_point(|entry| &entry.hash[..8] < prefix);
-        let rest = self.credentials[start..].iter();
-        let near = rest.take_while(|entry| &entry.hash[..8] == prefix);
-        let mut found = None;
-        for entry in near {
-            if bool::from(entry.hash.ct_eq(&hash)) {
-                found = Some(&entry.tenant);
-            }
-        }
-        found
+        self.credentials.find(bearer)
     }
 
     /// The adapter and the version that a request means; none if there is no such version.
@@ -116,32 +91,12 @@
     }
 }
 
-fn read_credentials(manifest: &ServingManifest) -> Vec<CredentialEntry> {
+/// A hash that cannot be read never stands in an accepted manifest.
+fn read_credentials(manifest: &ServingManifest) -> CredentialTable<TenantName> {
     let mut entries = Vec::new();
     for tenant in &manifest.tenants {
-        for text in &tenant.credentials {
-            let Some(hash) = read_hash(text) else { continue };
-            entries.push(CredentialEntry { hash, tenant: tenant.name.clone() });
-        }
+        let hashes = tenant.credentials.iter().filter_map(|text| CredentialHash::parse(text).ok());
+        entries.extend(hashes.map(|hash| (hash, tenant.name.clone())));
     }
-    entries.sort_by_key(|entry| entry.hash);
-    entries
-}
-
-fn read_hash(text: &str) -> Option<[u8; HASH_BYTES]> {
-    if text.len() != 2 * HASH_BYTES || !text.is_ascii() {
-        return None;
-    }
-    let mut hash = [0; HASH_BYTES];
-    for (at, byte) in hash.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * at..2 * at + 2], 16).ok()?;
-    }
-    Some(hash)
-}
-
-/// The hexadecimal SHA-256 hash of a credential, as it stands in a manifest.
-#[must_use]
-pub fn credential_hash(credential: &str) -> String {
-    let hash = Sha256::digest(credential.as_bytes());
-    hash.iter().map(|byte| format!("{byte:02x}")).collect()
+    CredentialTable::new(entries)
 }
--- a/entry/src/watch.rs
+++ b/entry/src/watch.rs
@@ -22,6 +22,8 @@
 const VIEW_TICKS: u32 = 10;
 /// Every so many ticks the schedules are looked through.
 const SCHEDULE_TICKS: u32 = 80;
+/// The pause after a report that failed: an engine that refuses connections is known to be down soon.
+const FAILED_PAUSE: Duration = Duration::from_millis(50);
 /// The pause before a fence that was not raised is tried again.
 const FENCE_PAUSE: Duration = Duration::from_millis(50);
 const MILLIS_PER_SECOND: u64 = 1_000;
@@ -102,6 +104,7 @@
             }
             continue;
         }
+        let pause = if report.is_ok() { period } else { period.min(FAILED_PAUSE) };
         let event = match report {
             Ok(report) => OwnerEvent::Report { server: server.clone(), report },
             Err(_) => OwnerEvent::ReportFailed { server: server.clone() },
@@ -109,7 +112,7 @@
         shard.drive(&core, event);
         tokio::select! {
             () = shard.ended.cancelled() => return,
-            () = sleep(period.saturating_sub(asked.elapsed())) => {}
+            () = sleep(pause.saturating_sub(asked.elapsed())) => {}
         }
     }
 }
--- /dev/null
+++ b/entry/tests/suite/claimed_once.rs
@@ -0,0 +1,75 @@
+use coltsfoothook_demo::{LocalSite, SERVICE, SiteFailure};
+use coltsfoothook_standin::{PlatformFaults, ServiceFaults};
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::bench::{client, close, small_site, verdict};
+
+async fn ticket(site: &LocalSite, vm: usize, key: &str) -> Result<Value, SiteFailure> {
+    let path = format!("/v1/services/{SERVICE}/tickets");
+    let body = json!({ "id": key });
+    client(site, vm).service(Method::POST, &path, Some(body), Some(key)).await
+}
+
+/// A caller sends the same ticket to three VMs at once. One runs it, the others say that it was
+/// claimed, and one ticket is made.
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_resends() {
+    let site = small_site(true).await;
+    for number in 0..5 {
+        let key = format!("crossed-{number}");
+        let (a, b, c) =
+            tokio::join!(ticket(&site, 0, &key), ticket(&site, 1, &key), ticket(&site, 2, &key));
+        let made = [&a, &b, &c].iter().filter(|result| result.is_ok()).count();
+        assert_eq!(made, 1, "{a:?} {b:?} {c:?}");
+    }
+    close(site).await;
+}
+
+/// The log appends the claim and its answer is lost. The claim is found when it is read back, the
+/// ticket is made once, and a resend is told so.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_append() {
+    let site = small_site(true).await;
+    site.platform.set_faults(PlatformFaults { lose_answers: 1, ..Default::default() });
+    assert!(ticket(&site, 0, "lost").await.is_ok());
+    let again = ticket(&site, 1, "lost").await.unwrap_err();
+    assert_eq!(verdict(&again), ("done", "already_claimed"));
+    close(site).await;
+}
+
+/// The service makes the ticket and its connection breaks before the answer. The caller is told
+/// "unknown", nobody tries again, and a resend under the same key does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_lost() {
+    let site = small_site(true).await;
+    for service in &site.services {
+        service.set_faults(ServiceFaults { cut_after: 1, ..Default::default() });
+    }
+    assert_eq!(ticket(&site, 0, "cut").await.unwrap_err().outcome(), "unknown");
+    assert_eq!(ticket(&site, 2, "cut").await.unwrap_err().outcome(), "unknown");
+    close(site).await;
+}
+
+/// A careless caller uses a key again for something else.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_body() {
+    let site = small_site(true).await;
+    assert!(ticket(&site, 0, "twice").await.is_ok());
+    let path = format!("/v1/services/{SERVICE}/tickets");
+    let body = json!({ "id": "another" });
+    let reused = client(&site, 1).service(Method::POST, &path, Some(body), Some("twice")).await;
+    assert_eq!(reused.unwrap_err().reason(), "key_reused");
+    close(site).await;
+}
+
+/// The VM that ran a ticket dies before the caller resends it elsewhere. Nobody can tell whether it
+/// ran, so it does not run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn claimer_dead() {
+    let mut site = small_site(true).await;
+    assert!(ticket(&site, 0, "orphan").await.is_ok());
+    site.kill_vm(0).await;
+    assert_eq!(ticket(&site, 1, "orphan").await.unwrap_err().outcome(), "unknown");
+    close(site).await;
+}
--- /dev/null
+++ b/entry/tests/suite/log_outage.rs
@@ -0,0 +1,82 @@
+use coltsfoothook_demo::{CompletionAsk, OPERATOR_TOKEN, SERVICE, SiteClient};
+use coltsfoothook_standin::{OutageKind, PlatformFaults};
+use http::Method;
+use serde_json::json;
+
+use crate::bench::{ask, client, close, owner, small_site, until_done, wait_until};
+
+fn log_down() -> PlatformFaults {
+    PlatformFaults { log: OutageKind::Refuse, ..Default::default() }
+}
+
+/// The log goes down and stays down. Loaded adapters are served; a key that a VM issued runs without
+/// the log and never twice; a caller's own key cannot be claimed and does not run; a publication is
+/// refused. When the log is back, all of it works again.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_still_works() {
+    let mut site = small_site(false).await;
+    let caller = client(&site, 0);
+    until_done(&caller, &ask(0, "before")).await;
+    let entries = caller.json(Method::GET, "/v1/entries", None).await.unwrap();
+    let issued = entries["keys"][0].as_str().unwrap().to_owned();
+    site.platform.set_faults(log_down());
+    until_done(&caller, &ask(0, "during")).await;
+    let path = format!("/v1/services/{SERVICE}/tickets");
+    let ticket = json!({ "id": issued });
+    let made = caller.service(Method::POST, &path, Some(ticket.clone()), Some(&issued)).await;
+    assert!(made.is_ok(), "{made:?}");
+    let again = client(&site, 1).service(Method::POST, &path, Some(ticket), Some(&issued)).await;
+    assert_eq!(again.unwrap_err().outcome(), "done");
+    let own = json!({ "id": "own-key" });
+    let claimed = caller.service(Method::POST, &path, Some(own), Some("own-key")).await;
+    assert_eq!(claimed.unwrap_err().reason(), "log_unavailable");
+    let operator = SiteClient::new(site.operators()[0], OPERATOR_TOKEN);
+    let version = site.newest_version();
+    assert!(operator.publish(version, &site.manifest.clone()).await.is_err());
+    assert!(
+        site.services
+            .iter()
+            .all(|service| { service.tickets_by_id().iter().all(|made| made.text != "own-key") })
+    );
+    site.platform.set_faults(PlatformFaults::default());
+    until_done(&caller, &ask(2, "after")).await;
+    let manifest = site.manifest.clone();
+    site.publish(manifest).await.unwrap();
+    close(site).await;
+}
+
+/// The log goes down, then the owner of the engines fails: nobody can take over. Adapters that are
+/// loaded are served all the same, since nobody can order an eviction; a cold one is "not run".
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_gone_too() {
+    let mut site = small_site(true).await;
+    let failing = owner(&site);
+    let caller = client(&site, (failing + 1) % 3);
+    until_done(&caller, &ask(0, "before")).await;
+    site.platform.set_faults(log_down());
+    site.kill_vm(failing).await;
+    until_done(&caller, &ask(0, "without an owner")).await;
+    let cold = CompletionAsk { deadline_ms: Some(1_500), ..ask(6, "cold") };
+    let failure = caller.complete(&cold).await.unwrap_err();
+    assert_eq!(failure.outcome(), "not_run", "{failure}");
+    site.platform.set_faults(PlatformFaults::default());
+    wait_until("a new owner", || site.running().any(|vm| vm.owned_groups() == 1)).await;
+    until_done(&caller, &ask(6, "cold no more")).await;
+    close(site).await;
+}
+
+/// A VM starts with nothing while the log is down. It learns the configuration and the owners from
+/// another VM, and serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_without_log() {
+    let mut site = small_site(true).await;
+    let other = (owner(&site) + 1) % 3;
+    until_done(&client(&site, other), &ask(0, "before")).await;
+    site.platform.set_faults(log_down());
+    site.kill_vm(other).await;
+    site.start_vm(other).await.unwrap();
+    wait_until("the VM's new life", || site.vms[other].as_ref().unwrap().ready()).await;
+    until_done(&client(&site, other), &ask(0, "from a VM that never saw the log")).await;
+    site.platform.set_faults(PlatformFaults::default());
+    close(site).await;
+}
--- a/entry/tests/suite/main.rs
+++ b/entry/tests/suite/main.rs
@@ -1,3 +1,17 @@
-//! Tests of the entry process, one file a feature.
+//! Tests of the entry process, one file a feature. They run whole sites on loopback ports.
 
+mod bench;
+
+mod caller_gone;
+mod claimed_once;
+mod config_race;
+mod engine_restart;
+mod graceful_stop;
+mod job_results;
+mod log_outage;
+mod owner_dies;
+mod poison_request;
+mod roles_apart;
+mod server_drain;
 mod settings_page;
+mod whole_path;
