--- a/exchange/tests/suite/odd_servers.rs
+++ b/exchange/tests/suite/odd_servers.rs
@@ -10,6 +10,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+/// More rounds than it takes until a kept connection is used again.
+const ROUNDS: usize = 1_000;
 const WHOLE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 /// A server that answers each request of a connection with the next of `answers`, and closes the
@@ -102,7 +104,8 @@
     let client = client(ExchangeSettings::default());
     get(&client, address, false).await.unwrap();
     let mut last = told.recv().await.unwrap();
-    loop {
+    for round in 0.. {
+        assert!(round < ROUNDS, "no connection was used again");
         // The connection is free as soon as its own task has seen the end of the answer.
         get(&client, address, false).await.unwrap();
         let connection = told.recv().await.unwrap();
@@ -127,6 +130,7 @@
             break error;
         }
         sent += 1;
+        assert!(sent < ROUNDS, "the lost answer was hidden");
     };
     assert!(matches!(error, ExchangeError::Sent { .. }), "{error:?}");
     for _ in 0..sent {
