--- a/ctl/src/diff.rs
+++ b/ctl/src/diff.rs
@@ -95,3 +95,52 @@
     names.retain(|&name| old.get(name) != new.get(name));
     names.join(", ")
 }
+
+#[cfg(test)]
+mod tests {
+    use coltsfoothook_decision::delta::apply_delta;
+    use coltsfoothook_decision::manifest::{AdapterEntry, ModelEntry, TenantEntry, VersionEntry};
+    use proptest::prelude::*;
+
+    use super::*;
+
+    /// A manifest with those of six adapters and tenants whose kind is not 0; kinds differ in fields.
+    fn manifest(adapters: &[u8], tenants: &[u8]) -> ServingManifest {
+        let present = |kinds: &[u8]| -> Vec<(usize, u8)> {
+            kinds.iter().copied().enumerate().filter(|(_, kind)| *kind > 0).collect()
+        };
+        let adapter = |(number, kind): (usize, u8)| AdapterEntry {
+            name: format!("adapter-{number}").into(),
+            model: "base".into(),
+            versions: vec![VersionEntry { version: "1".into(), weights: format!("w{kind}") }],
+            default_version: (kind == 2).then(|| "1".into()),
+            tenants: Vec::new(),
+        };
+        let tenant = |(number, kind): (usize, u8)| TenantEntry {
+            name: format!("tenant-{number}").into(),
+            credentials: Vec::new(),
+            requests_per_s: None,
+            burst: u32::from(kind),
+            weight: 1.0,
+        };
+        let mut manifest = ServingManifest {
+            models: vec![ModelEntry { name: "base".into() }],
+            adapters: present(adapters).into_iter().map(adapter).collect(),
+            tenants: present(tenants).into_iter().map(tenant).collect(),
+            ..Default::default()
+        };
+        manifest.policy.group_servers += u32::from(adapters[0]);
+        manifest
+    }
+
+    proptest! {
+        #[test]
+        fn delta_makes_it(kinds in prop::collection::vec(0..3_u8, 24)) {
+            let old = manifest(&kinds[..6], &kinds[6..12]);
+            let new = manifest(&kinds[12..18], &kinds[18..]);
+            let diff = ManifestDiff::between(&old, &new);
+            prop_assert_eq!(diff.lines.is_empty(), old == new);
+            prop_assert_eq!(apply_delta(&old, &diff.delta), Ok(new));
+        }
+    }
+}
