--- a/decision/tests/suite/owner_rules.rs
+++ b/decision/tests/suite/owner_rules.rs
@@ -247,6 +247,21 @@
     assert_eq!(granted[0].slot, SlotName::from("a1@v1#1.7"));
 }
 
+// Callers would be sent to an adapter that is not there.
+// Two reports of one life overtake each other; the older one arrives last and shows a slot that the
+// engine has lost since. It is void by its sequence.
+#[test]
+fn overtaken_report_void() {
+    let mut desk = Desk::new(1, 1, 2, true);
+    desk.live(true);
+    desk.report(0, 1, &["a1@v1#1.7"]);
+    desk.report(0, 1, &[]);
+    desk.tick(6 * SECOND);
+    desk.sequence = 0;
+    desk.report(0, 1, &["a1@v1#1.7"]);
+    assert_eq!(grants(&desk.ask(1, RequestClass::Urgent)), &[]);
+}
+
 // Callers of one adapter see "load failed" at once and a time to come back; others see nothing.
 // Every load of that adapter fails. Its waiting requests get their answer after the last attempt,
 // new ones at once, and another adapter is loaded in between.
