--- a/ctl/tests/suite/main.rs
+++ b/ctl/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod check_offline;
 mod doc_links;
+mod event_names;
 mod exit_codes;
 mod fake;
 mod lost_answer;
