--- a/entry/src/claims.rs
+++ b/entry/src/claims.rs
@@ -10,6 +10,7 @@
 use coltsfoothook_decision::message::RevokeCall;
 use coltsfoothook_decision::outcome::{RefusalReason, RequestOutcome};
 use coltsfoothook_decision::record::ClaimRecord;
+use coltsfoothook_telemetry::ClaimResult;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
@@ -77,14 +78,30 @@
         let answered = (start == ClaimStart::Claiming).then(|| add_waiter(core, request));
         (start, answered)
     };
+    let issued = answered.is_none();
     let start = match answered {
         Some(answered) => {
             core.claim_added.notify_one();
-            await_claim(core, request, answered).await?
+            await_claim(core, request, answered).await
         }
-        None => start,
+        None => Ok(start),
     };
-    settle(core, request, start).await
+    core.metrics.set.count_claim(claim_label(&start, issued));
+    settle(core, request, start?).await
+}
+
+/// What metrics call the end of a claim; `issued` keys need none.
+fn claim_label(start: &Result<ClaimStart, ClaimAnswer>, issued: bool) -> ClaimResult {
+    match start {
+        Ok(ClaimStart::Run) if issued => ClaimResult::Issued,
+        Ok(ClaimStart::Run) => ClaimResult::Won,
+        Ok(ClaimStart::Answer(answer)) | Err(answer)
+            if answer.reason == RefusalReason::LogUnavailable =>
+        {
+            ClaimResult::Unavailable
+        }
+        _ => ClaimResult::Lost,
+    }
 }
 
 fn add_waiter(core: &EntryCore, request: &KeyedRequest<'_>) -> oneshot::Receiver<ClaimOutcome> {
--- a/telemetry/src/metric.rs
+++ b/telemetry/src/metric.rs
@@ -225,12 +225,6 @@
         jobs.with_label_values(&["finished"]).set(whole(finished));
     }
 
-    /// Counts a message of control traffic with its bytes.
-    pub fn count_control(&self, kind: TrafficKind, bytes: u64) {
-        self.families.control_messages.with_label_values(&[kind.as_str()]).inc();
-        self.families.control_bytes.with_label_values(&[kind.as_str()]).inc_by(bytes);
-    }
-
     /// Counts many messages of control traffic at once.
     pub fn add_control(&self, kind: TrafficKind, messages: u64, bytes: u64) {
         self.families.control_messages.with_label_values(&[kind.as_str()]).inc_by(messages);
