--- a/decision/tests/suite/claim_once.rs
+++ b/decision/tests/suite/claim_once.rs
@@ -165,3 +165,20 @@
     assert_eq!(a.batcher().take_due(NOW), None, "the rest waits a few milliseconds");
     assert_eq!(due(&mut a).claims.len(), 44);
 }
+
+#[test]
+fn used_key_is_known_for_ever() {
+    // So many keys came later that the outcome of the first is forgotten; its use is not.
+    let settings = ClaimSettings { issued_kept: 4, ..Default::default() };
+    let mut a = ClaimTable::new(settings, vm("a", 1));
+    let keys: Vec<_> = (0..20).map(|_| a.issue()).collect();
+    for key in &keys {
+        assert_eq!(a.begin(NOW, &ask(key.as_str())), ClaimStart::Run);
+        a.end("ramsa", key.as_str(), RequestOutcome::Done);
+    }
+    let expired = answer(RequestOutcome::Unknown, RefusalReason::KeyExpired);
+    assert_eq!(a.begin(NOW, &ask(keys[0].as_str())), expired);
+    let key = keys[0].clone();
+    let call = RevokeCall { tenant: "ramsa".into(), key, fingerprint: RequestFingerprint(5) };
+    assert_eq!(a.revoke(&call), RevokeReply::Unknown(RevokeDoubt::NoAnswer));
+}
--- a/decision/tests/suite/member_probes.rs
+++ b/decision/tests/suite/member_probes.rs
@@ -6,8 +6,8 @@
 
 use coltsfoothook_decision::id::{MICROS_PER_MILLI, TimePoint, VmIdentity, VmIncarnation};
 use coltsfoothook_decision::member::{
-    ListedState, ListedVm, MemberAction, MemberEvent, MemberFacts, MemberPlace, MemberSettings,
-    MemberState, MemberTable, ProbeMessage, ProbeReply,
+    ListedState, ListedVm, MemberAction, MemberChange, MemberEvent, MemberFacts, MemberPlace,
+    MemberSettings, MemberState, MemberTable, ProbeMessage, ProbeReply,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -38,6 +38,7 @@
     flying: Vec<Flying>,
     calls: Vec<(u64, usize, usize)>,
     digests: usize,
+    changes: Vec<(usize, MemberChange)>,
 }
 
 fn place(at: usize) -> MemberPlace {
@@ -65,6 +66,7 @@
             flying: Vec::new(),
             calls: Vec::new(),
             digests: 0,
+            changes: Vec::new(),
         };
         for at in 0..count {
             fleet.list(at);
@@ -98,7 +100,7 @@
                     let (_, _, to) = self.calls[call as usize];
                     self.send(at, &name(to), Message::Reply(reply));
                 }
-                MemberAction::Changed(_) => {}
+                MemberAction::Changed(change) => self.changes.push((at, change)),
             }
         }
     }
@@ -205,6 +207,25 @@
     }
 }
 
+#[test]
+fn probes_before_a_pause_prove_nothing() {
+    // The pause begins while a probe is under way; the VM wakes, and its clock says that the answer
+    // is long overdue, though it lies in the VM's own buffers.
+    for phase in 0..20 {
+        let mut fleet = Fleet::new(5, 40 + phase);
+        fleet.run(20 * phase);
+        fleet.seats[2].paused = true;
+        fleet.run(1_200);
+        fleet.seats[2].paused = false;
+        fleet.changes.clear();
+        fleet.run(20);
+        let blamed = fleet.changes.iter().find(|(by, change)| {
+            *by == 2 && matches!(change.state, MemberState::Suspect | MemberState::Dead)
+        });
+        assert_eq!(blamed, None, "phase {phase}");
+    }
+}
+
 #[test]
 fn restarted_vm_replaces_itself() {
     // The later life has the lower number, as after a clock that jumped back.
@@ -213,6 +234,13 @@
     fleet.list(1);
     fleet.run(4_000);
     let old = VmIdentity { vm: "vm-001".into(), incarnation: VmIncarnation(900) };
+    let ended = MemberState::Dead;
+    for at in [0, 2, 3, 4] {
+        let told = |(by, change): &(usize, MemberChange)| {
+            *by == at && change.vm == old && change.state == ended
+        };
+        assert!(fleet.changes.iter().any(told), "{at} is not told of the earlier life's end");
+    }
     for at in 0..5 {
         assert!(!fleet.table(at).runs(&old), "{at} believes in the earlier life");
         assert_eq!(fleet.seen_live(at), 5);
--- a/decision/tests/suite/takeover_rank.rs
+++ b/decision/tests/suite/takeover_rank.rs
@@ -13,6 +13,7 @@
     MemberState, MemberTable, ProbeMessage,
 };
 use coltsfoothook_decision::record::ControlRecord;
+use coltsfoothook_decision::snapshot::{SnapshotPlan, SnapshotSettings};
 use coltsfoothook_decision::takeover::{
     OwnerlessRuling, TakeoverGroup, TakeoverPlan, TakeoverSettings, ownerless,
 };
@@ -145,3 +146,24 @@
     let cut_off = [("b", 1, Dead), ("c", 1, Dead)];
     assert_eq!(ruling(5_000, false, &cut_off), OwnerlessRuling::NoMajority);
 }
+
+#[test]
+fn ranks_wait_after_an_outage() {
+    // All VMs find a snapshot long overdue when the log comes back; still one writes at a time.
+    let mut times: Vec<u64> = VMS
+        .iter()
+        .map(|me| {
+            let others: Vec<_> =
+                VMS.iter().filter(|name| *name != me).map(|name| (*name, 1, Alive)).collect();
+            let table = members(me, ms(0), &others);
+            let mut plan = SnapshotPlan::new(SnapshotSettings::default(), "config", ms(0));
+            plan.due(ms(899_000), 5, &table);
+            let back = 2_000_000;
+            let turn = (0..100).map(|step| step * 100);
+            let mut due = turn.filter(|wait| plan.due(ms(back + wait), 5, &table));
+            due.next().expect("each would in the end")
+        })
+        .collect();
+    times.sort_unstable();
+    assert_eq!(times, [0, 3_000, 6_000]);
+}
