Entry tells owners of a life's end and of drains that came with a whole state

The soak found both in its own wiring, and the entry process had them too: a VM that restarted faster than its death was found never showed as dead, so its grants stayed pinned; and a control state learnt from a peer brought no drains, so an owner went on giving work to a leaving server. The decisions' side is tested; the wiring itself is not yet tested on its own.

--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -269,6 +269,18 @@
         ownership_changed(core, ownership);
     }
     tell_suspects(core);
+    tell_drains(core);
+}
+
+/// A state that came as a whole brings no single drains; without this an owner that learnt it from
+/// a peer goes on giving work to a leaving server.
+fn tell_drains(core: &Arc<EntryCore>) {
+    let view = core.view();
+    for server in &view.manifest.servers {
+        let server = server.name.clone();
+        let draining = read(&core.control).server_drains(server.as_str());
+        drive_all(core, &OwnerEvent::ServerDraining { server, draining });
+    }
 }
 
 fn tell_intent(
--- a/entry/src/roster.rs
+++ b/entry/src/roster.rs
@@ -10,6 +10,7 @@
     ProbeMessage, ProbeReply,
 };
 use coltsfoothook_decision::message::{CatchUpCall, CatchUpReply};
+use coltsfoothook_decision::owner::OwnerEvent;
 use coltsfoothook_decision::takeover::{TakeoverPlan, TakeoverSettings};
 use coltsfoothook_peer::PeerTarget;
 use coltsfoothook_telemetry::event;
@@ -23,7 +24,7 @@
 use crate::core::{EntryCore, read, write};
 use crate::follow::{install_config, install_control};
 use crate::held::lock;
-use crate::own::append_control;
+use crate::own::{append_control, drive_all};
 
 const TICK: Duration = Duration::from_millis(25);
 const TAKEOVER_PERIOD: Duration = Duration::from_millis(100);
@@ -113,6 +114,12 @@
                 }
             }
             MemberAction::Changed(change) => {
+                // A VM that restarts faster than its death is found never shows as dead in the
+                // table; only this change tells that its earlier life is over.
+                if change.state == MemberState::Dead {
+                    let vm = change.vm.clone();
+                    drive_all(&self.core, &OwnerEvent::VmGone { vm });
+                }
                 let (vm, incarnation) = (change.vm.vm, change.vm.incarnation);
                 match change.state {
                     MemberState::Alive => event!(MemberJoined, vm = vm, incarnation = incarnation),
