Owner's plain types stand in modules of their own

The other modules of the package take plain types from where they stand. The package's front page shows use.

--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -3,15 +3,17 @@
 use rand::Rng;
 
 use crate::adapter::SlotChoice;
+use crate::event::{OwnerAction, OwnerNote};
 use crate::grant::{GrantId, HeldGrant, ReleaseCall};
 use crate::id::{
     MICROS_PER_MILLI, RequestFingerprint, ServerIncarnation, ServerName, SlotName, TimePoint,
     VmIdentity, VmName,
 };
-use crate::owner::{GroupOwner, GroupTopology, OwnerAction, OwnerNote};
+use crate::owner::GroupOwner;
 use crate::report::{EngineReport, SlotReport};
 use crate::slot::{EngineState, SlotPhase, SlotState, parse_slot};
 use crate::suspect::SuspectVerdict;
+use crate::topology::GroupTopology;
 
 /// A grant of an earlier epoch that a VM holds.
 #[derive(Clone, Debug)]
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -3,6 +3,22 @@
 //! Nothing here reads a clock, does I/O, knows a runtime or takes a lock: an event, the time and a
 //! seeded generator go in, actions come out. The same code runs under HTTP in the entry process, in
 //! the long randomised tests and in the benchmarks. docs/DESIGN.md tells how the parts fit.
+//!
+//! ```
+//! use coltsfoothook_decision::id::{OwnerEpoch, TimePoint};
+//! use coltsfoothook_decision::owner::{
+//!     GroupOwner, GroupTopology, OwnerAction, OwnerEvent, OwnerSettings,
+//! };
+//! use rand_pcg::{Pcg64, rand_core::SeedableRng};
+//!
+//! let mut random = Pcg64::seed_from_u64(1);
+//! let topology = GroupTopology { group: "nbo/base/000".into(), ..Default::default() };
+//! let (start, later) = (TimePoint(0), TimePoint(50_000));
+//! let mut owner = GroupOwner::new(OwnerSettings::default(), topology, OwnerEpoch(1), start);
+//! let mut actions: Vec<OwnerAction> = Vec::new();
+//! owner.handle(later, OwnerEvent::Tick, &mut random, &mut actions);
+//! assert!(actions.is_empty(), "there is nothing to do for a group without engines");
+//! ```
 
 mod derive;
 
@@ -13,6 +29,7 @@
 pub mod config;
 pub mod control;
 pub mod delta;
+mod event;
 mod fleet;
 mod follow;
 pub mod grant;
@@ -36,3 +53,4 @@
 pub mod snapshot;
 pub mod suspect;
 pub mod takeover;
+mod topology;
--- a/decision/src/load.rs
+++ b/decision/src/load.rs
@@ -4,7 +4,7 @@
 
 use crate::id::{AdapterVersion, ServerIncarnation, SlotName, TimePoint};
 use crate::outcome::RequestClass;
-use crate::owner::StoreShare;
+use crate::topology::StoreShare;
 
 const MICROS_PER_SECOND: f64 = 1_000_000.0;
 
--- a/decision/src/order.rs
+++ b/decision/src/order.rs
@@ -3,13 +3,12 @@
 use rand::{Rng, RngExt};
 
 use crate::adapter::SlotChoice;
+use crate::event::{EngineOrder, OrderResult, OwnerAction, OwnerNote};
 use crate::id::{AdapterVersion, MICROS_PER_MILLI, SlotName, TimePoint};
 use crate::invariant::InvariantName;
 use crate::load::{LoadOrder, LoadPressure, LoadStage, LoadWish, NewSlot};
 use crate::outcome::RequestClass;
-use crate::owner::{
-    AheadLoad, EngineOrder, GroupOwner, OrderResult, OwnerAction, OwnerNote, millis,
-};
+use crate::owner::{AheadLoad, GroupOwner, millis};
 use crate::place::LoadTarget;
 use crate::slot::{EngineState, FenceState, SlotPhase, SlotState, slot_name};
 
--- a/decision/src/queue.rs
+++ b/decision/src/queue.rs
@@ -3,7 +3,7 @@
 use crate::grant::RequestSpec;
 use crate::id::{TenantName, TimePoint, VmIdentity};
 use crate::outcome::RequestClass;
-use crate::owner::TenantShare;
+use crate::topology::TenantShare;
 
 /// A request that waits.
 #[derive(Clone, Debug)]
--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -10,7 +10,7 @@
 };
 use crate::manifest::{EngineEntry, ServerKind, ServingManifest};
 use crate::outcome::RefusalReason;
-use crate::owner::{EngineInfo, GroupTopology, StoreShare, TenantShare};
+use crate::topology::{EngineInfo, GroupTopology, StoreShare, TenantShare};
 
 /// How many groups are kept ranked for each adapter and region. A hot adapter rarely needs more.
 pub const RANKED_GROUPS: usize = 4;
--- a/decision/src/slot.rs
+++ b/decision/src/slot.rs
@@ -3,7 +3,7 @@
 use crate::id::{
     AdapterVersion, OwnerEpoch, RequestFingerprint, ServerIncarnation, SlotName, TimePoint,
 };
-use crate::owner::EngineInfo;
+use crate::topology::EngineInfo;
 
 /// The name under which an engine knows a load of `adapter`: `adapter@version#epoch.number`.
 ///
