Stand-ins answer for faults and counters by one piece

Four stand-ins each read and set their faults and showed their counters by the same three arms of code. The trait FaultyServer now serves all of them; each keeps its own bound on bodies and what it does at a change. Imports of the settings package stand in their block.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -1,6 +1,5 @@
 //! The model engine stand-in: its settings, faults, handle and step loop.
 
-use coltsfoothook_settings::{FaultList, settings_struct};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,6 +10,7 @@
 use coltsfoothook_decision::value;
 use coltsfoothook_engine::{EngineRole, KvExport};
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings};
+use coltsfoothook_settings::{FaultList, settings_struct};
 use http::{Method, Request};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -19,6 +19,7 @@
 use crate::batch::{EngineState, StepPlan};
 use crate::count::EngineCounters;
 use crate::event::log_event;
+use crate::fault::FaultyServer;
 use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
@@ -264,25 +265,34 @@
     }
 }
 
-impl EngineServer {
-    pub(crate) fn lock(&self) -> MutexGuard<'_, EngineState> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+impl FaultyServer for EngineServer {
+    type Faults = EngineFaults;
+    type Counters = EngineCounters;
+
+    fn faults(&self) -> EngineFaults {
+        self.extra().faults.clone()
+    }
+
+    fn set_faults(&self, faults: EngineFaults) {
+        log_event("faults_set", "engine", &faults);
+        self.extra().faults = faults;
+        self.control.cut_hung();
     }
 
     fn counters(&self) -> EngineCounters {
         self.lock().counters
     }
+}
+
+impl EngineServer {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 
     pub(crate) fn extra(&self) -> MutexGuard<'_, EngineExtra> {
         self.extra.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn set_faults(&self, faults: EngineFaults) {
-        log_event("faults_set", "engine", &faults);
-        self.extra().faults = faults;
-        self.control.cut_hung();
-    }
-
     fn restart(&self, down: Duration) {
         let mut state = self.lock();
         state.restart();
@@ -316,14 +326,7 @@
         action: &str,
     ) -> Result<Reply, Refusal> {
         match (request.method().as_str(), action) {
-            ("GET", "faults") => Ok(reply::ok(&self.extra().faults)),
-            ("GET", "counters") => Ok(reply::ok(&self.counters())),
             ("GET", "keys") => Ok(reply::ok(&self.lock().keys.entries())),
-            ("POST", "faults") => {
-                let faults: EngineFaults = reply::read_json(request, SMALL_BODY).await?;
-                self.set_faults(faults.clone());
-                Ok(reply::ok(&faults))
-            }
             ("POST", "restart") => {
                 let body: RestartBody = reply::read_json(request, SMALL_BODY).await?;
                 self.restart(Duration::from_millis(body.down_ms));
@@ -334,7 +337,7 @@
                 self.control.freeze(Duration::from_millis(body.ms));
                 Ok(reply::ok(&body))
             }
-            _ => Err(reply::no_endpoint()),
+            _ => self.handle_faults(request, action, SMALL_BODY).await,
         }
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -23,6 +23,7 @@
 mod count;
 mod engine;
 mod event;
+mod fault;
 mod metric;
 mod orders;
 mod platform;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -1,6 +1,5 @@
 //! The platform stand-in: the append-only log and the list of VMs.
 
-use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -10,6 +9,7 @@
 use coltsfoothook_decision::member::ListedVm;
 use coltsfoothook_decision::value;
 use coltsfoothook_platform::{AppendedRange, LogPage};
+use coltsfoothook_settings::settings_struct;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::event::log_event;
+use crate::fault::FaultyServer;
 use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
@@ -233,13 +234,12 @@
     Lose,
 }
 
-impl PlatformServer {
-    fn lock(&self) -> MutexGuard<'_, PlatformState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+impl FaultyServer for PlatformServer {
+    type Faults = PlatformFaults;
+    type Counters = PlatformCounters;
 
-    fn counters(&self) -> PlatformCounters {
-        self.lock().counters
+    fn faults(&self) -> PlatformFaults {
+        self.lock().faults.clone()
     }
 
     fn set_faults(&self, faults: PlatformFaults) {
@@ -250,6 +250,16 @@
         self.appended.send_modify(|count| *count += 1);
     }
 
+    fn counters(&self) -> PlatformCounters {
+        self.lock().counters
+    }
+}
+
+impl PlatformServer {
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn change_vms(&self, change: VmChange) {
         let lag = Duration::from_millis(self.settings.list_lag_ms);
         self.lock().vms.change(change, Instant::now(), lag);
@@ -410,13 +420,6 @@
         action: &str,
     ) -> Result<Reply, Refusal> {
         match (request.method().as_str(), action) {
-            ("GET", "faults") => Ok(reply::ok(&self.lock().faults)),
-            ("GET", "counters") => Ok(reply::ok(&self.counters())),
-            ("POST", "faults") => {
-                let faults: PlatformFaults = reply::read_json(request, SMALL_BODY).await?;
-                self.set_faults(faults.clone());
-                Ok(reply::ok(&faults))
-            }
             ("POST", "vms") => {
                 let change: VmChange = reply::read_json(request, SMALL_BODY).await?;
                 self.change_vms(change.clone());
@@ -427,7 +430,7 @@
                 self.lock().streams.forget_before(&body.stream, body.before);
                 Ok(reply::ok(&body))
             }
-            _ => Err(reply::no_endpoint()),
+            _ => self.handle_faults(request, action, SMALL_BODY).await,
         }
     }
 }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -1,16 +1,17 @@
 //! The plain service stand-in: a counter of tickets, readings, and an echo.
 
-use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use coltsfoothook_decision::value;
+use coltsfoothook_settings::settings_struct;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 
 use crate::event::log_event;
+use crate::fault::FaultyServer;
 use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
@@ -176,13 +177,12 @@
     }
 }
 
-impl ServiceServer {
-    fn lock(&self) -> MutexGuard<'_, ServiceState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+impl FaultyServer for ServiceServer {
+    type Faults = ServiceFaults;
+    type Counters = ServiceCounters;
 
-    fn counters(&self) -> ServiceCounters {
-        self.lock().counters
+    fn faults(&self) -> ServiceFaults {
+        self.lock().faults.clone()
     }
 
     fn set_faults(&self, faults: ServiceFaults) {
@@ -190,6 +190,16 @@
         self.lock().faults = faults;
     }
 
+    fn counters(&self) -> ServiceCounters {
+        self.lock().counters
+    }
+}
+
+impl ServiceServer {
+    fn lock(&self) -> MutexGuard<'_, ServiceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn next_cut(&self) -> CallCut {
         let faults = &mut self.lock().faults;
         let cuts = [
@@ -263,24 +273,6 @@
         let reading = |chiller| ChillerReading { chiller, celsius: 6.0 + drift };
         ReadingsBody { chillers: (1..=3).map(reading).collect() }
     }
-
-    async fn handle_admin(
-        &self,
-        request: Request<Incoming>,
-        action: &str,
-    ) -> Result<Reply, Refusal> {
-        match (request.method().as_str(), action) {
-            ("GET", "faults") => Ok(reply::ok(&self.lock().faults)),
-            ("GET", "counters") => Ok(reply::ok(&self.counters())),
-            ("POST", "faults") => {
-                let limit = self.settings.max_body_bytes;
-                let faults: ServiceFaults = reply::read_json(request, limit).await?;
-                self.set_faults(faults.clone());
-                Ok(reply::ok(&faults))
-            }
-            _ => Err(reply::no_endpoint()),
-        }
-    }
 }
 
 #[async_trait]
@@ -288,7 +280,10 @@
     async fn handle(&self, request: Request<Incoming>) -> Result<Reply, ConnectionCut> {
         let path = request.uri().path().to_owned();
         match reply::segments(&path)[..] {
-            ["standin", action] => Ok(reply::either(self.handle_admin(request, action).await)),
+            ["standin", action] => {
+                let limit = self.settings.max_body_bytes;
+                Ok(reply::either(self.handle_faults(request, action, limit).await))
+            }
             ["health"] => Ok(reply::ok(&"ok")),
             ["metrics"] => Ok(reply::either(metrics("service", &self.counters()))),
             _ => self.handle_call(request).await,
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -1,18 +1,19 @@
 //! The weight store stand-in: a rate of loads, of which a few run at full speed at once.
 
-use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use coltsfoothook_decision::value;
+use coltsfoothook_settings::settings_struct;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::event::log_event;
+use crate::fault::FaultyServer;
 use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
@@ -146,13 +147,12 @@
     }
 }
 
-impl StoreServer {
-    fn lock(&self) -> MutexGuard<'_, StoreState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+impl FaultyServer for StoreServer {
+    type Faults = StoreFaults;
+    type Counters = StoreCounters;
 
-    fn counters(&self) -> StoreCounters {
-        self.lock().counters
+    fn faults(&self) -> StoreFaults {
+        self.lock().faults.clone()
     }
 
     fn set_faults(&self, faults: StoreFaults) {
@@ -161,6 +161,16 @@
         self.control.cut_hung();
     }
 
+    fn counters(&self) -> StoreCounters {
+        self.lock().counters
+    }
+}
+
+impl StoreServer {
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn fetch(self: &Arc<Self>, request: Request<Incoming>) -> Result<Reply, Refusal> {
         let body: FetchBody = reply::read_json(request, SMALL_BODY).await?;
         let result = self.load(&body.path).await;
@@ -256,23 +266,6 @@
             }
         }
     }
-
-    async fn handle_admin(
-        &self,
-        request: Request<Incoming>,
-        action: &str,
-    ) -> Result<Reply, Refusal> {
-        match (request.method().as_str(), action) {
-            ("GET", "faults") => Ok(reply::ok(&self.lock().faults)),
-            ("GET", "counters") => Ok(reply::ok(&self.counters())),
-            ("POST", "faults") => {
-                let faults: StoreFaults = reply::read_json(request, SMALL_BODY).await?;
-                self.set_faults(faults.clone());
-                Ok(reply::ok(&faults))
-            }
-            _ => Err(reply::no_endpoint()),
-        }
-    }
 }
 
 /// The share of the full speed that each of `active` loads gets.
@@ -290,7 +283,7 @@
         let result = match reply::segments(&path)[..] {
             ["v1", "weights"] if request.method() == Method::POST => self.0.fetch(request).await,
             ["metrics"] => metrics("store", &self.0.counters()),
-            ["standin", action] => self.0.handle_admin(request, action).await,
+            ["standin", action] => self.0.handle_faults(request, action, SMALL_BODY).await,
             _ => Err(reply::no_endpoint()),
         };
         Ok(reply::either(result))
