--- a/entry/tests/suite/bench.rs
+++ b/entry/tests/suite/bench.rs
@@ -10,7 +10,7 @@
 use coltsfoothook_standin::{prompt_hash, read_answer};
 use tokio::time::{Instant, sleep};
 
-/// Long enough for any recovery on a busy machine; nothing is asserted about the time itself.
+/// Long enough for any recovery on a busy host; nothing is asserted about the time itself.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 const PAUSE: Duration = Duration::from_millis(20);
 
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -1,5 +1,14 @@
 //! The randomised soak of coltsfoothook's decisions, as a library that tests and the load tool
 //! share. docs/FAILURES.md tells what it checks and how to replay a run.
+//!
+//! ```
+//! use coltsfoothook_load::world::{SoakSettings, run_seed};
+//!
+//! let settings = SoakSettings { seed: 5_001, events: 1_000, ..Default::default() };
+//! let result = run_seed(&settings);
+//! assert_eq!(result.violations, []);
+//! assert_eq!(result, run_seed(&settings), "a seed replays itself");
+//! ```
 
 pub mod call;
 pub mod fake;
