One admission for completions and services; tokens and bound on requests

Cause: the two paths checked the same things in two places, the bound on requests in progress stood in the settings and was not enforced, and an operator's token could only be replaced by a restart. Change: one module admits requests and claims keys; the gate refuses beyond its bound as 'overloaded' and 'not run'; token files are read again every two seconds.

--- a/entry/src/gate.rs
+++ b/entry/src/gate.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use coltsfoothook_decision::outcome::RefusalReason;
 use tokio::sync::Notify;
 
-/// Lets requests in until the shutdown begins, and tells when the last one has ended.
-#[derive(Debug, Default)]
+/// Lets requests in, up to a bound, until the shutdown begins; tells when the last one has ended.
+#[derive(Debug)]
 pub(crate) struct RequestGate {
+    most: usize,
     closed: AtomicBool,
     inside: AtomicUsize,
     empty: Notify,
@@ -20,14 +22,30 @@
 }
 
 impl RequestGate {
-    /// Lets a request in, or refuses it after the shutdown has begun.
+    /// A gate for at most `most` requests at once.
+    pub(crate) fn new(most: usize) -> Self {
+        Self {
+            most,
+            closed: AtomicBool::new(false),
+            inside: AtomicUsize::new(0),
+            empty: Notify::new(),
+        }
+    }
+
+    /// Lets a request in, or refuses it when the VM is full or after the shutdown has begun.
     ///
     /// The count grows before the flag is read: a shutdown that sets the flag and then sees no
     /// request inside cannot miss one that was let in.
-    pub(crate) fn enter(self: &Arc<Self>) -> Option<GatePass> {
-        self.inside.fetch_add(1, Ordering::SeqCst);
+    pub(crate) fn enter(self: &Arc<Self>) -> Result<GatePass, RefusalReason> {
+        let before = self.inside.fetch_add(1, Ordering::SeqCst);
         let pass = GatePass { gate: Arc::clone(self) };
-        (!self.closed.load(Ordering::SeqCst)).then_some(pass)
+        if self.closed.load(Ordering::SeqCst) {
+            return Err(RefusalReason::Leaving);
+        }
+        if before >= self.most {
+            return Err(RefusalReason::Overloaded);
+        }
+        Ok(pass)
     }
 
     /// Refuses requests from now on.
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! # Ok(()) }
 //! ```
 
+mod admit;
 mod answer;
 mod claims;
 mod clock;
--- a/entry/src/operate.rs
+++ b/entry/src/operate.rs
@@ -1,6 +1,6 @@
 //! What stands behind the operators' face.
 
-use std::sync::Arc;
+use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -15,12 +15,14 @@
     OperatorHandler, PublishAnswer, PublishCall, VmStatus, WriteAnswer, publish_faults,
 };
 use coltsfoothook_peer::PeerTarget;
-use coltsfoothook_telemetry::PublishResult;
+use coltsfoothook_settings::{SecretError, SecretFile};
+use coltsfoothook_telemetry::{PublishResult, event};
 use futures::future::join_all;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
-use crate::core::{EntryCore, PublishWaiter, read};
+use crate::core::{EntryCore, PublishWaiter, read, write};
 use crate::held::lock;
 use crate::peers::own_status;
 use crate::write::WriteError;
@@ -31,23 +33,50 @@
 const PEER_WITHIN: Duration = Duration::from_secs(2);
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
+/// How often the files with operators' tokens are read again.
+const TOKEN_PERIOD: Duration = Duration::from_secs(2);
+
 /// The operators' tokens, as hashes. Tenants' credentials are in a table of their own, so that they
 /// open no call here.
 pub(crate) struct OperatorTokens {
-    table: CredentialTable<()>,
+    files: Vec<SecretFile>,
+    table: RwLock<CredentialTable<()>>,
 }
 
 impl OperatorTokens {
-    /// Keeps the hashes of `tokens` alone.
-    pub(crate) fn new<'a>(tokens: impl IntoIterator<Item = &'a str>) -> Self {
-        let hashes = tokens.into_iter().map(|token| (CredentialHash::of(token), ()));
-        Self { table: CredentialTable::new(hashes.collect()) }
+    /// Reads the tokens and keeps their hashes alone.
+    pub(crate) fn load(files: &[SecretFile]) -> Result<Self, SecretError> {
+        let table = RwLock::new(read_tokens(files)?);
+        Ok(Self { files: files.to_vec(), table })
+    }
+
+    /// Reads the files again now and then, so that a token is replaced without a restart. A file
+    /// that cannot be read leaves the old tokens in force: half a table would lock operators out.
+    pub(crate) async fn watch(self: Arc<Self>, closing: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = closing.cancelled() => return,
+                () = sleep(TOKEN_PERIOD) => {}
+            }
+            match read_tokens(&self.files) {
+                Ok(table) => *write(&self.table) = table,
+                Err(error) => event!(KeysRefused, error = error),
+            }
+        }
+    }
+}
+
+fn read_tokens(files: &[SecretFile]) -> Result<CredentialTable<()>, SecretError> {
+    let mut hashes = Vec::new();
+    for file in files {
+        hashes.push((CredentialHash::of(file.read()?.expose()), ()));
     }
+    Ok(CredentialTable::new(hashes))
 }
 
 impl OperatorAuth for OperatorTokens {
     fn is_operator(&self, token: &str) -> bool {
-        self.table.find(token).is_some()
+        read(&self.table).find(token).is_some()
     }
 }
 
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -11,11 +11,10 @@
 use coltsfoothook_decision::member::{MemberEvent, MemberPlace, MemberSettings, MemberTable};
 use coltsfoothook_decision::record::{CLAIM_STREAM, CONFIG_STREAM, CONTROL_STREAM, JOB_STREAM};
 use coltsfoothook_engine::{EngineSettings, HttpEngine};
-use coltsfoothook_operator::OperatorServer;
+use coltsfoothook_operator::{OperatorAuth, OperatorServer};
 use coltsfoothook_peer::{PeerPool, PeerServer};
 use coltsfoothook_platform::{HttpDirectory, HttpLog, LogClient, PlatformSettings};
 use coltsfoothook_service::{HttpService, ServiceSettings};
-use coltsfoothook_settings::SecretFile;
 use coltsfoothook_telemetry::event;
 use snafu::{ResultExt, Snafu};
 use tokio::time::{Instant, sleep, timeout};
@@ -112,7 +111,8 @@
     ///
     /// A file that the settings name cannot be used, or an address cannot be listened at.
     pub async fn start(settings: EntrySettings) -> Result<Self, EntryError> {
-        let tokens = read_tokens(&settings.keys.operator_tokens)?;
+        let tokens = OperatorTokens::load(&settings.keys.operator_tokens).context(SecretSnafu)?;
+        let tokens = Arc::new(tokens);
         let keys = crate::tls::EntryKeys::load(&settings)?;
         let (core, receiver) = build_core(settings, keys.peer_client.clone())?;
         let roster = Arc::new(RosterDriver::new(Arc::clone(&core)));
@@ -132,7 +132,7 @@
         let operator = OperatorServer::start(
             &core.settings.operator,
             Arc::new(OperatorFace { core: Arc::clone(&core) }),
-            Arc::new(tokens),
+            Arc::clone(&tokens) as Arc<dyn OperatorAuth>,
             keys.face()?,
         )
         .context(OperatorSnafu)?;
@@ -144,6 +144,7 @@
         };
         spawn_tasks(&core, &roster, receiver);
         keys.watch(&core.closing);
+        tokio::spawn(tokens.watch(core.closing.clone()));
         event!(
             ProcessStarted,
             vm = core.me.vm,
@@ -242,14 +243,6 @@
     }
 }
 
-fn read_tokens(files: &[SecretFile]) -> Result<OperatorTokens, EntryError> {
-    let mut tokens = Vec::new();
-    for file in files {
-        tokens.push(file.read().context(SecretSnafu)?);
-    }
-    Ok(OperatorTokens::new(tokens.iter().map(|token| token.expose())))
-}
-
 /// A new life of this VM. Later lives have larger numbers where the clock does not jump back; what
 /// matters is that no two are alike.
 fn draw_incarnation() -> VmIncarnation {
@@ -316,7 +309,7 @@
         held: crate::held::HeldGrants::default(),
         releases,
         traces: crate::trace::RequestTraces::default(),
-        gate: Arc::new(RequestGate::default()),
+        gate: Arc::new(RequestGate::new(settings.caller.requests)),
         health,
         metrics,
         invariants: Mutex::default(),
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -9,7 +9,6 @@
     ProblemReason,
 };
 use coltsfoothook_decision::attempt::{AttemptNext, AttemptState, CallStage};
-use coltsfoothook_decision::claim::ClaimAnswer;
 use coltsfoothook_decision::grant::{GrantEnd, RequestSpec};
 use coltsfoothook_decision::id::{
     AdapterVersion, GroupName, MICROS_PER_MILLI, ModelName, ServerName, TimePoint,
@@ -25,8 +24,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
+use crate::admit;
 use crate::answer::AnswerFilter;
-use crate::claims::{KeyedRequest, RunningKey, begin_key};
+use crate::claims::RunningKey;
 use crate::core::EntryCore;
 use crate::gate::GatePass;
 use crate::hold::GrantHold;
@@ -40,8 +40,6 @@
 const PAUSE_FACTOR: u32 = 4;
 /// How long a further try waits until the owner knows how the one before ended.
 pub(crate) const RELEASE_WAIT: Duration = Duration::from_millis(1_000);
-/// When to come back after a VM that shuts down, in milliseconds.
-const LEAVING_RETRY_MS: u64 = 100;
 const NOT_READY_RETRY_MS: u64 = 1_000;
 const STREAM_TYPE: &str = "text/event-stream";
 
@@ -88,7 +86,7 @@
     core: &Arc<EntryCore>,
     call: CompletionCall,
 ) -> Result<CompletionAnswer, CallProblem> {
-    let mut run = admit(core, call)?;
+    let mut run = begin(core, call)?;
     let model = match check_adapter(&run) {
         Ok(model) => model,
         Err(problem) => return Err(run.fail(problem)),
@@ -100,24 +98,10 @@
     try_until_done(run, spec).await
 }
 
-/// Lets a request in, before anything of it is done.
-fn admit(core: &Arc<EntryCore>, call: CompletionCall) -> Result<RequestRun, CallProblem> {
-    let Some(pass) = core.gate.enter() else {
-        let reason = RefusalReason::Leaving;
-        core.metrics.set.count_refusal(call.class, reason);
-        return Err(CallProblem::refused(reason, LEAVING_RETRY_MS, "this VM shuts down"));
-    };
+/// Lets a request in and begins its account.
+fn begin(core: &Arc<EntryCore>, call: CompletionCall) -> Result<RequestRun, CallProblem> {
+    let pass = admit::admit(core, &call.tenant, call.class)?;
     let begun = core.clock.now();
-    if let Err(why) = core.ready() {
-        core.metrics.set.count_refusal(call.class, RefusalReason::NotReady);
-        return Err(CallProblem::refused(RefusalReason::NotReady, NOT_READY_RETRY_MS, why));
-    }
-    if let Err(refusal) = core.limits.admit(begun, call.tenant.as_str()) {
-        let reason = RefusalReason::TenantLimit;
-        core.metrics.set.count_refusal(call.class, reason);
-        let detail = "the tenant is over its rate";
-        return Err(CallProblem::refused(reason, refusal.retry_after_ms, detail));
-    }
     let view = core.view();
     let deadline_ms = call.deadline_ms.unwrap_or_else(|| view.class(call.class).deadline_ms);
     let adapter = AdapterVersion {
@@ -174,21 +158,11 @@
         let Some(key) = self.call.key.clone().filter(|_| !self.call.repeatable) else {
             return Ok(());
         };
-        let left = self.deadline.left_ms(self.core.clock.now());
-        let request = KeyedRequest {
-            tenant: &self.call.tenant,
-            key: &key,
-            fingerprint: self.call.fingerprint,
-            within: left.map(Duration::from_millis),
-        };
-        match begin_key(&self.core, &request).await {
-            Ok(running) => {
-                self.step(StepKind::Claimed, format!("key={key}"));
-                self.key = Some(running);
-                Ok(())
-            }
-            Err(answer) => Err(claim_problem(answer)),
-        }
+        let (tenant, fingerprint) = (&self.call.tenant, self.call.fingerprint);
+        let running = admit::claim(&self.core, tenant, &key, fingerprint, self.deadline).await?;
+        self.step(StepKind::Claimed, format!("key={key}"));
+        self.key = Some(running);
+        Ok(())
     }
 
     fn spec(&mut self, found: (AdapterVersion, ModelName)) -> RequestSpec {
@@ -260,13 +234,6 @@
     }
 }
 
-fn claim_problem(answer: ClaimAnswer) -> CallProblem {
-    let detail = "the idempotency key cannot be run here";
-    let mut problem = CallProblem::refused(answer.reason, NOT_READY_RETRY_MS, detail);
-    problem.outcome = answer.outcome;
-    problem
-}
-
 async fn try_until_done(
     mut run: RequestRun,
     mut spec: RequestSpec,
--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -16,12 +16,12 @@
 use futures::StreamExt;
 use http::StatusCode;
 
-use crate::claims::{KeyedRequest, RunningKey, begin_key};
+use crate::admit;
+use crate::claims::RunningKey;
 use crate::core::{EntryCore, read};
 use crate::gate::GatePass;
 
 const RETRY_MS: u64 = 1_000;
-const LEAVING_RETRY_MS: u64 = 100;
 
 /// A call from its arrival to the end of its answer. Dropping it writes the call's line in the log.
 struct ServiceRun {
@@ -78,23 +78,9 @@
     core: &Arc<EntryCore>,
     call: ServiceCall,
 ) -> Result<ServiceAnswer, CallProblem> {
-    let Some(pass) = core.gate.enter() else {
-        let detail = "this VM shuts down";
-        return Err(CallProblem::refused(RefusalReason::Leaving, LEAVING_RETRY_MS, detail));
-    };
-    if let Err(why) = core.ready() {
-        return Err(CallProblem::refused(RefusalReason::NotReady, RETRY_MS, why));
-    }
+    let pass = admit::admit(core, &call.tenant, call.class)?;
     let begun = core.clock.now();
     let repeatable = check_service(core, &call)?;
-    if let Err(refusal) = core.limits.admit(begun, call.tenant.as_str()) {
-        let detail = "the tenant is over its rate";
-        return Err(CallProblem::refused(
-            RefusalReason::TenantLimit,
-            refusal.retry_after_ms,
-            detail,
-        ));
-    }
     let deadline_ms = call.deadline_ms.unwrap_or_else(|| core.view().class(call.class).deadline_ms);
     let detail = format!("tenant={} service={}", call.tenant, call.service);
     core.traces.begin(&call.request_id, begun, detail);
@@ -133,25 +119,9 @@
 
 async fn claim(run: &mut ServiceRun) -> Result<(), CallProblem> {
     let Some(key) = run.call.key.clone().filter(|_| !run.repeatable) else { return Ok(()) };
-    let left = run.deadline.left_ms(run.core.clock.now());
-    let request = KeyedRequest {
-        tenant: &run.call.tenant,
-        key: &key,
-        fingerprint: run.call.fingerprint,
-        within: left.map(Duration::from_millis),
-    };
-    match begin_key(&run.core, &request).await {
-        Ok(running) => {
-            run.key = Some(running);
-            Ok(())
-        }
-        Err(answer) => {
-            let detail = "the idempotency key cannot be run here";
-            let mut problem = CallProblem::refused(answer.reason, RETRY_MS, detail);
-            problem.outcome = answer.outcome;
-            Err(problem)
-        }
-    }
+    let (tenant, fingerprint) = (&run.call.tenant, run.call.fingerprint);
+    run.key = Some(admit::claim(&run.core, tenant, &key, fingerprint, run.deadline).await?);
+    Ok(())
 }
 
 async fn try_until_done(mut run: ServiceRun) -> Result<ServiceAnswer, CallProblem> {
--- a/entry/tests/suite/roles_apart.rs
+++ b/entry/tests/suite/roles_apart.rs
@@ -1,8 +1,10 @@
-use coltsfoothook_demo::{OPERATOR_TOKEN, SiteClient, credential};
+use std::time::Duration;
+
+use coltsfoothook_demo::{OPERATOR_TOKEN, SiteClient, SiteFailure, credential};
 use http::{Method, StatusCode};
+use tokio::time::{Instant, sleep};
 
-use crate::bench::{ask, close, small_site};
-use coltsfoothook_demo::SiteFailure;
+use crate::bench::{PATIENCE, ask, close, small_site};
 
 fn status(failure: &SiteFailure) -> Option<StatusCode> {
     match failure {
@@ -32,3 +34,21 @@
     assert_eq!(seen["vms"].as_array().unwrap().len(), 3);
     close(site).await;
 }
+
+/// An operator's token is replaced in its file while the VMs run: the new one opens the face and the
+/// old one no longer does.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_token() {
+    let site = small_site(true).await;
+    site.replace_token("a new token");
+    let until = Instant::now() + PATIENCE;
+    let fresh = SiteClient::new(site.operators()[0], "a new token");
+    while fresh.json(Method::GET, "/v1/status", None).await.is_err() {
+        assert!(Instant::now() < until, "the new token is not known");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let old = SiteClient::new(site.operators()[0], OPERATOR_TOKEN);
+    let failure = old.json(Method::GET, "/v1/status", None).await.unwrap_err();
+    assert_eq!(status(&failure), Some(StatusCode::UNAUTHORIZED), "{failure}");
+    close(site).await;
+}
