--- /dev/null
+++ b/load/src/config.rs
@@ -0,0 +1,136 @@
+//! What the configuration and the owners' state cost by size, without a site.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use coltsfoothook_decision::config::ConfigFold;
+use coltsfoothook_decision::delta::apply_delta;
+use coltsfoothook_decision::id::{ConfigVersion, ServerIncarnation, TimePoint};
+use coltsfoothook_decision::manifest::{
+    AdapterEntry, ManifestDelta, ServingManifest, VersionEntry,
+};
+use coltsfoothook_decision::owner::OwnerEvent;
+use coltsfoothook_decision::record::{ConfigChange, ConfigRecord};
+use coltsfoothook_decision::report::EngineReport;
+use coltsfoothook_telemetry::process_figures;
+use rand_pcg::Pcg64;
+use rand_pcg::rand_core::SeedableRng;
+
+use crate::fleet::{RouteFleet, manifest};
+
+/// Copies of what is weighed that are held at once, so that the allocator's steps average out.
+const COPIES: u32 = 6;
+/// Deltas that are applied one after the other.
+const DELTAS: u32 = 20;
+/// Rounds of reports that are folded.
+const ROUNDS: u64 = 200;
+/// Microseconds in a second.
+const MICROS: f64 = 1e6;
+
+/// What a configuration of one size costs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConfigCost {
+    pub(crate) resident_bytes: f64,
+    pub(crate) delta_us: f64,
+    pub(crate) snapshot_bytes: f64,
+    pub(crate) delta_bytes: f64,
+}
+
+/// Measures a configuration with so many servers and adapters, two versions each.
+pub(crate) fn config_cost(servers: u32, adapters: u32) -> ConfigCost {
+    let mut base = manifest(servers, adapters);
+    for adapter in &mut base.adapters {
+        let name = adapter.name.clone();
+        let version = |text: &str| VersionEntry {
+            version: text.into(),
+            weights: format!("store://weights/{name}/{text}"),
+        };
+        adapter.versions = vec![version("v1"), version("v2")];
+        adapter.default_version = Some("v2".into());
+        adapter.tenants = vec!["tenant-00000".into()];
+    }
+    coltsfoothook_decision::check::normalize(&mut base);
+    let before = process_figures().resident_bytes;
+    let copies: Vec<ServingManifest> = (0..COPIES).map(|_| base.clone()).collect();
+    let resident = process_figures().resident_bytes.saturating_sub(before);
+    drop(black_box(copies));
+    let delta = one_delta(&base.adapters[base.adapters.len() / 2]);
+    let begun = Instant::now();
+    for _ in 0..DELTAS {
+        black_box(apply_delta(black_box(&base), &delta).is_ok());
+    }
+    let delta_us = begun.elapsed().as_secs_f64() * MICROS / f64::from(DELTAS);
+    let publish = |change| ConfigRecord::Publish {
+        base: ConfigVersion(0),
+        publish_id: "publish-00000".to_owned(),
+        change,
+    };
+    let mut fold = ConfigFold::default();
+    let delta_bytes = bytes_of(&publish(ConfigChange::Delta(delta)));
+    fold.fold(0, publish(ConfigChange::Whole(base)));
+    let snapshot_bytes = fold.snapshot().as_ref().map_or(0.0, bytes_of);
+    ConfigCost {
+        resident_bytes: resident as f64 / f64::from(COPIES),
+        delta_us,
+        snapshot_bytes,
+        delta_bytes,
+    }
+}
+
+/// A change of one adapter.
+pub(crate) fn one_delta(adapter: &AdapterEntry) -> ManifestDelta {
+    let mut delta = ManifestDelta::default();
+    delta.put.adapters = vec![adapter.clone()];
+    delta
+}
+
+fn bytes_of(record: &ConfigRecord) -> f64 {
+    serde_json::to_vec(record).map_or(0.0, |text| text.len() as f64)
+}
+
+/// What owning engines costs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OwnerCost {
+    /// Microseconds that one report of every server takes, with a tick of every owner.
+    pub(crate) round_us: f64,
+    /// Resident bytes of the map and all owners.
+    pub(crate) resident_bytes: f64,
+}
+
+/// Measures the owners of so many servers, whose slots are all loaded.
+pub(crate) fn owner_cost(servers: u32, adapters: u32) -> OwnerCost {
+    let before = process_figures().resident_bytes;
+    let mut fleet = RouteFleet::new(servers, adapters);
+    let resident = process_figures().resident_bytes.saturating_sub(before);
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut actions = Vec::new();
+    let groups: Vec<_> = fleet.map.groups().iter().map(|group| group.servers.clone()).collect();
+    let mut spent = Duration::ZERO;
+    for round in 2..ROUNDS + 2 {
+        let now = TimePoint(round * 250);
+        for (at, servers) in groups.iter().enumerate() {
+            for server in servers {
+                let report = EngineReport {
+                    incarnation: ServerIncarnation(1),
+                    sequence: round,
+                    running: 0,
+                    waiting: 0,
+                    slots: fleet.reported(at, server),
+                };
+                let event = OwnerEvent::Report { server: server.clone(), report };
+                let begun = Instant::now();
+                fleet.owners[at].handle(now, event, &mut rng, &mut actions);
+                spent += begun.elapsed();
+                actions.clear();
+            }
+            let begun = Instant::now();
+            fleet.owners[at].handle(now, OwnerEvent::Tick, &mut rng, &mut actions);
+            spent += begun.elapsed();
+            actions.clear();
+        }
+    }
+    OwnerCost {
+        round_us: spent.as_secs_f64() * MICROS / ROUNDS as f64,
+        resident_bytes: resident as f64,
+    }
+}
--- a/load/src/fleet.rs
+++ b/load/src/fleet.rs
@@ -26,6 +26,15 @@
     pub(crate) map: GroupMap,
     /// In the order of the groups; those of other regions have no engines' reports.
     pub(crate) owners: Vec<GroupOwner>,
+    /// What the engines' slots hold.
+    loaded: Vec<LoadedEngine>,
+}
+
+/// The slots of one engine.
+struct LoadedEngine {
+    group: usize,
+    server: ServerName,
+    slots: Vec<SlotReport>,
 }
 
 impl RouteFleet {
@@ -37,7 +46,7 @@
             GroupOwner::new(OwnerSettings::default(), topology, OwnerEpoch(1), TimePoint(0))
         });
         let owners = owners.collect();
-        let mut fleet = Self { map, owners };
+        let mut fleet = Self { map, owners, loaded: Vec::new() };
         fleet.load_engines(&manifest);
         fleet
     }
@@ -58,12 +67,15 @@
                     slot: slot_name(adapter, OwnerEpoch(1), (engine * SLOTS + number) as u64),
                     running: 0,
                 });
+                let slots: Vec<SlotReport> = slots.collect();
+                let (group, name) = (at, server.clone());
+                self.loaded.push(LoadedEngine { group, server: name, slots: slots.clone() });
                 let report = EngineReport {
                     incarnation: ServerIncarnation(1),
                     sequence: 1,
                     running: 0,
                     waiting: 0,
-                    slots: slots.collect(),
+                    slots,
                 };
                 let event = OwnerEvent::Report { server, report };
                 self.owners[at].handle(TimePoint(1), event, &mut rng, &mut Vec::new());
@@ -71,6 +83,12 @@
         }
     }
 
+    /// What `server` of the group at `place` reports of its slots.
+    pub(crate) fn reported(&self, place: usize, server: &ServerName) -> Vec<SlotReport> {
+        let engine = self.loaded.iter().find(|it| it.group == place && it.server == *server);
+        engine.map(|engine| engine.slots.clone()).unwrap_or_default()
+    }
+
     /// The adapter of a number.
     pub(crate) fn adapter(number: u32) -> AdapterVersion {
         AdapterVersion {
@@ -80,7 +98,8 @@
     }
 }
 
-fn manifest(servers: u32, adapters: u32) -> ServingManifest {
+/// A manifest of so many engines and adapters, dealt out to regions, domains and models in turn.
+pub(crate) fn manifest(servers: u32, adapters: u32) -> ServingManifest {
     ServingManifest {
         servers: (0..servers).map(server).collect(),
         adapters: (0..adapters)
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -6,10 +6,16 @@
 mod arrival;
 mod baseline;
 mod compare;
+mod config;
 mod decide;
+mod fit;
 mod fleet;
+mod latency;
 mod model;
 mod ours;
+mod plot;
+mod sample;
+mod slopes;
 mod soak;
 
 use std::process::ExitCode;
@@ -30,6 +36,16 @@
     /// Example: coltsfoothook-load decide --servers 860 --adapters 16000 --json
     #[bpaf(command("decide"))]
     Decide(#[bpaf(external(decide::decide_options))] decide::DecideOptions),
+    /// Measures what control costs against the size of a site, and fits lines to it.
+    ///
+    /// Example: coltsfoothook-load slopes --plots docs/plots --json
+    #[bpaf(command("slopes"))]
+    Slopes(#[bpaf(external(slopes::slopes_options))] slopes::SlopesOptions),
+    /// Measures what an entry VM adds to the time to the first token.
+    ///
+    /// Example: coltsfoothook-load latency --calls 2000 --streams 500 --json
+    #[bpaf(command("latency"))]
+    Latency(#[bpaf(external(latency::latency_options))] latency::LatencyOptions),
     /// Runs the decisions under random faults in virtual time and checks every rule.
     ///
     /// Example: coltsfoothook-load soak --seeds 100 --first-seed 1 --json
@@ -41,6 +57,8 @@
     match load_command().run() {
         LoadCommand::Compare(options) => compare::run(&options),
         LoadCommand::Decide(options) => decide::run(&options),
+        LoadCommand::Slopes(options) => slopes::run(&options),
+        LoadCommand::Latency(options) => latency::run(&options),
         LoadCommand::Soak(options) => soak::run(&options),
     }
 }
--- /dev/null
+++ b/load/src/sample.rs
@@ -0,0 +1,110 @@
+//! What a site in one process spent between two moments.
+
+use std::ops::Sub;
+use std::time::{Duration, Instant};
+
+use coltsfoothook_demo::{LocalSite, OPERATOR_TOKEN, SiteClient, SiteFailure};
+use coltsfoothook_telemetry::process_figures;
+use serde::Serialize;
+
+/// Sums over all VMs of the site since its start.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct SiteFigures {
+    /// Seconds on the clock.
+    pub(crate) seconds: f64,
+    /// Processor seconds of the process: VMs, stand-ins and callers.
+    pub(crate) cpu_s: f64,
+    /// Control bytes, both ways, at each VM; a message between two VMs counts at both.
+    pub(crate) bytes: f64,
+    /// Of them, those of grants and releases.
+    pub(crate) grant_bytes: f64,
+    /// Of them, those of probes.
+    pub(crate) probe_bytes: f64,
+    /// Of them, those of the log and the list.
+    pub(crate) platform_bytes: f64,
+    /// Of them, those of orders to engines and their reports.
+    pub(crate) engine_bytes: f64,
+    /// Control messages, counted likewise.
+    pub(crate) messages: f64,
+    /// Of them, those of grants and releases.
+    pub(crate) grant_messages: f64,
+    /// Appends that the log took.
+    pub(crate) appends: f64,
+    /// Records in them.
+    pub(crate) records: f64,
+    /// Reads that the log answered.
+    pub(crate) reads: f64,
+}
+
+impl SiteFigures {
+    /// Reads the figures of a site; `origin` is when the measurement began.
+    ///
+    /// # Errors
+    ///
+    /// A VM does not show its metrics.
+    pub(crate) async fn read(site: &LocalSite, origin: Instant) -> Result<Self, SiteFailure> {
+        let mut figures = Self::default();
+        for address in site.operators() {
+            let text = SiteClient::new(address, OPERATOR_TOKEN).text("/metrics").await?;
+            figures.add_page(&text);
+        }
+        let counters = site.platform.counters();
+        figures.appends = counters.appends as f64;
+        figures.records = counters.records as f64;
+        figures.reads = counters.reads as f64;
+        figures.cpu_s = process_figures().cpu_seconds;
+        figures.seconds = origin.elapsed().as_secs_f64();
+        Ok(figures)
+    }
+
+    /// What the site spends in `time`.
+    ///
+    /// # Errors
+    ///
+    /// A VM does not show its metrics.
+    pub(crate) async fn during(site: &LocalSite, time: Duration) -> Result<Self, SiteFailure> {
+        let origin = Instant::now();
+        let before = Self::read(site, origin).await?;
+        tokio::time::sleep(time).await;
+        Ok(Self::read(site, origin).await? - before)
+    }
+
+    fn add_page(&mut self, text: &str) {
+        for line in text.lines() {
+            let Some((series, value)) = line.rsplit_once(' ') else { continue };
+            let value: f64 = value.parse().unwrap_or_default();
+            let kind = |name: &str| series.contains(&format!("kind=\"{name}\""));
+            if series.starts_with("coltsfoothook_control_bytes_total") {
+                self.bytes += value;
+                self.grant_bytes += if kind("grant") { value } else { 0.0 };
+                self.probe_bytes += if kind("probe") { value } else { 0.0 };
+                self.platform_bytes += if kind("platform") { value } else { 0.0 };
+                self.engine_bytes += if kind("engine") { value } else { 0.0 };
+            } else if series.starts_with("coltsfoothook_control_messages_total") {
+                self.messages += value;
+                self.grant_messages += if kind("grant") { value } else { 0.0 };
+            }
+        }
+    }
+}
+
+impl Sub for SiteFigures {
+    type Output = Self;
+
+    fn sub(self, before: Self) -> Self {
+        Self {
+            seconds: self.seconds - before.seconds,
+            cpu_s: self.cpu_s - before.cpu_s,
+            bytes: self.bytes - before.bytes,
+            grant_bytes: self.grant_bytes - before.grant_bytes,
+            probe_bytes: self.probe_bytes - before.probe_bytes,
+            platform_bytes: self.platform_bytes - before.platform_bytes,
+            engine_bytes: self.engine_bytes - before.engine_bytes,
+            messages: self.messages - before.messages,
+            grant_messages: self.grant_messages - before.grant_messages,
+            appends: self.appends - before.appends,
+            records: self.records - before.records,
+            reads: self.reads - before.reads,
+        }
+    }
+}
