--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod outcome;
 pub mod owner;
 mod place;
+mod plan;
 mod queue;
 pub mod record;
 pub mod report;
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -2,8 +2,8 @@
 //!
 //! The owner is a state machine without clock or I/O. Its process turns messages and timers into
 //! [`OwnerEvent`]s and carries out the [`OwnerAction`]s. The parts are the reservations (here), the
-//! choice of slots (`place`), the orders (`order`), what becomes of engines and VMs (`fleet`), and
-//! the plain types of both ends (`topology`, `event`). docs/PLACEMENT.md gives the reasons.
+//! choice of slots (`place`), the loads (`plan`) and their orders (`order`), what becomes of engines
+//! and VMs (`fleet`), and the plain types of both ends (`topology`, `event`). docs/PLACEMENT.md gives the reasons.
 //!
 //! ```
 //! use coltsfoothook_decision::id::{OwnerEpoch, TimePoint};
