Items that only their own package uses are no longer public

Constants of the manifest's check and of routes, the count of one broken rule and the stand-in's label of weights had no user outside. nameable() had none at all and is gone; the manifest's check of names stays, which forbids the same characters.

--- a/decision/src/check.rs
+++ b/decision/src/check.rs
@@ -22,19 +22,19 @@
 use crate::value;
 
 /// The most bytes in a name. Names travel in paths, in log lines and in slot names.
-pub const MAX_NAME_BYTES: usize = 128;
+const MAX_NAME_BYTES: usize = 128;
 /// The most bytes in the path of an adapter's weights.
-pub const MAX_WEIGHTS_BYTES: usize = 1_024;
+const MAX_WEIGHTS_BYTES: usize = 1_024;
 /// The most entries in a list of a manifest.
-pub const MAX_ENTRIES: usize = 200_000;
+const MAX_ENTRIES: usize = 200_000;
 /// Characters that no name may hold, beside white space and control characters: `@` and `#` divide
 /// the parts of slot names and `/` those of paths; the others need escapes in URLs or in quotes.
-pub const FORBIDDEN_NAME_CHARACTERS: &str = "@#/\\\"?%";
+const FORBIDDEN_NAME_CHARACTERS: &str = "@#/\\\"?%";
 /// The rule for names, as error messages tell it.
 pub const NAME_RULE: &str = "1 to 128 bytes, no white space, no control characters, none of \
                              @#/\\\"?%, not \".\" or \"..\"";
 /// Hexadecimal digits in the SHA-256 hash of a credential.
-pub const CREDENTIAL_DIGITS: usize = 64;
+const CREDENTIAL_DIGITS: usize = 64;
 
 const RATE_RANGE: RangeInclusive<f64> = 0.001..=1_000_000.0;
 const WEIGHT_RANGE: RangeInclusive<f64> = 0.01..=100.0;
--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -5,15 +5,14 @@
 
 use crate::grant::GrantRefusal;
 use crate::id::{
-    AdapterName, AdapterVersion, GroupName, ModelName, RegionName, ServerName, VmIdentity,
-    stable_hash,
+    AdapterName, GroupName, ModelName, RegionName, ServerName, VmIdentity, stable_hash,
 };
 use crate::manifest::{EngineEntry, ServerKind, ServingManifest};
 use crate::outcome::RefusalReason;
 use crate::topology::{EngineInfo, GroupTopology, StoreShare, TenantShare};
 
 /// How many groups are kept ranked for each adapter and region. A hot adapter rarely needs more.
-pub const RANKED_GROUPS: usize = 4;
+const RANKED_GROUPS: usize = 4;
 
 /// Groups are planned this full, in percent, so that an added server rarely moves others.
 const PLANNED_FILL_PERCENT: usize = 75;
@@ -192,12 +191,6 @@
     vms.into_iter().max_by_key(|vm| (stable_hash(&[group.as_str(), vm.vm.as_str()]), &vm.vm))
 }
 
-/// Whether `adapter` may be written into a slot's name; see [`crate::slot::slot_name`].
-#[must_use]
-pub fn nameable(adapter: &AdapterVersion) -> bool {
-    !adapter.adapter.as_str().contains(['@', '#']) && !adapter.version.as_str().contains('#')
-}
-
 fn engine_info(manifest: &ServingManifest, name: &ServerName) -> Option<EngineInfo> {
     let server = manifest.server(name.as_str())?;
     let ServerKind::Engine(engine) = &server.serves else { return None };
--- a/standin/src/answer.rs
+++ b/standin/src/answer.rs
@@ -63,8 +63,7 @@
 }
 
 /// The name that answers of the weights at `path` carry: `store://alarms/v3` becomes `alarms@v3`.
-#[must_use]
-pub fn weights_label(path: &str) -> String {
+pub(crate) fn weights_label(path: &str) -> String {
     let path = path.strip_prefix(STORE_SCHEME).unwrap_or(path);
     match path.rsplit_once('/') {
         Some((adapter, version)) => format!("{adapter}@{version}"),
--- a/telemetry/src/metric.rs
+++ b/telemetry/src/metric.rs
@@ -135,8 +135,7 @@
     }
 
     /// How often one rule was found broken.
-    #[must_use]
-    pub fn violations_of(&self, name: InvariantName) -> u64 {
+    fn violations_of(&self, name: InvariantName) -> u64 {
         self.families.invariant_violations.with_label_values(&[name.as_str()]).get()
     }
 
