--- a/decision/src/adapter.rs
+++ b/decision/src/adapter.rs
@@ -72,6 +72,7 @@
         self.search(hash_of(version), version).ok()
     }
 
+    /// The number of `version`, which is met for the first time or was met before.
     pub(crate) fn intern(&mut self, version: &AdapterVersion) -> u32 {
         let hash = hash_of(version);
         match self.search(hash, version) {
--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -38,6 +38,8 @@
 const FOREIGN_GRANTS: usize = 65_536;
 
 impl GroupOwner {
+    /// Takes over a configuration. An engine that it no longer lists is kept, because adapters and
+    /// grants refer to engines by number, but gets nothing new.
     pub(crate) fn set_topology(&mut self, topology: GroupTopology) {
         for engine in &mut self.engines {
             engine.listed = false;
@@ -60,6 +62,7 @@
         self.engines.iter().position(|engine| engine.info.server == *server)
     }
 
+    /// Begins or ends the drain of an engine; a repeated begin keeps the time of the first.
     pub(crate) fn server_draining(&mut self, now: TimePoint, server: &ServerName, draining: bool) {
         let Some(at) = self.engine(server) else { return };
         let engine = &mut self.engines[at];
@@ -173,6 +176,7 @@
         });
     }
 
+    /// Counts a report that did not come; after some in a row the engine is down.
     pub(crate) fn report_failed(
         &mut self,
         now: TimePoint,
@@ -298,6 +302,7 @@
         self.adapters.get_mut(adapter).copies.retain(|copy| *copy != choice);
     }
 
+    /// Keeps requests off a slot that a paused owner of an earlier epoch may still evict.
     pub(crate) fn old_intent(
         &mut self,
         now: TimePoint,
@@ -309,6 +314,8 @@
         self.engines[at].doom(evict, until);
     }
 
+    /// Takes over which VMs are listed. Each of them may hold grants of earlier epochs, so inherited
+    /// slots are not evicted before it has told them or was gone for the zombie window.
     pub(crate) fn vm_live(
         &mut self,
         now: TimePoint,
@@ -357,6 +364,7 @@
         }
     }
 
+    /// Takes over the grants of earlier epochs that a VM holds; they pin their slots like own ones.
     pub(crate) fn held(
         &mut self,
         now: TimePoint,
@@ -395,7 +403,8 @@
         });
     }
 
-    pub(crate) fn release_foreign(&mut self, _now: TimePoint, call: &ReleaseCall) {
+    /// Ends a grant of an earlier epoch.
+    pub(crate) fn release_foreign(&mut self, call: &ReleaseCall) {
         let found = self.foreign.iter().position(|grant| grant.grant == call.grant);
         if let Some(at) = found {
             self.drop_foreign(at);
@@ -448,6 +457,7 @@
         }
     }
 
+    /// Does what falls due with time alone.
     pub(crate) fn tick(
         &mut self,
         now: TimePoint,
--- a/decision/src/order.rs
+++ b/decision/src/order.rs
@@ -10,7 +10,7 @@
 use crate::load::{LoadOrder, LoadStage, LoadWish, NewSlot};
 use crate::owner::{GroupOwner, millis};
 use crate::place::LoadTarget;
-use crate::slot::{EngineState, FenceState, SlotPhase, SlotState, slot_name};
+use crate::slot::{FenceState, SlotPhase, SlotState, slot_name};
 
 /// How much of a new load time enters the running mean.
 const LOAD_GAIN: f64 = 0.2;
@@ -68,6 +68,7 @@
         self.orders.push(order);
     }
 
+    /// Goes on with an order whose intent was read back, or gives it up if the epoch was over there.
     pub(crate) fn intent_read(
         &mut self,
         now: TimePoint,
@@ -88,6 +89,7 @@
         self.send_next(now, at, actions);
     }
 
+    /// Ends this ownership: a later epoch is in force, and no further order may go out.
     pub(crate) fn depose(&mut self, actions: &mut Vec<OwnerAction>) {
         if !self.deposed {
             self.deposed = true;
@@ -192,6 +194,7 @@
         });
     }
 
+    /// Takes over how an order ended.
     pub(crate) fn order_done(
         &mut self,
         now: TimePoint,
@@ -447,8 +450,12 @@
     }
 
     fn fence_done(&mut self, number: u64, result: OrderResult) -> bool {
-        let sent = |engine: &&mut EngineState| matches!(engine.fence, FenceState::Sent { number: sent, .. } if sent == number);
-        let Some(engine) = self.engines.iter_mut().find(sent) else { return false };
+        let awaited = |fence: &FenceState| match fence {
+            FenceState::Sent { number: sent, .. } => *sent == number,
+            FenceState::Needed | FenceState::Known => false,
+        };
+        let found = self.engines.iter_mut().find(|engine| awaited(&engine.fence));
+        let Some(engine) = found else { return false };
         let known = result == OrderResult::Done;
         engine.fence = if known { FenceState::Known } else { FenceState::Needed };
         true
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -275,6 +275,7 @@
         self.adapters.find(adapter).map(AdapterIndex)
     }
 
+    /// A number that no order or grant of this epoch has had.
     pub(crate) fn number(&mut self) -> u64 {
         self.next_number += 1;
         self.next_number - 1
@@ -418,7 +419,7 @@
 
     fn release(&mut self, now: TimePoint, call: &ReleaseCall, actions: &mut Vec<OwnerAction>) {
         if call.grant.epoch != self.epoch {
-            self.release_foreign(now, call);
+            self.release_foreign(call);
             return;
         }
         let found = self.grants.binary_search_by_key(&call.grant.number, |grant| grant.number);
@@ -473,6 +474,8 @@
         grant
     }
 
+    /// Ends a grant's hold on its slot. A lost slot is emptied with its last pin, so that no later
+    /// adapter stands in a place that a grant still refers to.
     pub(crate) fn unpin(&mut self, choice: SlotChoice) {
         let slot = &mut self.engines[choice.server as usize].slots[choice.slot as usize];
         slot.pins = slot.pins.saturating_sub(1);
--- a/decision/src/slot.rs
+++ b/decision/src/slot.rs
@@ -76,7 +76,8 @@
     ended: TimePoint,
 }
 
-/// A slot that was unloaded, whose name late reports may still show.
+/// A slot's name for which something holds until a time: it was unloaded and late reports may still
+/// show it, or a deposed owner may still evict it.
 #[derive(Clone, Debug)]
 struct GoneSlot {
     name: SlotName,
@@ -135,7 +136,9 @@
     /// Suspects that run on it.
     pub(crate) suspects: u32,
     pub(crate) slots: Vec<SlotState>,
+    /// Slots that were unloaded a short time ago.
     gone: Vec<GoneSlot>,
+    /// Slots that a deposed owner may still evict.
     doomed: Vec<GoneSlot>,
     pub(crate) broken: Vec<BrokenRun>,
 }
@@ -198,7 +201,6 @@
         }
     }
 
-    /// Whether `incarnation` is a life that has ended, so that what it says is void.
     /// Whether a report of `incarnation` comes late from a life that ended. Only reports that are
     /// at most `lag` late do; a life that goes on reporting for longer did not end. An owner that
     /// met two lives' reports in the wrong order would otherwise ignore the engine for good.
@@ -267,8 +269,8 @@
 
     /// Slots that are taken or may be.
     pub(crate) fn taken(&self) -> usize {
-        let free = |slot: &&SlotState| !matches!(slot.phase, SlotPhase::Empty | SlotPhase::Lost);
-        self.slots.iter().filter(free).count()
+        let taken = |slot: &&SlotState| !matches!(slot.phase, SlotPhase::Empty | SlotPhase::Lost);
+        self.slots.iter().filter(taken).count()
     }
 
     pub(crate) fn has_free_slot(&self) -> bool {
