--- a/decision/src/place.rs
+++ b/decision/src/place.rs
@@ -27,7 +27,7 @@
     pub confined: Option<[u16; CONFINED_ENGINES]>,
 }
 
-/// On how many engines the same request may run at a time. Were it poison, it would fell them all.
+/// On how many engines the same request may run at a time. Were it poison, it would crash them all.
 const CONFINED_ENGINES: usize = 2;
 
 /// What a slot is worth more if the engine saw the prompt's beginning there last.
--- a/decision/src/suspect.rs
+++ b/decision/src/suspect.rs
@@ -31,7 +31,7 @@
 }
 
 /// What the owner knows of suspects: the control stream's state, and crashes that it saw itself and
-/// has not read back yet. The latter count at once, or a resend would fell a third server.
+/// has not read back yet. The latter count at once, or a resend would crash a third server.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SuspectBook {
     recorded: Vec<SuspectEntry>,
--- a/engine/src/http_engine.rs
+++ b/engine/src/http_engine.rs
@@ -1,6 +1,5 @@
 //! Model engines over HTTP.
 
-use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 use coltsfoothook_exchange::{
     ExchangeAnswer, ExchangeClient, ExchangeError, ExchangeRequest, ExchangeSettings, path_segment,
 };
+use coltsfoothook_settings::settings_struct;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -1,10 +1,10 @@
 //! Sends a request and waits for the head of its answer.
 
-use coltsfoothook_settings::settings_struct;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfoothook_settings::settings_struct;
 use http::{HeaderMap, HeaderValue, Method, Request, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
