--- a/load/src/config.rs
+++ b/load/src/config.rs
@@ -9,6 +9,7 @@
 use coltsfoothook_decision::manifest::{
     AdapterEntry, ManifestDelta, ServingManifest, VersionEntry,
 };
+use coltsfoothook_decision::manifest::{ModelEntry, StoreEntry, TenantEntry};
 use coltsfoothook_decision::owner::OwnerEvent;
 use coltsfoothook_decision::record::{ConfigChange, ConfigRecord};
 use coltsfoothook_decision::report::EngineReport;
@@ -24,6 +25,8 @@
 const DELTAS: u32 = 20;
 /// Rounds of reports that are folded.
 const ROUNDS: u64 = 200;
+/// The port of the first server, as no two may share an address.
+const FIRST_PORT: u16 = 1_000;
 /// Microseconds in a second.
 const MICROS: f64 = 1e6;
 
@@ -49,7 +52,29 @@
         adapter.default_version = Some("v2".into());
         adapter.tenants = vec!["tenant-00000".into()];
     }
+    base.models =
+        (0..4).map(|number| ModelEntry { name: format!("model-{number}").into() }).collect();
+    base.tenants = vec![TenantEntry {
+        name: "tenant-00000".into(),
+        credentials: vec!["0".repeat(64)],
+        requests_per_s: None,
+        burst: 100,
+        weight: 1.0,
+    }];
+    base.stores = (0..2)
+        .map(|number| StoreEntry {
+            region: format!("region-{number}").into(),
+            loads_per_s: 5.0,
+            full_speed: 2,
+        })
+        .collect();
+    for (number, server) in base.servers.iter_mut().enumerate() {
+        server.address.set_port(FIRST_PORT + number as u16);
+        server.domain = format!("{}-{}", server.region, server.domain).as_str().into();
+    }
     coltsfoothook_decision::check::normalize(&mut base);
+    // A refused manifest would make all that follows cheap and meaningless.
+    assert_eq!(coltsfoothook_decision::check::check_manifest(&base).len(), 0);
     let before = process_figures().resident_bytes;
     let copies: Vec<ServingManifest> = (0..COPIES).map(|_| base.clone()).collect();
     let resident = process_figures().resident_bytes.saturating_sub(before);
@@ -93,15 +118,11 @@
 pub(crate) struct OwnerCost {
     /// Microseconds that one report of every server takes, with a tick of every owner.
     pub(crate) round_us: f64,
-    /// Resident bytes of the map and all owners.
-    pub(crate) resident_bytes: f64,
 }
 
 /// Measures the owners of so many servers, whose slots are all loaded.
 pub(crate) fn owner_cost(servers: u32, adapters: u32) -> OwnerCost {
-    let before = process_figures().resident_bytes;
     let mut fleet = RouteFleet::new(servers, adapters);
-    let resident = process_figures().resident_bytes.saturating_sub(before);
     let mut rng = Pcg64::seed_from_u64(1);
     let mut actions = Vec::new();
     let groups: Vec<_> = fleet.map.groups().iter().map(|group| group.servers.clone()).collect();
@@ -129,8 +150,5 @@
             actions.clear();
         }
     }
-    OwnerCost {
-        round_us: spent.as_secs_f64() * MICROS / ROUNDS as f64,
-        resident_bytes: resident as f64,
-    }
+    OwnerCost { round_us: spent.as_secs_f64() * MICROS / ROUNDS as f64 }
 }
--- a/load/src/sample.rs
+++ b/load/src/sample.rs
@@ -20,10 +20,6 @@
     pub(crate) grant_bytes: f64,
     /// Of them, those of probes.
     pub(crate) probe_bytes: f64,
-    /// Of them, those of the log and the list.
-    pub(crate) platform_bytes: f64,
-    /// Of them, those of orders to engines and their reports.
-    pub(crate) engine_bytes: f64,
     /// Control messages, counted likewise.
     pub(crate) messages: f64,
     /// Of them, those of grants and releases.
@@ -78,8 +74,6 @@
                 self.bytes += value;
                 self.grant_bytes += if kind("grant") { value } else { 0.0 };
                 self.probe_bytes += if kind("probe") { value } else { 0.0 };
-                self.platform_bytes += if kind("platform") { value } else { 0.0 };
-                self.engine_bytes += if kind("engine") { value } else { 0.0 };
             } else if series.starts_with("coltsfoothook_control_messages_total") {
                 self.messages += value;
                 self.grant_messages += if kind("grant") { value } else { 0.0 };
@@ -98,8 +92,6 @@
             bytes: self.bytes - before.bytes,
             grant_bytes: self.grant_bytes - before.grant_bytes,
             probe_bytes: self.probe_bytes - before.probe_bytes,
-            platform_bytes: self.platform_bytes - before.platform_bytes,
-            engine_bytes: self.engine_bytes - before.engine_bytes,
             messages: self.messages - before.messages,
             grant_messages: self.grant_messages - before.grant_messages,
             appends: self.appends - before.appends,
--- a/load/src/slopes.rs
+++ b/load/src/slopes.rs
@@ -36,6 +36,8 @@
 const SITE_ADAPTERS: usize = 16;
 /// VMs of the sites whose VMs are not varied.
 const SITE_VMS: usize = 6;
+/// How long a site is left alone before it counts as at rest.
+const REST: Duration = Duration::from_secs(10);
 const PERCENT: f64 = 100.0;
 const MEGABYTE: f64 = 1e6;
 
@@ -157,13 +159,14 @@
     let wanted = |name: &str| options.only.is_empty() || options.only.iter().any(|it| it == name);
     let time = Duration::from_millis(options.measure_ms);
     let (mut slopes, mut failed) = (Vec::new(), Vec::new());
-    // Without a site first: the allocator keeps what sites gave back, which hides later growth.
-    if wanted("adapters") {
-        slopes.extend(adapters());
-    }
+    // Without a site first, and the smaller first: the allocator keeps what was given back, which
+    // hides later growth.
     if wanted("owners") {
         slopes.extend(owners());
     }
+    if wanted("adapters") {
+        slopes.extend(adapters());
+    }
     if wanted("vms") {
         take("vms", vms(time).await, &mut slopes, &mut failed);
     }
@@ -217,7 +220,6 @@
         progress("owners", servers);
         let (size, cost) = (f64::from(servers), owner_cost(servers, TARGET_ADAPTERS as u32));
         set.add("owner-round", "µs for a report of each server", size, cost.round_us);
-        set.add("owner-memory", "MB of all owners", size, cost.resident_bytes / MEGABYTE);
     }
     set.fitted()
 }
@@ -228,20 +230,14 @@
         progress("vms", vms as u32);
         let before = process_figures().resident_bytes;
         let site = LocalSite::start(settings(vms, 2)).await?;
-        // Gossip of the start dies down.
-        tokio::time::sleep(Duration::from_secs(2)).await;
+        // News of the start rides on probes for a while; a site at rest has none.
+        tokio::time::sleep(REST).await;
         let spent = SiteFigures::during(&site, time).await?;
         let resident = process_figures().resident_bytes.saturating_sub(before) as f64;
         let each = vms as f64 * spent.seconds;
         let size = vms as f64;
         set.add("vm-bytes", "control bytes/s a VM", size, spent.bytes / each);
         set.add("vm-probe-bytes", "probe bytes/s a VM", size, spent.probe_bytes / each);
-        set.add(
-            "vm-platform-bytes",
-            "log and list bytes/s a VM",
-            size,
-            spent.platform_bytes / each,
-        );
         set.add("vm-messages", "control messages/s a VM", size, spent.messages / each);
         set.add("vm-cpu", "% of a core a VM", size, spent.cpu_s / each * PERCENT);
         set.add("vm-memory", "MB more than before, a VM", size, resident / size / MEGABYTE);
@@ -254,13 +250,15 @@
 
 async fn servers(time: Duration) -> Result<Vec<MeasuredSlope>, SlopeFailure> {
     let mut set = SlopeSet::new("backend servers in all", TARGET_SERVERS);
-    for engines in [4, 8, 16, 32, 48] {
+    for engines in [4, 8, 16, 32, 64] {
         progress("servers", engines as u32);
-        let site = LocalSite::start(settings(SITE_VMS, engines)).await?;
+        // One group, as the site waits for as many owners as full groups would have.
+        let mut settings = settings(SITE_VMS, engines);
+        settings.policy.group_servers = settings.policy.group_servers.max(engines as u32);
+        let site = LocalSite::start(settings).await?;
         tokio::time::sleep(Duration::from_secs(1)).await;
         let spent = SiteFigures::during(&site, time).await?;
         let size = engines as f64;
-        set.add("server-bytes", "engine bytes/s in all", size, spent.engine_bytes / spent.seconds);
         set.add("server-cpu", "% of a core in all", size, spent.cpu_s / spent.seconds * PERCENT);
         site.stop().await;
     }
@@ -292,8 +290,6 @@
         );
         let messages = spent.grant_messages / seconds;
         set.add(&named("grant-messages"), "grant messages/s at all VMs", size, messages);
-        let platform = spent.platform_bytes / seconds / SITE_VMS as f64;
-        set.add(&named("platform-bytes"), "log and list bytes/s a VM", size, platform);
         set.add(&named("cpu"), "% of a core in all", size, spent.cpu_s / seconds * PERCENT);
         set.add(&named("appends"), "log appends/s in all", size, spent.appends / seconds);
         set.add(&named("records"), "log records/s in all", size, spent.records / seconds);
@@ -393,7 +389,6 @@
         }
         let spent = SiteFigures::read(&site, Instant::now()).await? - before;
         let size = count as f64;
-        set.add("change-bytes", "log bytes a VM", size, spent.platform_bytes / SITE_VMS as f64);
         set.add(
             "change-cpu",
             "ms of processor time a VM",
