Load on separate processes; a new VM shows no job before it read them all

Cause: a VM that had just started could show a late job result as the first one; and faults such as a stopped process can only be induced from outside. Conclusion: the experiments on separate processes can be run by hand.

--- a/demo/src/lib.rs
+++ b/demo/src/lib.rs
@@ -24,6 +24,6 @@
 pub use show::{DemoFailure, DemoOptions, DemoReport, run_demo};
 pub use site::{
     FIRST_VERSION, LocalSite, MODEL, OPERATOR_TOKEN, REGION, SERVICE, SiteError, SiteSettings,
-    adapter_name, credential, tenant_name, version_entry, vm_name,
+    adapter_name, credential, site_manifest, tenant_name, version_entry, vm_name,
 };
 pub use traffic::{KnownEntries, SiteTraffic, TrafficCounts, TrafficSettings, TrafficTimes};
--- a/demo/src/site.rs
+++ b/demo/src/site.rs
@@ -159,7 +159,10 @@
             services.push(start_service(service).await.context(StandinSnafu)?);
         }
         let token = write_token().context(StandinSnafu)?;
-        let manifest = site_manifest(&settings, &engines, &services);
+        let engine_addresses: Vec<SocketAddr> = engines.iter().map(EngineHandle::address).collect();
+        let service_addresses: Vec<SocketAddr> =
+            services.iter().map(ServiceHandle::address).collect();
+        let manifest = site_manifest(&settings, &engine_addresses, &service_addresses);
         let mut site = Self {
             vms: Vec::new(),
             settings,
@@ -402,11 +405,13 @@
     Ok(path)
 }
 
-/// The manifest of a site, in normal form.
-fn site_manifest(
+/// The manifest of a site with engines and servers of the plain service at these addresses, in
+/// normal form.
+#[must_use]
+pub fn site_manifest(
     settings: &SiteSettings,
-    engines: &[EngineHandle],
-    services: &[ServiceHandle],
+    engines: &[SocketAddr],
+    services: &[SocketAddr],
 ) -> ServingManifest {
     let tenants: Vec<TenantEntry> = (0..settings.tenants).map(tenant_entry).collect();
     let names = tenants.iter().map(|tenant| tenant.name.clone()).collect();
@@ -463,12 +468,12 @@
 
 fn server_entries(
     settings: &SiteSettings,
-    engines: &[EngineHandle],
-    services: &[ServiceHandle],
+    engines: &[SocketAddr],
+    services: &[SocketAddr],
 ) -> Vec<ServerEntry> {
-    let engine = |(at, handle): (usize, &EngineHandle)| ServerEntry {
+    let engine = |(at, address): (usize, &SocketAddr)| ServerEntry {
         name: format!("engine-{at:02}").into(),
-        address: handle.address(),
+        address: *address,
         domain: DOMAINS[at % DOMAINS.len()].into(),
         region: REGION.into(),
         serves: ServerKind::Engine(EngineEntry {
@@ -478,9 +483,9 @@
             checks_fencing: settings.engine.checks_fencing,
         }),
     };
-    let service = |(at, handle): (usize, &ServiceHandle)| ServerEntry {
+    let service = |(at, address): (usize, &SocketAddr)| ServerEntry {
         name: format!("{SERVICE}-{at:02}").into(),
-        address: handle.address(),
+        address: *address,
         domain: DOMAINS[at % DOMAINS.len()].into(),
         region: REGION.into(),
         serves: ServerKind::Service { service: SERVICE.into() },
--- a/entry/src/jobs.rs
+++ b/entry/src/jobs.rs
@@ -240,11 +240,21 @@
     tenant: &TenantName,
     job: &JobId,
 ) -> Result<JobStatus, CallProblem> {
+    check_caught_up(core)?;
     let fold = lock(&core.jobs.fold);
     fold.row(tenant.as_str(), job.as_str()).map(status_of).ok_or_else(|| unknown_job(core, job))
 }
 
-/// A VM that has not read the stream's end yet does not know which jobs there are.
+/// A VM that has not read the stream's end yet does not know which jobs there are, nor which result
+/// was the first: it must not show one that a record it has yet to read came before.
+fn check_caught_up(core: &EntryCore) -> Result<(), CallProblem> {
+    if lock(&core.jobs.fold).is_caught_up() {
+        return Ok(());
+    }
+    let detail = "the jobs have not been read from the log yet";
+    Err(CallProblem::refused(RefusalReason::NotReady, LOG_RETRY_MS, detail))
+}
+
 fn unknown_job(core: &EntryCore, job: &JobId) -> CallProblem {
     if !core.health.readable(core.clock.now()) {
         let detail = "the log cannot be read, so the job may exist";
@@ -259,6 +269,7 @@
     tenant: &TenantName,
     job: &JobId,
 ) -> Result<JobResult, CallProblem> {
+    check_caught_up(core)?;
     let fold = lock(&core.jobs.fold);
     let row = fold.row(tenant.as_str(), job.as_str()).ok_or_else(|| unknown_job(core, job))?;
     match row.end() {
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -8,6 +8,7 @@
 mod compare;
 mod config;
 mod decide;
+mod drive;
 mod fit;
 mod fleet;
 mod latency;
@@ -46,6 +47,16 @@
     /// Example: coltsfoothook-load latency --calls 2000 --streams 500 --json
     #[bpaf(command("latency"))]
     Latency(#[bpaf(external(latency::latency_options))] latency::LatencyOptions),
+    /// Sends mixed load to entry VMs that run as separate processes, and checks every answer.
+    ///
+    /// Example: coltsfoothook-load drive --caller 127.0.0.1:8010 --caller 127.0.0.1:8020 --seconds 30
+    #[bpaf(command("drive"))]
+    Drive(#[bpaf(external(drive::drive_options))] drive::DriveOptions),
+    /// Prints the manifest that `drive` expects.
+    ///
+    /// Example: coltsfoothook-load manifest --engine 127.0.0.1:7201 --service 127.0.0.1:7400
+    #[bpaf(command("manifest"))]
+    Manifest(#[bpaf(external(drive::manifest_options))] drive::ManifestOptions),
     /// Runs the decisions under random faults in virtual time and checks every rule.
     ///
     /// Example: coltsfoothook-load soak --seeds 100 --first-seed 1 --json
@@ -59,6 +70,8 @@
         LoadCommand::Decide(options) => decide::run(&options),
         LoadCommand::Slopes(options) => slopes::run(&options),
         LoadCommand::Latency(options) => latency::run(&options),
+        LoadCommand::Drive(options) => drive::run(&options),
+        LoadCommand::Manifest(options) => drive::print_manifest(&options),
         LoadCommand::Soak(options) => soak::run(&options),
     }
 }
