A crashed owner's slots can be evicted at once where its process has certainly ended

Cause: a run on separate processes killed the owner of the engines; for two minutes nobody could evict the slots that it had loaded, since it could not tell which it held, and every cold adapter waited (requests ended 'deadline passed' after 30 s). Change: a host that refuses connections to the VM's port proves that the process ended (a paused one keeps its socket), so the VM holds nothing. A silent host still costs the zombie window.

--- a/entry/src/own.rs
+++ b/entry/src/own.rs
@@ -11,6 +11,7 @@
     AdapterVersion, GroupName, OwnerEpoch, RequestId, ServerName, VmIdentity, VmName,
 };
 use coltsfoothook_decision::invariant::InvariantLog;
+use coltsfoothook_decision::member::MemberState;
 use coltsfoothook_decision::message::{
     GroupStatus, HeldCall, QueueStatus, ServerStatus, SlotStatus, WithdrawCall,
 };
@@ -20,6 +21,7 @@
 };
 use coltsfoothook_decision::record::{CONTROL_STREAM, ControlRecord, GroupOwnership};
 use coltsfoothook_engine::{LoadOrder, OrderError, UnloadOrder};
+use coltsfoothook_peer::PeerTarget;
 use coltsfoothook_telemetry::event;
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
@@ -243,7 +245,26 @@
             Ok(reply) => {
                 self.drive(core, OwnerEvent::Held { vm: reply.vm, grants: reply.grants });
             }
-            Err(error) => event!(HeldUnknown, vm = vm, error = error),
+            Err(error) => {
+                event!(HeldUnknown, vm = vm, error = error);
+                self.note_ended(core, &target).await;
+            }
+        }
+    }
+
+    /// A VM whose process has ended holds nothing any more. Without this the slots that the owner
+    /// before it loaded could not be evicted until the zombie window is over, and every adapter that
+    /// was not loaded would wait for two minutes after a crash.
+    async fn note_ended(self: &Arc<Self>, core: &Arc<EntryCore>, target: &PeerTarget) {
+        let dead = {
+            let members = lock(&core.members);
+            let row = members.row(target.vm.as_str());
+            let row = row.filter(|row| row.state() == MemberState::Dead);
+            row.map(|row| row.identity().clone())
+        };
+        let Some(dead) = dead else { return };
+        if core.clients.peers.process_ended(target).await {
+            self.drive(core, OwnerEvent::Held { vm: dead, grants: Vec::new() });
         }
     }
 }
--- a/entry/tests/suite/owner_dies.rs
+++ b/entry/tests/suite/owner_dies.rs
@@ -1,3 +1,5 @@
+use coltsfoothook_demo::{CompletionAsk, LocalSite, SiteSettings};
+
 use crate::bench::{ask, client, close, owner, small_site, until_done, wait_until};
 
 /// The VM that owns the engines fails without a word while callers use the others. They wait or are
@@ -28,3 +30,22 @@
     until_done(&client(&site, failing), &ask(4, "through the new life")).await;
     close(site).await;
 }
+
+/// The owner fails when its loads fill every slot. A cold adapter needs one of them evicted, and the
+/// new owner cannot ask the old one what it holds; the closed port of the old one's process tells
+/// that it holds nothing, so callers do not wait out the two minutes of the zombie window.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_slots() {
+    let mut settings = SiteSettings::default();
+    settings.engine.adapter_slots = 1;
+    settings.engine.step_us = 2_000;
+    let mut site = LocalSite::start(settings).await.unwrap();
+    let failing = owner(&site);
+    let caller = client(&site, (failing + 1) % 3);
+    for adapter in [0, 2] {
+        until_done(&caller, &ask(adapter, "fills a slot")).await;
+    }
+    site.kill_vm(failing).await;
+    until_done(&caller, &CompletionAsk { deadline_ms: Some(20_000), ..ask(4, "cold") }).await;
+    close(site).await;
+}
--- a/peer/src/pool.rs
+++ b/peer/src/pool.rs
@@ -200,6 +200,18 @@
         Ok(reply)
     }
 
+    /// Whether the process that listened at `target` has certainly ended.
+    ///
+    /// A process that is merely paused keeps its socket, and the host still takes connections for
+    /// it; one that a host refuses has no listener any more. A host that is silent proves nothing.
+    pub async fn process_ended(&self, target: &PeerTarget) -> bool {
+        let limit = self.settings.connect_timeout();
+        match tokio::time::timeout(limit, TcpStream::connect(target.address)).await {
+            Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     /// Asks a VM to give a key up.
     pub async fn revoke(
         &self,
