Processes sleep until something is due; takeovers need not wait for known VMs

Change: the membership and the owner of an idle group sleep until they are due, with 100 ms at the most; the settling time ends once every listed VM was heard of; the list is read the less often the more VMs there are.

--- a/decision/src/member.rs
+++ b/decision/src/member.rs
@@ -463,6 +463,13 @@
         all.filter(|row| row.state() == MemberState::Alive)
     }
 
+    /// Whether the platform's list was read and every VM in it was heard of, so that one which does
+    /// not answer is known from one that was not asked yet.
+    #[must_use]
+    pub fn acquainted(&self) -> bool {
+        self.own.listed.is_some() && self.rows.iter().all(|row| row.heard)
+    }
+
     /// The row of `vm`, if it is known.
     #[must_use]
     pub fn row(&self, vm: &str) -> Option<&MemberRow> {
--- a/decision/src/takeover.rs
+++ b/decision/src/takeover.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct TakeoverSettings {
     /// Milliseconds after the start in which nothing is taken over, because the other VMs are not
-    /// heard yet and would look dead.
+    /// heard yet and would look dead. It ends early once all listed VMs were heard of.
     pub settle_ms: u64,
     /// Milliseconds that each later rank waits for the ranks before it to act.
     pub rank_ms: u64,
@@ -123,7 +123,8 @@
         control: &ControlFold,
     ) -> Vec<ControlRecord> {
         self.pauses.ask(now);
-        let settled = now.since(self.started) >= self.settings.settle_ms * MICROS_PER_MILLI;
+        let waited = now.since(self.started) >= self.settings.settle_ms * MICROS_PER_MILLI;
+        let settled = waited || members.acquainted();
         let region = members.own().place().region.as_str();
         let able =
             members.own().state() == MemberState::Alive && !control.vm_drains(members.own().name());
--- a/entry/src/claims.rs
+++ b/entry/src/claims.rs
@@ -24,7 +24,8 @@
 const APPEND_WITHIN: Duration = Duration::from_millis(400);
 /// How long another VM has to answer whether it gives a key up.
 const REVOKE_WITHIN: Duration = Duration::from_secs(2);
-const IDLE_PAUSE: Duration = Duration::from_millis(100);
+/// While no claim waits; a new one ends the pause.
+const IDLE_PAUSE: Duration = Duration::from_secs(1);
 
 /// A key that runs here; dropping it without [`RunningKey::end`] leaves the outcome unknown.
 pub(crate) struct RunningKey {
--- a/entry/src/jobs.rs
+++ b/entry/src/jobs.rs
@@ -30,7 +30,9 @@
 /// How long an append of a job's record is offered to the log, and how long it is then looked for.
 const ACCEPT_WITHIN: Duration = Duration::from_secs(5);
 const RECORD_WITHIN: Duration = Duration::from_secs(5);
-const PLAN_PERIOD: Duration = Duration::from_millis(100);
+/// How often jobs are looked through; a record of the stream ends the pause.
+const PLAN_PERIOD: Duration = Duration::from_millis(500);
+const LEAST_PLAN_PAUSE: Duration = Duration::from_millis(20);
 const LOG_RETRY_MS: u64 = 2_000;
 const ROOM_RETRY_MS: u64 = 30_000;
 const UNFINISHED_RETRY_MS: u64 = 1_000;
@@ -307,7 +309,8 @@
 /// Runs and keeps jobs until the process ends.
 pub(crate) async fn run_jobs(core: Arc<EntryCore>) {
     while !core.closing.is_cancelled() {
-        sleep(PLAN_PERIOD).await;
+        sleep(LEAST_PLAN_PAUSE).await;
+        let _ = timeout(PLAN_PERIOD, core.jobs.changed.notified()).await;
         if !core.health.readable(core.clock.now()) || core.ready().is_err() {
             continue;
         }
--- a/entry/src/own.rs
+++ b/entry/src/own.rs
@@ -181,6 +181,12 @@
         GroupStatus { group: self.group.clone(), epoch: self.epoch, queues, servers }
     }
 
+    /// Whether requests wait or adapters load.
+    pub(crate) fn is_busy(&self) -> bool {
+        let figures = lock(&self.state).owner.figures();
+        figures.loading > 0 || figures.waiting.iter().any(|waiting| *waiting > 0)
+    }
+
     /// The engines that the owner watches.
     pub(crate) fn engines(&self) -> Vec<ServerName> {
         let state = lock(&self.state);
--- a/entry/src/roster.rs
+++ b/entry/src/roster.rs
@@ -18,7 +18,7 @@
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
 use tokio::sync::oneshot;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::core::{EntryCore, read, write};
@@ -26,11 +26,17 @@
 use crate::held::lock;
 use crate::own::{append_control, drive_all};
 
-const TICK: Duration = Duration::from_millis(25);
-const TAKEOVER_PERIOD: Duration = Duration::from_millis(100);
+/// The membership says when it is due next; its own facts are looked at this often besides.
+const LEAST_PAUSE: Duration = Duration::from_millis(10);
+const MOST_PAUSE: Duration = Duration::from_millis(100);
+const TAKEOVER_PERIOD: Duration = Duration::from_millis(200);
+/// The list grows with the number of VMs, and probes tell of changes sooner; its period grows with
+/// them, so that reading it costs each VM the same.
 const LIST_PERIOD: Duration = Duration::from_millis(1_000);
-/// The period while no other VM is known, right after a start.
+const LIST_PERIOD_PER_VM: Duration = Duration::from_millis(30);
+/// The period right after a start, while no other VM is known, and how often it is used.
 const FIRST_LIST_PERIOD: Duration = Duration::from_millis(100);
+const FIRST_LISTINGS: u32 = 50;
 const CATCH_UP_PERIOD: Duration = Duration::from_millis(500);
 const CATCH_UP_WITHIN: Duration = Duration::from_secs(5);
 /// An indirect probe takes two hops.
@@ -157,14 +163,12 @@
 
 /// Probes other VMs and tells them this VM's facts.
 pub(crate) async fn run_roster(driver: Arc<RosterDriver>) {
-    let mut timer = interval(TICK);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut told = None;
     let stop = driver.core.closing.clone();
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            _ = timer.tick() => {}
+            () = sleep(pause(&driver.core)) => {}
         }
         let facts = own_facts(&driver.core);
         if told.as_ref() != Some(&facts) {
@@ -175,6 +179,12 @@
     }
 }
 
+fn pause(core: &EntryCore) -> Duration {
+    let due = lock(&core.members).next_due();
+    let micros = due.since(core.clock.now());
+    Duration::from_micros(micros).clamp(LEAST_PAUSE, MOST_PAUSE)
+}
+
 fn own_facts(core: &EntryCore) -> MemberFacts {
     let (control, drains) = {
         let control = read(&core.control);
@@ -194,6 +204,7 @@
 pub(crate) async fn run_listing(driver: Arc<RosterDriver>) {
     let core = Arc::clone(&driver.core);
     let mut down = false;
+    let mut listings = 0_u32;
     while !core.closing.is_cancelled() {
         match core.clients.directory.list().await {
             Ok(list) => {
@@ -206,8 +217,11 @@
             Err(error) if !std::mem::replace(&mut down, true) => event!(ListDown, error = error),
             Err(_) => {}
         }
-        let alone = lock(&core.members).others().is_empty();
-        sleep(if alone { FIRST_LIST_PERIOD } else { LIST_PERIOD }).await;
+        let others = lock(&core.members).others().len() as u32;
+        let period = LIST_PERIOD.max(LIST_PERIOD_PER_VM * others);
+        let first = others == 0 && listings < FIRST_LISTINGS;
+        listings = listings.saturating_add(1);
+        sleep(if first { FIRST_LIST_PERIOD } else { period }).await;
     }
 }
 
--- a/entry/src/watch.rs
+++ b/entry/src/watch.rs
@@ -10,18 +10,21 @@
 use coltsfoothook_decision::member::MemberState;
 use coltsfoothook_decision::owner::OwnerEvent;
 use coltsfoothook_engine::UnloadOrder;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, sleep};
 
 use crate::clock::wall_ms;
 use crate::core::EntryCore;
 use crate::held::lock;
 use crate::own::OwnerShard;
 
-const TICK: Duration = Duration::from_millis(25);
-/// Every so many ticks the owner is told of VMs and of the log.
-const VIEW_TICKS: u32 = 10;
-/// Every so many ticks the schedules are looked through.
-const SCHEDULE_TICKS: u32 = 80;
+/// The owner's timers while something waits or loads, and while nothing does. Events are handled at
+/// once in either case.
+const BUSY_TICK: Duration = Duration::from_millis(25);
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// How often the owner is told of VMs and of the log.
+const VIEW_PERIOD: Duration = Duration::from_millis(250);
+/// How often the schedules are looked through.
+const SCHEDULE_PERIOD: Duration = Duration::from_millis(2_000);
 /// The pause after a report that failed: an engine that refuses connections is known to be down soon.
 const FAILED_PAUSE: Duration = Duration::from_millis(50);
 /// The pause before a fence that was not raised is tried again.
@@ -33,23 +36,25 @@
 /// Runs until the group goes to another VM or the process ends.
 pub(crate) async fn watch_shard(core: Arc<EntryCore>, shard: Arc<OwnerShard>) {
     let mut watched: Vec<ServerName> = Vec::new();
-    let mut timer = interval(TICK);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut ticks = 0_u32;
+    let mut view_due = Instant::now();
+    let mut schedule_due = view_due;
     loop {
-        tokio::select! {
-            _ = shard.ended.cancelled() => return,
-            _ = timer.tick() => {}
-        }
-        if ticks.is_multiple_of(VIEW_TICKS) {
+        let now = Instant::now();
+        if now >= view_due {
+            view_due = now + VIEW_PERIOD;
             tell_view(&core, &shard);
             watch_engines(&core, &shard, &mut watched);
         }
-        if ticks.is_multiple_of(SCHEDULE_TICKS) {
+        if now >= schedule_due {
+            schedule_due = now + SCHEDULE_PERIOD;
             tell_schedules(&core, &shard);
         }
         shard.drive(&core, OwnerEvent::Tick);
-        ticks = ticks.wrapping_add(1);
+        let tick = if shard.is_busy() { BUSY_TICK } else { IDLE_TICK };
+        tokio::select! {
+            () = shard.ended.cancelled() => return,
+            () = sleep(tick) => {}
+        }
     }
 }
 
