--- a/load/tests/suite/soak_seeds.rs
+++ b/load/tests/suite/soak_seeds.rs
@@ -1,6 +1,6 @@
 // Random faults, alone and in pairs, hit a running system: the log goes down or loses answers, VMs
 // are killed, paused, parted from each other or from the log, engines restart, clocks jump, servers
-// leave. Callers resend and hedge, operators race. Whatever comes, no rule of the brief breaks, and
+// leave. Callers resend and hedge, operators race. Whatever comes, no rule that must hold breaks, and
 // when all is mended every request is answered, every job has one end and all VMs agree.
 
 use coltsfoothook_load::world::{SoakSettings, run_seed};
