Callers may state that no earlier try may have run

Cause: in a log outage every request with a key of the caller's own ended as 'unknown', also when it was the first try: a careful caller then may not send it again, though nothing ran. Change: the header Coltsfoothook-First-Try reaches the claim table, which then says 'not run'; the demonstration's callers send it, since they try again only after 'not run'. The two paths hand their claim on as one value. Conclusion: an outage delays such requests instead of losing them.

--- a/caller/src/face.rs
+++ b/caller/src/face.rs
@@ -153,6 +153,7 @@
             class: call.headers.class.unwrap_or(default_class),
             deadline_ms: call.headers.deadline_ms,
             repeatable: call.headers.repeatable.unwrap_or(true),
+            first_try: call.headers.first_try,
             key: call.headers.key,
             stream: body.stream,
             max_tokens: body.max_tokens,
@@ -191,6 +192,7 @@
             class: call.headers.class.unwrap_or(self.settings.default_class),
             deadline_ms: call.headers.deadline_ms,
             repeatable: call.headers.repeatable,
+            first_try: call.headers.first_try,
             key: call.headers.key,
             fingerprint,
         };
--- a/caller/src/handler.rs
+++ b/caller/src/handler.rs
@@ -157,6 +157,8 @@
     pub deadline_ms: Option<u64>,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Whether the caller states that no earlier try under the key may have run.
+    pub first_try: bool,
     /// The idempotency key.
     pub key: Option<IdempotencyKey>,
     /// Whether the answer is streamed.
@@ -221,6 +223,8 @@
     pub deadline_ms: Option<u64>,
     /// Whether it may run more than once; none leaves it to the manifest's repeatable methods.
     pub repeatable: Option<bool>,
+    /// Whether the caller states that no earlier try under the key may have run.
+    pub first_try: bool,
     /// The idempotency key.
     pub key: Option<IdempotencyKey>,
     /// A hash of what is asked, apart from ids.
--- a/caller/src/header.rs
+++ b/caller/src/header.rs
@@ -15,6 +15,7 @@
 const CLASS: &str = "coltsfoothook-class";
 const DEADLINE: &str = "coltsfoothook-deadline-ms";
 const REPEATABLE: &str = "coltsfoothook-repeatable";
+const FIRST_TRY: &str = "coltsfoothook-first-try";
 /// The scheme of credentials.
 const BEARER: &str = "bearer ";
 
@@ -39,6 +40,7 @@
     pub(crate) class: Option<RequestClass>,
     pub(crate) deadline_ms: Option<u64>,
     pub(crate) repeatable: Option<bool>,
+    pub(crate) first_try: bool,
     pub(crate) key: Option<IdempotencyKey>,
 }
 
@@ -51,7 +53,8 @@
     Ok(CallHeaders {
         class: text(CLASS)?.map(read_class).transpose()?,
         deadline_ms: text(DEADLINE)?.map(|t| read_deadline(t, settings)).transpose()?,
-        repeatable: text(REPEATABLE)?.map(read_repeatable).transpose()?,
+        repeatable: text(REPEATABLE)?.map(|t| read_flag("Repeatable", t)).transpose()?,
+        first_try: text(FIRST_TRY)?.map_or(Ok(false), |t| read_flag("First-Try", t))?,
         key: text(IDEMPOTENCY_KEY)?.map(|t| read_key(t, settings)).transpose()?,
     })
 }
@@ -146,8 +149,8 @@
     parsed.ok_or_else(|| malformed(format!("Coltsfoothook-Deadline-Ms must be from 1 to {most}")))
 }
 
-fn read_repeatable(text: &str) -> Result<bool, CallProblem> {
-    text.parse().map_err(|_| malformed("Coltsfoothook-Repeatable must be true or false"))
+fn read_flag(name: &str, text: &str) -> Result<bool, CallProblem> {
+    text.parse().map_err(|_| malformed(format!("Coltsfoothook-{name} must be true or false")))
 }
 
 fn read_key(text: &str, settings: &CallerSettings) -> Result<IdempotencyKey, CallProblem> {
--- a/caller/tests/suite/bad_input.rs
+++ b/caller/tests/suite/bad_input.rs
@@ -69,6 +69,7 @@
         ("coltsfoothook-deadline-ms: 0", 400, "malformed_request"),
         ("coltsfoothook-deadline-ms: 99999999999999999999", 400, "malformed_request"),
         ("coltsfoothook-repeatable: perhaps", 400, "malformed_request"),
+        ("coltsfoothook-first-try: perhaps", 400, "malformed_request"),
         ("idempotency-key: a b", 400, "malformed_request"),
         ("idempotency-key: a\r\nidempotency-key: b", 400, "malformed_request"),
         (&format!("idempotency-key: {long}"), 400, "malformed_request"),
--- a/caller/tests/suite/good_calls.rs
+++ b/caller/tests/suite/good_calls.rs
@@ -15,7 +15,8 @@
     let handler = FakeHandler::answering(Script::Whole("{\"ok\":true}"));
     let server = start(handler.clone());
     let headers = "coltsfoothook-class: urgent\r\ncoltsfoothook-deadline-ms: 1800\r\n\
-        idempotency-key: cf1.a.1.0\r\ncoltsfoothook-repeatable: false\r\nx-request-id: lineman-4\r\n";
+        idempotency-key: cf1.a.1.0\r\ncoltsfoothook-repeatable: false\r\nx-request-id: lineman-4\r\n\
+        coltsfoothook-first-try: true\r\n";
     let text = request("POST", "/v1/chat/completions", headers, CHAT);
     let answer = send(server.address(), &text).await;
     assert_eq!((answer.status, answer.text().as_str()), (200, "{\"ok\":true}"));
@@ -24,6 +25,7 @@
     let call = &calls[0];
     assert_eq!((call.kind, call.class), (CompletionKind::Chat, RequestClass::Urgent));
     assert_eq!((call.deadline_ms, call.repeatable, call.stream), (Some(1_800), false, false));
+    assert!(call.first_try);
     assert_eq!(call.model.adapter.as_str(), "chiller");
     assert_eq!(call.model.version.as_ref().map(|version| version.as_str()), Some("3"));
     assert_eq!(call.key.as_ref().map(|key| key.as_str()), Some("cf1.a.1.0"));
@@ -41,6 +43,7 @@
     let calls = handler.completions.lock().expect("lock");
     assert_eq!((calls[0].class, calls[0].deadline_ms), (RequestClass::Scheduled, None));
     assert!(calls[0].repeatable && calls[0].stream && calls[0].model.version.is_none());
+    assert!(!calls[0].first_try, "nothing is known of earlier tries");
 }
 
 /// A poison request that comes again under new ids must be known; another body must not be taken
--- a/demo/src/client.rs
+++ b/demo/src/client.rs
@@ -16,6 +16,7 @@
 const CLASS_HEADER: HeaderName = HeaderName::from_static("coltsfoothook-class");
 const DEADLINE_HEADER: HeaderName = HeaderName::from_static("coltsfoothook-deadline-ms");
 const REPEATABLE_HEADER: HeaderName = HeaderName::from_static("coltsfoothook-repeatable");
+const FIRST_TRY_HEADER: HeaderName = HeaderName::from_static("coltsfoothook-first-try");
 const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Why a call has no proper answer.
@@ -269,11 +270,30 @@
         path: &str,
         body: Option<Value>,
         key: Option<&str>,
+    ) -> Result<Value, SiteFailure> {
+        self.service_try(method, path, body, key, false).await
+    }
+
+    /// The same; `first_try` states that no earlier try under the key may have run.
+    ///
+    /// # Errors
+    ///
+    /// See [`SiteFailure`].
+    pub async fn service_try(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+        key: Option<&str>,
+        first_try: bool,
     ) -> Result<Value, SiteFailure> {
         let mut request = self.request(method, path, body);
         if let Some(key) = key {
             insert(&mut request.headers, KEY_HEADER, key);
         }
+        if first_try {
+            insert(&mut request.headers, FIRST_TRY_HEADER, "true");
+        }
         let answer = self.send(request).await?;
         let body = answer.body.collect(ANSWER_BYTES).await;
         let body = body.map_err(|source| SiteFailure::Exchange { source })?;
--- a/demo/src/traffic.rs
+++ b/demo/src/traffic.rs
@@ -269,7 +269,10 @@
         let body = json!({ "id": id });
         let asked = |client: Arc<SiteClient>| {
             let (path, body, id) = (path.clone(), body.clone(), id.clone());
-            async move { client.service(Method::POST, &path, Some(body), Some(&id)).await }
+            async move {
+                // Further tries follow only upon "not run", so each is a first one.
+                client.service_try(Method::POST, &path, Some(body), Some(&id), true).await
+            }
         };
         match self.tried(&call, asked).await {
             Ok(answer) if answer.get("id").and_then(Value::as_str) == Some(id.as_str()) => {
--- a/entry/src/admit.rs
+++ b/entry/src/admit.rs
@@ -1,11 +1,9 @@
 //! What every request passes before anything of it is done.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use coltsfoothook_caller::CallProblem;
-use coltsfoothook_decision::id::{IdempotencyKey, RequestFingerprint, TenantName};
-use coltsfoothook_decision::limit::CallDeadline;
+use coltsfoothook_decision::id::TenantName;
 use coltsfoothook_decision::outcome::{RefusalReason, RequestClass};
 
 use crate::claims::{KeyedRequest, RunningKey, begin_key};
@@ -54,14 +52,9 @@
 /// Obtains the right to run a request that must not run twice, by its key.
 pub(crate) async fn claim(
     core: &Arc<EntryCore>,
-    tenant: &TenantName,
-    key: &IdempotencyKey,
-    fingerprint: RequestFingerprint,
-    deadline: CallDeadline,
+    request: &KeyedRequest<'_>,
 ) -> Result<RunningKey, CallProblem> {
-    let within = deadline.left_ms(core.clock.now()).map(Duration::from_millis);
-    let request = KeyedRequest { tenant, key, fingerprint, within };
-    begin_key(core, &request).await.map_err(|answer| {
+    begin_key(core, request).await.map_err(|answer| {
         let detail = "the idempotency key cannot be run here";
         let mut problem = CallProblem::refused(answer.reason, CLAIM_RETRY_MS, detail);
         problem.outcome = answer.outcome;
--- a/entry/src/claims.rs
+++ b/entry/src/claims.rs
@@ -54,6 +54,7 @@
     pub(crate) tenant: &'a TenantName,
     pub(crate) key: &'a IdempotencyKey,
     pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) first_try: bool,
     pub(crate) within: Option<Duration>,
 }
 
@@ -67,7 +68,7 @@
         tenant: request.tenant.as_str(),
         key: request.key.as_str(),
         fingerprint: request.fingerprint,
-        first_try: false,
+        first_try: request.first_try,
         wall_ms: wall_ms(),
         log_up: core.health.writable(now),
     };
--- a/entry/src/jobs.rs
+++ b/entry/src/jobs.rs
@@ -420,6 +420,7 @@
         class: entry.class,
         deadline_ms: None,
         repeatable: true,
+        first_try: false,
         key: None,
         stream: false,
         max_tokens: read.max_tokens,
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -26,7 +26,7 @@
 
 use crate::admit;
 use crate::answer::AnswerFilter;
-use crate::claims::RunningKey;
+use crate::claims::{KeyedRequest, RunningKey};
 use crate::core::EntryCore;
 use crate::gate::GatePass;
 use crate::hold::GrantHold;
@@ -158,8 +158,15 @@
         let Some(key) = self.call.key.clone().filter(|_| !self.call.repeatable) else {
             return Ok(());
         };
-        let (tenant, fingerprint) = (&self.call.tenant, self.call.fingerprint);
-        let running = admit::claim(&self.core, tenant, &key, fingerprint, self.deadline).await?;
+        let left = self.deadline.left_ms(self.core.clock.now());
+        let request = KeyedRequest {
+            tenant: &self.call.tenant,
+            key: &key,
+            fingerprint: self.call.fingerprint,
+            first_try: self.call.first_try,
+            within: left.map(Duration::from_millis),
+        };
+        let running = admit::claim(&self.core, &request).await?;
         self.step(StepKind::Claimed, format!("key={key}"));
         self.key = Some(running);
         Ok(())
--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -17,7 +17,7 @@
 use http::StatusCode;
 
 use crate::admit;
-use crate::claims::RunningKey;
+use crate::claims::{KeyedRequest, RunningKey};
 use crate::core::{EntryCore, read};
 use crate::gate::GatePass;
 
@@ -119,8 +119,15 @@
 
 async fn claim(run: &mut ServiceRun) -> Result<(), CallProblem> {
     let Some(key) = run.call.key.clone().filter(|_| !run.repeatable) else { return Ok(()) };
-    let (tenant, fingerprint) = (&run.call.tenant, run.call.fingerprint);
-    run.key = Some(admit::claim(&run.core, tenant, &key, fingerprint, run.deadline).await?);
+    let left = run.deadline.left_ms(run.core.clock.now());
+    let request = KeyedRequest {
+        tenant: &run.call.tenant,
+        key: &key,
+        fingerprint: run.call.fingerprint,
+        first_try: run.call.first_try,
+        within: left.map(Duration::from_millis),
+    };
+    run.key = Some(admit::claim(&run.core, &request).await?);
     Ok(())
 }
 
--- a/entry/tests/suite/log_outage.rs
+++ b/entry/tests/suite/log_outage.rs
@@ -3,7 +3,7 @@
 use http::Method;
 use serde_json::json;
 
-use crate::bench::{ask, client, close, owner, small_site, until_done, wait_until};
+use crate::bench::{ask, client, close, owner, small_site, until_done, verdict, wait_until};
 
 fn log_down() -> PlatformFaults {
     PlatformFaults { log: OutageKind::Refuse, ..Default::default() }
@@ -29,15 +29,19 @@
     assert_eq!(again.unwrap_err().outcome(), "done");
     let own = json!({ "id": "own-key" });
     let claimed = caller.service(Method::POST, &path, Some(own), Some("own-key")).await;
-    assert_eq!(claimed.unwrap_err().reason(), "log_unavailable");
+    assert_eq!(verdict(&claimed.unwrap_err()), ("unknown", "log_unavailable"));
+    let first = json!({ "id": "first-key" });
+    let first = caller.service_try(Method::POST, &path, Some(first), Some("first-key"), true).await;
+    assert_eq!(verdict(&first.unwrap_err()), ("not_run", "log_unavailable"));
     let operator = SiteClient::new(site.operators()[0], OPERATOR_TOKEN);
     let version = site.newest_version();
     assert!(operator.publish(version, &site.manifest.clone()).await.is_err());
-    assert!(
-        site.services
+    assert!(site.services.iter().all(|service| {
+        service
+            .tickets_by_id()
             .iter()
-            .all(|service| { service.tickets_by_id().iter().all(|made| made.text != "own-key") })
-    );
+            .all(|made| !["own-key", "first-key"].contains(&made.text.as_str()))
+    }));
     site.platform.set_faults(PlatformFaults::default());
     until_done(&caller, &ask(2, "after")).await;
     let manifest = site.manifest.clone();
