A lost answer of the log is no outage

Change: only an append that certainly did not happen counts as an outage; a lost answer counts for nothing, since the claim is found when it is read back. Conclusion: a log that loses answers costs no request.

--- a/entry/src/write.rs
+++ b/entry/src/write.rs
@@ -120,7 +120,7 @@
             }
             Err(error) => error,
         };
-        (parts.health)(matches!(error, LogError::TooLarge | LogError::Throttled { .. }));
+        note_health(parts, &error);
         log::debug!("append to {} failed: {error}", parts.stream);
         if error == LogError::TooLarge {
             if let [_] = batch.as_slice() {
@@ -154,6 +154,19 @@
     }
 }
 
+/// Tells whether the log takes appends, as far as `error` shows it. A lost answer shows nothing: the
+/// append may well stand, and a log that loses answers and is taken to be down would have every
+/// request refused that needs a claim. One that does not answer at all fails its reads too.
+fn note_health(parts: &WriterParts, error: &LogError) {
+    match error {
+        LogError::Unavailable { .. } => (parts.health)(false),
+        LogError::TooLarge | LogError::Throttled { .. } => (parts.health)(true),
+        LogError::Unknown { .. }
+        | LogError::BadAnswer { .. }
+        | LogError::BehindRetention { .. } => {}
+    }
+}
+
 /// Answers the records whose time is over, and gives back the others.
 fn drop_expired(batch: Vec<WriteItem>, error: &LogError) -> Vec<WriteItem> {
     let now = Instant::now();
--- a/entry/tests/suite/claimed_once.rs
+++ b/entry/tests/suite/claimed_once.rs
@@ -38,6 +38,19 @@
     close(site).await;
 }
 
+/// The log loses one answer after another and is fine otherwise. Each claim is found when it is read
+/// back, so no ticket is refused as if the log were down.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_lost() {
+    let site = small_site(true).await;
+    site.platform.set_faults(PlatformFaults { lose_answers: 20, ..Default::default() });
+    for number in 0..6 {
+        let made = ticket(&site, number % 3, &format!("lost-{number}")).await;
+        assert!(made.is_ok(), "{made:?}");
+    }
+    close(site).await;
+}
+
 /// The service makes the ticket and its connection breaks before the answer. The caller is told
 /// "unknown", nobody tries again, and a resend under the same key does not run.
 #[tokio::test(flavor = "multi_thread")]
