'Not run' is asserted where it is said

Change: a completion notes whether an engine may have begun it, by the word of the client that counts the bytes sent, apart from the table that gives the outcome; the end of each request compares the two.

--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -53,6 +53,8 @@
     pub(crate) server: Option<ServerName>,
     pub(crate) tokens: u32,
     pub(crate) metrics: RequestMetrics,
+    /// Whether an engine may have begun to run it, by what the client of engines says.
+    may_have_run: bool,
     outcome: Option<RequestOutcome>,
     reason: Option<&'static str>,
     key: Option<RunningKey>,
@@ -123,6 +125,7 @@
         server: None,
         tokens: 0,
         metrics: core.metrics.set.request(call.tenant.as_str(), call.class),
+        may_have_run: false,
         outcome: None,
         reason: None,
         key: None,
@@ -198,6 +201,10 @@
 
     /// Notes the final outcome, for the caller's resends, the metrics and the log.
     pub(crate) fn end(&mut self, outcome: RequestOutcome) {
+        let kept = outcome != RequestOutcome::NotRun || !self.may_have_run;
+        self.core.check(InvariantName::NotRunDidNotRun, kept, || {
+            format!("{} was sent and is called not run", self.call.request_id)
+        });
         self.outcome = Some(outcome);
         if let Some(key) = &mut self.key {
             key.end(outcome);
@@ -435,8 +442,12 @@
     hold.sending();
     let answer = match core.clients.engines.run(hold.address, call).await {
         Ok(answer) => answer,
-        Err(error) => return Err(failed_run(&mut hold, &error)),
+        Err(error) => {
+            run.may_have_run |= !error.certainly_not_run();
+            return Err(failed_run(&mut hold, &error));
+        }
     };
+    run.may_have_run = true;
     run.step(StepKind::Sent, format!("status={}", answer.status.as_u16()));
     read_first(run, hold, &mut filter, answer).await.map(|(hold, answer, first)| FirstPart {
         hold,
