Releases look their owner up once

Cause: a read of the whole change found that a batch of releases was sorted by an owner that was looked up anew at each comparison, under a lock each time; a takeover that is read meanwhile changes the order under the sort, which may then panic and end the task that delivers all releases of the VM. The delivery notice was optional and always given. Change: the owner is looked up once for each release, and the notice is plain. The race itself was not induced. Conclusion: same deliveries, one lookup a release.

--- a/entry/src/hold.rs
+++ b/entry/src/hold.rs
@@ -150,5 +150,5 @@
 
 fn hand_back(core: &EntryCore, call: ReleaseCall, delivered: oneshot::Sender<()>) {
     core.held.remove(&call.grant);
-    core.releases.release(call, Some(delivered));
+    core.releases.release(call, delivered);
 }
--- a/entry/src/release.rs
+++ b/entry/src/release.rs
@@ -29,7 +29,7 @@
     call: ReleaseCall,
     until: Instant,
     /// Dropped once an owner has taken the release, or nobody ever will.
-    _delivered: Option<oneshot::Sender<()>>,
+    _delivered: oneshot::Sender<()>,
 }
 
 /// Takes releases from requests that ended.
@@ -47,7 +47,7 @@
     }
 
     /// Gives a grant back; `delivered` is dropped once its owner knows.
-    pub(crate) fn release(&self, call: ReleaseCall, delivered: Option<oneshot::Sender<()>>) {
+    pub(crate) fn release(&self, call: ReleaseCall, delivered: oneshot::Sender<()>) {
         let until = Instant::now() + KEPT;
         let _ = self.sender.send(PendingRelease { call, until, _delivered: delivered });
     }
@@ -76,12 +76,16 @@
     }
 }
 
-fn deliver(core: &Arc<EntryCore>, mut batch: Vec<PendingRelease>) {
-    batch.sort_by_key(|pending| owner_of(core, pending));
-    while let Some(last) = batch.last() {
-        let owner = owner_of(core, last);
-        let start = batch.partition_point(|pending| owner_of(core, pending) < owner);
-        let part = batch.split_off(start);
+/// Sends each owner its part of the batch. The owner of each release is looked up once: a takeover
+/// that is read meanwhile would change the order under the sort.
+fn deliver(core: &Arc<EntryCore>, batch: Vec<PendingRelease>) {
+    let with_owner = |pending| (owner_of(core, &pending), pending);
+    let mut owned: Vec<_> = batch.into_iter().map(with_owner).collect();
+    owned.sort_by(|left, right| left.0.cmp(&right.0));
+    while let Some((owner, _)) = owned.last() {
+        let owner = owner.clone();
+        let start = owned.partition_point(|(other, _)| *other < owner);
+        let part = owned.split_off(start).into_iter().map(|(_, pending)| pending).collect();
         let (core, desk) = (Arc::clone(core), core.releases.clone());
         tokio::spawn(async move {
             let refused = hand_over(&core, owner, part).await;
