Owners of servers are told of running requests, not only of new ones

Orders without answer stopped a server's loads for 1.3 s, a server that was down was asked 1,500 times. Ruled out: the store's rate of loads (no order was slower than told) and lost datagrams. Change: running requests are told eight times a second; an adapter is idle 0.32 s after the last word; lists carry how many adapters a server could take, and wishes go where there is room; a lost order is followed by the next one on the same count, after a rest; waits end at 0.45 of a caller's patience.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -33,7 +33,7 @@
 const COPY_TOKENS: u64 = 3_000;
 /// Servers that are considered for a load, in the order of their hash with the adapter. A few keep an
 /// adapter coming back to a server that has it on its own disk, and still leave a choice.
-const LOAD_CHOICES: usize = 3;
+const LOAD_CHOICES: usize = 2;
 /// How long a server is avoided after the first failure, doubled up to the last for each further.
 const FIRST_AVOID_US: u64 = 150_000;
 const LAST_AVOID_US: u64 = 2_000_000;
@@ -82,6 +82,8 @@
     pub fence: u64,
     /// When it last said so.
     pub at: TimePoint,
+    /// Adapters that it could load there then.
+    pub free: u32,
 }
 
 /// What this VM's requests met at a server.
@@ -450,9 +452,12 @@
         now: TimePoint,
     ) -> Option<&'a BackendState> {
         let typical = self.typical(need.service);
+        let owned = |state: &&&BackendState| state.active_owner(now).is_some();
+        let free = |state: &&&BackendState| state.active_owner(now).is_some_and(|o| o.free > 0);
+        let any_free = all.iter().any(|state| free(&state));
         let mut ranked: Vec<(u64, &BackendState)> = all
             .iter()
-            .filter(|state| state.active_owner(now).is_some())
+            .filter(|state| if any_free { free(state) } else { owned(state) })
             .map(|state| (state.rank(key), *state))
             .collect();
         ranked.sort_unstable_by_key(|(rank, _)| *rank);
@@ -649,11 +654,13 @@
     }
 }
 
-/// How long a request may wait for its adapter before it is refused: a part of what it has, so that
-/// its caller has time to come back.
+/// The part of a caller's patience for which a request waits for its adapter. What is left is enough
+/// to come back once and be served.
+const WAIT_PART: f64 = 0.45;
+
+/// How long a request may wait for its adapter before it is refused, where `patience` is the time
+/// after which its caller leaves.
 #[must_use]
-pub fn longest_wait(left: Duration) -> Duration {
-    /// Of the time that is left, the part that a request waits for an adapter.
-    const WAIT_PART: f64 = 0.45;
-    left.mul_f64(WAIT_PART)
+pub fn longest_wait(patience: Duration) -> Duration {
+    patience.mul_f64(WAIT_PART)
 }
--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -93,8 +93,8 @@
             transfers: 4,
             report_lag_us: 250_000,
             lost_pause_us: 600_000,
-            idle_us: 700_000,
-            wish_us: 1_000_000,
+            idle_us: 320_000,
+            wish_us: 300_000,
             half_life_us: 10_000_000,
         }
     }
@@ -203,6 +203,7 @@
     wishes: Vec<LoadWish>,
     waiting: bool,
     ask_at: TimePoint,
+    rest_until: TimePoint,
     lately: Vec<AdapterKey>,
     revision: u64,
 }
@@ -211,6 +212,9 @@
 const LATELY_HELD: usize = 120;
 /// Microseconds between two questions to a server that is loading a base model.
 const MODEL_ASK_US: u64 = 250_000;
+/// Microseconds without orders to a server that did not answer one. A server that is down refuses
+/// connections at once, and asking it without a rest would fill the wire.
+const LOST_REST_US: u64 = 60_000;
 /// Microseconds after which an adapter that was told to make way is asked about.
 const LEAVING_ASK_US: u64 = 400_000;
 
@@ -229,6 +233,7 @@
             wishes: Vec::new(),
             waiting: false,
             ask_at: now,
+            rest_until: TimePoint(0),
             lately: Vec::new(),
             revision: 0,
         }
@@ -326,7 +331,7 @@
 
     /// What to do now, if anything. `model` is a base model that may be loaded if there is none.
     pub fn next(&mut self, model: Option<&ModelName>, now: TimePoint) -> Option<BookAction> {
-        if self.waiting {
+        if self.waiting || now < self.rest_until {
             return None;
         }
         let wish_us = self.settings.wish_us;
@@ -336,7 +341,8 @@
             return Some(BookAction::Ask);
         }
         let expected = self.accepted?;
-        if self.busy {
+        // An adapter that makes way waits for its runs, and the server takes no order meanwhile.
+        if self.busy || self.held.iter().any(AdapterPlace::is_leaving) {
             return None;
         }
         let action = match model {
@@ -353,7 +359,7 @@
     fn needs_report(&self, now: TimePoint) -> bool {
         let unsettled = self.accepted.is_none()
             || self.busy
-            || self.held.iter().any(|place| matches!(place.state, PlaceState::Leaving { .. }));
+            || self.held.iter().any(AdapterPlace::is_leaving);
         unsettled && now >= self.ask_at
     }
 
@@ -380,12 +386,7 @@
     /// The adapter that makes way: unused for a moment, and with the fewest uses of late.
     fn victim(&self, now: TimePoint) -> Option<&AdapterPlace> {
         let half_life = self.settings.half_life_us as f64;
-        let idle = |place: &&AdapterPlace| match place.state {
-            PlaceState::Held { usable_from, .. } => {
-                usable_from <= now && now.since(place.used_at) >= self.settings.idle_us
-            }
-            PlaceState::Leaving { .. } => false,
-        };
+        let idle = |place: &&AdapterPlace| place.is_idle(self.settings.idle_us, now);
         let wished = |place: &&AdapterPlace| self.wishes.iter().any(|wish| wish.key == place.key);
         let free = self.held.iter().filter(|place| idle(place) && !wished(place));
         free.min_by(|a, b| a.heat_at(half_life, now).total_cmp(&b.heat_at(half_life, now)))
@@ -418,10 +419,7 @@
                 self.accepted = None;
                 self.ask_at = now.plus(self.settings.report_lag_us);
             }
-            OrderReply::Lost => {
-                self.accepted = None;
-                self.ask_at = now.plus(self.settings.lost_pause_us);
-            }
+            OrderReply::Lost => self.lost(order, now),
         }
         if reply == OrderReply::Refused
             && let OrderAction::LoadAdapter { key, .. } = &order.action
@@ -430,6 +428,23 @@
         }
     }
 
+    /// An order without an answer may still be carried out, but only on the count that it states. The
+    /// next order states the same count: either it is accepted and the lost one can't be any more, or
+    /// it is refused since the lost one was. So nothing needs to wait for the server's late report.
+    fn lost(&mut self, order: &ServerOrder, now: TimePoint) {
+        self.rest_until = now.plus(LOST_REST_US);
+        if let OrderAction::UnloadAdapter { key } = &order.action
+            && let Some(place) = self.place_mut(key)
+        {
+            place.state = PlaceState::Held { usable_from: now, again: false };
+            self.revision += 1;
+        }
+        if matches!(order.action, OrderAction::LoadModel { .. }) {
+            self.accepted = None;
+            self.ask_at = now.plus(self.settings.lost_pause_us);
+        }
+    }
+
     fn carried_out(
         &mut self,
         order: &ServerOrder,
@@ -527,8 +542,10 @@
                 self.held[at].state = state;
             }
             Err(at) => {
+                // The request that it is loaded for is on its way until then.
+                let used_at = usable_from.max(now);
                 let place =
-                    AdapterPlace { key: key.clone(), version, state, used_at: now, heat: 1.0 };
+                    AdapterPlace { key: key.clone(), version, state, used_at, heat: 1.0 };
                 self.held.insert(at, place);
             }
         }
@@ -554,6 +571,17 @@
         Some(&mut self.held[at])
     }
 
+    /// How many adapters could be loaded now: places that are empty or whose adapter nobody uses. None
+    /// while the server does not answer orders or waits for runs to end.
+    #[must_use]
+    pub fn free(&self, now: TimePoint) -> usize {
+        if self.busy || now < self.rest_until || self.held.iter().any(AdapterPlace::is_leaving) {
+            return 0;
+        }
+        let idle = self.held.iter().filter(|place| place.is_idle(self.settings.idle_us, now));
+        self.places.saturating_sub(self.held.len()) + idle.count()
+    }
+
     /// Adapters that are held or on their way, and places.
     #[must_use]
     pub fn fill(&self) -> (usize, usize) {
@@ -562,6 +590,19 @@
 }
 
 impl AdapterPlace {
+    fn is_leaving(&self) -> bool {
+        matches!(self.state, PlaceState::Leaving { .. })
+    }
+
+    fn is_idle(&self, idle_us: u64, now: TimePoint) -> bool {
+        match self.state {
+            PlaceState::Held { usable_from, .. } => {
+                usable_from <= now && now.since(self.used_at) >= idle_us
+            }
+            PlaceState::Leaving { .. } => false,
+        }
+    }
+
     fn heat_at(&self, half_life: f64, now: TimePoint) -> f64 {
         self.heat * 0.5f64.powf(now.since(self.used_at) as f64 / half_life)
     }
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -172,7 +172,23 @@
     }
 }
 
+/// Callers leave a stream that brings nothing for the longest of this, four times the target and eight
+/// times the longest pause that is on time.
+const LEAST_SILENCE: Duration = Duration::from_secs(2);
+const SILENT_TARGETS: u32 = 4;
+const SILENT_GAPS: u32 = 8;
+
 impl ServingRoute {
+    /// After which silence a caller leaves: for a plain answer its deadline comes first.
+    #[must_use]
+    pub fn silence(&self) -> Duration {
+        if !self.repeat.is_stream() {
+            return self.timeout;
+        }
+        let gap = self.target_gap.unwrap_or_default() * SILENT_GAPS;
+        gap.max(self.target * SILENT_TARGETS).max(LEAST_SILENCE)
+    }
+
     /// The service of a request, by its id: tries of one id stay with one service.
     #[must_use]
     pub fn service_for(&self, request_id: &str) -> Option<&ServiceName> {
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -51,11 +51,6 @@
 const STREAM_PATIENCE: f64 = 2.5;
 /// The longest body of a plain answer that is held until it is whole.
 const MOST_WHOLE_BYTES: usize = 8 << 20;
-/// A stream without an event for this long, or for eight of its longest pauses, is given up, as its
-/// caller does.
-const LEAST_SILENCE: Duration = Duration::from_secs(2);
-const SILENT_GAPS: u32 = 8;
-
 /// How one send to a server ended.
 pub(crate) enum SendEnd {
     /// The head of an answer to this request came.
@@ -233,7 +228,7 @@
 pub(crate) async fn find_server(run: &mut RequestRun) -> Result<ServerName, &'static str> {
     let gateway = Arc::clone(&run.gateway);
     let from = clock::now();
-    let patience = longest_wait(run.left());
+    let patience = longest_wait(run.left().min(run.route.silence()));
     let mut nowhere_from: Option<TimePoint> = None;
     let found = loop {
         let changed = gateway.changed.notified();
@@ -398,7 +393,7 @@
     request.headers = forward_headers(&run.headers, &marks);
     request.body = run.body.clone();
     request.head_within = Some(head_time(run, left));
-    request.piece_within = Some(silence(&run.route).min(left + ANSWER_SLACK));
+    request.piece_within = Some(run.route.silence().min(left + ANSWER_SLACK));
     run.sends += 1;
     run.server = Some(server.clone());
     event!(
@@ -409,7 +404,8 @@
         version? = version,
         left_ms = left.as_millis(),
     );
-    run.count = Some(SentCount::new(&gateway, server, run.prompt_tokens()));
+    let key = run.head.need.as_ref().and_then(|need| need.adapter.clone());
+    run.count = Some(SentCount::new(&gateway, server, key, run.prompt_tokens()));
     let sent = gateway.client.send(address, request).await;
     let end = classify(run, sent);
     if !matches!(end, SendEnd::Answer(..)) {
@@ -431,11 +427,6 @@
     run.route.target.mul_f64(patience).min(left / 2).min(whole)
 }
 
-fn silence(route: &ServingRoute) -> Duration {
-    let gap = route.target_gap.unwrap_or_default() * SILENT_GAPS;
-    gap.max(LEAST_SILENCE)
-}
-
 fn classify(run: &RequestRun, sent: Result<ExchangeAnswer, ExchangeError>) -> SendEnd {
     let answer = match sent {
         Ok(answer) => answer,
@@ -485,11 +476,8 @@
         from.is_some_and(|from| now.since(from) < JUST_LOADED_US)
     });
     drop(beliefs);
-    if matches!(end, SendEnd::Answer(..)) {
-        run.met_adapter(server, |used| {
-            used.count += 1;
-            used.in_time |= fresh;
-        });
+    if matches!(end, SendEnd::Answer(..)) && fresh {
+        run.met_adapter(server, |used| used.in_time = true);
     }
     if !cause.is_empty() {
         event!(
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod sent;
 mod settings;
 mod state;
+mod uses;
 mod wish;
 
 pub use process::{GatewayError, run_gateway};
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -59,6 +59,8 @@
         pub fence: u64,
         /// Grows with each change.
         pub revision: u64,
+        /// Adapters that could be loaded now.
+        pub free: u32,
         /// The adapters.
         pub adapters: Vec<ListedAdapter>,
     }
@@ -89,7 +91,7 @@
         pub server: ServerName,
         /// The adapter.
         pub key: AdapterKey,
-        /// Requests since the last message.
+        /// Requests that began since the last message. Without any, some still run.
         pub count: u32,
         /// Whether a request found that it was still loading.
         pub too_early: bool,
@@ -112,6 +114,20 @@
     }
 }
 
+impl AdapterUse {
+    /// A use of which nothing was noted yet.
+    pub(crate) fn of(server: &ServerName, key: &AdapterKey) -> Self {
+        Self {
+            server: server.clone(),
+            key: key.clone(),
+            count: 0,
+            too_early: false,
+            missing: false,
+            in_time: false,
+        }
+    }
+}
+
 /// A datagram's bytes; empty if the message cannot be written, which is logged by the sender.
 pub(crate) fn encode(message: &PeerMessage) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let mut bytes = vec![FORMAT];
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -18,7 +18,7 @@
 
 /// After how long a server's list is spread again without a change: VMs that missed a datagram and
 /// VMs that started since get it so, and all learn that the server has an owner.
-const REPEAT_LIST_US: u64 = 700_000;
+const REPEAT_LIST_US: u64 = 500_000;
 /// How much later an adapter is taken to be usable when a request came too early.
 const LATER_US: u64 = 45_000;
 /// How much less often base models are loaded than the weight store allows: VMs do not know each
@@ -32,6 +32,7 @@
     fence: u64,
     book: OrderBook,
     told_revision: u64,
+    told_free: u32,
     told_at: TimePoint,
 }
 
@@ -63,7 +64,7 @@
             event!(OwnerTaken, server = server, fence = fence, places = places);
             let book = OrderBook::new(BookSettings::default(), places, now);
             let server = server.clone();
-            let entry = ServerBook { server, fence, book, told_revision: 0, told_at: TimePoint(0) };
+            let entry = ServerBook { server, fence, book, told_revision: 0, told_free: 0, told_at: TimePoint(0) };
             self.books.insert(at, entry);
             at
         });
@@ -188,13 +189,16 @@
 
     fn due_list(&mut self, gateway: &Gateway, at: usize, now: TimePoint) -> Option<AdapterList> {
         let entry = &mut self.books.books[at];
-        let changed = entry.book.revision() != entry.told_revision;
+        let free = entry.book.free(now) as u32;
+        let changed = entry.book.revision() != entry.told_revision
+            || (free == 0) != (entry.told_free == 0);
         let due = changed || now.since(entry.told_at) >= REPEAT_LIST_US;
         if !due || !entry.book.is_known() {
             return None;
         }
         entry.told_revision = entry.book.revision();
         entry.told_at = now;
+        entry.told_free = free;
         let vm = gateway.settings.vm.clone();
         let (server, fence, revision) = (entry.server.clone(), entry.fence, entry.told_revision);
         let booked = entry.book.adapters();
@@ -208,6 +212,7 @@
             server: server.clone(),
             fence,
             revision,
+            free,
             adapters: listed.collect(),
         };
         let holdings = booked.into_iter().map(|adapter| AdapterHolding {
@@ -215,7 +220,7 @@
             version: adapter.version,
             usable_from: adapter.usable_from,
         });
-        let owner = ServerOwner { vm, fence, at: now };
+        let owner = ServerOwner { vm, fence, at: now, free };
         self.backends.list(server.as_str(), owner, revision, holdings.collect());
         Some(list)
     }
@@ -287,6 +292,9 @@
     if reply == OrderReply::Fenced {
         beliefs.tenure.refused(fence);
     }
+    if reply == OrderReply::Lost {
+        beliefs.backends.unreachable(server.as_str(), now);
+    }
     let Some(book) = beliefs.books.get(server) else { return };
     book.replied(&order, reply, &times, now);
     let (held, places) = book.fill();
@@ -323,9 +331,7 @@
         let mut beliefs = gateway.beliefs();
         let beliefs = &mut *beliefs;
         let Some(book) = beliefs.books.get(&used.server) else { continue };
-        if used.count > 0 {
-            book.used(&used.key, used.count, now);
-        }
+        book.used(&used.key, used.count, now);
         let again = book.was_again(&used.key).unwrap_or(false);
         if used.too_early {
             book.too_early(&used.key, LATER_US, now);
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -20,9 +20,9 @@
 use crate::state::{Beliefs, Gateway};
 
 /// Between two messages of a VM's state.
-const STATE_PAUSE: Duration = Duration::from_millis(200);
+const STATE_PAUSE: Duration = Duration::from_millis(125);
 /// Every so many of them go to silent VMs too, which may have come back.
-const SILENT_EVERY: u64 = 5;
+const SILENT_EVERY: u64 = 8;
 /// The most VMs that a state goes to at once. In larger fleets they are drawn anew each time, which
 /// bounds what a VM sends whatever the fleet's size.
 const MOST_AT_ONCE: usize = 24;
@@ -193,7 +193,7 @@
 
 fn take_list(gateway: &Arc<Gateway>, list: AdapterList) {
     let now = clock::now();
-    let owner = ServerOwner { vm: list.vm, fence: list.fence, at: now };
+    let owner = ServerOwner { vm: list.vm, fence: list.fence, at: now, free: list.free };
     let holdings = list.adapters.into_iter().map(|adapter| AdapterHolding {
         key: adapter.key,
         version: adapter.version,
@@ -214,7 +214,7 @@
 fn send_uses(gateway: &Arc<Gateway>) {
     let now = clock::now();
     let mut beliefs = gateway.beliefs();
-    let uses = std::mem::take(&mut beliefs.uses);
+    let uses = beliefs.uses.take();
     let mut by_owner: Vec<(SocketAddr, Vec<AdapterUse>)> = Vec::new();
     let mut own = Vec::new();
     for used in uses {
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -127,20 +127,7 @@
         let Some(key) = self.head.need.as_ref().and_then(|need| need.adapter.as_ref()) else {
             return;
         };
-        let mut beliefs = self.gateway.beliefs();
-        let found = beliefs.uses.iter().position(|used| used.server == *server && used.key == *key);
-        let at = found.unwrap_or_else(|| {
-            beliefs.uses.push(AdapterUse {
-                server: server.clone(),
-                key: key.clone(),
-                count: 0,
-                too_early: false,
-                missing: false,
-                in_time: false,
-            });
-            beliefs.uses.len() - 1
-        });
-        change(&mut beliefs.uses[at]);
+        self.gateway.beliefs().uses.met(server, key, change);
     }
 }
 
--- a/gateway/src/sent.rs
+++ b/gateway/src/sent.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use coltsfoothook_decision::id::ServerName;
+use coltsfoothook_decision::routing::AdapterKey;
 
 use crate::state::Gateway;
 
@@ -10,15 +11,26 @@
 pub(crate) struct SentCount {
     gateway: Arc<Gateway>,
     server: ServerName,
+    adapter: Option<AdapterKey>,
     unread: u64,
 }
 
 impl SentCount {
     /// Counts a request at `server` from now on, which reads `unread` tokens for it.
-    pub(crate) fn new(gateway: &Arc<Gateway>, server: &ServerName, unread: u64) -> Self {
+    pub(crate) fn new(
+        gateway: &Arc<Gateway>,
+        server: &ServerName,
+        adapter: Option<AdapterKey>,
+        unread: u64,
+    ) -> Self {
         let gateway = Arc::clone(gateway);
-        gateway.beliefs().backends.sent(server.as_str(), unread);
-        Self { gateway, server: server.clone(), unread }
+        let mut beliefs = gateway.beliefs();
+        beliefs.backends.sent(server.as_str(), unread);
+        if let Some(key) = &adapter {
+            beliefs.uses.begin(server, key);
+        }
+        drop(beliefs);
+        Self { gateway, server: server.clone(), adapter, unread }
     }
 
     /// The prompt was read.
@@ -32,6 +44,10 @@
 
 impl Drop for SentCount {
     fn drop(&mut self) {
-        self.gateway.beliefs().backends.ended(self.server.as_str(), self.unread);
+        let mut beliefs = self.gateway.beliefs();
+        beliefs.backends.ended(self.server.as_str(), self.unread);
+        if let Some(key) = &self.adapter {
+            beliefs.uses.end(&self.server, key);
+        }
     }
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -16,12 +16,12 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock;
-use crate::message::AdapterUse;
 use crate::metrics::GatewayMetrics;
 use crate::order::ServerBooks;
 use crate::peer::PeerSocket;
 use crate::roster::PeerRoster;
 use crate::settings::GatewaySettings;
+use crate::uses::UseList;
 use crate::wish::WishList;
 
 /// Topics that the shares of the fleet are dealt from. With the partitions that the platform gives a
@@ -66,7 +66,7 @@
     /// When the store last answered after it had been away.
     pub(crate) store_back_at: Option<TimePoint>,
     /// How adapters were met, not yet told to those who order their servers.
-    pub(crate) uses: Vec<AdapterUse>,
+    pub(crate) uses: UseList,
     pub(crate) random: Pcg64,
 }
 
@@ -126,7 +126,7 @@
             servers_read: false,
             lapsed: Vec::new(),
             store_back_at: None,
-            uses: Vec::new(),
+            uses: UseList::default(),
             random: Pcg64::seed_from_u64(incarnation ^ stable_hash(&[settings.vm.as_str()])),
         };
         Self {
--- a/gateway/src/wish.rs
+++ b/gateway/src/wish.rs
@@ -6,7 +6,7 @@
 /// After how long a wish is sent again: its datagram may be lost.
 const REPEAT_US: u64 = 120_000;
 /// After how long without effect another server is chosen: its owner may be gone.
-const ELSEWHERE_US: u64 = 420_000;
+const ELSEWHERE_US: u64 = 300_000;
 /// How long a wish without waiting requests is remembered.
 const FORGET_US: u64 = 1_500_000;
 
