A leaving VM takes requests for 0.3 of its grace time

Requests are now taken for 2.4 s of 8. A running request weighs 100 tokens in a server's cost (16 before): it is the steadier sign of a loaded server.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -20,7 +20,7 @@
 const PEER_LOAD_TRUST_US: u64 = 1_500_000;
 /// What one running request adds to a server's cost, in prompt tokens. A batch's step grows by less
 /// than one part in two hundred for each, against some tens of tokens read meanwhile.
-const RUNNING_TOKENS: u64 = 16;
+const RUNNING_TOKENS: u64 = 100;
 /// What a request beyond a server's slots adds, in prompt tokens: it waits for another one's end.
 const QUEUED_TOKENS: u64 = 2_000;
 /// What a server in another failure domain must be cheaper by, in prompt tokens. It saves bytes
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -18,9 +18,10 @@
 use crate::state::Gateway;
 use crate::{follow, peer};
 
-/// The part of the grace time in which a leaving VM still takes new connections: callers use the
-/// addresses that they were told for some seconds more.
-const ACCEPT_PART: f64 = 0.5;
+/// The part of the grace time in which a leaving VM still takes requests: callers use the addresses
+/// that they were told for some seconds more. A long stream that is taken later than that would be cut
+/// by the end of the process, while its caller could have gone elsewhere at once.
+const ACCEPT_PART: f64 = 0.3;
 /// What is left of the grace time when the process ends at the latest. The kill that follows must not
 /// meet a process that still writes.
 const LAST_MOMENT: Duration = Duration::from_millis(300);
