Shares of the fleet survive a restart of their holder without a pause

A rolling restart moved each share twice. Ruled out: start-up (ready 0.3 s after its start) and the store. Change: a VM keeps what it held for certain in a topic of its own; where the generation there is still the current one it orders at once. A leaving VM stays in the group until it ends, and a VM that starts among others which order all servers joins late. Where servers check fences, the pause counts from the last list that was heard of the other holder.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -104,6 +104,8 @@
     pub entry: BackendEntry,
     /// When that was read.
     pub seen_at: TimePoint,
+    /// When the first entry of this life was read.
+    first_seen: TimePoint,
     /// Set once it is leaving or gone; it then gets no new work.
     pub leaving: bool,
     owner: Option<ServerOwner>,
@@ -340,6 +342,25 @@
         self.get(server)?.active_owner(now)
     }
 
+    /// When a VM other than `vm` last told that it orders a server.
+    #[must_use]
+    pub fn other_owner_at(&self, server: &str, vm: &VmName) -> Option<TimePoint> {
+        let owner = self.get(server)?.owner.as_ref()?;
+        Some(if owner.vm == *vm { TimePoint(0) } else { owner.at })
+    }
+
+    /// Whether a server of a service with model engines has had no owner for a while, as far as this
+    /// VM heard.
+    #[must_use]
+    pub fn any_without_owner(&self, service: &ServiceName, now: TimePoint) -> bool {
+        self.servers.iter().any(|state| {
+            state.entry.service == *service
+                && !state.leaving
+                && now.since(state.first_seen) > OWNER_TRUST_US
+                && state.active_owner(now).is_none()
+        })
+    }
+
     /// Chooses a server. `draw` is a random number, which spreads the VMs' choices: with counts that
     /// are a moment old, all would else choose the same server.
     #[must_use]
@@ -532,6 +553,7 @@
         let mut state = Self {
             entry,
             seen_at: now,
+            first_seen: now,
             leaving,
             owner: None,
             holdings: Vec::new(),
--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -357,9 +357,8 @@
     }
 
     fn needs_report(&self, now: TimePoint) -> bool {
-        let unsettled = self.accepted.is_none()
-            || self.busy
-            || self.held.iter().any(AdapterPlace::is_leaving);
+        let unsettled =
+            self.accepted.is_none() || self.busy || self.held.iter().any(AdapterPlace::is_leaving);
         unsettled && now >= self.ask_at
     }
 
@@ -544,8 +543,7 @@
             Err(at) => {
                 // The request that it is loaded for is on its way until then.
                 let used_at = usable_from.max(now);
-                let place =
-                    AdapterPlace { key: key.clone(), version, state, used_at, heat: 1.0 };
+                let place = AdapterPlace { key: key.clone(), version, state, used_at, heat: 1.0 };
                 self.held.insert(at, place);
             }
         }
--- a/decision/src/tenure.rs
+++ b/decision/src/tenure.rs
@@ -6,7 +6,12 @@
 //!
 //! * a VM stops when its last renewal is older than the lifetime it asked for. Time is read from a
 //!   clock that goes on while the VM is suspended, so a VM that wakes up stops at once;
-//! * a VM that gains a share waits until orders of the holder before it must have ended.
+//! * a VM that gains a share waits until orders of the holder before it must have ended. If it heard
+//!   that holder's lists, it counts from the last of them; else from the gain.
+//!
+//! A process that starts anew within its lifetime still holds its shares, but does not know since when.
+//! It keeps a [`TenureRecord`] in the platform's store: if the generation there is still the current
+//! one, nobody else can have held the shares that it names.
 
 use crate::id::{ServerName, TimePoint, stable_hash};
 use crate::value;
@@ -41,12 +46,46 @@
     }
 }
 
+value! {
+    /// What a VM held for certain, kept where it outlasts the process.
+    #[derive(Eq, Default)]
+    pub struct TenureRecord {
+        /// The generation.
+        pub generation: u64,
+        /// The shares whose servers it could order.
+        pub shares: Vec<FleetShare>,
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct HeldShare {
     share: FleetShare,
     active_from: TimePoint,
 }
 
+/// Why nobody else can have ordered a gained share's servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GainedSince {
+    /// Nothing is known of the holder before.
+    Unknown,
+    /// The whole system starts for the first time.
+    FirstStart,
+    /// This VM held them before its process started anew.
+    Restart(TenureRecord),
+}
+
+impl GainedSince {
+    fn covers(&self, generation: u64, share: FleetShare) -> bool {
+        match self {
+            Self::Unknown => false,
+            Self::FirstStart => true,
+            Self::Restart(record) => {
+                record.generation == generation && record.shares.contains(&share)
+            }
+        }
+    }
+}
+
 /// The shares that this VM holds.
 #[derive(Debug)]
 pub struct OrderTenure {
@@ -73,24 +112,24 @@
         self.generation
     }
 
-    /// Takes the answer to a renewal that was sent at `sent`. With `first_start` nobody can have
-    /// given orders before, so gained shares need no pause.
+    /// Takes the answer to a renewal that was sent at `sent`. Gained shares need no pause where
+    /// `since` shows that nobody else can have given orders.
     pub fn renewed(
         &mut self,
         sent: TimePoint,
         now: TimePoint,
         generation: u64,
         mut shares: Vec<FleetShare>,
-        first_start: bool,
+        since: &GainedSince,
     ) {
         shares.sort_unstable();
         let lapsed = now >= self.valid_until;
-        let pause = if first_start { 0 } else { self.settings.pause_us };
         let held = shares.into_iter().map(|share| {
             let before = self.held.binary_search_by_key(&share, |held| held.share);
             let active_from = match before {
                 Ok(at) if !lapsed => self.held[at].active_from,
-                _ => now.plus(pause),
+                _ if since.covers(generation, share) => now,
+                _ => now.plus(self.settings.pause_us),
             };
             HeldShare { share, active_from }
         });
@@ -104,15 +143,33 @@
         self.refused = self.refused.max(fence);
     }
 
-    /// The fencing number for orders to `server`, if this VM may give any now.
+    /// The fencing number for orders to `server`, if this VM may give any now. `other_at` is when
+    /// another VM last told that it orders the server, where lists are enough to go by.
     #[must_use]
-    pub fn fence(&self, server: &ServerName, now: TimePoint) -> Option<u64> {
+    pub fn fence(
+        &self,
+        server: &ServerName,
+        other_at: Option<TimePoint>,
+        now: TimePoint,
+    ) -> Option<u64> {
         if now >= self.valid_until || self.generation <= self.refused {
             return None;
         }
         let share = self.share_of(server);
         let at = self.held.binary_search_by_key(&share, |held| held.share).ok()?;
-        (now >= self.held[at].active_from).then_some(self.generation)
+        let from = match other_at {
+            Some(other) => other.plus(self.settings.pause_us),
+            None => self.held[at].active_from,
+        };
+        (now >= from).then_some(self.generation)
+    }
+
+    /// What this VM holds for certain now.
+    #[must_use]
+    pub fn record(&self, now: TimePoint) -> TenureRecord {
+        let settled = self.held.iter().filter(|held| now >= held.active_from);
+        let shares = settled.map(|held| held.share).collect();
+        TenureRecord { generation: self.generation, shares }
     }
 
     /// How many shares are held, whether active or not.
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,6 +1,5 @@
-//! Follows the platform's store: the operators' records, the servers' entries, the group.
+//! Follows the platform's store: the operators' records, the servers' entries.
 
-use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,8 +7,8 @@
 use coltsfoothook_decision::id::TimePoint;
 use coltsfoothook_decision::routing::RouteTable;
 use coltsfoothook_platform::{
-    GroupMember, KeyedRecord, KeyedTopic, MetadataError, OperatorRecord, RecordPage,
-    read_operator_record, read_registration,
+    KeyedRecord, KeyedTopic, MetadataError, OperatorRecord, RecordPage, read_operator_record,
+    read_registration,
 };
 use coltsfoothook_telemetry::event;
 use tokio::time::sleep;
@@ -26,13 +25,9 @@
 const SERVER_PAUSE: Duration = Duration::from_millis(600);
 /// Between two tries after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// Between two looks at the group's members.
-const MEMBER_PAUSE_US: u64 = 10_000_000;
 /// For so long after the store was away, a server without entry may still come back: entries lapse
 /// while the store is away and are written again within two seconds.
 const LAPSE_US: u64 = 2_000_000;
-/// What parts a member's VM from its IP number.
-const MEMBER_MARK: char = '|';
 
 /// Follows the operators' records for ever.
 pub(crate) async fn operators(gateway: Arc<Gateway>) {
@@ -235,104 +230,18 @@
     }
 }
 
-/// Keeps this VM in the group that orders servers, for ever.
-pub(crate) async fn group(gateway: Arc<Gateway>) {
-    let mut health = StoreLink::new("group");
-    let store = &gateway.settings.store;
-    let lifetime = Duration::from_millis(store.least_lifetime_ms * 3);
-    let mut members_at: Option<TimePoint> = None;
-    loop {
-        if gateway.leaving() {
-            return;
-        }
-        let sent = clock::now();
-        let member = GroupMember {
-            member: member_name(&gateway),
-            topics: crate::state::SHARE_TOPICS,
-            lifetime,
-            generation: gateway.beliefs().tenure.generation(),
-        };
-        match gateway.store.join(&member).await {
-            Ok(membership) => {
-                health.good(&gateway);
-                renewed(&gateway, sent, membership);
-            }
-            Err(error) => {
-                health.bad(&gateway, &error);
-            }
-        }
-        let now = clock::now();
-        if members_at.is_none_or(|at| now.since(at) > MEMBER_PAUSE_US) {
-            match gateway.store.members().await {
-                Ok(members) => {
-                    members_at = Some(now);
-                    hint_members(&gateway, &members);
-                }
-                Err(error) => {
-                    health.bad(&gateway, &error);
-                }
-            }
-        }
-        sleep(lifetime / 3).await;
-    }
-}
-
-/// For so long after its start a whole new system needs no pause before the first orders.
-const FIRST_START_US: u64 = 8_000_000;
-
-fn renewed(
-    gateway: &Arc<Gateway>,
-    sent: TimePoint,
-    membership: coltsfoothook_platform::GroupMembership,
-) {
-    let now = clock::now();
-    let first = gateway.settings.first_start && now.since(gateway.started) < FIRST_START_US;
-    let mut beliefs = gateway.beliefs();
-    let before = (beliefs.tenure.generation(), beliefs.tenure.held());
-    beliefs.tenure.renewed(sent, now, membership.generation, membership.shares, first);
-    let after = (beliefs.tenure.generation(), beliefs.tenure.held());
-    drop(beliefs);
-    if before != after {
-        event!(SharesDealt, generation = after.0, shares = after.1, before = before.1);
-    }
-    order::drive_all(gateway);
-}
-
-fn member_name(gateway: &Gateway) -> String {
-    let ip = gateway.settings.listen.peers.ip();
-    format!("{}{MEMBER_MARK}{ip}", gateway.settings.vm)
-}
-
-fn hint_members(gateway: &Arc<Gateway>, members: &[String]) {
-    let port = gateway.settings.listen.peers.port();
-    let mut beliefs = gateway.beliefs();
-    for member in members {
-        let ip = member.rsplit_once(MEMBER_MARK).and_then(|(_, ip)| ip.parse::<IpAddr>().ok());
-        if let Some(ip) = ip {
-            beliefs.roster.hint(SocketAddr::new(ip, port));
-        }
-    }
-}
-
-/// Leaves the group, so that others order this VM's servers at once.
-pub(crate) async fn leave(gateway: &Arc<Gateway>) {
-    if let Err(error) = gateway.store.leave(&member_name(gateway)).await {
-        event!(StoreCallFailed, topic = "leave", cause = error);
-    }
-}
-
 /// Whether the store answered one task's last call, for the log.
-struct StoreLink {
+pub(crate) struct StoreLink {
     topic: &'static str,
     down_since: Option<TimePoint>,
 }
 
 impl StoreLink {
-    fn new(topic: &'static str) -> Self {
+    pub(crate) fn new(topic: &'static str) -> Self {
         Self { topic, down_since: None }
     }
 
-    fn good(&mut self, gateway: &Gateway) {
+    pub(crate) fn good(&mut self, gateway: &Gateway) {
         gateway.metrics.store_call(self.topic, "ok");
         let Some(since) = self.down_since.take() else { return };
         let now = clock::now();
@@ -340,7 +249,7 @@
         gateway.beliefs().store_back_at = Some(now);
     }
 
-    fn bad(&mut self, gateway: &Gateway, error: &MetadataError) {
+    pub(crate) fn bad(&mut self, gateway: &Gateway, error: &MetadataError) {
         gateway.metrics.store_call(self.topic, "failed");
         if self.down_since.is_none() {
             event!(LogDown, topic = self.topic, cause = error);
--- /dev/null
+++ b/gateway/src/group.rs
@@ -0,0 +1,178 @@
+//! Keeps this VM in the group that orders servers.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfoothook_decision::id::TimePoint;
+use coltsfoothook_decision::tenure::{GainedSince, TenureRecord};
+use coltsfoothook_platform::{GroupMember, GroupMembership, KeyedTopic};
+use coltsfoothook_telemetry::event;
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::follow::StoreLink;
+use crate::order;
+use crate::state::{Gateway, LIFETIMES, SHARE_TOPICS};
+
+/// Between two looks at the group's members.
+const MEMBER_PAUSE_US: u64 = 10_000_000;
+/// For so long after its start a whole new system needs no pause before the first orders.
+const FIRST_START_US: u64 = 8_000_000;
+/// What parts a member's VM from its IP number.
+const MEMBER_MARK: char = '|';
+/// For how long a VM that starts among others that order all servers keeps out of the group. Each
+/// change of the group moves shares, and servers whose share moves take no loads for seconds.
+const LATE_JOIN_US: u64 = 20_000_000;
+/// Between two looks whether to join.
+const JOIN_LOOK: Duration = Duration::from_millis(250);
+/// For so long a starting VM listens whether others order all servers.
+const LISTEN_US: u64 = 1_200_000;
+
+/// Keeps this VM in the group for ever.
+pub(crate) async fn keep(gateway: Arc<Gateway>) {
+    let mut link = StoreLink::new("group");
+    let mut since = gained_since(&gateway, &mut link).await;
+    if since == GainedSince::Unknown {
+        wait_for_need(&gateway).await;
+    }
+    let lifetime = Duration::from_millis(gateway.settings.store.least_lifetime_ms * LIFETIMES);
+    let mut members_at: Option<TimePoint> = None;
+    let mut written = TenureRecord::default();
+    loop {
+        let sent = clock::now();
+        let member = GroupMember {
+            member: member_name(&gateway),
+            topics: SHARE_TOPICS,
+            lifetime,
+            generation: gateway.beliefs().tenure.generation(),
+        };
+        match gateway.store.join(&member).await {
+            Ok(membership) => {
+                link.good(&gateway);
+                renewed(&gateway, sent, membership, &since);
+                since = later(&gateway);
+            }
+            Err(error) => link.bad(&gateway, &error),
+        }
+        write_record(&gateway, &mut written, &mut link).await;
+        let now = clock::now();
+        if members_at.is_none_or(|at| now.since(at) > MEMBER_PAUSE_US) {
+            match gateway.store.members().await {
+                Ok(members) => {
+                    members_at = Some(now);
+                    hint_members(&gateway, &members);
+                }
+                Err(error) => link.bad(&gateway, &error),
+            }
+        }
+        sleep(lifetime / LIFETIMES as u32).await;
+    }
+}
+
+/// What this process knows of its shares before its first renewal.
+async fn gained_since(gateway: &Arc<Gateway>, link: &mut StoreLink) -> GainedSince {
+    if gateway.settings.first_start {
+        return GainedSince::FirstStart;
+    }
+    let page = match gateway.store.newest(KeyedTopic::Tenures).await {
+        Ok(page) => page,
+        Err(error) => {
+            link.bad(gateway, &error);
+            return GainedSince::Unknown;
+        }
+    };
+    let vm = gateway.settings.vm.as_str();
+    let own = page.records.into_iter().find(|record| record.key == vm);
+    let value = own.and_then(|record| record.value);
+    let record = value.and_then(|value| rmp_serde::from_slice::<TenureRecord>(&value).ok());
+    match record {
+        Some(record) => {
+            event!(TenureRead, generation = record.generation, shares = record.shares.len());
+            GainedSince::Restart(record)
+        }
+        None => GainedSince::Unknown,
+    }
+}
+
+/// What holds after the first renewal.
+fn later(gateway: &Gateway) -> GainedSince {
+    let young = clock::now().since(gateway.started) < FIRST_START_US;
+    if gateway.settings.first_start && young {
+        GainedSince::FirstStart
+    } else {
+        GainedSince::Unknown
+    }
+}
+
+/// Waits while other VMs order all servers.
+async fn wait_for_need(gateway: &Arc<Gateway>) {
+    loop {
+        sleep(JOIN_LOOK).await;
+        let now = clock::now();
+        let age = now.since(gateway.started);
+        if age < LISTEN_US {
+            continue;
+        }
+        let beliefs = gateway.beliefs();
+        let Some(table) = &beliefs.table else { continue };
+        let engines = table.services().iter().filter(|plan| plan.engine.is_some());
+        let lacks = |service| beliefs.backends.any_without_owner(service, now);
+        if age > LATE_JOIN_US || engines.map(|plan| &plan.service).any(lacks) {
+            return;
+        }
+    }
+}
+
+fn renewed(
+    gateway: &Arc<Gateway>,
+    sent: TimePoint,
+    membership: GroupMembership,
+    since: &GainedSince,
+) {
+    let now = clock::now();
+    let mut beliefs = gateway.beliefs();
+    let before = (beliefs.tenure.generation(), beliefs.tenure.held());
+    beliefs.tenure.renewed(sent, now, membership.generation, membership.shares, since);
+    let after = (beliefs.tenure.generation(), beliefs.tenure.held());
+    drop(beliefs);
+    if before != after {
+        event!(SharesDealt, generation = after.0, shares = after.1, before = before.1);
+    }
+    order::drive_all(gateway);
+}
+
+/// Keeps what this VM holds for certain where the next life of its process finds it.
+async fn write_record(gateway: &Arc<Gateway>, written: &mut TenureRecord, link: &mut StoreLink) {
+    let record = gateway.beliefs().tenure.record(clock::now());
+    if record == *written || record.shares.is_empty() {
+        return;
+    }
+    let value = match rmp_serde::to_vec(&record) {
+        Ok(value) => value,
+        Err(error) => {
+            event!(StoreCallFailed, topic = "tenures", cause = error);
+            return;
+        }
+    };
+    match gateway.store.write(KeyedTopic::Tenures, gateway.settings.vm.as_str(), &value).await {
+        Ok(()) => *written = record,
+        Err(error) => link.bad(gateway, &error),
+    }
+}
+
+fn member_name(gateway: &Gateway) -> String {
+    let ip = gateway.settings.listen.peers.ip();
+    format!("{}{MEMBER_MARK}{ip}", gateway.settings.vm)
+}
+
+fn hint_members(gateway: &Arc<Gateway>, members: &[String]) {
+    let port = gateway.settings.listen.peers.port();
+    let mut beliefs = gateway.beliefs();
+    for member in members {
+        let ip = member.rsplit_once(MEMBER_MARK).and_then(|(_, ip)| ip.parse::<IpAddr>().ok());
+        if let Some(ip) = ip {
+            beliefs.roster.hint(SocketAddr::new(ip, port));
+        }
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod face;
 mod follow;
 mod forward;
+mod group;
 mod message;
 mod metrics;
 mod order;
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -64,7 +64,14 @@
             event!(OwnerTaken, server = server, fence = fence, places = places);
             let book = OrderBook::new(BookSettings::default(), places, now);
             let server = server.clone();
-            let entry = ServerBook { server, fence, book, told_revision: 0, told_free: 0, told_at: TimePoint(0) };
+            let entry = ServerBook {
+                server,
+                fence,
+                book,
+                told_revision: 0,
+                told_free: 0,
+                told_at: TimePoint(0),
+            };
             self.books.insert(at, entry);
             at
         });
@@ -158,13 +165,10 @@
         server: &ServerName,
         now: TimePoint,
     ) -> Option<(u64, SocketAddr, usize, Option<ModelName>)> {
-        if gateway.leaving() {
-            return None;
-        }
         let state = self.backends.get(server.as_str()).filter(|state| !state.leaving)?;
         let table = self.table.as_ref()?;
         let plan = table.service(state.entry.service.as_str())?.engine.as_ref()?;
-        let fence = self.tenure.fence(server, now)?;
+        let fence = self.fence(&gateway.settings, server, now)?;
         let places = places(plan, &state.entry.models);
         let model = self.model_to_load(plan, now);
         Some((fence, state.entry.address, places, model))
@@ -190,8 +194,8 @@
     fn due_list(&mut self, gateway: &Gateway, at: usize, now: TimePoint) -> Option<AdapterList> {
         let entry = &mut self.books.books[at];
         let free = entry.book.free(now) as u32;
-        let changed = entry.book.revision() != entry.told_revision
-            || (free == 0) != (entry.told_free == 0);
+        let changed =
+            entry.book.revision() != entry.told_revision || (free == 0) != (entry.told_free == 0);
         let due = changed || now.since(entry.told_at) >= REPEAT_LIST_US;
         if !due || !entry.book.is_known() {
             return None;
@@ -274,7 +278,7 @@
     order: ServerOrder,
 ) {
     // The tenure may have ended since the order was decided on: the VM may have been suspended.
-    if gateway.beliefs().tenure.fence(server, clock::now()).is_none() {
+    if gateway.beliefs().fence(&gateway.settings, server, clock::now()).is_none() {
         return;
     }
     let vm = gateway.settings.vm.clone();
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfoothook_decision::backend::{AdapterHolding, LoadFigure, ServerOwner};
@@ -29,14 +30,16 @@
 /// Other VMs that a state tells of.
 const TOLD_OF: usize = 4;
 
-/// The socket.
+/// The socket, and a count of the states sent.
 pub(crate) struct PeerSocket {
     socket: UdpSocket,
+    sequence: AtomicU64,
 }
 
 impl PeerSocket {
     pub(crate) async fn bind(address: SocketAddr) -> io::Result<Self> {
-        Ok(Self { socket: UdpSocket::bind(address).await? })
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self { socket, sequence: AtomicU64::new(0) })
     }
 
     /// Sends without waiting; what the kernel does not take is repeated by the next message.
@@ -78,17 +81,17 @@
 
 /// Tells the other VMs of this one, for ever.
 pub(crate) async fn tell(gateway: Arc<Gateway>) {
-    let mut sequence = 0;
     loop {
-        sequence += 1;
-        tell_once(&gateway, sequence);
+        tell_once(&gateway);
         order::drive_all(&gateway);
         send_uses(&gateway);
         tokio::time::sleep(STATE_PAUSE).await;
     }
 }
 
-fn tell_once(gateway: &Arc<Gateway>, sequence: u64) {
+/// Tells the other VMs of this one now.
+pub(crate) fn tell_once(gateway: &Arc<Gateway>) {
+    let sequence = gateway.peers.sequence.fetch_add(1, Ordering::Relaxed) + 1;
     let now = clock::now();
     let mut beliefs = gateway.beliefs();
     beliefs.roster.forget(now);
@@ -108,12 +111,6 @@
     gateway.peers.send(&PeerMessage::State(state), &to);
 }
 
-/// Tells at once that this VM is leaving.
-pub(crate) fn tell_leaving(gateway: &Arc<Gateway>) {
-    // Larger than any count of the usual messages.
-    tell_once(gateway, u64::MAX / SILENT_EVERY * SILENT_EVERY);
-}
-
 fn state_message(
     gateway: &Gateway,
     beliefs: &Beliefs,
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -10,13 +10,13 @@
 use coltsfoothook_telemetry::event;
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::face::FaceListeners;
 use crate::peer::PeerSocket;
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
-use crate::{follow, peer};
+use crate::{follow, group, peer};
 
 /// The part of the grace time in which a leaving VM still takes requests: callers use the addresses
 /// that they were told for some seconds more. A long stream that is taken later than that would be cut
@@ -27,8 +27,6 @@
 const LAST_MOMENT: Duration = Duration::from_millis(300);
 /// Between two looks whether all requests have ended.
 const END_LOOK: Duration = Duration::from_millis(50);
-/// The time for leaving the group; it only spares others a wait.
-const LEAVE_TIME: Duration = Duration::from_millis(500);
 /// Between two looks at the settings file, which may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(5);
 
@@ -74,7 +72,7 @@
     tokio::spawn(peer::tell(Arc::clone(&gateway)));
     tokio::spawn(follow::operators(Arc::clone(&gateway)));
     tokio::spawn(follow::servers(Arc::clone(&gateway)));
-    tokio::spawn(follow::group(Arc::clone(&gateway)));
+    tokio::spawn(group::keep(Arc::clone(&gateway)));
     tokio::spawn(follow_settings(Arc::clone(&gateway), file.to_owned(), hup));
     tokio::select! {
         _ = term.recv() => {}
@@ -99,10 +97,9 @@
     let grace = Duration::from_secs(gateway.settings.promises.grace_s);
     gateway.leave();
     event!(ShutdownStarted, open = gateway.open.load(Ordering::Relaxed));
-    peer::tell_leaving(gateway);
-    if timeout(LEAVE_TIME, follow::leave(gateway)).await.is_err() {
-        event!(StoreCallFailed, topic = "leave", cause = "no answer in time");
-    }
+    peer::tell_once(gateway);
+    // The VM stays in the group: a process that starts anew within its lifetime goes on with its
+    // shares, while leaving would move them twice.
     sleep((grace.mul_f64(ACCEPT_PART)).saturating_sub(begun.elapsed())).await;
     gateway.closing.send_replace(true);
     let last = grace.saturating_sub(LAST_MOMENT);
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -43,6 +43,8 @@
         pub grace_s: u64 = 8, in 1..=86_400;
         /// The least pause between orders of two VMs to one server.
         pub order_pause_ms: u64 = 3_000, in 0..=600_000;
+        /// Whether servers refuse orders with an old fencing number.
+        pub servers_check_fences: bool = false;
         /// Repeats that are allowed for each request, over all VMs.
         pub repeat_ratio: f64 = 0.2;
         /// Repeats that are allowed on top in each window, over all VMs.
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -5,7 +5,7 @@
 
 use coltsfoothook_decision::backend::BackendTable;
 use coltsfoothook_decision::budget::{RepeatBounds, RepeatBudget};
-use coltsfoothook_decision::id::{TimePoint, stable_hash};
+use coltsfoothook_decision::id::{ServerName, TimePoint, stable_hash};
 use coltsfoothook_decision::orderbook::LoadTimes;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
 use coltsfoothook_decision::tenure::{OrderTenure, TenureSettings};
@@ -29,9 +29,10 @@
 /// each of the others.
 pub(crate) const SHARE_TOPICS: u32 = 4;
 /// A share's lifetime against the shortest that the platform takes: three renewals can fail in it.
-const LIFETIMES: u64 = 3;
+pub(crate) const LIFETIMES: u64 = 3;
 /// What the pause between two holders' orders is longer by than the operators ask, in microseconds:
-/// the first holder learns a second late that all shares were dealt anew.
+/// the first holder learns up to a renewal late that all shares were dealt anew, and the last list that
+/// was heard of it may be half a second old.
 const PAUSE_SLACK_US: u64 = 1_100_000;
 /// Idle connections that are kept to a server.
 const IDLE_CONNECTIONS: usize = 24;
@@ -201,6 +202,20 @@
         true
     }
 
+    /// The fencing number for orders to a server, if this VM may give any now.
+    pub(crate) fn fence(
+        &self,
+        settings: &GatewaySettings,
+        server: &ServerName,
+        now: TimePoint,
+    ) -> Option<u64> {
+        // Without fences at the servers, what was heard is not enough: a holder that is cut off from
+        // this VM may still reach the server.
+        let by_lists = settings.promises.servers_check_fences;
+        let other = self.backends.other_owner_at(server.as_str(), &settings.vm);
+        self.tenure.fence(server, other.filter(|_| by_lists), now)
+    }
+
     /// How many VMs share budgets, this one included.
     pub(crate) fn vm_count(&self, now: TimePoint) -> usize {
         self.roster.live_count(now) + 1
--- a/gateway/src/uses.rs
+++ b/gateway/src/uses.rs
@@ -48,7 +48,8 @@
     /// What is to be told now; what is no longer used is forgotten.
     pub(crate) fn take(&mut self) -> Vec<AdapterUse> {
         let told = self.uses.iter_mut().map(|open| {
-            let fresh = AdapterUse { count: 0, ..AdapterUse::of(&open.told.server, &open.told.key) };
+            let fresh =
+                AdapterUse { count: 0, ..AdapterUse::of(&open.told.server, &open.told.key) };
             std::mem::replace(&mut open.told, fresh)
         });
         let told = told.collect();
