--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -28,9 +28,9 @@
 const DOMAIN_TOKENS: u64 = 120;
 /// How many times the mean cost a holder must reach before another copy of an adapter is worth a
 /// place: below it copies push out adapters that others wait for.
-const COPY_RATIO: u64 = 2;
+const COPY_RATIO: u64 = 1;
 /// The least cost, in prompt tokens, at which another copy is worth a place.
-const COPY_TOKENS: u64 = 3_000;
+const COPY_TOKENS: u64 = 4_000;
 /// Servers that are considered for a load, in the order of their hash with the adapter. A few keep an
 /// adapter coming back to a server that has it on its own disk, and still leave a choice.
 const LOAD_CHOICES: usize = 2;
@@ -441,7 +441,7 @@
         let total: u64 = all.iter().map(|state| state.cost(typical, now)).sum();
         let mean = total / (all.len() as u64).max(1);
         let cost = best.cost(typical, now);
-        if cost < COPY_TOKENS.max(COPY_RATIO * mean) {
+        if cost < COPY_TOKENS.max(mean * 13 / 10) {
             return None;
         }
         let without: Vec<&BackendState> =
@@ -450,7 +450,7 @@
             return None;
         }
         let target = self.load_target(&without, need, key, now)?;
-        (target.cost(typical, now) * COPY_RATIO < cost).then(|| target.entry.server.clone())
+        (target.cost(typical, now) * 3 / 2 < cost).then(|| target.entry.server.clone())
     }
 
     fn copy_coming(
@@ -487,7 +487,7 @@
         let total: u64 = ranked.iter().map(|(_, state)| state.cost(typical, now)).sum();
         let mean = total / (ranked.len() as u64).max(1);
         if let Some((_, state)) = ranked.iter().filter(warm).min_by_key(cost)
-            && state.cost(typical, now) <= COPY_TOKENS.max(COPY_RATIO * mean)
+            && state.cost(typical, now) <= COPY_TOKENS.max(mean * 3 / 2)
         {
             return Some(state);
         }
