Owners learn at once of an adapter's first and last use

Now the first and last running request of a VM on an adapter are told at once, and it is idle 60 ms later.

--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -6,7 +6,7 @@
 //! either fits that state or is refused by the server: the sum of adapters that are held and on their
 //! way never passes the places. docs/PLATFORM.md, "Orders".
 
-use crate::id::{ModelName, TimePoint};
+use crate::id::{ModelName, TimePoint, VmName};
 use crate::routing::{AdapterKey, ServerReport};
 use crate::value;
 
@@ -78,9 +78,13 @@
     pub report_lag_us: u64,
     /// How long to wait before asking after an order without answer; longer than the lag.
     pub lost_pause_us: u64,
-    /// How long an adapter must have been unused before it makes way: longer than the time within
-    /// which all VMs have told of their use.
+    /// How long an adapter must have been unused before it makes way: longer than a VM's word that a
+    /// request began is on its way.
     pub idle_us: u64,
+    /// How long an adapter is kept for the request that it was loaded for.
+    pub unmet_us: u64,
+    /// How long a VM's word that requests run is believed. VMs repeat it several times in it.
+    pub user_trust_us: u64,
     /// How long a wish is kept that is not repeated.
     pub wish_us: u64,
     /// The time after which an adapter's uses count half.
@@ -93,7 +97,9 @@
             transfers: 4,
             report_lag_us: 250_000,
             lost_pause_us: 600_000,
-            idle_us: 320_000,
+            idle_us: 60_000,
+            unmet_us: 300_000,
+            user_trust_us: 600_000,
             wish_us: 300_000,
             half_life_us: 10_000_000,
         }
@@ -165,6 +171,10 @@
     version: u64,
     state: PlaceState,
     used_at: TimePoint,
+    /// VMs with requests running on it, and when each last said so.
+    users: Vec<(VmName, TimePoint)>,
+    /// Whether a request has used it since it was loaded.
+    met: bool,
     heat: f64,
 }
 
@@ -176,6 +186,17 @@
     asked_at: TimePoint,
 }
 
+/// What a VM tells of its requests on an adapter at a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ToldUse<'a> {
+    /// The VM.
+    pub vm: &'a VmName,
+    /// Requests that began since it last told.
+    pub begun: u32,
+    /// Requests that run now.
+    pub running: u32,
+}
+
 /// An adapter as the book tells of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BookedAdapter {
@@ -291,13 +312,17 @@
         }
     }
 
-    /// A VM used an adapter here, `uses` times since it last told.
-    pub fn used(&mut self, key: &AdapterKey, uses: u32, now: TimePoint) {
+    /// A VM tells of its requests on an adapter here.
+    pub fn used(&mut self, key: &AdapterKey, told: &ToldUse<'_>, now: TimePoint) {
         let half_life = self.settings.half_life_us as f64;
-        if let Some(place) = self.place_mut(key) {
-            place.cool(half_life, now);
-            place.heat += f64::from(uses);
-            place.used_at = now;
+        let Some(place) = self.place_mut(key) else { return };
+        place.cool(half_life, now);
+        place.heat += f64::from(told.begun);
+        place.used_at = now;
+        place.met |= told.begun > 0;
+        place.users.retain(|(vm, _)| vm != told.vm);
+        if told.running > 0 {
+            place.users.push((told.vm.clone(), now));
         }
     }
 
@@ -385,7 +410,7 @@
     /// The adapter that makes way: unused for a moment, and with the fewest uses of late.
     fn victim(&self, now: TimePoint) -> Option<&AdapterPlace> {
         let half_life = self.settings.half_life_us as f64;
-        let idle = |place: &&AdapterPlace| place.is_idle(self.settings.idle_us, now);
+        let idle = |place: &&AdapterPlace| place.is_idle(&self.settings, now);
         let wished = |place: &&AdapterPlace| self.wishes.iter().any(|wish| wish.key == place.key);
         let free = self.held.iter().filter(|place| idle(place) && !wished(place));
         free.min_by(|a, b| a.heat_at(half_life, now).total_cmp(&b.heat_at(half_life, now)))
@@ -512,6 +537,8 @@
                 Some(place) => {
                     place.heat = old.heat;
                     place.used_at = old.used_at;
+                    place.users = old.users;
+                    place.met = old.met;
                     // With a higher count the order was accepted and waits for runs to end; with
                     // the same one it never arrived, and the adapter can still be used.
                     if let PlaceState::Leaving { expected } = old.state
@@ -543,7 +570,15 @@
             Err(at) => {
                 // The request that it is loaded for is on its way until then.
                 let used_at = usable_from.max(now);
-                let place = AdapterPlace { key: key.clone(), version, state, used_at, heat: 1.0 };
+                let place = AdapterPlace {
+                    key: key.clone(),
+                    version,
+                    state,
+                    used_at,
+                    users: Vec::new(),
+                    met: false,
+                    heat: 1.0,
+                };
                 self.held.insert(at, place);
             }
         }
@@ -576,7 +611,7 @@
         if self.busy || now < self.rest_until || self.held.iter().any(AdapterPlace::is_leaving) {
             return 0;
         }
-        let idle = self.held.iter().filter(|place| place.is_idle(self.settings.idle_us, now));
+        let idle = self.held.iter().filter(|place| place.is_idle(&self.settings, now));
         self.places.saturating_sub(self.held.len()) + idle.count()
     }
 
@@ -592,13 +627,11 @@
         matches!(self.state, PlaceState::Leaving { .. })
     }
 
-    fn is_idle(&self, idle_us: u64, now: TimePoint) -> bool {
-        match self.state {
-            PlaceState::Held { usable_from, .. } => {
-                usable_from <= now && now.since(self.used_at) >= idle_us
-            }
-            PlaceState::Leaving { .. } => false,
-        }
+    fn is_idle(&self, settings: &BookSettings, now: TimePoint) -> bool {
+        let PlaceState::Held { usable_from, .. } = self.state else { return false };
+        let pause = if self.met { settings.idle_us } else { settings.unmet_us };
+        let used = self.users.iter().any(|(_, at)| now.since(*at) < settings.user_trust_us);
+        usable_from <= now && !used && now.since(self.used_at) >= pause
     }
 
     fn heat_at(&self, half_life: f64, now: TimePoint) -> f64 {
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -91,8 +91,10 @@
         pub server: ServerName,
         /// The adapter.
         pub key: AdapterKey,
-        /// Requests that began since the last message. Without any, some still run.
+        /// Requests that began since the last message.
         pub count: u32,
+        /// Requests that run now.
+        pub running: u32,
         /// Whether a request found that it was still loading.
         pub too_early: bool,
         /// Whether a request found that it was not held.
@@ -109,18 +111,25 @@
         List(AdapterList),
         /// A wish.
         Wish(AdapterWish),
-        /// Uses.
-        Uses(Vec<AdapterUse>),
+        /// Uses of the VM that is named.
+        Uses(VmName, Vec<AdapterUse>),
     }
 }
 
 impl AdapterUse {
+    /// What is to be told now; only the running requests are told again later.
+    pub(crate) fn take(&mut self) -> Self {
+        let later = Self { running: self.running, ..Self::of(&self.server, &self.key) };
+        std::mem::replace(self, later)
+    }
+
     /// A use of which nothing was noted yet.
     pub(crate) fn of(server: &ServerName, key: &AdapterKey) -> Self {
         Self {
             server: server.clone(),
             key: key.clone(),
             count: 0,
+            running: 0,
             too_early: false,
             missing: false,
             in_time: false,
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfoothook_decision::backend::{AdapterHolding, ServerOwner};
-use coltsfoothook_decision::id::{ModelName, ServerName, TimePoint};
+use coltsfoothook_decision::id::{ModelName, ServerName, TimePoint, VmName};
 use coltsfoothook_decision::orderbook::{
-    BookAction, BookSettings, OrderAction, OrderBook, OrderReply, ServerOrder,
+    BookAction, BookSettings, OrderAction, OrderBook, OrderReply, ServerOrder, ToldUse,
 };
 use coltsfoothook_decision::routing::{EnginePlan, HeldModel};
 use coltsfoothook_platform::OrderHolder;
@@ -329,13 +330,14 @@
 }
 
 /// Takes what requests met at servers that this VM orders.
-pub(crate) fn take_uses(gateway: &Arc<Gateway>, uses: &[AdapterUse]) {
+pub(crate) fn take_uses(gateway: &Arc<Gateway>, vm: &VmName, uses: &[AdapterUse]) {
     let now = clock::now();
     for used in uses {
         let mut beliefs = gateway.beliefs();
         let beliefs = &mut *beliefs;
         let Some(book) = beliefs.books.get(&used.server) else { continue };
-        book.used(&used.key, used.count, now);
+        let told = ToldUse { vm, begun: used.count, running: used.running };
+        book.used(&used.key, &told, now);
         let again = book.was_again(&used.key).unwrap_or(false);
         if used.too_early {
             book.too_early(&used.key, LATER_US, now);
@@ -348,4 +350,15 @@
             book.missing(&used.key, now);
         }
     }
+    // An adapter that is idle now may make way for one that is wished for.
+    for used in uses.iter().filter(|used| used.running == 0) {
+        let (gateway, server) = (Arc::clone(gateway), used.server.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(IDLE_LOOK).await;
+            drive(&gateway, &server);
+        });
+    }
 }
+
+/// After a last use, the time until its adapter is idle and a little more.
+const IDLE_LOOK: Duration = Duration::from_millis(62);
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::backend::{AdapterHolding, LoadFigure, ServerOwner};
+use coltsfoothook_decision::id::ServerName;
+use coltsfoothook_decision::routing::AdapterKey;
 use coltsfoothook_telemetry::event;
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64;
@@ -155,7 +157,7 @@
             drop(beliefs);
             order::drive(gateway, &wish.server);
         }
-        PeerMessage::Uses(uses) => order::take_uses(gateway, &uses),
+        PeerMessage::Uses(vm, uses) => order::take_uses(gateway, &vm, &uses),
     }
 }
 
@@ -228,8 +230,25 @@
         }
     }
     drop(beliefs);
-    order::take_uses(gateway, &own);
+    let vm = &gateway.settings.vm;
+    order::take_uses(gateway, vm, &own);
     for (address, uses) in by_owner {
-        gateway.peers.send(&PeerMessage::Uses(uses), &[address]);
+        gateway.peers.send(&PeerMessage::Uses(vm.clone(), uses), &[address]);
+    }
+}
+
+/// Tells the VM that orders a server at once how an adapter is used there.
+pub(crate) fn tell_use(gateway: &Arc<Gateway>, server: &ServerName, key: &AdapterKey) {
+    let now = clock::now();
+    let mut beliefs = gateway.beliefs();
+    let Some(owner) = beliefs.backends.owner(server.as_str(), now).cloned() else { return };
+    let told = beliefs.uses.take_one(server, key);
+    let address = beliefs.roster.address(&owner.vm);
+    drop(beliefs);
+    let vm = &gateway.settings.vm;
+    if owner.vm == *vm {
+        order::take_uses(gateway, vm, &[told]);
+    } else if let Some(address) = address {
+        gateway.peers.send(&PeerMessage::Uses(vm.clone(), vec![told]), &[address]);
     }
 }
--- a/gateway/src/sent.rs
+++ b/gateway/src/sent.rs
@@ -5,6 +5,7 @@
 use coltsfoothook_decision::id::ServerName;
 use coltsfoothook_decision::routing::AdapterKey;
 
+use crate::peer;
 use crate::state::Gateway;
 
 /// Counts a request for as long as it lives, whatever way it ends.
@@ -26,10 +27,11 @@
         let gateway = Arc::clone(gateway);
         let mut beliefs = gateway.beliefs();
         beliefs.backends.sent(server.as_str(), unread);
-        if let Some(key) = &adapter {
-            beliefs.uses.begin(server, key);
-        }
+        let first = adapter.as_ref().filter(|key| beliefs.uses.begin(server, key));
         drop(beliefs);
+        if let Some(key) = first {
+            peer::tell_use(&gateway, server, key);
+        }
         Self { gateway, server: server.clone(), adapter, unread }
     }
 
@@ -46,8 +48,10 @@
     fn drop(&mut self) {
         let mut beliefs = self.gateway.beliefs();
         beliefs.backends.ended(self.server.as_str(), self.unread);
-        if let Some(key) = &self.adapter {
-            beliefs.uses.end(&self.server, key);
+        let last = self.adapter.as_ref().filter(|key| beliefs.uses.end(&self.server, key));
+        drop(beliefs);
+        if let Some(key) = last {
+            peer::tell_use(&self.gateway, &self.server, key);
         }
     }
 }
--- a/gateway/src/uses.rs
+++ b/gateway/src/uses.rs
@@ -2,37 +2,34 @@
 //!
 //! An adapter that is told to make way while a request uses it stays until that request ends, and its
 //! server takes no other order meanwhile: every load there waits for seconds. So owners are told of
-//! running requests, not only of new ones.
+//! running requests, not only of new ones: at once when the first begins and when the last ends, and
+//! again with each message of this VM's state.
 
 use coltsfoothook_decision::id::ServerName;
 use coltsfoothook_decision::routing::AdapterKey;
 
 use crate::message::AdapterUse;
 
-#[derive(Debug)]
-struct OpenUse {
-    told: AdapterUse,
-    running: u32,
-}
-
 /// The uses, sorted by server and adapter.
 #[derive(Debug, Default)]
 pub(crate) struct UseList {
-    uses: Vec<OpenUse>,
+    uses: Vec<AdapterUse>,
 }
 
 impl UseList {
-    /// A request goes to a server.
-    pub(crate) fn begin(&mut self, server: &ServerName, key: &AdapterKey) {
+    /// A request goes to a server; true if it is the first one on that adapter there.
+    pub(crate) fn begin(&mut self, server: &ServerName, key: &AdapterKey) -> bool {
         let open = self.open(server, key);
         open.running += 1;
-        open.told.count += 1;
+        open.count += 1;
+        open.running == 1
     }
 
-    /// A request ended there.
-    pub(crate) fn end(&mut self, server: &ServerName, key: &AdapterKey) {
+    /// A request ended there; true if it was the last one.
+    pub(crate) fn end(&mut self, server: &ServerName, key: &AdapterKey) -> bool {
         let open = self.open(server, key);
         open.running = open.running.saturating_sub(1);
+        open.running == 0
     }
 
     /// Notes how an adapter was met.
@@ -42,28 +39,26 @@
         key: &AdapterKey,
         change: impl FnOnce(&mut AdapterUse),
     ) {
-        change(&mut self.open(server, key).told);
+        change(self.open(server, key));
     }
 
-    /// What is to be told now; what is no longer used is forgotten.
+    /// What is to be told of one adapter now.
+    pub(crate) fn take_one(&mut self, server: &ServerName, key: &AdapterKey) -> AdapterUse {
+        self.open(server, key).take()
+    }
+
+    /// What is to be told of all now; what is no longer used is forgotten.
     pub(crate) fn take(&mut self) -> Vec<AdapterUse> {
-        let told = self.uses.iter_mut().map(|open| {
-            let fresh =
-                AdapterUse { count: 0, ..AdapterUse::of(&open.told.server, &open.told.key) };
-            std::mem::replace(&mut open.told, fresh)
-        });
-        let told = told.collect();
+        let told = self.uses.iter_mut().map(AdapterUse::take).collect();
         self.uses.retain(|open| open.running > 0);
         told
     }
 
-    fn open(&mut self, server: &ServerName, key: &AdapterKey) -> &mut OpenUse {
-        let found = self
-            .uses
-            .binary_search_by(|open| (&open.told.server, &open.told.key).cmp(&(server, key)));
+    fn open(&mut self, server: &ServerName, key: &AdapterKey) -> &mut AdapterUse {
+        let found =
+            self.uses.binary_search_by(|open| (&open.server, &open.key).cmp(&(server, key)));
         let at = found.unwrap_or_else(|at| {
-            let open = OpenUse { told: AdapterUse::of(server, key), running: 0 };
-            self.uses.insert(at, open);
+            self.uses.insert(at, AdapterUse::of(server, key));
             at
         });
         &mut self.uses[at]
