Orders go on while no VM reaches the platform's store; VMs take records from each other

VMs that start or fall behind while the store turns them away take configuration, versions and entries from others.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -26,13 +26,18 @@
 /// What a server in another failure domain must be cheaper by, in prompt tokens. It saves bytes
 /// between domains where servers are about equally loaded.
 const DOMAIN_TOKENS: u64 = 120;
-/// How many times the mean cost a holder must reach before another copy of an adapter is worth a
-/// place: below it copies push out adapters that others wait for.
-const COPY_RATIO: u64 = 1;
-/// The least cost, in prompt tokens, at which another copy is worth a place.
+/// A holder whose cost is this many hundredths of the mean and at least that many prompt tokens makes
+/// another copy of its adapter worth a place. Below it copies push out adapters that others wait for;
+/// at twice the mean the busiest servers were already late.
+const COPY_PERCENT: u64 = 130;
 const COPY_TOKENS: u64 = 4_000;
+/// A copy goes to a server whose cost is at most this many hundredths of the holder's.
+const COPY_TARGET_PERCENT: u64 = 67;
+/// A server that held an adapter lately gets it back while its cost is at most this many hundredths of
+/// the mean: loading it there takes a tenth of the time.
+const WARM_PERCENT: u64 = 200;
 /// Servers that are considered for a load, in the order of their hash with the adapter. A few keep an
-/// adapter coming back to a server that has it on its own disk, and still leave a choice.
+/// adapter coming back to a server that has it in its own memory, and still leave a choice.
 const LOAD_CHOICES: usize = 2;
 /// How long a server is avoided after the first failure, doubled up to the last for each further.
 const FIRST_AVOID_US: u64 = 150_000;
@@ -441,7 +446,7 @@
         let total: u64 = all.iter().map(|state| state.cost(typical, now)).sum();
         let mean = total / (all.len() as u64).max(1);
         let cost = best.cost(typical, now);
-        if cost < COPY_TOKENS.max(mean * 13 / 10) {
+        if cost < COPY_TOKENS.max(mean * COPY_PERCENT / 100) {
             return None;
         }
         let without: Vec<&BackendState> =
@@ -449,8 +454,11 @@
         if without.len() < all.len() && self.copy_coming(all, key, version, now) {
             return None;
         }
-        let target = self.load_target(&without, need, key, now)?;
-        (target.cost(typical, now) * 3 / 2 < cost).then(|| target.entry.server.clone())
+        // A copy is loaded to take load off its holder, so it goes to the server with the least.
+        let takes = |state: &&&BackendState| state.takes_loads(now);
+        let target = without.iter().filter(takes).min_by_key(|state| state.cost(typical, now))?;
+        (target.cost(typical, now) < cost * COPY_TARGET_PERCENT / 100)
+            .then(|| target.entry.server.clone())
     }
 
     fn copy_coming(
@@ -474,7 +482,7 @@
     ) -> Option<&'a BackendState> {
         let typical = self.typical(need.service);
         let owned = |state: &&&BackendState| state.active_owner(now).is_some();
-        let free = |state: &&&BackendState| state.active_owner(now).is_some_and(|o| o.free > 0);
+        let free = |state: &&&BackendState| state.takes_loads(now);
         let any_free = all.iter().any(|state| free(&state));
         let mut ranked: Vec<(u64, &BackendState)> = all
             .iter()
@@ -487,7 +495,7 @@
         let total: u64 = ranked.iter().map(|(_, state)| state.cost(typical, now)).sum();
         let mean = total / (ranked.len() as u64).max(1);
         if let Some((_, state)) = ranked.iter().filter(warm).min_by_key(cost)
-            && state.cost(typical, now) <= COPY_TOKENS.max(mean * 3 / 2)
+            && state.cost(typical, now) <= COPY_TOKENS.max(mean * WARM_PERCENT / 100)
         {
             return Some(state);
         }
@@ -650,6 +658,11 @@
         Some(self.holdings[at].version)
     }
 
+    /// Whether its owner could load an adapter there when it last told.
+    fn takes_loads(&self, now: TimePoint) -> bool {
+        self.active_owner(now).is_some_and(|owner| owner.free > 0)
+    }
+
     fn active_owner(&self, now: TimePoint) -> Option<&ServerOwner> {
         self.owner.as_ref().filter(|owner| now.since(owner.at) < OWNER_TRUST_US)
     }
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -110,7 +110,7 @@
 }
 
 /// The routes and services of one configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct RouteTable {
     /// The configuration's version.
     pub version: ConfigVersion,
--- a/decision/src/tenure.rs
+++ b/decision/src/tenure.rs
@@ -9,6 +9,10 @@
 //! * a VM that gains a share waits until orders of the holder before it must have ended. If it heard
 //!   that holder's lists, it counts from the last of them; else from the gain.
 //!
+//! While the store answers nobody, nobody can be dealt a share either, so holders go on: a lapsed VM
+//! orders as long as most VMs that it knows tell it that they cannot reach the store. Once one of them
+//! can, it stops, long before that one's pause is over.
+//!
 //! A process that starts anew within its lifetime still holds its shares, but does not know since when.
 //! It keeps a [`TenureRecord`] in the platform's store: if the generation there is still the current
 //! one, nobody else can have held the shares that it names.
@@ -63,6 +67,41 @@
     active_from: TimePoint,
 }
 
+/// What other VMs tell of the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreOutage {
+    /// Most VMs were heard of a moment ago, and none of them can reach it.
+    ForAll,
+    /// Some can reach it, or too few were heard of.
+    NotKnown,
+}
+
+/// How long ago a VM must have been heard of to count as a witness, in microseconds: a few messages.
+const WITNESS_FRESH_US: u64 = 600_000;
+/// For how long a witness must not have reached the store: longer than its usual pause between calls.
+const WITNESS_AWAY_US: u64 = 1_600_000;
+
+/// A VM as a witness of an outage.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreWitness {
+    /// When it was last heard of.
+    pub heard_at: TimePoint,
+    /// When its last successful call to the store was, on this process's clock.
+    pub reached_at: TimePoint,
+}
+
+/// Judges an outage by the VMs that were heard of lately, this one not among them.
+#[must_use]
+pub fn judge_outage(witnesses: &[StoreWitness], now: TimePoint) -> StoreOutage {
+    let fresh = |witness: &&StoreWitness| now.since(witness.heard_at) < WITNESS_FRESH_US;
+    let fresh: Vec<&StoreWitness> = witnesses.iter().filter(fresh).collect();
+    let away = fresh.iter().all(|witness| now.since(witness.reached_at) > WITNESS_AWAY_US);
+    // This VM counts too, so half of the others is more than half of all. Without any other VM
+    // nothing tells an outage from a cut.
+    let enough = !fresh.is_empty() && 2 * fresh.len() >= witnesses.len();
+    if enough && away { StoreOutage::ForAll } else { StoreOutage::NotKnown }
+}
+
 /// Why nobody else can have ordered a gained share's servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GainedSince {
@@ -150,9 +189,11 @@
         &self,
         server: &ServerName,
         other_at: Option<TimePoint>,
+        outage: StoreOutage,
         now: TimePoint,
     ) -> Option<u64> {
-        if now >= self.valid_until || self.generation <= self.refused {
+        let lapsed = now >= self.valid_until && outage == StoreOutage::NotKnown;
+        if lapsed || self.generation <= self.refused {
             return None;
         }
         let share = self.share_of(server);
--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -20,6 +20,7 @@
 use crate::answer::{AnswerStream, own_answer, whole_answer};
 use crate::clock;
 use crate::forward;
+use crate::share::{SHARED_PATH, shared_body};
 use crate::state::Gateway;
 
 /// Connections that may wait to be accepted: a burst must not lose opening packets, which are sent
@@ -129,11 +130,25 @@
     }
 }
 
+/// What other VMs may take.
+#[derive(Clone)]
+struct PeerFace(Arc<Gateway>);
+
+impl FaceService for PeerFace {
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerStream> {
+        if request.uri().path() != SHARED_PATH {
+            return own_answer(StatusCode::NOT_FOUND, "", None);
+        }
+        whole_answer(StatusCode::OK, HeaderMap::new(), shared_body(&self.0).into())
+    }
+}
+
 /// The listening sockets.
 pub(crate) struct FaceListeners {
     requests: TcpListener,
     ready: TcpListener,
     addresses: TcpListener,
+    peers: TcpListener,
     metrics: Option<TcpListener>,
 }
 
@@ -145,6 +160,7 @@
             requests: open(listen.requests)?,
             ready: open(listen.ready)?,
             addresses: open(listen.addresses)?,
+            peers: open(listen.peers)?,
             metrics: if listen.metrics.port() == 0 { None } else { Some(open(listen.metrics)?) },
         })
     }
@@ -155,6 +171,7 @@
         let (ready, addresses) = (ReadyFace(shared.clone()), AddressFace(shared.clone()));
         tokio::spawn(accept(shared.clone(), self.ready, ready, false));
         tokio::spawn(accept(shared.clone(), self.addresses, addresses, false));
+        tokio::spawn(accept(shared.clone(), self.peers, PeerFace(shared.clone()), false));
         if let Some(metrics) = self.metrics {
             tokio::spawn(accept(shared.clone(), metrics, MetricsFace(shared.clone()), false));
         }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -91,7 +91,7 @@
 
 /// Puts a configuration into force unless a newer one is. Old ones come from stale reads and from
 /// records that are read twice; going back would undo what callers have seen.
-fn take_table(gateway: &Arc<Gateway>, table: RouteTable) {
+pub(crate) fn take_table(gateway: &Arc<Gateway>, table: RouteTable) {
     let mut beliefs = gateway.beliefs();
     let before = beliefs.table.as_ref().map(|table| table.version);
     if before.is_some_and(|before| before >= table.version) {
@@ -243,6 +243,7 @@
 
     pub(crate) fn good(&mut self, gateway: &Gateway) {
         gateway.metrics.store_call(self.topic, "ok");
+        gateway.beliefs().store_reached_at = clock::now();
         let Some(since) = self.down_since.take() else { return };
         let now = clock::now();
         event!(LogUp, topic = self.topic, away_ms = now.since(since) / 1_000);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod run;
 mod sent;
 mod settings;
+mod share;
 mod state;
 mod uses;
 mod wish;
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use coltsfoothook_decision::id::{ServerName, VmName};
-use coltsfoothook_decision::routing::AdapterKey;
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
 use coltsfoothook_decision::value;
 
 /// The first byte of each datagram. Another release with other messages takes another number, and
@@ -33,6 +33,8 @@
         pub leaving: bool,
         /// The version of the configuration in force there.
         pub config: u64,
+        /// Milliseconds since its last successful call to the platform's store.
+        pub store_age_ms: u32,
         /// Its requests at servers.
         pub loads: Vec<ServerLoad>,
         /// Other VMs that it hears of.
@@ -103,6 +105,24 @@
         pub in_time: bool,
     }
 
+    /// What a VM that cannot read the platform's store takes from another one.
+    pub(crate) struct SharedState {
+        /// The configuration in force there.
+        pub table: Option<RouteTable>,
+        /// Named versions of adapters.
+        pub versions: Vec<SharedVersion>,
+        /// The servers' entries.
+        pub entries: Vec<BackendEntry>,
+    }
+
+    /// A named version of an adapter.
+    pub(crate) struct SharedVersion {
+        /// The adapter.
+        pub key: AdapterKey,
+        /// The version.
+        pub version: u64,
+    }
+
     /// A datagram.
     pub(crate) enum PeerMessage {
         /// A VM's state.
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -132,6 +132,8 @@
         ready: beliefs.table.is_some() && beliefs.servers_read,
         leaving: gateway.leaving(),
         config: beliefs.table.as_ref().map_or(0, |table| table.version.0),
+        store_age_ms: u32::try_from(clock::now().since(beliefs.store_reached_at) / 1_000)
+            .unwrap_or(u32::MAX),
         loads: beliefs.backends.own_loads().into_iter().map(load).collect(),
         others,
     }
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -16,7 +16,7 @@
 use crate::peer::PeerSocket;
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
-use crate::{follow, group, peer};
+use crate::{follow, group, peer, share};
 
 /// The part of the grace time in which a leaving VM still takes requests: callers use the addresses
 /// that they were told for some seconds more. A long stream that is taken later than that would be cut
@@ -72,6 +72,7 @@
     tokio::spawn(peer::tell(Arc::clone(&gateway)));
     tokio::spawn(follow::operators(Arc::clone(&gateway)));
     tokio::spawn(follow::servers(Arc::clone(&gateway)));
+    tokio::spawn(share::take_missing(Arc::clone(&gateway)));
     tokio::spawn(group::keep(Arc::clone(&gateway)));
     tokio::spawn(follow_settings(Arc::clone(&gateway), file.to_owned(), hup));
     tokio::select! {
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use coltsfoothook_decision::id::{TimePoint, VmName};
+use coltsfoothook_decision::tenure::StoreWitness;
 
 use crate::message::VmState;
 
@@ -10,6 +11,8 @@
 const READY_TRUST_US: u64 = 1_100_000;
 /// How long a silent VM is written to as one that lives.
 const LIVE_TRUST_US: u64 = 4_000_000;
+/// For how long a silent VM counts among those that an outage is judged by.
+const WITNESS_US: u64 = 10_000_000;
 /// How long the address of a silent VM is kept.
 const FORGET_US: u64 = 60_000_000;
 
@@ -20,6 +23,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) requests: SocketAddr,
     pub(crate) config: u64,
+    reached_at: TimePoint,
     incarnation: u64,
     sequence: u64,
     ready: bool,
@@ -130,9 +134,18 @@
         Some(self.peers[at].address)
     }
 
-    /// The newest configuration that a VM has.
-    pub(crate) fn newest_config(&self) -> u64 {
-        self.peers.iter().map(|peer| peer.config).max().unwrap_or(0)
+    /// The VMs that were heard of lately, as witnesses of an outage of the store.
+    pub(crate) fn witnesses(&self, now: TimePoint) -> Vec<StoreWitness> {
+        let known = self.peers.iter().filter(|peer| now.since(peer.heard_at) < WITNESS_US);
+        known
+            .map(|peer| StoreWitness { heard_at: peer.heard_at, reached_at: peer.reached_at })
+            .collect()
+    }
+
+    /// A live VM that has a newer configuration than `version`, the newest first.
+    pub(crate) fn ahead(&self, version: u64, now: TimePoint) -> Option<SocketAddr> {
+        let newer = self.peers.iter().filter(|peer| peer.lives(now) && peer.config > version);
+        newer.max_by_key(|peer| peer.config).map(|peer| peer.address)
     }
 }
 
@@ -143,6 +156,7 @@
             address,
             requests: state.requests,
             config: state.config,
+            reached_at: TimePoint(now.0.saturating_sub(u64::from(state.store_age_ms) * 1_000)),
             incarnation: state.incarnation,
             sequence: state.sequence,
             ready: state.ready,
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -17,7 +17,7 @@
         pub ready: SocketAddr = NOWHERE;
         /// For callers that ask which addresses to use.
         pub addresses: SocketAddr = NOWHERE;
-        /// For other VMs of the system, over UDP; the port is the same on all VMs.
+        /// For other VMs of the system, over UDP and TCP; the port is the same on all VMs.
         pub peers: SocketAddr = NOWHERE;
         /// For metrics.
         pub metrics: SocketAddr = NOWHERE;
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -8,7 +8,7 @@
 use coltsfoothook_decision::id::{ServerName, TimePoint, stable_hash};
 use coltsfoothook_decision::orderbook::LoadTimes;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
-use coltsfoothook_decision::tenure::{OrderTenure, TenureSettings};
+use coltsfoothook_decision::tenure::{OrderTenure, TenureSettings, judge_outage};
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings};
 use coltsfoothook_platform::{HttpMetadata, HttpServers, MetadataStore, ServerCalls};
 use rand::{Rng, SeedableRng};
@@ -64,6 +64,8 @@
     pub(crate) servers_read: bool,
     /// Servers without entry, and since when, sorted by name.
     pub(crate) lapsed: Vec<(String, TimePoint)>,
+    /// When the store last answered.
+    pub(crate) store_reached_at: TimePoint,
     /// When the store last answered after it had been away.
     pub(crate) store_back_at: Option<TimePoint>,
     /// How adapters were met, not yet told to those who order their servers.
@@ -126,6 +128,7 @@
             wishes: WishList::default(),
             servers_read: false,
             lapsed: Vec::new(),
+            store_reached_at: TimePoint(0),
             store_back_at: None,
             uses: UseList::default(),
             random: Pcg64::seed_from_u64(incarnation ^ stable_hash(&[settings.vm.as_str()])),
@@ -213,7 +216,8 @@
         // this VM may still reach the server.
         let by_lists = settings.promises.servers_check_fences;
         let other = self.backends.other_owner_at(server.as_str(), &settings.vm);
-        self.tenure.fence(server, other.filter(|_| by_lists), now)
+        let outage = judge_outage(&self.roster.witnesses(now), now);
+        self.tenure.fence(server, other.filter(|_| by_lists), outage, now)
     }
 
     /// How many VMs share budgets, this one included.
--- a/gateway/src/wish.rs
+++ b/gateway/src/wish.rs
@@ -88,11 +88,4 @@
     pub(crate) fn forget(&mut self, now: TimePoint) {
         self.wishes.retain(|wish| now.since(wish.sent_at) < FORGET_US);
     }
-
-    /// The adapter is there.
-    pub(crate) fn met(&mut self, key: &AdapterKey) {
-        if let Ok(at) = self.wishes.binary_search_by(|wish| wish.key.cmp(key)) {
-            self.wishes.remove(at);
-        }
-    }
 }
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -137,6 +137,7 @@
     AdapterAsked, "adapter_asked", Info, "A request waits for an adapter, and the VM that orders a server is asked to load it there.";
     AdapterVersionNamed, "adapter_version_named", Info, "The operators named a new version of an adapter.";
     SharesDealt, "shares_dealt", Info, "The platform dealt the shares of the fleet anew.";
+    CaughtUp, "caught_up", Info, "Records that the platform's store did not give were taken from another VM.";
     TenureRead, "tenure_read", Info, "A starting process found what its VM held before.";
     OrderGiven, "order_given", Info, "A backend server was given an order; `answer` is what it said.";
     ServerReported, "server_reported", Info, "A backend server was asked what it holds.";
