--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -395,8 +395,7 @@
         if self.held.iter().filter(coming).count() >= self.settings.transfers {
             return None;
         }
-        let holds_model =
-            |wish: &&LoadWish| self.models.iter().any(|model| *model == wish.key.model);
+        let holds_model = |wish: &&LoadWish| self.models.contains(&wish.key.model);
         let wish = self.wishes.iter().filter(holds_model).min_by_key(|wish| wish.since)?;
         let replaces = self.held.binary_search_by(|place| place.key.cmp(&wish.key)).is_ok();
         if replaces || self.held.len() < self.places {
@@ -440,6 +439,7 @@
                 self.carried_out(order, reply, times, now);
             }
             OrderReply::Conflict | OrderReply::Fenced | OrderReply::Refused => {
+                self.stays(order, now);
                 self.accepted = None;
                 self.ask_at = now.plus(self.settings.report_lag_us);
             }
@@ -457,16 +457,22 @@
     /// it is refused since the lost one was. So nothing needs to wait for the server's late report.
     fn lost(&mut self, order: &ServerOrder, now: TimePoint) {
         self.rest_until = now.plus(LOST_REST_US);
+        self.stays(order, now);
+        if matches!(order.action, OrderAction::LoadModel { .. }) {
+            self.accepted = None;
+            self.ask_at = now.plus(self.settings.lost_pause_us);
+        }
+    }
+
+    /// An adapter whose order to make way was not accepted can be used on. Left as it was, it would
+    /// stop all orders: they wait for adapters that make way.
+    fn stays(&mut self, order: &ServerOrder, now: TimePoint) {
         if let OrderAction::UnloadAdapter { key } = &order.action
             && let Some(place) = self.place_mut(key)
         {
             place.state = PlaceState::Held { usable_from: now, again: false };
             self.revision += 1;
         }
-        if matches!(order.action, OrderAction::LoadModel { .. }) {
-            self.accepted = None;
-            self.ask_at = now.plus(self.settings.lost_pause_us);
-        }
     }
 
     fn carried_out(
--- /dev/null
+++ b/decision/tests/suite/order_book.rs
@@ -0,0 +1,216 @@
+//! Orders to one server: what makes way, and that places are never overfilled.
+
+use coltsfoothook_decision::id::{TimePoint, VmName};
+use coltsfoothook_decision::orderbook::{
+    BookAction, BookSettings, LoadTimes, OrderAction, OrderBook, OrderReply, ServerOrder, ToldUse,
+};
+use coltsfoothook_decision::routing::{
+    AdapterKey, HeldAdapter, HeldModel, PendingAdapter, ServerReport,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+const PLACES: usize = 3;
+const MILLI: u64 = 1_000;
+
+fn key(name: &str) -> AdapterKey {
+    AdapterKey { model: "base".into(), adapter: name.into() }
+}
+
+fn report(orders: u64, adapters: &[&str]) -> ServerReport {
+    let adapters =
+        adapters.iter().map(|name| HeldAdapter { adapter: (*name).into(), version: 1 }).collect();
+    let models = vec![HeldModel { model: "base".into(), adapters }];
+    ServerReport { orders, busy: false, models, pending: Vec::new() }
+}
+
+/// A book of a server that reported `adapters`.
+fn known_book(adapters: &[&str], now: TimePoint) -> OrderBook {
+    let mut book = OrderBook::new(BookSettings::default(), PLACES, now);
+    assert_eq!(book.next(None, now), Some(BookAction::Ask));
+    book.reported(Some(&report(0, adapters)), &LoadTimes::default(), now);
+    book
+}
+
+fn next_order(book: &mut OrderBook, now: TimePoint) -> Option<ServerOrder> {
+    match book.next(None, now) {
+        Some(BookAction::Order(order)) => Some(order),
+        Some(BookAction::Ask) | None => None,
+    }
+}
+
+fn told(vm: &VmName, begun: u32, running: u32) -> ToldUse<'_> {
+    ToldUse { vm, begun, running }
+}
+
+/// A full server is asked for a fourth adapter while requests use two of its three. Told to make way,
+/// an adapter in use would stay until its run ends and the server would take no order meanwhile; so
+/// the third one goes, although it was used most.
+#[test]
+fn used_stay() {
+    let vm = VmName::from("a");
+    let begin = TimePoint(0);
+    let mut book = known_book(&["a1", "a2", "a3"], begin);
+    book.used(&key("a3"), &told(&vm, 50, 0), begin);
+    let now = begin.plus(500 * MILLI);
+    book.used(&key("a1"), &told(&vm, 1, 1), now);
+    book.used(&key("a2"), &told(&vm, 1, 1), now);
+    book.wish(&key("a4"), 1, now);
+    let order = next_order(&mut book, now).expect("one adapter is idle");
+    assert_eq!(order.action, OrderAction::UnloadAdapter { key: key("a3") });
+}
+
+/// All adapters are in use: nothing makes way, and the wish waits or is taken elsewhere.
+#[test]
+fn all_used() {
+    let vm = VmName::from("a");
+    let now = TimePoint(500 * MILLI);
+    let mut book = known_book(&["a1", "a2", "a3"], TimePoint(0));
+    for name in ["a1", "a2", "a3"] {
+        book.used(&key(name), &told(&vm, 1, 1), now);
+    }
+    book.wish(&key("a4"), 1, now);
+    assert_eq!(next_order(&mut book, now), None);
+    assert_eq!(book.free(now), 0);
+}
+
+/// An adapter was loaded for a request that is still on its way when the next wish comes. It is not
+/// taken away before that request could begin.
+#[test]
+fn awaited_stays() {
+    let now = TimePoint(0);
+    let mut book = known_book(&["a1", "a2"], now);
+    book.wish(&key("a3"), 1, now);
+    let order = next_order(&mut book, now).expect("there is a free place");
+    book.replied(&order, OrderReply::Accepted, &LoadTimes::default(), now);
+    let loaded = now.plus(LoadTimes::default().expected_us(false) + 100 * MILLI);
+    book.wish(&key("a4"), 1, loaded);
+    let order = next_order(&mut book, loaded).expect("others are idle");
+    assert_ne!(order.action, OrderAction::UnloadAdapter { key: key("a3") });
+}
+
+/// A server leaves a load unanswered. The next order follows on the same count after a short rest: if
+/// it is accepted, the lost one can never be carried out any more.
+#[test]
+fn lost_order() {
+    let now = TimePoint(0);
+    let mut book = known_book(&["a1"], now);
+    book.wish(&key("a2"), 1, now);
+    let lost = next_order(&mut book, now).expect("there is a free place");
+    book.replied(&lost, OrderReply::Lost, &LoadTimes::default(), now);
+    assert_eq!(next_order(&mut book, now), None);
+    let later = now.plus(100 * MILLI);
+    book.wish(&key("a2"), 1, later);
+    let again = next_order(&mut book, later).expect("the server had its rest");
+    assert_eq!(again.expected, lost.expected);
+}
+
+/// A server that works through runs before an adapter makes way takes no order; the book asks until
+/// the adapter is gone instead of sending orders that are refused.
+#[test]
+fn slow_unload() {
+    let now = TimePoint(500 * MILLI);
+    let mut book = known_book(&["a1", "a2", "a3"], TimePoint(0));
+    book.wish(&key("a4"), 1, now);
+    let unload = next_order(&mut book, now).expect("all are idle");
+    book.replied(&unload, OrderReply::Accepted, &LoadTimes::default(), now);
+    book.wish(&key("a5"), 1, now);
+    assert_eq!(next_order(&mut book, now), None);
+    let later = now.plus(450 * MILLI);
+    assert_eq!(book.next(None, later), Some(BookAction::Ask));
+    book.reported(Some(&report(1, &["a2", "a3"])), &LoadTimes::default(), later);
+    book.wish(&key("a4"), 1, later);
+    let load = next_order(&mut book, later).expect("a place is free");
+    assert_eq!(load.action, OrderAction::LoadAdapter { key: key("a4"), version: 1 });
+}
+
+/// A server that lost a model by a restart is empty: its base model comes first.
+#[test]
+fn empty_server() {
+    let now = TimePoint(0);
+    let mut book = OrderBook::new(BookSettings::default(), PLACES, now);
+    assert_eq!(book.next(None, now), Some(BookAction::Ask));
+    let empty = ServerReport { orders: 0, busy: false, models: Vec::new(), pending: Vec::new() };
+    book.reported(Some(&empty), &LoadTimes::default(), now);
+    assert!(book.is_empty());
+    let model = "base".into();
+    let Some(BookAction::Order(order)) = book.next(Some(&model), now) else {
+        panic!("the base model is to be loaded");
+    };
+    assert_eq!(order.action, OrderAction::LoadModel { model });
+}
+
+/// A server that counts orders, keeps some unanswered and carries those out late.
+struct LateServer {
+    accepted: u64,
+    held: Vec<AdapterKey>,
+    late: Vec<ServerOrder>,
+}
+
+impl LateServer {
+    /// Carries an order out if its count still stands.
+    fn carry_out(&mut self, order: &ServerOrder) -> OrderReply {
+        if order.expected != self.accepted {
+            return OrderReply::Conflict;
+        }
+        self.accepted += 1;
+        match &order.action {
+            OrderAction::LoadAdapter { key, .. } => {
+                if !self.held.contains(key) {
+                    self.held.push(key.clone());
+                }
+                assert!(self.held.len() <= PLACES, "the server was overfilled: {:?}", self.held);
+                OrderReply::Accepted
+            }
+            OrderAction::UnloadAdapter { key } => {
+                self.held.retain(|held| held != key);
+                OrderReply::Done
+            }
+            OrderAction::LoadModel { .. } => OrderReply::Accepted,
+        }
+    }
+
+    fn report(&self) -> ServerReport {
+        let half = self.held.len() / 2;
+        let names: Vec<&str> = self.held[..half].iter().map(|key| key.adapter.as_str()).collect();
+        let pending = self.held[half..]
+            .iter()
+            .map(|key| PendingAdapter { key: key.clone(), version: 1 })
+            .collect();
+        ServerReport { pending, ..report(self.accepted, &names) }
+    }
+}
+
+/// A third of the orders get no answer, and those are carried out at any later time or never. The
+/// server would crash if it were told to hold more adapters than it has places for; it never is.
+#[test]
+fn never_overfilled() {
+    for seed in 0..200 {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut server = LateServer { accepted: 0, held: Vec::new(), late: Vec::new() };
+        let mut book = OrderBook::new(BookSettings::default(), PLACES, TimePoint(0));
+        let times = LoadTimes::default();
+        let mut now = TimePoint(0);
+        for _ in 0..1_000 {
+            now = now.plus(u64::from(random.next_u32() % 200) * MILLI);
+            book.wish(&key(&format!("a{}", random.next_u32() % 9)), 1, now);
+            if random.next_u32().is_multiple_of(3) && !server.late.is_empty() {
+                let late = server.late.remove(0);
+                server.carry_out(&late);
+            }
+            match book.next(None, now) {
+                Some(BookAction::Ask) => book.reported(Some(&server.report()), &times, now),
+                Some(BookAction::Order(order)) if random.next_u32().is_multiple_of(3) => {
+                    server.late.push(order.clone());
+                    book.replied(&order, OrderReply::Lost, &times, now);
+                }
+                Some(BookAction::Order(order)) => {
+                    let reply = server.carry_out(&order);
+                    book.replied(&order, reply, &times, now);
+                }
+                None => {}
+            }
+        }
+        assert!(server.accepted > 20, "seed {seed}: orders stopped at {}", server.accepted);
+    }
+}
--- /dev/null
+++ b/decision/tests/suite/repeat_budget.rs
@@ -0,0 +1,48 @@
+//! How often requests may be sent again.
+
+use coltsfoothook_decision::budget::{RepeatBounds, RepeatBudget};
+use coltsfoothook_decision::id::{ServiceName, TimePoint};
+
+const SECOND: u64 = 1_000_000;
+
+fn count_allowed(budget: &mut RepeatBudget, vms: usize, now: TimePoint) -> usize {
+    let service = ServiceName::from("engines");
+    (0..1_000).take_while(|_| budget.again(&service, vms, now)).count()
+}
+
+/// Servers fail and each of six VMs would send all its requests again. All together stay within the
+/// share of requests and the slack that operators allow, whatever the moment.
+#[test]
+fn all_vms_together() {
+    let bounds = RepeatBounds { ratio: 0.2, slack: 60.0, window_us: 10 * SECOND };
+    let mut repeats = 0;
+    for _ in 0..6 {
+        let mut budget = RepeatBudget::new(bounds);
+        for request in 0..100 {
+            budget.first(&ServiceName::from("engines"), TimePoint(request * SECOND / 10));
+        }
+        repeats += count_allowed(&mut budget, 6, TimePoint(10 * SECOND));
+    }
+    assert!(repeats > 60, "only {repeats} repeats were allowed");
+    assert!(repeats <= 120 + 60, "{repeats} repeats were allowed");
+}
+
+/// Repeats come back as the window slides on, and not before.
+#[test]
+fn window_slides() {
+    let bounds = RepeatBounds { ratio: 0.0, slack: 10.0, window_us: 10 * SECOND };
+    let mut budget = RepeatBudget::new(bounds);
+    let first = count_allowed(&mut budget, 1, TimePoint(20 * SECOND));
+    assert!(first > 0);
+    assert_eq!(count_allowed(&mut budget, 1, TimePoint(25 * SECOND)), 0);
+    assert_eq!(count_allowed(&mut budget, 1, TimePoint(31 * SECOND)), first);
+}
+
+/// Services do not share a budget.
+#[test]
+fn services_apart() {
+    let mut budget = RepeatBudget::new(RepeatBounds { slack: 10.0, ..RepeatBounds::default() });
+    let now = TimePoint(20 * SECOND);
+    assert!(count_allowed(&mut budget, 1, now) > 0);
+    assert!(budget.again(&ServiceName::from("plain"), 1, now));
+}
--- /dev/null
+++ b/decision/tests/suite/server_choice.rs
@@ -0,0 +1,199 @@
+//! Which server a request goes to, and where an adapter is loaded.
+
+use coltsfoothook_decision::backend::{
+    AdapterHolding, BackendTable, EntryChange, LoadFigure, ServerChoice, ServerNeed, ServerOwner,
+};
+use coltsfoothook_decision::id::{DomainName, ModelName, ServerName, ServiceName, TimePoint};
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel};
+
+const SECOND: u64 = 1_000_000;
+
+fn key(name: &str) -> AdapterKey {
+    AdapterKey { model: "base".into(), adapter: name.into() }
+}
+
+fn entry(server: &str, heartbeat: u64) -> BackendEntry {
+    BackendEntry {
+        server: server.into(),
+        service: "engines".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "d1".into(),
+        slots: 64,
+        ready: true,
+        heartbeat,
+        models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
+    }
+}
+
+/// A table of `count` servers that one VM orders, each holding the adapters that `held` gives.
+fn table(count: usize, held: impl Fn(usize) -> Vec<&'static str>, now: TimePoint) -> BackendTable {
+    let mut table = BackendTable::default();
+    for number in 0..count {
+        let server = format!("s{number}");
+        table.entry(entry(&server, 1), now);
+        list(&mut table, &server, &held(number), now);
+    }
+    table
+}
+
+fn list(table: &mut BackendTable, server: &str, adapters: &[&str], now: TimePoint) {
+    let owner = ServerOwner { vm: "a".into(), fence: 1, at: now, free: 4 };
+    let holdings = adapters
+        .iter()
+        .map(|name| AdapterHolding { key: key(name), version: 1, usable_from: TimePoint(0) })
+        .collect();
+    assert!(table.list(server, owner, now.0, holdings));
+}
+
+/// What a request for `adapter` needs, with the owned parts that it borrows.
+struct Need {
+    service: ServiceName,
+    model: ModelName,
+    key: AdapterKey,
+    domain: DomainName,
+    not: Vec<ServerName>,
+}
+
+impl Need {
+    fn new(adapter: &str) -> Self {
+        Self {
+            service: "engines".into(),
+            model: "base".into(),
+            key: key(adapter),
+            domain: "d1".into(),
+            not: Vec::new(),
+        }
+    }
+
+    fn choose(&self, table: &BackendTable, draw: u64, now: TimePoint) -> ServerChoice {
+        let need = ServerNeed {
+            service: &self.service,
+            model: Some(&self.model),
+            adapter: Some((&self.key, 1)),
+            not: &self.not,
+            domain: &self.domain,
+        };
+        table.choose(&need, draw, now)
+    }
+}
+
+fn sent_to(choice: &ServerChoice) -> &str {
+    match choice {
+        ServerChoice::Send { server, .. } => server.as_str(),
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+/// Requests go where their adapter is held, and to the less loaded of two holders.
+#[test]
+fn lighter_holder() {
+    let now = TimePoint(SECOND);
+    let mut table = table(4, |number| if number < 2 { vec!["a1"] } else { vec![] }, now);
+    let need = Need::new("a1");
+    table.sent("s0", 5_000);
+    assert_eq!(sent_to(&need.choose(&table, 7, now)), "s1");
+    let figure = LoadFigure { running: 40, unread: 20_000 };
+    table.peer_load(&"b".into(), "s1", figure, now);
+    assert_eq!(sent_to(&need.choose(&table, 7, now)), "s0");
+}
+
+/// An adapter that comes and goes is loaded at the same server each time, whichever VM asks: that
+/// server still has it in its own memory.
+#[test]
+fn comes_back() {
+    let now = TimePoint(SECOND);
+    let table_of = |held: bool| {
+        let mut table = table(8, |_| vec![], now);
+        if held {
+            list(&mut table, "s5", &["a1"], now.plus(1));
+            list(&mut table, "s5", &[], now.plus(2));
+        }
+        table
+    };
+    let load = |table: &BackendTable, draw| Need::new("a1").choose(table, draw, now);
+    let ServerChoice::Load { server } = load(&table_of(false), 1) else { panic!("it is nowhere") };
+    let again = ServerChoice::Load { server };
+    assert_eq!(load(&table_of(false), 99), again);
+    assert_eq!(load(&table_of(true), 1), ServerChoice::Load { server: "s5".into() });
+}
+
+/// The holder of a popular adapter has far more to do than the others: requests still go there, and a
+/// copy is loaded at the server with the least to do.
+#[test]
+fn popular_copy() {
+    let now = TimePoint(SECOND);
+    let mut table = table(4, |number| if number == 0 { vec!["a1"] } else { vec![] }, now);
+    let busy = |running| LoadFigure { running, unread: 100 * u64::from(running) };
+    for (server, running) in [("s0", 60), ("s1", 20), ("s2", 20), ("s3", 5)] {
+        table.peer_load(&"b".into(), server, busy(running), now);
+    }
+    let choice = Need::new("a1").choose(&table, 1, now);
+    let copy = Some("s3".into());
+    assert_eq!(choice, ServerChoice::Send { server: "s0".into(), copy });
+    // A copy on its way is enough.
+    let owner = ServerOwner { vm: "a".into(), fence: 1, at: now, free: 4 };
+    let coming = AdapterHolding { key: key("a1"), version: 1, usable_from: now.plus(SECOND) };
+    table.list("s3", owner, now.0 + 1, vec![coming]);
+    let choice = Need::new("a1").choose(&table, 1, now);
+    assert_eq!(choice, ServerChoice::Send { server: "s0".into(), copy: None });
+}
+
+/// Lists can overtake each other. An older one of the same owner, or one of a deposed owner, changes
+/// nothing: requests would go to a server that has dropped the adapter.
+#[test]
+fn old_lists() {
+    let now = TimePoint(SECOND);
+    let mut table = table(1, |_| vec!["a1"], now);
+    let holdings = vec![AdapterHolding { key: key("a2"), version: 1, usable_from: TimePoint(0) }];
+    let owner = |vm: &str, fence| ServerOwner { vm: vm.into(), fence, at: now, free: 0 };
+    assert!(!table.list("s0", owner("a", 1), 3, holdings.clone()));
+    assert!(table.list("s0", owner("b", 2), 1, holdings.clone()));
+    assert!(!table.list("s0", owner("a", 1), u64::MAX, holdings));
+    assert_eq!(sent_to(&Need::new("a2").choose(&table, 1, now)), "s0");
+}
+
+/// A server said that it leaves. A heartbeat from before that comes late, and an entry from a stale
+/// read comes after it was removed: neither brings it work again.
+#[test]
+fn leaving_stays() {
+    let now = TimePoint(SECOND);
+    let mut table = table(1, |_| vec!["a1"], now);
+    let leaving = BackendEntry { ready: false, ..entry("s0", 5) };
+    assert_eq!(table.entry(leaving, now), EntryChange::Leaving);
+    assert_eq!(table.entry(entry("s0", 4), now), EntryChange::Nothing);
+    assert_eq!(table.entry(entry("s0", 6), now), EntryChange::Nothing);
+    assert_eq!(Need::new("a1").choose(&table, 1, now), ServerChoice::Nowhere);
+    assert_eq!(table.remove("s0"), EntryChange::Gone);
+    assert_eq!(table.entry(entry("s0", 6), now), EntryChange::Nothing);
+    assert!(table.get("s0").is_none());
+}
+
+/// A server that cannot be reached is avoided while there is another, and used again at once where it
+/// is the only one that can serve.
+#[test]
+fn unreachable_last() {
+    let now = TimePoint(SECOND);
+    let mut table = table(2, |_| vec!["a1"], now);
+    let need = Need::new("a1");
+    table.unreachable("s0", now);
+    assert_eq!(sent_to(&need.choose(&table, 1, now)), "s1");
+    table.unreachable("s1", now);
+    let only = Need { not: vec!["s1".into()], ..Need::new("a1") };
+    assert_eq!(sent_to(&only.choose(&table, 1, now)), "s0");
+}
+
+/// A server answers with good health and fails half of its requests. It costs more than its idle
+/// neighbours and gets little.
+#[test]
+fn failing_server() {
+    let now = TimePoint(SECOND);
+    let mut table = table(3, |_| vec!["a1"], now);
+    for _ in 0..40 {
+        table.answered("s0", false, None);
+        table.answered("s1", true, None);
+        table.answered("s2", true, None);
+    }
+    let need = Need::new("a1");
+    let to_failing = (0..300).filter(|draw| sent_to(&need.choose(&table, *draw, now)) == "s0");
+    assert_eq!(to_failing.count(), 0);
+}
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -30,7 +30,7 @@
 async fn main() -> ExitCode {
     let arguments = demo_arguments().run();
     let level = if arguments.logs { LogLevel::Info } else { LogLevel::Error };
-    let logs = LogSettings { level, libraries: LogLevel::Error };
+    let logs = LogSettings { level, libraries: LogLevel::Error, ..LogSettings::default() };
     if let Err(error) = start_logs(&logs) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
--- a/entry/tests/suite/settings_page.rs
+++ b/entry/tests/suite/settings_page.rs
@@ -2,6 +2,7 @@
 
 use coltsfoothook_ctl::CtlSettings;
 use coltsfoothook_entry::EntrySettings;
+use coltsfoothook_gateway::GatewaySettings;
 use coltsfoothook_settings::{parse_settings, reference_page, reference_rows};
 use coltsfoothook_standin::{
     EngineServerSettings, PlatformServerSettings, ServiceServerSettings, StoreServerSettings,
@@ -22,6 +23,7 @@
 fn page_in_step() {
     let sections = [
         reference_page("coltsfoothook-entry", &reference_rows::<EntrySettings>()),
+        reference_page("coltsfoothook-gateway", &reference_rows::<GatewaySettings>()),
         reference_page("coltsfoothook-ctl", &reference_rows::<CtlSettings>()),
         reference_page("coltsfoothook-standin-engine", &reference_rows::<EngineServerSettings>()),
         reference_page("coltsfoothook-standin-service", &reference_rows::<ServiceServerSettings>()),
--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::JoinSet;
 
 use crate::answer::{AnswerStream, own_answer, whole_answer};
 use crate::clock;
@@ -165,18 +166,18 @@
         })
     }
 
-    /// Serves them until callers' connections are told to end.
-    pub(crate) fn serve(self, gateway: &Arc<Gateway>) {
+    /// Serves them until callers' connections are told to end, or `tasks` end.
+    pub(crate) fn serve(self, gateway: &Arc<Gateway>, tasks: &mut JoinSet<()>) {
         let shared = Arc::clone(gateway);
         let (ready, addresses) = (ReadyFace(shared.clone()), AddressFace(shared.clone()));
-        tokio::spawn(accept(shared.clone(), self.ready, ready, false));
-        tokio::spawn(accept(shared.clone(), self.addresses, addresses, false));
-        tokio::spawn(accept(shared.clone(), self.peers, PeerFace(shared.clone()), false));
+        tasks.spawn(accept(shared.clone(), self.ready, ready, false));
+        tasks.spawn(accept(shared.clone(), self.addresses, addresses, false));
+        tasks.spawn(accept(shared.clone(), self.peers, PeerFace(shared.clone()), false));
         if let Some(metrics) = self.metrics {
-            tokio::spawn(accept(shared.clone(), metrics, MetricsFace(shared.clone()), false));
+            tasks.spawn(accept(shared.clone(), metrics, MetricsFace(shared.clone()), false));
         }
         let requests = RequestFace(shared.clone());
-        tokio::spawn(accept(shared, self.requests, requests, true));
+        tasks.spawn(accept(shared, self.requests, requests, true));
     }
 }
 
@@ -196,15 +197,18 @@
     callers: bool,
 ) {
     let mut closing = gateway.closing.subscribe();
+    // Connections end with the listener's task, not with the listener: at a stop they finish first.
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing), if callers => return,
+            _ = closing.wait_for(|closing| *closing), if callers => break,
         };
         match accepted {
             Ok((stream, _)) => {
                 let (gateway, service) = (Arc::clone(&gateway), service.clone());
-                tokio::spawn(connection(gateway, stream, service));
+                connections.spawn(connection(gateway, stream, service));
             }
             Err(error) => {
                 event!(AcceptFailed, cause = error);
@@ -212,6 +216,9 @@
             }
         }
     }
+    // No new connections from now on.
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 async fn connection(gateway: Arc<Gateway>, stream: TcpStream, service: impl FaceService) {
--- /dev/null
+++ b/gateway/src/find.rs
@@ -0,0 +1,167 @@
+//! Finds a server for a request, and has its adapter loaded if need be.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfoothook_decision::backend::{ServerChoice, ServerNeed, longest_wait};
+use coltsfoothook_decision::id::{ServerName, TimePoint};
+use coltsfoothook_decision::routing::AdapterKey;
+use coltsfoothook_telemetry::event;
+use tokio::time::timeout;
+
+use crate::clock;
+use crate::message::{AdapterWish, PeerMessage};
+use crate::order;
+use crate::run::RequestRun;
+use crate::state::{Beliefs, Gateway};
+use crate::wish::WishStep;
+
+/// Less time than this is not worth a send: it goes by on the way.
+pub(crate) const LEAST_LEFT: Duration = Duration::from_millis(10);
+/// How long a waiting request sleeps at most before it looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(60);
+/// How long a request whose service has no server that takes it waits for one: entries of servers
+/// are read every 600 ms, so one that just came is known within it.
+const NOWHERE_WAIT: Duration = Duration::from_millis(700);
+
+/// Finds a server that can run the request, waiting for its adapter if need be.
+pub(crate) async fn find_server(run: &mut RequestRun) -> Result<ServerName, &'static str> {
+    let gateway = Arc::clone(&run.gateway);
+    let from = clock::now();
+    let patience = longest_wait(run.left().min(run.route.silence()));
+    let mut nowhere_from: Option<TimePoint> = None;
+    let found = loop {
+        let changed = gateway.changed.notified();
+        let now = clock::now();
+        if run.left() < LEAST_LEFT {
+            break Err("deadline");
+        }
+        let waited = Duration::from_micros(now.since(from));
+        let (choice, wish) = choose(run, now);
+        if let Some((key, version, server)) = wish {
+            ask_for(&gateway, &key, version, &server, now);
+        }
+        let pause = match choice {
+            ServerChoice::Send { server, .. } => break Ok(server),
+            ServerChoice::Wait { until } => {
+                nowhere_from = None;
+                Duration::from_micros(until.since(now)).min(LOOK_AGAIN)
+            }
+            ServerChoice::Load { .. } => {
+                nowhere_from = None;
+                LOOK_AGAIN
+            }
+            ServerChoice::Nowhere => {
+                let since = *nowhere_from.get_or_insert(now);
+                if Duration::from_micros(now.since(since)) > NOWHERE_WAIT {
+                    break Err("no_server");
+                }
+                LOOK_AGAIN
+            }
+        };
+        if waited > patience {
+            break Err("adapter_wait");
+        }
+        // A millisecond more than asked: timers may be early by a part of one.
+        let _ = timeout(pause + Duration::from_millis(1), changed).await;
+    };
+    run.stall += Duration::from_micros(clock::now().since(from));
+    found
+}
+
+/// Chooses a server, and an adapter that should be loaded somewhere.
+fn choose(
+    run: &RequestRun,
+    now: TimePoint,
+) -> (ServerChoice, Option<(AdapterKey, u64, ServerName)>) {
+    let mut beliefs = run.gateway.beliefs();
+    let draw = beliefs.draw();
+    let need = run.head.need.as_ref();
+    let key = need.and_then(|need| need.adapter.as_ref());
+    let (oldest, newest) = key.map_or((0, 0), |key| beliefs.usable_versions(run, key, now));
+    let not = run.avoided.clone();
+    let domain = &run.gateway.settings.domain;
+    let server_need = |not, version| ServerNeed {
+        service: &run.service,
+        model: need.map(|need| &need.model),
+        adapter: key.map(|key| (key, version)),
+        not,
+        domain,
+    };
+    let choice = beliefs.backends.choose(&server_need(&not, oldest), draw, now);
+    let Some(key) = key else { return (choice, None) };
+    match &choice {
+        ServerChoice::Send { copy: Some(server), .. } => {
+            let wish = (key.clone(), newest, server.clone());
+            (choice, Some(wish))
+        }
+        ServerChoice::Send { copy: None, .. } if oldest < newest => {
+            // Served on the version before while the new one is loaded elsewhere.
+            let ahead = beliefs.backends.choose(&server_need(&not, newest), draw, now);
+            let wish = match ahead {
+                ServerChoice::Load { server } => Some((key.clone(), newest, server)),
+                _ => None,
+            };
+            (choice, wish)
+        }
+        ServerChoice::Load { .. } => {
+            let mut elsewhere = not.clone();
+            elsewhere.extend(beliefs.wishes.tried(key));
+            match beliefs.backends.choose(&server_need(&elsewhere, oldest), draw, now) {
+                ServerChoice::Load { server } => {
+                    let wish = (key.clone(), newest, server.clone());
+                    (ServerChoice::Load { server }, Some(wish))
+                }
+                _ => (choice, None),
+            }
+        }
+        _ => (choice, None),
+    }
+}
+
+/// The part of the time for a new version in which the one before is still used.
+const OLD_VERSION_PART: f64 = 0.5;
+
+impl Beliefs {
+    /// The oldest version of an adapter that a request may run on, and the newest that was named.
+    fn usable_versions(&self, run: &RequestRun, key: &AdapterKey, now: TimePoint) -> (u64, u64) {
+        let Some(named) = self.named(key) else { return (1, 1) };
+        let allowed = run.gateway.settings.promises.version_ms as f64 * OLD_VERSION_PART;
+        let young = now.since(named.at) < (allowed * 1_000.0) as u64;
+        let oldest = if young && named.before > 0 { named.before } else { named.version };
+        (oldest, named.version)
+    }
+}
+
+/// Asks the VM that orders a server to load an adapter there.
+fn ask_for(
+    gateway: &Arc<Gateway>,
+    key: &AdapterKey,
+    version: u64,
+    server: &ServerName,
+    now: TimePoint,
+) {
+    let mut beliefs = gateway.beliefs();
+    let step = beliefs.wishes.ask(key, server, now);
+    let WishStep::Send(server) = step else { return };
+    let Some(owner) = beliefs.backends.owner(server.as_str(), now).cloned() else { return };
+    let own = owner.vm == gateway.settings.vm;
+    let address = beliefs.roster.address(&owner.vm);
+    if own && let Some(book) = beliefs.books.get(&server) {
+        book.wish(key, version, now);
+    }
+    drop(beliefs);
+    event!(
+        AdapterAsked,
+        adapter = key.adapter,
+        version = version,
+        server = server,
+        owner = owner.vm
+    );
+    if own {
+        order::drive(gateway, &server);
+    } else if let Some(address) = address {
+        let wish = AdapterWish { server, key: key.clone(), version };
+        gateway.peers.send(&PeerMessage::Wish(wish), &[address]);
+    }
+}
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -109,8 +109,8 @@
     loop {
         let mut next = match gateway.store.newest(KeyedTopic::Servers).await {
             Ok(page) => {
-                health.good(&gateway);
-                apply_snapshot(&gateway, &page);
+                let was_away = health.good(&gateway);
+                apply_snapshot(&gateway, &page, was_away);
                 page.next
             }
             Err(error) => {
@@ -123,8 +123,8 @@
             sleep(SERVER_PAUSE).await;
             match gateway.store.read(KeyedTopic::Servers, next, Duration::ZERO).await {
                 Ok(page) => {
-                    health.good(&gateway);
-                    apply_servers(&gateway, &page.records);
+                    let was_away = health.good(&gateway);
+                    apply_servers(&gateway, &page.records, was_away);
                     next = page.next;
                 }
                 Err(MetadataError::Compacted { first }) => {
@@ -141,8 +141,8 @@
 }
 
 /// Takes all entries; servers without one are treated as if it was removed.
-fn apply_snapshot(gateway: &Arc<Gateway>, page: &RecordPage) {
-    apply_servers(gateway, &page.records);
+fn apply_snapshot(gateway: &Arc<Gateway>, page: &RecordPage, was_away: bool) {
+    apply_servers(gateway, &page.records, was_away);
     let mut beliefs = gateway.beliefs();
     beliefs.servers_read = true;
     let now = clock::now();
@@ -154,19 +154,20 @@
         .filter(|name| !page.records.iter().any(|record| record.key == *name))
         .collect();
     for server in gone {
-        beliefs.lapse(&server, now);
+        beliefs.lapse(&server, was_away, now);
     }
     drop(beliefs);
     remove_lapsed(gateway);
 }
 
-fn apply_servers(gateway: &Arc<Gateway>, records: &[KeyedRecord]) {
+/// Takes changes of entries. Those of the first look after an outage may have lapsed in it.
+fn apply_servers(gateway: &Arc<Gateway>, records: &[KeyedRecord], was_away: bool) {
     let now = clock::now();
     let mut fresh = Vec::new();
     let mut beliefs = gateway.beliefs();
     for record in records {
         let Some(value) = &record.value else {
-            beliefs.lapse(&record.key, now);
+            beliefs.lapse(&record.key, was_away, now);
             continue;
         };
         let entry = match read_registration(&record.key, value) {
@@ -198,28 +199,35 @@
     gateway.changed.notify_waiters();
 }
 
-/// Removes servers without entry, unless the store was away a moment ago.
+/// Removes servers whose entry is gone and does not come back.
 fn remove_lapsed(gateway: &Arc<Gateway>) {
     let now = clock::now();
     let mut beliefs = gateway.beliefs();
-    let back = beliefs.store_back_at;
-    if back.is_some_and(|back| now.since(back) < LAPSE_US) {
-        return;
-    }
-    for (server, since) in std::mem::take(&mut beliefs.lapsed) {
+    let due: Vec<String> = beliefs
+        .lapsed
+        .iter()
+        .filter(|(_, until)| now >= *until)
+        .map(|(name, _)| name.clone())
+        .collect();
+    for server in due {
+        beliefs.unlapse(&server);
         if beliefs.backends.remove(&server) == EntryChange::Gone {
-            event!(ServerGone, server = server, lapsed_ms = now.since(since) / 1_000);
+            event!(ServerGone, server = server);
         }
     }
 }
 
 impl Beliefs {
-    fn lapse(&mut self, server: &str, now: TimePoint) {
+    /// A server's entry was removed. One that lapsed while the store was away gets two seconds to come
+    /// back. All others are gone at once: held longer, a leaving server would get new work.
+    fn lapse(&mut self, server: &str, was_away: bool, now: TimePoint) {
         if self.backends.get(server).is_none() {
             return;
         }
-        if let Err(at) = self.lapsed.binary_search_by(|(name, _)| name.as_str().cmp(server)) {
-            self.lapsed.insert(at, (server.to_owned(), now));
+        let until = if was_away { now.plus(LAPSE_US) } else { now };
+        match self.lapsed.binary_search_by(|(name, _)| name.as_str().cmp(server)) {
+            Ok(at) => self.lapsed[at].1 = self.lapsed[at].1.min(until),
+            Err(at) => self.lapsed.insert(at, (server.to_owned(), until)),
         }
     }
 
@@ -241,13 +249,14 @@
         Self { topic, down_since: None }
     }
 
-    pub(crate) fn good(&mut self, gateway: &Gateway) {
+    /// The store answered; true if it had been away.
+    pub(crate) fn good(&mut self, gateway: &Gateway) -> bool {
         gateway.metrics.store_call(self.topic, "ok");
-        gateway.beliefs().store_reached_at = clock::now();
-        let Some(since) = self.down_since.take() else { return };
         let now = clock::now();
+        gateway.beliefs().store_reached_at = now;
+        let Some(since) = self.down_since.take() else { return false };
         event!(LogUp, topic = self.topic, away_ms = now.since(since) / 1_000);
-        gateway.beliefs().store_back_at = Some(now);
+        true
     }
 
     pub(crate) fn bad(&mut self, gateway: &Gateway, error: &MetadataError) {
--- /dev/null
+++ b/gateway/src/outcome.rs
@@ -0,0 +1,173 @@
+//! What follows a send to a server: an answer to the caller, or another try.
+
+use std::time::Duration;
+
+use coltsfoothook_decision::id::ServerName;
+use coltsfoothook_exchange::ExchangeAnswer;
+use coltsfoothook_platform::{AnswerHead, pass_on};
+use coltsfoothook_telemetry::event;
+use http::{Response, StatusCode};
+use tokio::time::timeout;
+
+use crate::answer::{AnswerStream, own_answer, whole_answer};
+use crate::clock;
+use crate::find::LEAST_LEFT;
+use crate::relay::StreamRelay;
+use crate::run::RequestRun;
+use crate::send::{ANSWER_SLACK, JUST_LOADED_US};
+
+/// After a server's word that it is still loading.
+const LOADING_PAUSE: Duration = Duration::from_millis(40);
+/// When a caller should come back after a refusal, in seconds: a cold adapter is loaded by then, and
+/// the caller has most of its time left.
+const COME_BACK_S: f64 = 0.4;
+/// The longest body of a plain answer that is held until it is whole.
+const MOST_WHOLE_BYTES: usize = 8 << 20;
+
+/// What to do after a send.
+pub(crate) enum NextStep {
+    /// Look for a server again, after a pause.
+    Again(Duration),
+    /// The request is answered.
+    Finished(Box<Response<AnswerStream>>),
+}
+
+/// What follows a server's own answer.
+pub(crate) enum AfterAnswer {
+    /// The caller gets it.
+    Finished(Box<Response<AnswerStream>>),
+    /// Another server may do better.
+    Again(Box<RequestRun>),
+}
+
+impl AfterAnswer {
+    fn finished(answer: Response<AnswerStream>) -> Self {
+        Self::Finished(Box::new(answer))
+    }
+}
+
+/// A server's own answer came.
+pub(crate) async fn answered(
+    mut run: RequestRun,
+    server: ServerName,
+    answer: ExchangeAnswer,
+) -> AfterAnswer {
+    run.ran += 1;
+    let status = answer.status;
+    let failed = status.is_server_error();
+    let may_again = failed
+        && run.route.repeat.may_repeat()
+        && run.ran < run.route.most_servers
+        && status != StatusCode::GATEWAY_TIMEOUT
+        && run.left() > LEAST_LEFT;
+    let stream = run.route.repeat.is_stream() && status.is_success();
+    if stream {
+        return AfterAnswer::finished(StreamRelay::answer(run, server, answer));
+    }
+    let (headers, pace) = (answer.headers.clone(), run.elapsed());
+    let body = timeout(run.left() + ANSWER_SLACK, answer.body.collect(MOST_WHOLE_BYTES)).await;
+    let body = body.map_err(|_| "timed out".to_owned());
+    let body = body.and_then(|whole| whole.map_err(|error| error.to_string()));
+    {
+        let mut beliefs = run.gateway.beliefs();
+        let good = !failed && body.is_ok();
+        let pace = good.then_some(pace.as_micros() as f64);
+        beliefs.backends.answered(server.as_str(), good, pace);
+    }
+    let body = match body {
+        Ok(body) => body,
+        Err(cause) => return finish_or_again(run, server, cause),
+    };
+    if may_again {
+        run.avoided.push(server);
+        return AfterAnswer::Again(Box::new(run));
+    }
+    run.first = Some(run.elapsed());
+    run.status = status.as_u16();
+    run.end(if failed { "server_failed" } else { "done" }, "");
+    AfterAnswer::finished(whole_answer(status, pass_on(&headers), body))
+}
+
+fn finish_or_again(mut run: RequestRun, server: ServerName, cause: String) -> AfterAnswer {
+    run.ran -= 1;
+    match unknown(&mut run, server, cause) {
+        NextStep::Again(_) => AfterAnswer::Again(Box::new(run)),
+        NextStep::Finished(answer) => AfterAnswer::Finished(answer),
+    }
+}
+
+/// A server did not run the request.
+pub(crate) fn not_run(
+    run: &mut RequestRun,
+    server: &ServerName,
+    answer: ExchangeAnswer,
+    head: &AnswerHead,
+) -> NextStep {
+    let now = clock::now();
+    let status = answer.status;
+    let key = run.head.need.as_ref().and_then(|need| need.adapter.clone());
+    let mut beliefs = run.gateway.beliefs();
+    let state = beliefs.backends.get(server.as_str());
+    let usable_from = state.and_then(|state| state.usable_since(key.as_ref()?));
+    let just_loaded = usable_from.is_some_and(|from| now.since(from) < JUST_LOADED_US);
+    event!(
+        RequestNotRun,
+        request_id = run.head.id,
+        server = server,
+        status = status.as_u16(),
+        usable_ms? = usable_from.map(|from| now.since(from) / 1_000),
+        known = head.id.is_some(),
+    );
+    if just_loaded {
+        drop(beliefs);
+        run.met_adapter(server, |used| used.too_early = true);
+        return NextStep::Again(LOADING_PAUSE);
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST
+        && let Some(key) = &key
+        && usable_from.is_some()
+    {
+        beliefs.backends.not_held(server.as_str(), key);
+        drop(beliefs);
+        run.met_adapter(server, |used| used.missing = true);
+        return NextStep::Again(Duration::ZERO);
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        // Another life has the address; the entry of this one lags.
+        beliefs.backends.unreachable(server.as_str(), now);
+    }
+    run.avoided.push(server.clone());
+    NextStep::Again(Duration::ZERO)
+}
+
+/// A server may have run the request, and there is no answer.
+pub(crate) fn unknown(run: &mut RequestRun, server: ServerName, cause: String) -> NextStep {
+    run.ran += 1;
+    run.avoided.push(server);
+    let again = run.route.repeat.may_repeat()
+        && run.ran < run.route.most_servers
+        && run.left() > LEAST_LEFT;
+    if again {
+        return NextStep::Again(Duration::ZERO);
+    }
+    let status =
+        if run.left() < LEAST_LEFT { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+    run.status = status.as_u16();
+    run.end("failed", cause);
+    NextStep::Finished(Box::new(own_answer(status, &run.head.id, None)))
+}
+
+/// The final answer of a request that no server runs any more.
+pub(crate) fn give_up(mut run: RequestRun, reason: &'static str) -> Response<AnswerStream> {
+    let (status, outcome) = if run.ran == 0 {
+        (StatusCode::SERVICE_UNAVAILABLE, "refused")
+    } else if reason == "deadline" {
+        (StatusCode::GATEWAY_TIMEOUT, "failed")
+    } else {
+        (StatusCode::BAD_GATEWAY, "failed")
+    };
+    run.status = status.as_u16();
+    run.end(outcome, reason);
+    let retry = (run.ran == 0).then_some(COME_BACK_S);
+    own_answer(status, &run.head.id, retry)
+}
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -10,6 +10,7 @@
 use coltsfoothook_telemetry::event;
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use crate::face::FaceListeners;
@@ -47,39 +48,85 @@
     },
 }
 
+/// A running gateway process. Dropping it ends it at once, as a kill does.
+pub struct GatewayProcess {
+    gateway: Arc<Gateway>,
+    // Its tasks end when it is dropped.
+    _tasks: JoinSet<()>,
+}
+
+impl GatewayProcess {
+    /// Opens the sockets and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// If a socket cannot be opened.
+    pub async fn start(settings: GatewaySettings) -> Result<Self, GatewayError> {
+        let peers = PeerSocket::bind(settings.listen.peers).await.context(ListenSnafu)?;
+        let gateway = Arc::new(Gateway::new(settings, peers));
+        let listeners = FaceListeners::open(&gateway).context(ListenSnafu)?;
+        hint_seeds(&gateway);
+        event!(
+            ProcessStarted,
+            incarnation = gateway.incarnation,
+            domain = gateway.settings.domain,
+            requests = gateway.settings.listen.requests,
+            first_start = gateway.settings.first_start,
+        );
+        let mut tasks = JoinSet::new();
+        listeners.serve(&gateway, &mut tasks);
+        tasks.spawn(peer::listen(Arc::clone(&gateway)));
+        tasks.spawn(peer::tell(Arc::clone(&gateway)));
+        tasks.spawn(follow::operators(Arc::clone(&gateway)));
+        tasks.spawn(follow::servers(Arc::clone(&gateway)));
+        tasks.spawn(share::take_missing(Arc::clone(&gateway)));
+        tasks.spawn(group::keep(Arc::clone(&gateway)));
+        Ok(Self { gateway, _tasks: tasks })
+    }
+
+    /// Ends without cutting a request: callers are sent elsewhere first, connections end as their
+    /// requests do, and the process ends when all have or the grace time is nearly over.
+    pub async fn stop(self) {
+        let gateway = &self.gateway;
+        let begun = Instant::now();
+        let grace = Duration::from_secs(gateway.settings.promises.grace_s);
+        gateway.leave();
+        event!(ShutdownStarted, open = gateway.open.load(Ordering::Relaxed));
+        peer::tell_once(gateway);
+        // The VM stays in the group: a process that starts anew within its lifetime goes on with its
+        // shares, while leaving would move them twice.
+        sleep((grace.mul_f64(ACCEPT_PART)).saturating_sub(begun.elapsed())).await;
+        gateway.closing.send_replace(true);
+        let last = grace.saturating_sub(LAST_MOMENT);
+        while gateway.open.load(Ordering::Relaxed) > 0 && begun.elapsed() < last {
+            sleep(END_LOOK).await;
+        }
+        let open = gateway.open.load(Ordering::Relaxed);
+        if open > 0 {
+            event!(ShutdownOverdue, open = open);
+        }
+        // What was written last is still on its way out of this process's buffers.
+        sleep(END_LOOK).await;
+        event!(ProcessStopped, took_ms = begun.elapsed().as_millis());
+    }
+}
+
 /// Serves until SIGTERM or SIGINT, then ends without cutting a request.
 ///
 /// # Errors
 ///
-/// If a socket cannot be opened.
+/// If a socket cannot be opened or signals cannot be received.
 pub async fn run_gateway(settings: GatewaySettings, file: &Path) -> Result<(), GatewayError> {
-    let peers = PeerSocket::bind(settings.listen.peers).await.context(ListenSnafu)?;
-    let gateway = Arc::new(Gateway::new(settings, peers));
-    let listeners = FaceListeners::open(&gateway).context(ListenSnafu)?;
     let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut int = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
     let hup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
-    hint_seeds(&gateway);
-    event!(
-        ProcessStarted,
-        incarnation = gateway.incarnation,
-        domain = gateway.settings.domain,
-        requests = gateway.settings.listen.requests,
-        first_start = gateway.settings.first_start,
-    );
-    listeners.serve(&gateway);
-    tokio::spawn(peer::listen(Arc::clone(&gateway)));
-    tokio::spawn(peer::tell(Arc::clone(&gateway)));
-    tokio::spawn(follow::operators(Arc::clone(&gateway)));
-    tokio::spawn(follow::servers(Arc::clone(&gateway)));
-    tokio::spawn(share::take_missing(Arc::clone(&gateway)));
-    tokio::spawn(group::keep(Arc::clone(&gateway)));
-    tokio::spawn(follow_settings(Arc::clone(&gateway), file.to_owned(), hup));
+    let process = GatewayProcess::start(settings).await?;
+    tokio::spawn(follow_settings(Arc::clone(&process.gateway), file.to_owned(), hup));
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    stop(&gateway).await;
+    process.stop().await;
     Ok(())
 }
 
@@ -91,31 +138,6 @@
     }
 }
 
-/// Ends without cutting a request: callers are sent elsewhere first, connections end as their requests
-/// do, and the process ends when all have or the grace time is nearly over.
-async fn stop(gateway: &Arc<Gateway>) {
-    let begun = Instant::now();
-    let grace = Duration::from_secs(gateway.settings.promises.grace_s);
-    gateway.leave();
-    event!(ShutdownStarted, open = gateway.open.load(Ordering::Relaxed));
-    peer::tell_once(gateway);
-    // The VM stays in the group: a process that starts anew within its lifetime goes on with its
-    // shares, while leaving would move them twice.
-    sleep((grace.mul_f64(ACCEPT_PART)).saturating_sub(begun.elapsed())).await;
-    gateway.closing.send_replace(true);
-    let last = grace.saturating_sub(LAST_MOMENT);
-    while gateway.open.load(Ordering::Relaxed) > 0 && begun.elapsed() < last {
-        sleep(END_LOOK).await;
-    }
-    let open = gateway.open.load(Ordering::Relaxed);
-    if open > 0 {
-        event!(ShutdownOverdue, open = open);
-    }
-    // What was written last is still on its way out of this process's buffers.
-    sleep(END_LOOK).await;
-    event!(ProcessStopped, took_ms = begun.elapsed().as_millis());
-}
-
 /// Takes changes of the settings file that can be taken without a restart.
 async fn follow_settings(gateway: Arc<Gateway>, file: PathBuf, mut hup: Signal) {
     let mut known = gateway.settings.clone();
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -6,23 +6,32 @@
 use coltsfoothook_decision::id::ServerName;
 use coltsfoothook_decision::routing::RepeatRule;
 use coltsfoothook_exchange::{AnswerBody, ExchangeAnswer};
+use coltsfoothook_platform::pass_on;
 use coltsfoothook_telemetry::event;
 use futures::StreamExt;
-use http::Response;
+use http::{HeaderMap, Response, header};
 use hyper::body::Frame;
 use tokio::time::{Instant, Sleep};
 
 use crate::answer::{AnswerStream, BrokenAnswer, streamed_answer};
 use crate::clock;
 use crate::event_scan::EventScan;
-use crate::forward::{SendEnd, send, stream_headers};
+use crate::find::find_server;
 use crate::run::RequestRun;
+use crate::send::{SendEnd, send};
 
 /// What a stream may last beyond its due time: the server ends it itself at that time.
 const DUE_SLACK: Duration = Duration::from_millis(200);
 /// A stream with less time left is not resumed.
 const LEAST_RESUME: Duration = Duration::from_millis(150);
 
+/// Headers of a stream's answer as they go to the caller.
+fn stream_headers(from: &HeaderMap) -> HeaderMap {
+    let mut headers = pass_on(from);
+    headers.remove(header::CONTENT_LENGTH);
+    headers
+}
+
 /// A stream on its way.
 pub(crate) struct StreamRelay {
     run: RequestRun,
@@ -159,7 +168,7 @@
         if !run.gateway.beliefs().budget.again(&run.service, vms, now) {
             return false;
         }
-        let Ok(server) = crate::forward::find_server(run).await else { return false };
+        let Ok(server) = find_server(run).await else { return false };
         event!(
             StreamResumed,
             request_id = run.head.id,
@@ -170,7 +179,7 @@
         );
         run.ran += 1;
         match send(run, &server, last.as_deref()).await {
-            SendEnd::Answer(answer, _) if answer.status.is_success() => {
+            SendEnd::Answer(answer) if answer.status.is_success() => {
                 self.body = Some(answer.body);
                 self.server = server;
                 true
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -141,7 +141,7 @@
         let adapter = self.head.need.as_ref().and_then(|need| need.adapter.as_ref());
         let adapter = adapter.map(|key| key.adapter.as_str());
         let first_ms = self.first.map(|first| first.as_millis());
-        let stall_ms = (!self.stall.is_zero()).then(|| self.stall.as_millis());
+        let stall_ms = (!self.stall.is_zero()).then_some(self.stall.as_millis());
         let reason = (!self.reason.is_empty()).then_some(self.reason.as_str());
         event!(
             RequestDone,
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -62,12 +62,10 @@
     pub(crate) wishes: WishList,
     /// Whether the servers' entries were read once.
     pub(crate) servers_read: bool,
-    /// Servers without entry, and since when, sorted by name.
+    /// Servers without entry, and when they are taken to be gone, sorted by name.
     pub(crate) lapsed: Vec<(String, TimePoint)>,
     /// When the store last answered.
     pub(crate) store_reached_at: TimePoint,
-    /// When the store last answered after it had been away.
-    pub(crate) store_back_at: Option<TimePoint>,
     /// How adapters were met, not yet told to those who order their servers.
     pub(crate) uses: UseList,
     pub(crate) random: Pcg64,
@@ -129,7 +127,6 @@
             servers_read: false,
             lapsed: Vec::new(),
             store_reached_at: TimePoint(0),
-            store_back_at: None,
             uses: UseList::default(),
             random: Pcg64::seed_from_u64(incarnation ^ stable_hash(&[settings.vm.as_str()])),
         };
--- /dev/null
+++ b/gateway/tests/suite/adapter_loads.rs
@@ -0,0 +1,109 @@
+//! Adapters are loaded for the requests that wait for them, under one fencing number.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::site::{Site, eventually};
+
+/// A cold adapter is asked for: it is ordered once for all who wait, and each gets its own answer.
+#[tokio::test]
+async fn cold_adapter() {
+    let site = Site::start(2, 0).await;
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    let asked = (0..8).map(|number| {
+        let gateway = &gateway;
+        async move { gateway.ask("stream", &format!("r{number}"), "a1").await }
+    });
+    let answers = futures::future::join_all(asked).await;
+    for (number, answer) in answers.iter().enumerate() {
+        assert!(answer.whole && answer.body.contains(&format!("data: r{number} 1")), "{answer:?}");
+    }
+    let orders: usize = site.engines.iter().map(|engine| engine.orders().len()).sum();
+    assert_eq!(orders, 1);
+}
+
+/// Five adapters are asked for in turn of two servers with two places each. Others make way, and no
+/// server is told to hold more than it has places for.
+#[tokio::test]
+async fn make_way() {
+    let site = Site::start(2, 0).await;
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    for number in 0..10 {
+        let adapter = format!("a{}", number % 5);
+        let mut answer = gateway.ask("stream", &format!("r{number}"), &adapter).await;
+        if answer.status == 503 {
+            answer = gateway.ask("stream", &format!("again-{number}"), &adapter).await;
+        }
+        assert_eq!(answer.status, 200, "{adapter}: {answer:?}");
+        sleep(Duration::from_millis(350)).await;
+    }
+    for engine in &site.engines {
+        let mut held: Vec<String> = Vec::new();
+        for order in engine.orders() {
+            let adapter = order["adapter"].as_str().unwrap().to_owned();
+            held.retain(|other| *other != adapter);
+            if order["operation"] == "load" {
+                held.push(adapter);
+            }
+            assert!(held.len() <= 2, "{} held {held:?}", engine.name);
+        }
+    }
+}
+
+/// A new version is named. Requests run on it once it is loaded, and on the one before no longer than
+/// the operators allow; a server is told which version a request expects.
+#[tokio::test]
+async fn new_version() {
+    let site = Site::start(1, 0).await;
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    assert_eq!(gateway.ask("stream", "r0", "a1").await.status, 200);
+    let version = json!({ "model": "base", "adapter": "a1", "version": 2 });
+    site.store.write("keyed.op", "version/base.a1", Some(&version));
+    let loaded = async || {
+        gateway.ask("stream", "again", "a1").await;
+        site.engines[0].orders().iter().any(|order| order["version"] == 2)
+    };
+    eventually("the new version is ordered", loaded).await;
+}
+
+/// Of two VMs one holds the shares. The other's requests for cold adapters are served all the same,
+/// and every order carries the holder's name and number.
+#[tokio::test]
+async fn other_vm_orders() {
+    let site = Site::start(2, 0).await;
+    let first = site.gateway("vm-1", &[]).await;
+    first.wait_ready().await;
+    sleep(Duration::from_millis(600)).await;
+    let second = site.gateway("vm-2", &[&first]).await;
+    second.wait_ready().await;
+    let served = async || second.ask("stream", "r", "a7").await.status == 200;
+    eventually("the second VM serves a cold adapter", served).await;
+    let orders = site.engines.iter().flat_map(|engine| engine.orders());
+    for order in orders {
+        assert_eq!(order["holder"], "vm-1");
+    }
+}
+
+/// The store is away for longer than a share's lifetime. Cold adapters go on being loaded only while
+/// other VMs confirm the outage; held ones are served in any case.
+#[tokio::test]
+async fn store_away() {
+    let site = Site::start(1, 0).await;
+    let first = site.gateway("vm-1", &[]).await;
+    first.wait_ready().await;
+    assert_eq!(first.ask("stream", "r0", "a1").await.status, 200);
+    sleep(Duration::from_millis(600)).await;
+    let second = site.gateway("vm-2", &[&first]).await;
+    second.wait_ready().await;
+    sleep(Duration::from_millis(600)).await;
+    site.store.set_down(true);
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(first.ask("stream", "r1", "a1").await.status, 200);
+    let cold = async || first.ask("stream", "r2", "a2").await.status == 200;
+    eventually("a cold adapter is served without the store", cold).await;
+}
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -1,1 +1,11 @@
-//! Tests of the gateway.
+//! Tests of the gateway against stand-ins of the platform, one file a feature.
+
+mod adapter_loads;
+mod broken_answers;
+mod config_follow;
+mod peer_records;
+mod server;
+mod site;
+mod store;
+mod vm_leaves;
+mod wire_names;
--- /dev/null
+++ b/gateway/tests/suite/peer_records.rs
@@ -0,0 +1,30 @@
+//! VMs that the store turns away take records from others.
+
+use crate::site::{Site, eventually};
+
+/// The store is down when a VM starts. It takes configuration and servers from a VM that knows them,
+/// and serves.
+#[tokio::test]
+async fn start_without_store() {
+    let site = Site::start(0, 1).await;
+    let first = site.gateway("vm-1", &[]).await;
+    first.wait_ready().await;
+    site.store.set_down(true);
+    let second = site.gateway("vm-2", &[&first]).await;
+    second.wait_ready().await;
+    assert_eq!(second.call("/safe/1", "r1", &[]).await.status, 200);
+}
+
+/// Callers are told of every VM that is ready, and not of one that has ended.
+#[tokio::test]
+async fn ready_addresses() {
+    let site = Site::start(0, 1).await;
+    let first = site.gateway("vm-1", &[]).await;
+    let second = site.gateway("vm-2", &[&first]).await;
+    let both = async || first.addresses().await.len() == 2 && second.addresses().await.len() == 2;
+    eventually("both VMs are told of", both).await;
+    let own = first.listen.requests;
+    drop(second);
+    let alone = async || first.addresses().await == [own];
+    eventually("the VM that ended is told of no more", alone).await;
+}
--- /dev/null
+++ b/gateway/tests/suite/site.rs
@@ -0,0 +1,242 @@
+//! A small site on loopback: the store, servers, and gateways as callers see them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfoothook_exchange::{ExchangeAnswer, ExchangeClient, ExchangeRequest, ExchangeSettings};
+use coltsfoothook_gateway::{
+    GatewayProcess, GatewaySettings, ListenSettings, PromiseSettings, StoreSettings,
+};
+use futures::StreamExt;
+use http::{HeaderName, HeaderValue};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::server::{MODEL, StandinServer};
+use crate::store::StandinStore;
+
+/// The longest that a test waits for something.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub(crate) struct Site {
+    pub(crate) store: StandinStore,
+    pub(crate) engines: Vec<StandinServer>,
+    pub(crate) plain: Vec<StandinServer>,
+    heartbeat: u64,
+    /// The port on which VMs talk to each other, the same for all; each has a loopback address.
+    peer_port: u16,
+}
+
+/// A gateway and where it listens.
+pub(crate) struct RunningGateway {
+    pub(crate) process: GatewayProcess,
+    pub(crate) listen: ListenSettings,
+}
+
+/// What a caller got.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct CallerAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    /// Whether the answer came to its end.
+    pub(crate) whole: bool,
+    pub(crate) retry_after: Option<String>,
+}
+
+impl Site {
+    /// A site with a configuration and servers that are registered.
+    pub(crate) async fn start(engines: usize, plain: usize) -> Self {
+        let store = StandinStore::start().await;
+        let mut site = Self {
+            store,
+            engines: Vec::new(),
+            plain: Vec::new(),
+            heartbeat: 1,
+            peer_port: free_port("127.0.0.1").port(),
+        };
+        for number in 0..engines {
+            site.engines.push(StandinServer::start(&format!("e-{number}")).await);
+        }
+        for number in 0..plain {
+            site.plain.push(StandinServer::start(&format!("p-{number}")).await);
+        }
+        site.configure(1, "plain");
+        site.register("ready");
+        site
+    }
+
+    /// Publishes a configuration whose `/moved/` goes to `service`.
+    pub(crate) fn configure(&self, version: u64, service: &str) {
+        let route = |name: &str, kind: &str, service: &str, attempts: u64, resumable: bool| {
+            json!({
+                "name": name, "host": "a.example", "path_prefix": format!("/{name}/"),
+                "kind": kind, "timeout_ms": 4_000, "target_latency_ms": 500, "priority": 0,
+                "service": service, "max_attempts": attempts, "resumable": resumable,
+                "target_gap_ms": 100,
+            })
+        };
+        let model = json!({ "name": MODEL, "weights_mb": 10.0, "adapters": 9, "adapter_mb": 1.0 });
+        let engine = json!({
+            "slots": 8, "kv_capacity_tokens": 10_000, "models": [model], "weights_mb": 20.0,
+            "adapter_slots": 2, "loads_per_s": 5.0,
+        });
+        let config = json!({
+            "version": version,
+            "routes": [
+                route("safe", "safe", "plain", 2, false),
+                route("once", "unsafe", "plain", 1, false),
+                route("moved", "safe", service, 1, false),
+                route("stream", "streaming", "engines", 1, false),
+                route("resumed", "streaming", "engines", 2, true),
+            ],
+            "services": [
+                { "name": "engines", "max_connections": 50, "engine": engine },
+                { "name": "plain", "max_connections": 50 },
+                { "name": "elsewhere", "max_connections": 50 },
+            ],
+            "limits": {
+                "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            },
+        });
+        self.store.write("keyed.op", "config", Some(&config));
+    }
+
+    /// Each server writes its entry.
+    pub(crate) fn register(&mut self, state: &str) {
+        self.heartbeat += 1;
+        for server in &self.engines {
+            let entry = server.entry("engines", self.heartbeat, state);
+            self.store.write("keyed.servers", &server.name, Some(&entry));
+        }
+        for server in &self.plain {
+            let entry = server.entry("plain", self.heartbeat, state);
+            self.store.write("keyed.servers", &server.name, Some(&entry));
+        }
+    }
+
+    /// One server writes that it leaves.
+    pub(crate) fn drain(&mut self, server: &StandinServer, service: &str) {
+        self.heartbeat += 1;
+        let entry = server.entry(service, self.heartbeat, "draining");
+        self.store.write("keyed.servers", &server.name, Some(&entry));
+    }
+
+    /// Starts the gateway of `vm-N` on free ports.
+    pub(crate) async fn gateway(&self, vm: &str, seeds: &[&RunningGateway]) -> RunningGateway {
+        let number: u8 = vm.trim_start_matches("vm-").parse().unwrap();
+        let listen = free_ports(SocketAddr::from(([127, 0, 0, number], self.peer_port)));
+        let settings = GatewaySettings {
+            vm: vm.into(),
+            domain: "d1".into(),
+            listen: listen.clone(),
+            seeds: seeds.iter().map(|seed| seed.listen.peers).collect(),
+            first_start: true,
+            store: StoreSettings { address: self.store.address, ..StoreSettings::default() },
+            promises: PromiseSettings {
+                grace_s: 3,
+                servers_check_fences: true,
+                ..PromiseSettings::default()
+            },
+            ..GatewaySettings::default()
+        };
+        let process = GatewayProcess::start(settings).await.unwrap();
+        RunningGateway { process, listen }
+    }
+}
+
+impl RunningGateway {
+    pub(crate) async fn ready(&self) -> bool {
+        let answer = get(self.listen.ready, "/v1/ready").await;
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
+    pub(crate) async fn wait_ready(&self) {
+        eventually("the gateway is ready", async || self.ready().await).await;
+    }
+
+    /// The addresses that it tells callers to use.
+    pub(crate) async fn addresses(&self) -> Vec<SocketAddr> {
+        let path = "/v1/resolve?name=a.example&region=r&zone=d1";
+        let Some(answer) = get(self.listen.addresses, path).await else { return Vec::new() };
+        let body: Value = serde_json::from_slice(answer.body.as_bytes()).unwrap_or_default();
+        serde_json::from_value(body["addresses"].clone()).unwrap_or_default()
+    }
+
+    /// Sends a request as a caller does.
+    pub(crate) async fn call(
+        &self,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> CallerAnswer {
+        call(self.listen.requests, path, id, headers).await.expect("the gateway answers")
+    }
+
+    /// The same with an adapter.
+    pub(crate) async fn ask(&self, route: &str, id: &str, adapter: &str) -> CallerAnswer {
+        let model = format!("{MODEL}/{adapter}");
+        let headers = [("coltsfoothook-model", &*model), ("coltsfoothook-token-count", "100,8")];
+        self.call(&format!("/{route}/x"), id, &headers).await
+    }
+}
+
+pub(crate) async fn call(
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+) -> Option<CallerAnswer> {
+    let mut request = ExchangeRequest::post_json(path, "{\"a\":1}");
+    let mut set = |name: &str, value: &str| {
+        let name = HeaderName::from_bytes(name.as_bytes()).unwrap();
+        request.headers.insert(name, HeaderValue::from_str(value).unwrap());
+    };
+    set("host", "a.example");
+    set("coltsfoothook-request-id", id);
+    set("coltsfoothook-deadline-ms", "5000");
+    for (name, value) in headers {
+        set(name, value);
+    }
+    read(client().send(address, request).await.ok()?).await
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<CallerAnswer> {
+    read(client().send(address, ExchangeRequest::get(path)).await.ok()?).await
+}
+
+fn client() -> ExchangeClient {
+    ExchangeClient::new(ExchangeSettings::default())
+}
+
+async fn read(mut answer: ExchangeAnswer) -> Option<CallerAnswer> {
+    let retry_after = answer.headers.get("retry-after").map(|v| v.to_str().unwrap().to_owned());
+    let (mut bytes, mut whole) = (Vec::new(), true);
+    while let Some(piece) = answer.body.next().await {
+        match piece {
+            Ok(piece) => bytes.extend_from_slice(&piece),
+            Err(_) => whole = false,
+        }
+    }
+    let body = String::from_utf8_lossy(&bytes).into_owned();
+    Some(CallerAnswer { status: answer.status.as_u16(), body, whole, retry_after })
+}
+
+fn free_port(ip: &str) -> SocketAddr {
+    let listener = std::net::TcpListener::bind((ip, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn free_ports(peers: SocketAddr) -> ListenSettings {
+    let free = || free_port("127.0.0.1");
+    ListenSettings { requests: free(), ready: free(), addresses: free(), peers, metrics: free() }
+}
+
+/// Waits until `holds`, and fails after a long time.
+pub(crate) async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let begun = std::time::Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < PATIENCE, "{what}: not within {PATIENCE:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/gateway/tests/suite/store.rs
@@ -0,0 +1,233 @@
+//! A stand-in of the platform's store: topics with the newest record of each key, and one group.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+const PARTS: u64 = 12;
+
+struct KeyedLine {
+    key: String,
+    value: Option<Vec<u8>>,
+}
+
+struct GroupMember {
+    name: String,
+    joined: Instant,
+}
+
+#[derive(Default)]
+struct StoreState {
+    topics: Vec<(String, Vec<KeyedLine>)>,
+    /// The oldest kept offset of each topic, once history was dropped.
+    first: Vec<(String, usize)>,
+    members: Vec<GroupMember>,
+    generation: u64,
+}
+
+/// The store. Clones share it.
+#[derive(Clone)]
+pub(crate) struct StandinStore {
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<Notify>,
+    down: Arc<AtomicBool>,
+}
+
+impl StandinStore {
+    pub(crate) async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store = Self {
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+            changed: Arc::default(),
+            down: Arc::default(),
+        };
+        let served = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = served.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(|request| store.answer(request));
+                    let stream = TokioIo::new(stream);
+                    let _ = http1::Builder::new().serve_connection(stream, service).await;
+                });
+            }
+        });
+        store
+    }
+
+    /// Writes a record, or drops its key.
+    pub(crate) fn write(&self, topic: &str, key: &str, value: Option<&Value>) {
+        let value = value.map(|value| value.to_string().into_bytes());
+        self.append(topic, key, value);
+    }
+
+    fn append(&self, topic: &str, key: &str, value: Option<Vec<u8>>) {
+        let mut state = self.state.lock().unwrap();
+        let line = KeyedLine { key: key.to_owned(), value };
+        match state.topics.iter_mut().find(|(name, _)| name == topic) {
+            Some((_, lines)) => lines.push(line),
+            None => state.topics.push((topic.to_owned(), vec![line])),
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Answers nothing but 503 from now on, or serves again.
+    pub(crate) fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
+    /// Drops all history; the newest record of each key stays.
+    pub(crate) fn compact(&self) {
+        let mut state = self.state.lock().unwrap();
+        let ends = state.topics.iter().map(|(name, lines)| (name.clone(), lines.len()));
+        state.first = ends.collect();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let body = request.into_body().collect().await.unwrap().to_bytes();
+        if self.down.load(Ordering::SeqCst) {
+            return Ok(respond(StatusCode::SERVICE_UNAVAILABLE, "{}"));
+        }
+        let field = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
+        };
+        let topic = field("topic").unwrap_or_default();
+        Ok(match path.as_str() {
+            "/v1/log-newest" => respond(StatusCode::OK, &self.newest(&topic).to_string()),
+            "/v1/log-read" => {
+                let from = field("from").unwrap().parse().unwrap();
+                let wait = field("wait_ms").map_or(0, |wait| wait.parse().unwrap());
+                self.read(&topic, from, Duration::from_millis(wait)).await
+            }
+            "/v1/log-append" => {
+                let key_length = usize::from(body[4]);
+                let key = String::from_utf8(body[5..5 + key_length].to_vec()).unwrap();
+                self.append(&topic, &key, Some(body[5 + key_length..].to_vec()));
+                respond(StatusCode::OK, r#"{"offset":0,"end":1}"#)
+            }
+            "/v1/log-join" => {
+                let join: Value = serde_json::from_slice(&body).unwrap();
+                respond(StatusCode::OK, &self.join(&join).to_string())
+            }
+            "/v1/log-owners" => respond(StatusCode::OK, r#"{"parts":[]}"#),
+            _ => respond(StatusCode::NOT_FOUND, "{}"),
+        })
+    }
+
+    fn newest(&self, topic: &str) -> Value {
+        let state = self.state.lock().unwrap();
+        let found = state.topics.iter().find(|(name, _)| name == topic);
+        let lines = found.map_or(&[][..], |(_, lines)| lines);
+        let mut items: Vec<Value> = Vec::new();
+        for (offset, line) in lines.iter().enumerate() {
+            items.retain(|item| item["key"] != line.key.as_str());
+            if let Some(value) = &line.value {
+                let value = base64::engine::general_purpose::STANDARD.encode(value);
+                items.push(json!({ "key": line.key, "value": value, "offset": offset }));
+            }
+        }
+        json!({ "items": items, "has_more": false, "end": lines.len() })
+    }
+
+    async fn read(&self, topic: &str, from: usize, wait: Duration) -> Response<Full<Bytes>> {
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if let Some(answer) = self.read_now(topic, from) {
+                return answer;
+            }
+            if self.down.load(Ordering::SeqCst) {
+                return respond(StatusCode::SERVICE_UNAVAILABLE, "{}");
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return raw(framed(from, &[]));
+            }
+        }
+    }
+
+    fn read_now(&self, topic: &str, from: usize) -> Option<Response<Full<Bytes>>> {
+        let state = self.state.lock().unwrap();
+        let first = state.first.iter().find(|(name, _)| name == topic);
+        if let Some((_, first)) = first.filter(|(_, first)| from < *first) {
+            return Some(respond(StatusCode::GONE, &json!({ "first": first }).to_string()));
+        }
+        let (_, lines) = state.topics.iter().find(|(name, _)| name == topic)?;
+        if lines.len() <= from { None } else { Some(raw(framed(lines.len(), &lines[from..]))) }
+    }
+
+    /// Deals all shares to the first member that lives.
+    fn join(&self, join: &Value) -> Value {
+        let name = join["member"].as_str().unwrap();
+        let lifetime = Duration::from_millis(join["ttl_ms"].as_u64().unwrap());
+        let mut state = self.state.lock().unwrap();
+        let before = state.members.len();
+        state.members.retain(|member| member.joined.elapsed() < lifetime);
+        let mut changed = state.members.len() != before;
+        match state.members.iter_mut().find(|member| member.name == name) {
+            Some(member) => member.joined = Instant::now(),
+            None => {
+                let member = GroupMember { name: name.to_owned(), joined: Instant::now() };
+                state.members.push(member);
+                changed = true;
+            }
+        }
+        state.generation += u64::from(changed);
+        let mut parts = Vec::new();
+        if state.members[0].name == name {
+            for topic in join["topics"].as_array().unwrap() {
+                parts.extend((0..PARTS).map(|part| json!([topic, part, 0])));
+            }
+        }
+        json!({ "generation": state.generation, "ttl_ms": join["ttl_ms"], "parts": parts })
+    }
+}
+
+fn framed(end: usize, lines: &[KeyedLine]) -> Vec<u8> {
+    let mut bytes = (end as u64).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&0u64.to_be_bytes());
+    for line in lines {
+        let value = line.value.as_deref().unwrap_or_default();
+        let length = 1 + line.key.len() + value.len();
+        bytes.extend_from_slice(&(length as u32).to_be_bytes());
+        bytes.push(line.key.len() as u8);
+        bytes.extend_from_slice(line.key.as_bytes());
+        bytes.extend_from_slice(value);
+    }
+    bytes
+}
+
+fn raw(bytes: Vec<u8>) -> Response<Full<Bytes>> {
+    Response::new(Full::new(bytes.into()))
+}
+
+fn respond(status: StatusCode, body: &str) -> Response<Full<Bytes>> {
+    let mut response = raw(body.as_bytes().to_vec());
+    *response.status_mut() = status;
+    response
+}
--- a/service/src/client.rs
+++ b/service/src/client.rs
@@ -178,6 +178,7 @@
             body: call.body,
             fresh: !call.repeatable,
             head_within: call.within,
+            piece_within: None,
         };
         let answer = self.client.send(address, request).await?;
         let headers = end_to_end(answer.headers);
