--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -168,6 +168,12 @@
         }
     }
 
+    /// Drops all idle connections to a server. Where one fell silent without a reset, others that are
+    /// as old may have too, and each would cost an exchange its whole time limit.
+    pub fn forget(&self, address: SocketAddr) {
+        self.pool.forget(address);
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, ExchangeError> {
         let limit = Duration::from_millis(self.settings.connect_ms);
         let not_sent = |cause: String| ExchangeError::NotSent { cause };
--- a/exchange/src/pool.rs
+++ b/exchange/src/pool.rs
@@ -90,6 +90,14 @@
         }
     }
 
+    /// Drops all idle connections to a server.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        let mut shard = self.shard(address);
+        if let Ok(at) = shard.find(address) {
+            shard.servers.remove(at);
+        }
+    }
+
     fn shard(&self, address: SocketAddr) -> MutexGuard<'_, PoolShard> {
         let spread = usize::from(address.port())
             + match address.ip() {
