Long shared prompts go to one holder of their adapter

Audits share 6,300 of some 9,200 tokens with others of their adapter; spread over its holders each server reads them anew. Prompts that share 1,000 tokens or more now go to the holder that is first by hash, as long as that saves more than waiting there costs (test shared_prompts).

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -154,8 +154,25 @@
     pub not: &'a [ServerName],
     /// The failure domain of this VM.
     pub domain: &'a DomainName,
+    /// What other requests' prompts begin with as well.
+    pub shared: SharedPrompt,
 }
 
+/// The beginning of a prompt that other requests share. A server that has read it for the same adapter
+/// a moment ago need not read it again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SharedPrompt {
+    /// What tells it from others.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u64,
+}
+
+/// Prompts that share at least this many tokens go to one of their adapter's holders, chosen by hash, as
+/// long as that saves more than waiting there costs. Shorter ones cost less than what is uncertain
+/// about the servers' loads.
+const SHARED_TOKENS: u64 = 1_000;
+
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ServerChoice {
@@ -435,6 +452,13 @@
             let local = state.entry.domain == *need.domain;
             state.cost(self.typical(need.service), now) + if local { 0 } else { DOMAIN_TOKENS }
         };
+        if need.shared.tokens >= SHARED_TOKENS {
+            let home = among.iter().min_by_key(|state| state.prompt_rank(need.shared.id))?.name();
+            let saved =
+                |state: &BackendState| if state.name() == home { need.shared.tokens } else { 0 };
+            let unread = |state: &&&BackendState| cost(state) + need.shared.tokens - saved(state);
+            return among.iter().min_by_key(unread).copied();
+        }
         if among.len() <= 2 {
             return among.iter().min_by_key(cost).copied();
         }
@@ -683,6 +707,10 @@
         stable_hash(&["place", self.name(), key.model.as_str(), key.adapter.as_str()])
     }
 
+    fn prompt_rank(&self, id: u64) -> u64 {
+        stable_hash(&["prompt", self.name(), &id.to_string()])
+    }
+
     /// What a further request meets here, in prompt tokens that are read before it, made larger where
     /// the server is slower than others of its service or fails more of its requests.
     fn cost(&self, typical: TypicalCondition, now: TimePoint) -> u64 {
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::backend::SharedPrompt;
 use crate::id::{AdapterName, ConfigVersion, ModelName, ServiceName, stable_hash};
 use crate::value;
 
@@ -178,6 +179,20 @@
 const SILENT_TARGETS: u32 = 4;
 const SILENT_GAPS: u32 = 8;
 
+impl ModelNeed {
+    /// All parts of the prompt but the last, which is the request's own.
+    #[must_use]
+    pub fn shared(&self) -> SharedPrompt {
+        let Some((_, shared)) = self.parts.split_last() else { return SharedPrompt::default() };
+        let tokens = shared.iter().map(|part| u64::from(part.tokens)).sum();
+        let adapter = self.adapter.as_ref().map_or("", |key| key.adapter.as_str());
+        let ids: Vec<String> = shared.iter().map(|part| part.id.to_string()).collect();
+        let mut names = vec![self.model.as_str(), adapter];
+        names.extend(ids.iter().map(String::as_str));
+        SharedPrompt { id: stable_hash(&names), tokens }
+    }
+}
+
 impl ServingRoute {
     /// After which silence a caller leaves: for a plain answer its deadline comes first.
     #[must_use]
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -2,6 +2,7 @@
 
 use coltsfoothook_decision::backend::{
     AdapterHolding, BackendTable, EntryChange, LoadFigure, ServerChoice, ServerNeed, ServerOwner,
+    SharedPrompt,
 };
 use coltsfoothook_decision::id::{DomainName, ModelName, ServerName, ServiceName, TimePoint};
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel};
@@ -52,6 +53,7 @@
     key: AdapterKey,
     domain: DomainName,
     not: Vec<ServerName>,
+    shared: SharedPrompt,
 }
 
 impl Need {
@@ -62,6 +64,7 @@
             key: key(adapter),
             domain: "d1".into(),
             not: Vec::new(),
+            shared: SharedPrompt::default(),
         }
     }
 
@@ -72,6 +75,7 @@
             adapter: Some((&self.key, 1)),
             not: &self.not,
             domain: &self.domain,
+            shared: self.shared,
         };
         table.choose(&need, draw, now)
     }
@@ -197,3 +201,21 @@
     let to_failing = (0..300).filter(|draw| sent_to(&need.choose(&table, *draw, now)) == "s0");
     assert_eq!(to_failing.count(), 0);
 }
+
+/// Long reports of one client begin alike. They go to the same holder of their adapter, whichever VM
+/// sends them, unless what waits there is more than what reading again costs.
+#[test]
+fn shared_prompts() {
+    let now = TimePoint(SECOND);
+    let mut table = table(4, |_| vec!["a1"], now);
+    let shared = SharedPrompt { id: 77, tokens: 6_000 };
+    let need = Need { shared, ..Need::new("a1") };
+    let home = sent_to(&need.choose(&table, 1, now)).to_owned();
+    for draw in 0..50 {
+        assert_eq!(sent_to(&need.choose(&table, draw, now)), home);
+    }
+    table.sent(&home, 4_000);
+    assert_eq!(sent_to(&need.choose(&table, 1, now)), home);
+    table.sent(&home, 4_000);
+    assert_ne!(sent_to(&need.choose(&table, 1, now)), home);
+}
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -5,7 +5,7 @@
 
 use coltsfoothook_decision::backend::{ServerChoice, ServerNeed, longest_wait};
 use coltsfoothook_decision::id::{ServerName, TimePoint};
-use coltsfoothook_decision::routing::AdapterKey;
+use coltsfoothook_decision::routing::{AdapterKey, ModelNeed};
 use coltsfoothook_telemetry::event;
 use tokio::time::timeout;
 
@@ -87,6 +87,7 @@
         adapter: key.map(|key| (key, version)),
         not,
         domain,
+        shared: need.map(ModelNeed::shared).unwrap_or_default(),
     };
     let choice = beliefs.backends.choose(&server_need(&not, oldest), draw, now);
     let Some(key) = key else { return (choice, None) };
