A server that is gone is not brought back by records from before its removal

VMs learn of removals from the three that read for all, and read the heartbeats from before seconds later; those were newer than the last one known and brought the server back for up to half a second. Logs: server_seen 1.6 s after server_gone. Ruled out: late news (all six VMs had it 0.1 s after the removal). Change: entries and removals carry their place in the topic; a server comes back only by a record behind its removal with a newer heartbeat. The test gone_stays failed before.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -201,8 +201,18 @@
 #[derive(Debug, Default)]
 pub struct BackendTable {
     servers: Vec<BackendState>,
-    /// Servers that were removed, with their last heartbeat; the newest last.
-    removed: Vec<(ServerName, u64)>,
+    /// The newest last.
+    removed: Vec<RemovedServer>,
+}
+
+/// A server whose entry was removed.
+#[derive(Clone, Debug)]
+struct RemovedServer {
+    server: ServerName,
+    /// The place of the removal in the entries' topic.
+    position: u64,
+    /// The last heartbeat that is known.
+    heartbeat: u64,
 }
 
 /// Removed servers that are remembered, so that a stale read does not bring them back.
@@ -234,10 +244,7 @@
         let at = match found {
             Ok(at) => at,
             Err(at) => {
-                let seen = |(name, last): &(ServerName, u64)| {
-                    *name == entry.server && entry.heartbeat <= *last
-                };
-                if self.removed.iter().any(seen) {
+                if !self.comes_back(&entry) {
                     return EntryChange::Nothing;
                 }
                 self.servers.insert(at, BackendState::new(entry, now));
@@ -245,7 +252,7 @@
             }
         };
         let state = &mut self.servers[at];
-        if entry.heartbeat < state.entry.heartbeat {
+        if entry.heartbeat < state.entry.heartbeat || entry.position < state.entry.position {
             return EntryChange::Nothing;
         }
         let leaves = !entry.ready && !state.leaving;
@@ -265,18 +272,42 @@
         }
     }
 
-    /// Drops a server whose entry was removed.
-    pub fn remove(&mut self, server: &str) -> EntryChange {
-        match self.servers.binary_search_by(|state| state.name().cmp(server)) {
-            Ok(at) => {
-                let state = self.servers.remove(at);
-                self.removed.push((state.entry.server, state.entry.heartbeat));
-                let excess = self.removed.len().saturating_sub(REMOVED_KEPT);
-                self.removed.drain(..excess);
-                EntryChange::Gone
+    /// Whether an entry of a server that is not known here is newer than its removal, if there was one.
+    ///
+    /// VMs learn of removals from others before they read the records that came ahead of them; those
+    /// must not bring the server back. A server that was cut off from the store writes its entry again
+    /// later, with a newer heartbeat.
+    fn comes_back(&mut self, entry: &BackendEntry) -> bool {
+        let Some(at) = self.removed.iter().position(|gone| gone.server == entry.server) else {
+            return true;
+        };
+        let gone = &mut self.removed[at];
+        if entry.position <= gone.position || entry.heartbeat <= gone.heartbeat {
+            gone.heartbeat = gone.heartbeat.max(entry.heartbeat);
+            return false;
+        }
+        self.removed.remove(at);
+        true
+    }
+
+    /// Drops a server whose entry was removed by the record at `position`.
+    pub fn remove(&mut self, server: &str, position: u64) -> EntryChange {
+        let found = self.servers.binary_search_by(|state| state.name().cmp(server));
+        let mut heartbeat = 0;
+        if let Ok(at) = found {
+            if self.servers[at].entry.position > position {
+                return EntryChange::Nothing;
             }
-            Err(_) => EntryChange::Nothing,
+            heartbeat = self.servers.remove(at).entry.heartbeat;
+        }
+        if let Some(at) = self.removed.iter().position(|gone| gone.server.as_str() == server) {
+            let before = self.removed.remove(at);
+            heartbeat = heartbeat.max(before.heartbeat);
         }
+        self.removed.push(RemovedServer { server: ServerName::from(server), position, heartbeat });
+        let excess = self.removed.len().saturating_sub(REMOVED_KEPT);
+        self.removed.drain(..excess);
+        if found.is_ok() { EntryChange::Gone } else { EntryChange::Nothing }
     }
 
     /// Takes an owner's list of what its server holds. A list of an older owner, or an older list of
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -284,6 +284,8 @@
         pub ready: bool,
         /// Grows with each heartbeat of this life.
         pub heartbeat: u64,
+        /// The place of the entry's record in its topic; later records have a higher one.
+        pub position: u64,
         /// What it held then.
         pub models: Vec<HeldModel>,
     }
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -22,6 +22,7 @@
         slots: 64,
         ready: true,
         heartbeat,
+        position: heartbeat,
         models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
     }
 }
@@ -167,11 +168,28 @@
     assert_eq!(table.entry(entry("s0", 4), now), EntryChange::Nothing);
     assert_eq!(table.entry(entry("s0", 6), now), EntryChange::Nothing);
     assert_eq!(Need::new("a1").choose(&table, 1, now), ServerChoice::Nowhere);
-    assert_eq!(table.remove("s0"), EntryChange::Gone);
+    assert_eq!(table.remove("s0", 9), EntryChange::Gone);
     assert_eq!(table.entry(entry("s0", 6), now), EntryChange::Nothing);
     assert!(table.get("s0").is_none());
 }
 
+/// A VM hears from another one that a server is gone, and reads the heartbeats from before only later.
+/// They do not bring the server back, and neither does an old heartbeat that was written late. A server
+/// that was cut off from the store does come back, with a new one.
+#[test]
+fn gone_stays() {
+    let now = TimePoint(SECOND);
+    let mut table = table(1, |_| vec!["a1"], now);
+    assert_eq!(table.remove("s0", 20), EntryChange::Gone);
+    for heartbeat in 10..20 {
+        assert_eq!(table.entry(entry("s0", heartbeat), now), EntryChange::Nothing);
+    }
+    let late = BackendEntry { position: 25, ..entry("s0", 19) };
+    assert_eq!(table.entry(late, now), EntryChange::Nothing);
+    assert_eq!(table.entry(entry("s0", 30), now), EntryChange::Appeared);
+    assert_eq!(table.remove("s0", 20), EntryChange::Nothing, "that removal is older");
+}
+
 /// A server that cannot be reached is avoided while there is another, and used again at once where it
 /// is the only one that can serve.
 #[test]
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::backend::EntryChange;
-use coltsfoothook_decision::id::{ServerName, TimePoint};
+use coltsfoothook_decision::id::TimePoint;
 use coltsfoothook_decision::routing::{BackendEntry, RouteTable};
 use coltsfoothook_platform::{
     KeyedRecord, KeyedTopic, MetadataError, OperatorRecord, RecordPage, read_operator_record,
@@ -14,9 +14,9 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::message::{EntryNews, PeerMessage};
+use crate::message::{EntryNews, GoneServer, PeerMessage};
 use crate::order;
-use crate::state::{Beliefs, Gateway};
+use crate::state::{Beliefs, Gateway, LapsedServer};
 
 /// How long the store holds a question for new records of the operators. A connection that fell
 /// silent is found out by the kernel's probes long before.
@@ -175,7 +175,7 @@
         .filter(|name| !page.records.iter().any(|record| record.key == *name))
         .collect();
     for server in gone {
-        beliefs.lapse(&server, was_away, now);
+        beliefs.lapse(&server, page.next, was_away, now);
     }
     drop(beliefs);
     remove_lapsed(gateway);
@@ -188,13 +188,14 @@
     let mut beliefs = gateway.beliefs();
     for record in records {
         let Some(value) = &record.value else {
-            beliefs.lapse(&record.key, was_away, now);
+            beliefs.lapse(&record.key, record.position, was_away, now);
             if !was_away {
-                changes.gone.push(ServerName::from(record.key.as_str()));
+                let (server, position) = (record.key.as_str().into(), record.position);
+                changes.gone.push(GoneServer { server, position });
             }
             continue;
         };
-        let entry = match read_registration(&record.key, value) {
+        let entry = match read_registration(&record.key, value, record.position) {
             Ok(entry) => entry,
             Err(error) => {
                 event!(RecordSkipped, topic = "servers", cause = error);
@@ -204,7 +205,7 @@
         if beliefs.take_entry(&entry, now) {
             changes.entries.push(entry);
         }
-        beliefs.unlapse(&record.key);
+        beliefs.unlapse(&record.key, record.position);
     }
     drop(beliefs);
     remove_lapsed(gateway);
@@ -216,7 +217,7 @@
 #[derive(Clone, Debug, Default)]
 struct EntryChanges {
     entries: Vec<BackendEntry>,
-    gone: Vec<ServerName>,
+    gone: Vec<GoneServer>,
 }
 
 impl EntryChanges {
@@ -273,13 +274,12 @@
     let mut beliefs = gateway.beliefs();
     beliefs.news_at = now;
     for entry in news.entries {
-        // One that is gone by the same message does not come back.
-        if !news.gone.contains(&entry.server) && beliefs.take_entry(&entry, now) {
+        if beliefs.take_entry(&entry, now) {
             changes.entries.push(entry);
         }
     }
-    for server in &news.gone {
-        beliefs.lapse(server.as_str(), false, now);
+    for gone in &news.gone {
+        beliefs.lapse(gone.server.as_str(), gone.position, false, now);
     }
     drop(beliefs);
     remove_lapsed(gateway);
@@ -292,16 +292,12 @@
 fn remove_lapsed(gateway: &Arc<Gateway>) {
     let now = clock::now();
     let mut beliefs = gateway.beliefs();
-    let due: Vec<String> = beliefs
-        .lapsed
-        .iter()
-        .filter(|(_, until)| now >= *until)
-        .map(|(name, _)| name.clone())
-        .collect();
-    for server in due {
-        beliefs.unlapse(&server);
-        if beliefs.backends.remove(&server) == EntryChange::Gone {
-            event!(ServerGone, server = server);
+    let lapsed = std::mem::take(&mut beliefs.lapsed);
+    let (due, later) = lapsed.into_iter().partition(|lapsed: &LapsedServer| now >= lapsed.until);
+    beliefs.lapsed = later;
+    for lapsed in due {
+        if beliefs.backends.remove(&lapsed.server, lapsed.position) == EntryChange::Gone {
+            event!(ServerGone, server = lapsed.server, position = lapsed.position);
         }
     }
 }
@@ -333,19 +329,24 @@
 
     /// A server's entry was removed. One that lapsed while the store was away gets two seconds to come
     /// back. All others are gone at once: held longer, a leaving server would get new work.
-    fn lapse(&mut self, server: &str, was_away: bool, now: TimePoint) {
-        if self.backends.get(server).is_none() {
-            return;
-        }
+    fn lapse(&mut self, server: &str, position: u64, was_away: bool, now: TimePoint) {
         let until = if was_away { now.plus(LAPSE_US) } else { now };
-        match self.lapsed.binary_search_by(|(name, _)| name.as_str().cmp(server)) {
-            Ok(at) => self.lapsed[at].1 = self.lapsed[at].1.min(until),
-            Err(at) => self.lapsed.insert(at, (server.to_owned(), until)),
+        let lapsed = LapsedServer { server: server.to_owned(), position, until };
+        match self.lapsed.binary_search_by(|lapsed| lapsed.server.as_str().cmp(server)) {
+            Ok(at) => {
+                let until = until.min(self.lapsed[at].until);
+                self.lapsed[at] = LapsedServer { until, ..lapsed };
+            }
+            Err(at) => self.lapsed.insert(at, lapsed),
         }
     }
 
-    fn unlapse(&mut self, server: &str) {
-        if let Ok(at) = self.lapsed.binary_search_by(|(name, _)| name.as_str().cmp(server)) {
+    /// A server wrote its entry again after it lapsed.
+    fn unlapse(&mut self, server: &str, position: u64) {
+        let found = self.lapsed.binary_search_by(|lapsed| lapsed.server.as_str().cmp(server));
+        if let Ok(at) = found
+            && self.lapsed[at].position < position
+        {
             self.lapsed.remove(at);
         }
     }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -130,7 +130,15 @@
         /// Servers that appeared, began to leave, or hold other base models.
         pub entries: Vec<BackendEntry>,
         /// Servers whose entry was removed.
-        pub gone: Vec<ServerName>,
+        pub gone: Vec<GoneServer>,
+    }
+
+    /// A server whose entry was removed.
+    pub(crate) struct GoneServer {
+        /// The server.
+        pub server: ServerName,
+        /// The place of the removal in the entries' topic.
+        pub position: u64,
     }
 
     /// A datagram.
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -48,6 +48,16 @@
     pub(crate) before: u64,
 }
 
+/// A server whose entry was removed.
+#[derive(Clone, Debug)]
+pub(crate) struct LapsedServer {
+    pub(crate) server: String,
+    /// The place of the removal in the entries' topic.
+    pub(crate) position: u64,
+    /// When it is taken to be gone.
+    pub(crate) until: TimePoint,
+}
+
 /// Everything that a decision needs.
 pub(crate) struct Beliefs {
     pub(crate) table: Option<Arc<RouteTable>>,
@@ -64,8 +74,8 @@
     pub(crate) servers_read: bool,
     /// When a VM that reads entries for others was last heard of.
     pub(crate) news_at: TimePoint,
-    /// Servers without entry, and when they are taken to be gone, sorted by name.
-    pub(crate) lapsed: Vec<(String, TimePoint)>,
+    /// Servers without entry, sorted by name.
+    pub(crate) lapsed: Vec<LapsedServer>,
     /// When the store last answered.
     pub(crate) store_reached_at: TimePoint,
     /// How adapters were met, not yet told to those who order their servers.
