--- a/gateway/tests/suite/peer_records.rs
+++ b/gateway/tests/suite/peer_records.rs
@@ -28,3 +28,21 @@
     let alone = async || first.addresses().await == [own];
     eventually("the VM that ended is told of no more", alone).await;
 }
+
+/// Bytes that are no message of a VM come to the VMs' port: cut ones, ones of another release, noise. The
+/// VM goes on as before.
+#[tokio::test]
+async fn odd_datagrams() {
+    let site = Site::start(0, 1).await;
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for length in 0..200u8 {
+        let bytes: Vec<u8> = (0..length).map(|at| at.wrapping_mul(length)).collect();
+        socket.send_to(&bytes, gateway.listen.peers).await.unwrap();
+        let format = [&[1u8][..], &bytes].concat();
+        socket.send_to(&format, gateway.listen.peers).await.unwrap();
+    }
+    assert_eq!(gateway.call("/safe/1", "r1", &[]).await.status, 200);
+    assert_eq!(gateway.addresses().await.len(), 1);
+}
