--- a/ctl/src/arguments.rs
+++ b/ctl/src/arguments.rs
@@ -15,6 +15,7 @@
   coltsfoothook-ctl diff manifest.json --settings ctl.json
   coltsfoothook-ctl drain server engine-7 --settings ctl.json
   coltsfoothook-ctl explain vm-2.51.1907 --settings ctl.json
+  coltsfoothook-ctl trace 9c41d07be2a35f68 logs/*.log
   coltsfoothook-ctl hash-credential --generate
 Exit codes:
   0 done; 1 refused, nothing changed; 2 usage; 3 no entry VM reached; 4 outcome unknown
@@ -103,6 +104,18 @@
         #[bpaf(positional("REQUEST_ID"))]
         id: String,
     },
+    /// Follows a request through log files of gateways, and says what its end means
+    #[bpaf(command)]
+    Trace {
+        #[bpaf(external)]
+        json: bool,
+        /// The request's id
+        #[bpaf(positional("REQUEST_ID"))]
+        id: String,
+        /// Log files, best of all VMs
+        #[bpaf(positional("FILE"), some("a log file is needed"))]
+        files: Vec<PathBuf>,
+    },
     /// Lifts the condemnation of a request that crashed backend servers
     #[bpaf(command)]
     Lift {
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -22,6 +22,7 @@
 use crate::publish::{PublishOrder, hexadecimal, publish};
 use crate::report::CtlReport;
 use crate::show::{explain_text, status_text};
+use crate::trace::trace;
 
 /// Random bytes in a new credential.
 const CREDENTIAL_BYTES: usize = 32;
@@ -83,6 +84,7 @@
             | Self::Drain { json, .. }
             | Self::Explain { json, .. }
             | Self::Lift { json, .. }
+            | Self::Trace { json, .. }
             | Self::HashCredential { json, .. } => *json,
         }
     }
@@ -91,6 +93,7 @@
 fn execute(command: CtlCommand, streams: &CtlStreams) -> Result<CtlReport, CtlError> {
     match command {
         CtlCommand::Check { onto, file, .. } => check(&file, onto.as_deref()),
+        CtlCommand::Trace { id, files, .. } => trace(&id, &files),
         CtlCommand::HashCredential { generate, .. } => hash_credential(generate, streams),
         remote => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -142,7 +145,7 @@
             let _: WrittenAnswer = client.change(Method::POST, "/v1/lift", &call).await?;
             Ok(CtlReport::done(text, &json!({ "exit": 0, "fingerprint": call.fingerprint })))
         }
-        CtlCommand::Check { .. } | CtlCommand::HashCredential { .. } => {
+        CtlCommand::Check { .. } | CtlCommand::HashCredential { .. } | CtlCommand::Trace { .. } => {
             Err(CtlError::usage("this command needs no connection"))
         }
     }
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -23,6 +23,7 @@
 mod show;
 mod table;
 mod tls;
+mod trace;
 
 pub use command::{CtlStreams, run};
 pub use error::CtlExit;
--- a/ctl/tests/suite/main.rs
+++ b/ctl/tests/suite/main.rs
@@ -10,3 +10,4 @@
 mod publish_twice;
 mod status_table;
 mod tls_calls;
+mod trace_files;
