Expected load times follow what was seen

Each request that came too early made the expected time 12 in 100 longer; many wait for one load, so a burst of cold adapters drove it far beyond any load. Now each moves it 0.3 of the way to the time that it has shown, and not beyond (test slow_store).

--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -116,10 +116,14 @@
 /// First guesses before any load was seen; a few loads correct them.
 const FIRST_FRESH_US: f64 = 260_000.0;
 const FIRST_AGAIN_US: f64 = 40_000.0;
-/// By how much a load's time grows when a request came too early, and shrinks when none did. One in
-/// twenty loads may so be met too early, which costs a second send.
-const TOO_EARLY: f64 = 1.12;
-const IN_TIME: f64 = 0.994;
+/// The part of the way that the expected time moves to what a request that came too early has shown.
+/// Several requests wait for one load; each moves it towards the same time and not beyond.
+const TOO_EARLY_PART: f64 = 0.3;
+/// How much longer than the time at which a request came too early a load is taken to last.
+const TOO_EARLY_MARGIN_US: f64 = 45_000.0;
+/// By how much the expected time shrinks with each load that was done as expected. One in some tens of
+/// loads is so met too early, which costs a second send.
+const IN_TIME: f64 = 0.992;
 /// The longest that a load is taken to last.
 const MOST_LOAD_US: f64 = 3_000_000.0;
 const LEAST_LOAD_US: f64 = 5_000.0;
@@ -131,19 +135,23 @@
 }
 
 impl LoadTimes {
-    /// A request met an adapter that was not loaded yet.
-    pub fn too_early(&mut self, again: bool) {
-        self.scale(again, TOO_EARLY);
+    /// A request met an adapter that was not loaded `elapsed_us` after its order.
+    pub fn too_early(&mut self, again: bool, elapsed_us: u64) {
+        let time = self.time_mut(again);
+        let shown = elapsed_us as f64 + TOO_EARLY_MARGIN_US;
+        if shown > *time {
+            *time = (*time + TOO_EARLY_PART * (shown - *time)).min(MOST_LOAD_US);
+        }
     }
 
     /// A request met an adapter that was loaded as expected.
     pub fn in_time(&mut self, again: bool) {
-        self.scale(again, IN_TIME);
+        let time = self.time_mut(again);
+        *time = (*time * IN_TIME).max(LEAST_LOAD_US);
     }
 
-    fn scale(&mut self, again: bool, by: f64) {
-        let time = if again { &mut self.again_us } else { &mut self.fresh_us };
-        *time = (*time * by).clamp(LEAST_LOAD_US, MOST_LOAD_US);
+    fn time_mut(&mut self, again: bool) -> &mut f64 {
+        if again { &mut self.again_us } else { &mut self.fresh_us }
     }
 
     /// The time that a load is expected to take, in microseconds.
@@ -157,6 +165,7 @@
 enum PlaceState {
     Held {
         usable_from: TimePoint,
+        ordered_at: TimePoint,
         again: bool,
     },
     /// It was told to make way, by the order that was decided on this count of accepted orders.
@@ -334,12 +343,12 @@
         }
     }
 
-    /// Whether an adapter came from the server's own memory or disk.
+    /// When an adapter's load was ordered, and whether it came from the server's own memory or disk.
     #[must_use]
-    pub fn was_again(&self, key: &AdapterKey) -> Option<bool> {
+    pub fn ordered(&self, key: &AdapterKey) -> Option<(TimePoint, bool)> {
         let at = self.held.binary_search_by(|place| place.key.cmp(key)).ok()?;
         match self.held[at].state {
-            PlaceState::Held { again, .. } => Some(again),
+            PlaceState::Held { ordered_at, again, .. } => Some((ordered_at, again)),
             PlaceState::Leaving { .. } => None,
         }
     }
@@ -470,7 +479,7 @@
         if let OrderAction::UnloadAdapter { key } = &order.action
             && let Some(place) = self.place_mut(key)
         {
-            place.state = PlaceState::Held { usable_from: now, again: false };
+            place.state = PlaceState::Held { usable_from: now, ordered_at: now, again: false };
             self.revision += 1;
         }
     }
@@ -567,7 +576,7 @@
         again: bool,
         now: TimePoint,
     ) {
-        let state = PlaceState::Held { usable_from, again };
+        let state = PlaceState::Held { usable_from, ordered_at: now, again };
         match self.held.binary_search_by(|place| place.key.cmp(key)) {
             Ok(at) => {
                 self.held[at].version = version;
--- a/decision/tests/suite/order_book.rs
+++ b/decision/tests/suite/order_book.rs
@@ -214,3 +214,22 @@
         assert!(server.accepted > 20, "seed {seed}: orders stopped at {}", server.accepted);
     }
 }
+
+/// Twenty requests wait for one adapter whose load takes a second, as it does while many loads share the
+/// store, and all come too early. The next load is expected to take about that second, not many, and
+/// the expectation comes back when loads are quick again.
+#[test]
+fn slow_store() {
+    let mut times = LoadTimes::default();
+    for elapsed in (300..1_000).step_by(35) {
+        times.too_early(false, elapsed * MILLI);
+    }
+    let slow = times.expected_us(false);
+    assert!((700 * MILLI..=1_050 * MILLI).contains(&slow), "{slow}");
+    for _ in 0..200 {
+        times.in_time(false);
+    }
+    let quick = times.expected_us(false);
+    assert!(quick < 250 * MILLI, "{quick}");
+    assert_eq!(times.expected_us(true), LoadTimes::default().expected_us(true));
+}
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -343,13 +343,14 @@
         let Some(book) = beliefs.books.get(&used.server) else { continue };
         let told = ToldUse { vm, begun: used.count, running: used.running };
         book.used(&used.key, &told, now);
-        let again = book.was_again(&used.key).unwrap_or(false);
+        let ordered = book.ordered(&used.key);
         if used.too_early {
             book.too_early(&used.key, LATER_US, now);
-            beliefs.times.too_early(again);
         }
-        if used.in_time {
-            beliefs.times.in_time(again);
+        match ordered {
+            Some((at, again)) if used.too_early => beliefs.times.too_early(again, now.since(at)),
+            Some((_, again)) if used.in_time => beliefs.times.in_time(again),
+            _ => {}
         }
         if used.missing {
             book.missing(&used.key, now);
