A run holds its caller's request as one part; invariants checked before sends and loads

A request that may run once and may have run is never sent again, a leaving server gets no request, and a load that would pass a server's places is not given: each is checked where it would do harm and logged as invariant_broken. lost_once tries it with a route that allows two servers (it passed with the rule taken out before, since its route allowed one).

--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -28,7 +28,7 @@
 pub(crate) async fn find_server(run: &mut RequestRun) -> Result<ServerName, &'static str> {
     let gateway = Arc::clone(&run.gateway);
     let from = clock::now();
-    let patience = longest_wait(run.left().min(run.route.silence()));
+    let patience = longest_wait(run.left().min(run.request.route.silence()));
     let mut nowhere_from: Option<TimePoint> = None;
     let found = loop {
         let changed = gateway.changed.notified();
@@ -76,13 +76,13 @@
 ) -> (ServerChoice, Option<(AdapterKey, u64, ServerName)>) {
     let mut beliefs = run.gateway.beliefs();
     let draw = beliefs.draw();
-    let need = run.head.need.as_ref();
+    let need = run.request.head.need.as_ref();
     let key = need.and_then(|need| need.adapter.as_ref());
     let (oldest, newest) = key.map_or((0, 0), |key| beliefs.usable_versions(run, key, now));
     let not = run.avoided.clone();
     let domain = &run.gateway.settings.domain;
     let server_need = |not, version| ServerNeed {
-        service: &run.service,
+        service: &run.request.service,
         model: need.map(|need| &need.model),
         adapter: key.map(|key| (key, version)),
         not,
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::find::find_server;
 use crate::outcome::{AfterAnswer, NextStep, answered, give_up, not_run, unknown};
-use crate::run::{RequestRun, RunStart};
+use crate::run::{CallerRequest, RequestRun};
 use crate::send::{SendEnd, send};
 use crate::state::Gateway;
 
@@ -99,7 +99,7 @@
         status => Refusal::new(status, "body_cut", config),
     })?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    let start = RunStart {
+    let request = CallerRequest {
         head,
         method: parts.method,
         path,
@@ -110,7 +110,7 @@
         config,
         started,
     };
-    Ok(RequestRun::new(Arc::clone(gateway), start))
+    Ok(RequestRun::new(Arc::clone(gateway), request))
 }
 
 fn find_route<'a>(table: &'a RouteTable, request: &Request<Incoming>) -> Option<&'a ServingRoute> {
@@ -171,8 +171,8 @@
     let mut beliefs = run.gateway.beliefs();
     let vms = beliefs.vm_count(now);
     if run.sends == 0 {
-        beliefs.budget.first(&run.service, now);
+        beliefs.budget.first(&run.request.service, now);
         return true;
     }
-    beliefs.budget.again(&run.service, vms, now)
+    beliefs.budget.again(&run.request.service, vms, now)
 }
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -287,6 +287,14 @@
     if gateway.beliefs().fence(&gateway.settings, server, clock::now()).is_none() {
         return;
     }
+    if overfills(gateway, server, &order) {
+        event!(
+            InvariantBroken,
+            server = server,
+            invariant = "a server is not told to hold more adapters than it has places for",
+        );
+        return;
+    }
     let vm = gateway.settings.vm.clone();
     let holder = OrderHolder { vm: vm.as_str(), fence };
     let (reply, text) = gateway.servers.order(address, server, holder, &order).await;
@@ -323,6 +331,15 @@
     );
 }
 
+/// Whether a load would pass the server's places, which would crash it.
+fn overfills(gateway: &Gateway, server: &ServerName, order: &ServerOrder) -> bool {
+    let OrderAction::LoadAdapter { key, .. } = &order.action else { return false };
+    let mut beliefs = gateway.beliefs();
+    let Some(book) = beliefs.books.get(server) else { return true };
+    let (held, places) = book.fill();
+    book.ordered(key).is_none() && held >= places
+}
+
 fn reply_name(reply: OrderReply) -> &'static str {
     match reply {
         OrderReply::Accepted => "accepted",
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -56,11 +56,11 @@
     let status = answer.status;
     let failed = status.is_server_error();
     let may_again = failed
-        && run.route.repeat.may_repeat()
-        && run.ran < run.route.most_servers
+        && run.request.route.repeat.may_repeat()
+        && run.ran < run.request.route.most_servers
         && status != StatusCode::GATEWAY_TIMEOUT
         && run.left() > LEAST_LEFT;
-    let stream = run.route.repeat.is_stream() && status.is_success();
+    let stream = run.request.route.repeat.is_stream() && status.is_success();
     if stream {
         return AfterAnswer::finished(StreamRelay::answer(run, server, answer));
     }
@@ -105,14 +105,14 @@
 ) -> NextStep {
     let now = clock::now();
     let status = answer.status;
-    let key = run.head.need.as_ref().and_then(|need| need.adapter.clone());
+    let key = run.request.head.need.as_ref().and_then(|need| need.adapter.clone());
     let mut beliefs = run.gateway.beliefs();
     let state = beliefs.backends.get(server.as_str());
     let usable_from = state.and_then(|state| state.usable_since(key.as_ref()?));
     let just_loaded = usable_from.is_some_and(|from| now.since(from) < JUST_LOADED_US);
     event!(
         RequestNotRun,
-        request_id = run.head.id,
+        request_id = run.request.head.id,
         server = server,
         status = status.as_u16(),
         usable_ms? = usable_from.map(|from| now.since(from) / 1_000),
@@ -144,8 +144,8 @@
 pub(crate) fn unknown(run: &mut RequestRun, server: ServerName, cause: String) -> NextStep {
     run.ran += 1;
     run.avoided.push(server);
-    let again = run.route.repeat.may_repeat()
-        && run.ran < run.route.most_servers
+    let again = run.request.route.repeat.may_repeat()
+        && run.ran < run.request.route.most_servers
         && run.left() > LEAST_LEFT;
     if again {
         return NextStep::Again(Duration::ZERO);
@@ -154,7 +154,7 @@
         if run.left() < LEAST_LEFT { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
     run.status = status.as_u16();
     run.end("failed", cause);
-    NextStep::Finished(Box::new(own_answer(status, &run.head.id, None)))
+    NextStep::Finished(Box::new(own_answer(status, &run.request.head.id, None)))
 }
 
 /// The final answer of a request that no server runs any more.
@@ -169,5 +169,5 @@
     run.status = status.as_u16();
     run.end(outcome, reason);
     let retry = (run.ran == 0).then_some(COME_BACK_S);
-    own_answer(status, &run.head.id, retry)
+    own_answer(status, &run.request.head.id, retry)
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -60,7 +60,7 @@
         answer: ExchangeAnswer,
     ) -> Response<AnswerStream> {
         let (status, headers) = (answer.status, stream_headers(&answer.headers));
-        let resumable = run.route.repeat == RepeatRule::StreamResumable;
+        let resumable = run.request.route.repeat == RepeatRule::StreamResumable;
         let due = Box::pin(tokio::time::sleep(run.left() + DUE_SLACK));
         let relay = Self {
             server,
@@ -160,18 +160,18 @@
         // The first server must have stopped before another one goes on; closing the connection tells
         // it so.
         self.body = None;
-        if run.ran >= run.route.most_servers || run.left() < LEAST_RESUME {
+        if run.ran >= run.request.route.most_servers || run.left() < LEAST_RESUME {
             return false;
         }
         let now = clock::now();
         let vms = run.gateway.beliefs().vm_count(now);
-        if !run.gateway.beliefs().budget.again(&run.service, vms, now) {
+        if !run.gateway.beliefs().budget.again(&run.request.service, vms, now) {
             return false;
         }
         let Ok(server) = find_server(run).await else { return false };
         event!(
             StreamResumed,
-            request_id = run.head.id,
+            request_id = run.request.head.id,
             from = self.server,
             server = server,
             last_event? = last,
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -21,15 +21,7 @@
 /// caller who leaves ends it like any other way.
 pub(crate) struct RequestRun {
     pub(crate) gateway: Arc<Gateway>,
-    pub(crate) head: RequestHead,
-    pub(crate) method: Method,
-    pub(crate) path: String,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) route: ServingRoute,
-    pub(crate) service: ServiceName,
-    pub(crate) config: u64,
-    pub(crate) started: TimePoint,
+    pub(crate) request: CallerRequest,
     /// When its final answer is due.
     pub(crate) due: TimePoint,
     /// Servers that it is not sent to again.
@@ -49,8 +41,8 @@
     reason: String,
 }
 
-/// What a request starts from.
-pub(crate) struct RunStart {
+/// A request as its caller sent it, and what the configuration says of it.
+pub(crate) struct CallerRequest {
     pub(crate) head: RequestHead,
     pub(crate) method: Method,
     pub(crate) path: String,
@@ -63,21 +55,13 @@
 }
 
 impl RequestRun {
-    pub(crate) fn new(gateway: Arc<Gateway>, start: RunStart) -> Self {
-        let limit = start.head.deadline.unwrap_or(Duration::MAX).min(start.route.timeout);
-        let due = start.started.plus(limit.as_micros().try_into().unwrap_or(u64::MAX));
+    pub(crate) fn new(gateway: Arc<Gateway>, request: CallerRequest) -> Self {
+        let limit = request.head.deadline.unwrap_or(Duration::MAX).min(request.route.timeout);
+        let due = request.started.plus(limit.as_micros().try_into().unwrap_or(u64::MAX));
         gateway.open.fetch_add(1, Ordering::Relaxed);
         Self {
             gateway,
-            head: start.head,
-            method: start.method,
-            path: start.path,
-            headers: start.headers,
-            body: start.body,
-            route: start.route,
-            service: start.service,
-            config: start.config,
-            started: start.started,
+            request,
             due,
             avoided: Vec::new(),
             sends: 0,
@@ -99,12 +83,12 @@
 
     /// The time since it was taken.
     pub(crate) fn elapsed(&self) -> Duration {
-        Duration::from_micros(clock::now().since(self.started))
+        Duration::from_micros(clock::now().since(self.request.started))
     }
 
     /// Tokens that a server reads for it.
     pub(crate) fn prompt_tokens(&self) -> u64 {
-        self.head.need.as_ref().map_or(0, |need| u64::from(need.prompt_tokens))
+        self.request.head.need.as_ref().map_or(0, |need| u64::from(need.prompt_tokens))
     }
 
     /// Its server has read the prompt.
@@ -124,7 +108,8 @@
 
     /// Notes that it met its adapter, for the VM that orders the server.
     pub(crate) fn met_adapter(&self, server: &ServerName, change: impl FnOnce(&mut AdapterUse)) {
-        let Some(key) = self.head.need.as_ref().and_then(|need| need.adapter.as_ref()) else {
+        let Some(key) = self.request.head.need.as_ref().and_then(|need| need.adapter.as_ref())
+        else {
             return;
         };
         self.gateway.beliefs().uses.met(server, key, change);
@@ -137,17 +122,17 @@
         let outcome = self.outcome.unwrap_or("caller_left");
         let whole = self.elapsed();
         let timing = RequestTiming { first: self.first, whole, stall: self.stall };
-        self.gateway.metrics.request(&self.route.name, outcome, &timing);
-        let adapter = self.head.need.as_ref().and_then(|need| need.adapter.as_ref());
+        self.gateway.metrics.request(&self.request.route.name, outcome, &timing);
+        let adapter = self.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
         let adapter = adapter.map(|key| key.adapter.as_str());
         let first_ms = self.first.map(|first| first.as_millis());
         let stall_ms = (!self.stall.is_zero()).then_some(self.stall.as_millis());
         let reason = (!self.reason.is_empty()).then_some(self.reason.as_str());
         event!(
             RequestDone,
-            request_id = self.head.id,
-            route = self.route.name,
-            config = self.config,
+            request_id = self.request.head.id,
+            route = self.request.route.name,
+            config = self.request.config,
             outcome = outcome,
             status = self.status,
             reason? = reason,
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -41,38 +41,47 @@
     last_event: Option<&str>,
 ) -> SendEnd {
     let gateway = Arc::clone(&run.gateway);
+    if run.ran > 0 && !run.request.route.repeat.may_repeat() {
+        event!(
+            InvariantBroken,
+            request_id = run.request.head.id,
+            invariant = "a request that may run once is not sent after it may have run",
+        );
+        return SendEnd::Unsent("it may have run".to_owned());
+    }
     let (address, version) = {
         let beliefs = gateway.beliefs();
-        let Some(state) = beliefs.backends.get(server.as_str()) else {
-            return SendEnd::Unsent("the server is gone".to_owned());
+        let state = beliefs.backends.get(server.as_str()).filter(|state| !state.leaving);
+        let Some(state) = state else {
+            return SendEnd::Unsent("the server is leaving or gone".to_owned());
         };
-        let key = run.head.need.as_ref().and_then(|need| need.adapter.as_ref());
+        let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
         (state.entry.address, key.and_then(|key| state.version(key)))
     };
     let left = run.left();
     let marks = ForwardMarks {
         server,
         left,
-        priority: run.route.priority,
+        priority: run.request.route.priority,
         version,
-        last_event: last_event.or(run.head.last_event.as_deref()),
+        last_event: last_event.or(run.request.head.last_event.as_deref()),
     };
-    let mut request = ExchangeRequest::new(run.method.clone(), run.path.clone());
-    request.headers = forward_headers(&run.headers, &marks);
-    request.body = run.body.clone();
+    let mut request = ExchangeRequest::new(run.request.method.clone(), run.request.path.clone());
+    request.headers = forward_headers(&run.request.headers, &marks);
+    request.body = run.request.body.clone();
     request.head_within = Some(head_time(run, left));
-    request.piece_within = Some(run.route.silence().min(left + ANSWER_SLACK));
+    request.piece_within = Some(run.request.route.silence().min(left + ANSWER_SLACK));
     run.sends += 1;
     run.server = Some(server.clone());
     event!(
         RequestSent,
-        request_id = run.head.id,
+        request_id = run.request.head.id,
         server = server,
         send = run.sends,
         version? = version,
         left_ms = left.as_millis(),
     );
-    let key = run.head.need.as_ref().and_then(|need| need.adapter.clone());
+    let key = run.request.head.need.as_ref().and_then(|need| need.adapter.clone());
     run.count = Some(SentCount::new(&gateway, server, key, run.prompt_tokens()));
     let sent = gateway.client.send(address, request).await;
     let end = classify(run, sent);
@@ -87,12 +96,12 @@
 /// is well would take.
 fn head_time(run: &RequestRun, left: Duration) -> Duration {
     let whole = left + ANSWER_SLACK;
-    let more_servers = run.ran + 1 < run.route.most_servers;
-    if !run.route.repeat.may_repeat() || !more_servers {
+    let more_servers = run.ran + 1 < run.request.route.most_servers;
+    if !run.request.route.repeat.may_repeat() || !more_servers {
         return whole;
     }
-    let patience = if run.route.repeat.is_stream() { STREAM_PATIENCE } else { PATIENCE };
-    run.route.target.mul_f64(patience).min(left / 2).min(whole)
+    let patience = if run.request.route.repeat.is_stream() { STREAM_PATIENCE } else { PATIENCE };
+    run.request.route.target.mul_f64(patience).min(left / 2).min(whole)
 }
 
 fn classify(run: &RequestRun, sent: Result<ExchangeAnswer, ExchangeError>) -> SendEnd {
@@ -102,7 +111,7 @@
         Err(error) => return SendEnd::Unknown(error.to_string()),
     };
     let head = read_answer(&answer.headers);
-    let foreign = head.id.as_ref().is_some_and(|id| *id != run.head.id);
+    let foreign = head.id.as_ref().is_some_and(|id| *id != run.request.head.id);
     if foreign {
         // An answer to an earlier request on this connection; the own one may come behind it, but
         // nothing tells where. Dropping the answer closes the connection.
@@ -137,7 +146,7 @@
         }
         SendEnd::Answer(..) | SendEnd::NotRun(..) => {}
     }
-    let key = run.head.need.as_ref().and_then(|need| need.adapter.as_ref());
+    let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
     let fresh = key.is_some_and(|key| {
         let state = beliefs.backends.get(server.as_str());
         let from = state.and_then(|state| state.usable_since(key));
@@ -150,7 +159,7 @@
     if !cause.is_empty() {
         event!(
             RequestRetried,
-            request_id = run.head.id,
+            request_id = run.request.head.id,
             server = server,
             outcome = result,
             cause = cause,
--- a/gateway/tests/suite/broken_answers.rs
+++ b/gateway/tests/suite/broken_answers.rs
@@ -12,13 +12,19 @@
 }
 
 /// A server runs a request that may run once, and its answer is lost. The caller gets no promise that
-/// it did not run, and it is not sent again.
+/// it did not run, and it is not sent again, although its route allows a second server for what did not
+/// run at the first.
 #[tokio::test]
 async fn lost_once() {
-    let (site, gateway) = plain_site(ServerMood::LosesAnswer).await;
+    let site = Site::start(0, 2).await;
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    for server in &site.plain {
+        server.set_mood(ServerMood::LosesAnswer);
+    }
     let answer = gateway.call("/once/1", "r1", &[]).await;
     assert_eq!(answer.status, 502);
-    assert_eq!(site.plain[0].runs().len(), 1);
+    assert_eq!(site.plain[0].runs().len() + site.plain[1].runs().len(), 1);
 }
 
 /// The same with one that may be repeated, and a second server: it is answered there.
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -84,7 +84,7 @@
             "version": version,
             "routes": [
                 route("safe", "safe", "plain", 2, false),
-                route("once", "unsafe", "plain", 1, false),
+                route("once", "unsafe", "plain", 2, false),
                 route("moved", "safe", service, 1, false),
                 route("stream", "streaming", "engines", 1, false),
                 route("resumed", "streaming", "engines", 2, true),
