An order that is not given leaves its book able to go on

Found on reading: an order that was held back at the last moment, since the VM's tenure had ended, left its book waiting for a reply that never comes; if the tenure came back before the book was closed, the server got no order any more. The book now looks at the server anew.

--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -283,16 +283,14 @@
     fence: u64,
     order: ServerOrder,
 ) {
-    // The tenure may have ended since the order was decided on: the VM may have been suspended.
-    if gateway.beliefs().fence(&gateway.settings, server, clock::now()).is_none() {
-        return;
-    }
-    if overfills(gateway, server, &order) {
-        event!(
-            InvariantBroken,
-            server = server,
-            invariant = "a server is not told to hold more adapters than it has places for",
-        );
+    if !may_give(gateway, server, &order) {
+        // Nothing was sent: the book looks at the server anew instead of waiting for a reply.
+        let now = clock::now();
+        let mut beliefs = gateway.beliefs();
+        let times = beliefs.times;
+        if let Some(book) = beliefs.books.get(server) {
+            book.replied(&order, OrderReply::Conflict, &times, now);
+        }
         return;
     }
     let vm = gateway.settings.vm.clone();
@@ -331,6 +329,23 @@
     );
 }
 
+/// Looks at an order once more before it is sent.
+fn may_give(gateway: &Gateway, server: &ServerName, order: &ServerOrder) -> bool {
+    // The tenure may have ended since the order was decided on: the VM may have been suspended.
+    if gateway.beliefs().fence(&gateway.settings, server, clock::now()).is_none() {
+        return false;
+    }
+    if overfills(gateway, server, order) {
+        event!(
+            InvariantBroken,
+            server = server,
+            invariant = "a server is not told to hold more adapters than it has places for",
+        );
+        return false;
+    }
+    true
+}
+
 /// Whether a load would pass the server's places, which would crash it.
 fn overfills(gateway: &Gateway, server: &ServerName, order: &ServerOrder) -> bool {
     let OrderAction::LoadAdapter { key, .. } = &order.action else { return false };
