--- a/gateway/tests/suite/adapter_loads.rs
+++ b/gateway/tests/suite/adapter_loads.rs
@@ -69,6 +69,21 @@
         site.engines[0].orders().iter().any(|order| order["version"] == 2)
     };
     eventually("the new version is ordered", loaded).await;
+    let on_new = async || {
+        gateway.ask("stream", "new", "a1").await;
+        let runs = site.engines[0].runs();
+        runs.last().and_then(|run| run.header("coltsfoothook-expect-version")) == Some("2")
+    };
+    eventually("requests run on the new version", on_new).await;
+    for number in 0..5 {
+        gateway.ask("stream", &format!("after-{number}"), "a1").await;
+    }
+    let runs = site.engines[0].runs();
+    let after = runs.iter().filter(|run| run.id.starts_with("after"));
+    assert!(after.clone().count() > 0);
+    for run in after {
+        assert_eq!(run.header("coltsfoothook-expect-version"), Some("2"));
+    }
 }
 
 /// Of two VMs one holds the shares. The other's requests for cold adapters are served all the same,
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod adapter_loads;
 mod broken_answers;
+mod caller_leaves;
 mod config_follow;
 mod peer_records;
 mod server;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -36,6 +36,8 @@
     orders: Vec<Value>,
     /// Requests that ran: id, expected version, last event, deadline.
     runs: Vec<RunNote>,
+    /// Streams whose reader left before their end.
+    left: usize,
 }
 
 /// A request as the server saw it.
@@ -106,6 +108,10 @@
         self.state.lock().unwrap().runs.clone()
     }
 
+    pub(crate) fn left(&self) -> usize {
+        self.state.lock().unwrap().left
+    }
+
     pub(crate) fn orders(&self) -> Vec<Value> {
         self.state.lock().unwrap().orders.clone()
     }
@@ -187,7 +193,11 @@
             let cut = mood == ServerMood::CutsStream && number == 2;
             let event = if cut { &event[..event.len() / 2] } else { &event };
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            if stream.write_all(chunk.as_bytes()).await.is_err() || cut {
+            if stream.write_all(chunk.as_bytes()).await.is_err() {
+                self.state.lock().unwrap().left += 1;
+                return false;
+            }
+            if cut {
                 return false;
             }
             let pause = if mood == ServerMood::Slow { 1_000 } else { 5 };
