Tests of the gateway take ports that no connection is given

Cause: store_away failed once in six plays beside load: a gateway could not listen (address in use). A port that the kernel had named free was given to another test's outgoing connection before the gateway bound it. Ports now lie below those that the kernel gives out, a range for each process.

--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -1,6 +1,7 @@
 //! A small site on loopback: the store, servers, and gateways as callers see them.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use coltsfoothook_exchange::{ExchangeAnswer, ExchangeClient, ExchangeRequest, ExchangeSettings};
@@ -222,9 +223,23 @@
     Some(CallerAnswer { status: answer.status.as_u16(), body, whole, retry_after })
 }
 
+/// Ports below those that the kernel gives to outgoing connections. One that was free a moment ago could
+/// else be taken by a connection of another test before its gateway listens.
+const FIRST_PORT: u16 = 12_000;
+const PORTS_A_PROCESS: u16 = 300;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 fn free_port(ip: &str) -> SocketAddr {
-    let listener = std::net::TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap()
+    let ip: IpAddr = ip.parse().unwrap();
+    let process = u16::try_from(std::process::id() % 60).unwrap() * PORTS_A_PROCESS;
+    loop {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_A_PROCESS;
+        let address = SocketAddr::new(ip, FIRST_PORT + process + number);
+        let tcp = std::net::TcpListener::bind(address);
+        if tcp.is_ok() && std::net::UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn free_ports(peers: SocketAddr) -> ListenSettings {
