What stood twice in the gateway stands once; dead parts removed

Found on reading the whole change: whether another server may run a request was spelled in two places and undone by a count in a third, the budget of repeats was asked in two ways, a name of the platform stood twice, a cold adapter's server was chosen twice for each look although the second choice differs only after a wish that had no effect; two functions, a field and a setting had no use.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -109,8 +109,6 @@
 pub struct BackendState {
     /// What it registered.
     pub entry: BackendEntry,
-    /// When that was read.
-    pub seen_at: TimePoint,
     /// When the first entry of this life was read.
     first_seen: TimePoint,
     /// Set once it is leaving or gone; it then gets no new work.
@@ -263,7 +261,6 @@
         };
         let same_models = models(&entry) == models(&state.entry);
         state.entry = entry;
-        state.seen_at = now;
         state.adopt_entry(now);
         match (leaves, same_models) {
             (true, _) => EntryChange::Leaving,
@@ -593,26 +590,6 @@
         let figures = self.servers.iter().filter(busy);
         figures.map(|state| (state.entry.server.clone(), state.own)).collect()
     }
-
-    /// How much of a service's room is taken, as a share of its servers' slots.
-    #[must_use]
-    pub fn taken_share(&self, service: &ServiceName, now: TimePoint) -> f64 {
-        let (mut running, mut slots) = (0u64, 0u64);
-        for state in &self.servers {
-            if state.entry.service == *service && !state.leaving {
-                running += u64::from(state.load(now).running);
-                slots += u64::from(state.entry.slots);
-            }
-        }
-        if slots == 0 { 1.0 } else { running as f64 / slots as f64 }
-    }
-
-    /// How many servers of a service may take work.
-    #[must_use]
-    pub fn ready_count(&self, service: &ServiceName) -> usize {
-        let ready = |state: &&BackendState| state.entry.service == *service && !state.leaving;
-        self.servers.iter().filter(ready).count()
-    }
 }
 
 /// What is usual at the servers of a service.
@@ -627,7 +604,6 @@
         let leaving = !entry.ready;
         let mut state = Self {
             entry,
-            seen_at: now,
             first_seen: now,
             leaving,
             owner: None,
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -105,9 +105,13 @@
             };
             (choice, wish)
         }
-        ServerChoice::Load { .. } => {
-            let mut elsewhere = not.clone();
-            elsewhere.extend(beliefs.wishes.tried(key));
+        ServerChoice::Load { server } => {
+            let tried = beliefs.wishes.tried(key);
+            if tried.is_empty() {
+                let wish = (key.clone(), newest, server.clone());
+                return (choice, Some(wish));
+            }
+            let elsewhere = [not.as_slice(), &tried].concat();
             match beliefs.backends.choose(&server_need(&elsewhere, oldest), draw, now) {
                 ServerChoice::Load { server } => {
                     let wish = (key.clone(), newest, server.clone());
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -138,7 +138,7 @@
             Ok(server) => server,
             Err(reason) => return give_up(run, reason),
         };
-        if !allowed(&run) {
+        if !run.may_send() {
             return give_up(run, "repeat_budget");
         }
         let end = send(&mut run, &server, None).await;
@@ -164,15 +164,3 @@
         }
     }
 }
-
-/// Counts a send, and says whether the budget of repeats allows it.
-fn allowed(run: &RequestRun) -> bool {
-    let now = clock::now();
-    let mut beliefs = run.gateway.beliefs();
-    let vms = beliefs.vm_count(now);
-    if run.sends == 0 {
-        beliefs.budget.first(&run.request.service, now);
-        return true;
-    }
-    beliefs.budget.again(&run.request.service, vms, now)
-}
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -55,11 +55,7 @@
     run.ran += 1;
     let status = answer.status;
     let failed = status.is_server_error();
-    let may_again = failed
-        && run.request.route.repeat.may_repeat()
-        && run.ran < run.request.route.most_servers
-        && status != StatusCode::GATEWAY_TIMEOUT
-        && run.left() > LEAST_LEFT;
+    let may_again = failed && status != StatusCode::GATEWAY_TIMEOUT && run.may_run_elsewhere();
     let stream = run.request.route.repeat.is_stream() && status.is_success();
     if stream {
         return AfterAnswer::finished(StreamRelay::answer(run, server, answer));
@@ -89,8 +85,7 @@
 }
 
 fn finish_or_again(mut run: RequestRun, server: ServerName, cause: String) -> AfterAnswer {
-    run.ran -= 1;
-    match unknown(&mut run, server, cause) {
+    match broke_off(&mut run, server, cause) {
         NextStep::Again(_) => AfterAnswer::Again(Box::new(run)),
         NextStep::Finished(answer) => AfterAnswer::Finished(answer),
     }
@@ -143,11 +138,13 @@
 /// A server may have run the request, and there is no answer.
 pub(crate) fn unknown(run: &mut RequestRun, server: ServerName, cause: String) -> NextStep {
     run.ran += 1;
+    broke_off(run, server, cause)
+}
+
+/// What follows when a server that is counted as having run the request gives no whole answer.
+fn broke_off(run: &mut RequestRun, server: ServerName, cause: String) -> NextStep {
     run.avoided.push(server);
-    let again = run.request.route.repeat.may_repeat()
-        && run.ran < run.request.route.most_servers
-        && run.left() > LEAST_LEFT;
-    if again {
+    if run.may_run_elsewhere() {
         return NextStep::Again(Duration::ZERO);
     }
     let status =
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -14,7 +14,6 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::answer::{AnswerStream, BrokenAnswer, streamed_answer};
-use crate::clock;
 use crate::event_scan::EventScan;
 use crate::find::find_server;
 use crate::run::RequestRun;
@@ -163,9 +162,7 @@
         if run.ran >= run.request.route.most_servers || run.left() < LEAST_RESUME {
             return false;
         }
-        let now = clock::now();
-        let vms = run.gateway.beliefs().vm_count(now);
-        if !run.gateway.beliefs().budget.again(&run.request.service, vms, now) {
+        if !run.may_send() {
             return false;
         }
         let Ok(server) = find_server(run).await else { return false };
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -12,6 +12,7 @@
 use http::{HeaderMap, Method};
 
 use crate::clock;
+use crate::find::LEAST_LEFT;
 use crate::message::AdapterUse;
 use crate::metrics::RequestTiming;
 use crate::sent::SentCount;
@@ -98,6 +99,24 @@
         }
     }
 
+    /// Whether another server may run it, although one may have begun to.
+    pub(crate) fn may_run_elsewhere(&self) -> bool {
+        let route = &self.request.route;
+        route.repeat.may_repeat() && self.ran < route.most_servers && self.left() > LEAST_LEFT
+    }
+
+    /// Counts a send, and says whether the budget of repeats allows it.
+    pub(crate) fn may_send(&self) -> bool {
+        let now = clock::now();
+        let mut beliefs = self.gateway.beliefs();
+        if self.sends == 0 {
+            beliefs.budget.first(&self.request.service, now);
+            return true;
+        }
+        let vms = beliefs.vm_count(now);
+        beliefs.budget.again(&self.request.service, vms, now)
+    }
+
     /// Notes how it ended; the first reason stays.
     pub(crate) fn end(&mut self, outcome: &'static str, reason: impl Into<String>) {
         if self.outcome.is_none() {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -71,8 +71,6 @@
         pub seeds: Vec<SocketAddr> = Vec::new();
         /// Whether the whole system starts for the first time.
         pub first_start: bool = false;
-        /// How often backend servers register themselves, in milliseconds.
-        pub heartbeat_ms: u64 = 1_000, in 10..=600_000;
         /// The platform's store.
         pub store: StoreSettings = StoreSettings::default();
         /// What the operators hold the system to.
