A randomised soak of real gateway processes, with faults from outside

Cause: faults that overlap (signals, links that are silent or lose answers one way, servers that crash or are replaced, configurations in series) were played on single paths by tests in one process; nothing played them at random on the real program.

The stand-in store deals shares evenly with a hand-over, and the stand-in server notes orders that none may give.

Ruled out: a folder of its own with its own stand-ins; those of the suite are reused.

--- /dev/null
+++ b/gateway/tests/soak/callers.rs
@@ -0,0 +1,229 @@
+//! Callers: they ask which addresses to use, keep the answer a while, and send requests there.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfoothook_exchange::{
+    ExchangeAnswer, ExchangeClient, ExchangeError, ExchangeRequest, ExchangeSettings,
+};
+use futures::StreamExt;
+use http::{HeaderName, HeaderValue, Method};
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
+use rand_pcg::Pcg64;
+use tokio::time::{sleep, timeout};
+
+use crate::server::MODEL;
+use crate::world::SoakWorld;
+
+/// What a caller gives a request, in milliseconds.
+const DEADLINE_MS: u64 = 5_000;
+/// Adapters that are asked for: more than the servers have places for.
+const ADAPTERS: usize = 9;
+/// One request in so many is given up by its caller after some tens of milliseconds.
+const LEAVES_ONE_IN: u32 = 12;
+
+/// The kinds of requests, named as their routes are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallKind {
+    Safe,
+    Once,
+    Stream,
+    Resumed,
+    Moved,
+}
+
+impl CallKind {
+    pub(crate) fn route(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Once => "once",
+            Self::Stream => "stream",
+            Self::Resumed => "resumed",
+            Self::Moved => "moved",
+        }
+    }
+
+    pub(crate) fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Resumed)
+    }
+
+    /// Whether it may run once at most.
+    pub(crate) fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::Stream)
+    }
+}
+
+/// What a caller saw of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallNote {
+    pub(crate) id: String,
+    pub(crate) kind: CallKind,
+    pub(crate) at: SocketAddr,
+    pub(crate) sent: Instant,
+    pub(crate) took: Duration,
+    pub(crate) end: CallEnd,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug)]
+pub(crate) enum CallEnd {
+    /// An answer came, whole or not.
+    Answered { status: u16, seal: String, body: String, whole: bool },
+    /// No byte was sent.
+    Unsent,
+    /// The connection ended without an answer.
+    Cut,
+    /// The caller left.
+    Left,
+}
+
+impl CallNote {
+    /// The note for a finding.
+    pub(crate) fn told(&self) -> String {
+        let Self { id, kind, at, took, end, .. } = self;
+        format!("{id}, {kind:?} to {at}, after {took:?}: {end:?}")
+    }
+
+    /// Whether it was served whole.
+    pub(crate) fn served(&self) -> bool {
+        matches!(self.end, CallEnd::Answered { status: 200, whole: true, .. })
+    }
+}
+
+/// Calls until the world ends.
+pub(crate) async fn call_on(world: Arc<SoakWorld>, number: usize, mut random: Pcg64) {
+    let client = ExchangeClient::new(ExchangeSettings { keep_ms: 9_000, ..Default::default() });
+    let mut addresses: Vec<SocketAddr> = Vec::new();
+    let mut ask_at = Instant::now();
+    let mut count = 0;
+    while !world.over() {
+        if Instant::now() >= ask_at || addresses.is_empty() {
+            if let Some(told) = ask(&world, &mut random).await {
+                addresses = told;
+            }
+            // Some keep the answer three times as long as they are told to.
+            let kept = if random.random_ratio(1, 4) { 6_000 } else { 2_000 };
+            ask_at = Instant::now() + Duration::from_millis(kept);
+        }
+        let pause = random.random_range(20..180);
+        sleep(Duration::from_millis(pause)).await;
+        let Some(address) = addresses.choose(&mut random).copied() else { continue };
+        count += 1;
+        let id = format!("c{number}-{count}");
+        let kinds = [CallKind::Safe, CallKind::Once, CallKind::Stream, CallKind::Resumed];
+        let kind = *kinds.choose(&mut random).expect("there are kinds");
+        let adapter =
+            format!("a{}", random.random_range(0..ADAPTERS).min(random.random_range(0..ADAPTERS)));
+        let note = if random.random_ratio(1, LEAVES_ONE_IN) {
+            let patience = Duration::from_millis(random.random_range(5..120));
+            let sent = Instant::now();
+            let called = call(&client, address, kind, &id, &adapter);
+            let left = CallNote {
+                id: id.clone(),
+                kind,
+                at: address,
+                sent,
+                took: patience,
+                end: CallEnd::Left,
+            };
+            timeout(patience, called).await.unwrap_or(left)
+        } else {
+            call(&client, address, kind, &id, &adapter).await
+        };
+        if matches!(note.end, CallEnd::Unsent) {
+            addresses.retain(|other| *other != address);
+        }
+        world.verdict.note(note);
+    }
+}
+
+/// Sends a request again and again to one gateway, whose configuration moves its route.
+pub(crate) async fn probe_on(world: Arc<SoakWorld>, gateway: usize) {
+    let client = ExchangeClient::new(ExchangeSettings::default());
+    let address = world.gateways[gateway].place.requests;
+    let mut count = 0;
+    while !world.over() {
+        sleep(Duration::from_millis(90)).await;
+        count += 1;
+        let id = format!("g{gateway}-{count}");
+        let start = world.gateways[gateway].starts();
+        let note = call(&client, address, CallKind::Moved, &id, "").await;
+        // A request that met two lives of the process tells of neither.
+        if world.gateways[gateway].starts() == start {
+            world.verdict.moved(gateway, start, &note, &world);
+        }
+        world.verdict.note(note);
+    }
+}
+
+/// Asks one gateway after another for addresses.
+async fn ask(world: &SoakWorld, random: &mut Pcg64) -> Option<Vec<SocketAddr>> {
+    let client = ExchangeClient::new(ExchangeSettings { connect_ms: 500, ..Default::default() });
+    let first = random.next_u64() as usize;
+    for step in 0..world.gateways.len() {
+        let place = &world.gateways[(first + step) % world.gateways.len()].place;
+        let mut request = ExchangeRequest::get("/v1/resolve?name=a.example&region=r&zone=d1");
+        request.head_within = Some(Duration::from_millis(500));
+        let Ok(answer) = client.send(place.addresses, request).await else { continue };
+        let Ok(body) = answer.body.collect(1 << 16).await else { continue };
+        let told: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        let told: Vec<SocketAddr> =
+            serde_json::from_value(told["addresses"].clone()).unwrap_or_default();
+        if !told.is_empty() {
+            return Some(told);
+        }
+    }
+    None
+}
+
+async fn call(
+    client: &ExchangeClient,
+    address: SocketAddr,
+    kind: CallKind,
+    id: &str,
+    adapter: &str,
+) -> CallNote {
+    let method = if kind == CallKind::Safe { Method::GET } else { Method::POST };
+    let mut request = ExchangeRequest::new(method, format!("/{}/x", kind.route()));
+    let mut set = |name: &'static str, value: &str| {
+        let value = HeaderValue::from_str(value).expect("it is a header's value");
+        request.headers.insert(HeaderName::from_static(name), value);
+    };
+    set("host", "a.example");
+    set("coltsfoothook-request-id", id);
+    set("coltsfoothook-deadline-ms", &DEADLINE_MS.to_string());
+    if kind.is_stream() {
+        set("coltsfoothook-model", &format!("{MODEL}/{adapter}"));
+        set("coltsfoothook-token-count", "100,8");
+    }
+    request.head_within = Some(Duration::from_millis(DEADLINE_MS + 1_000));
+    request.piece_within = Some(Duration::from_millis(DEADLINE_MS + 1_000));
+    let sent = Instant::now();
+    let end = match client.send(address, request).await {
+        Ok(answer) => read(answer).await,
+        Err(error) if error.certainly_not_sent() => CallEnd::Unsent,
+        Err(ExchangeError::NotSent { .. }) => CallEnd::Unsent,
+        Err(_) => CallEnd::Cut,
+    };
+    CallNote { id: id.to_owned(), kind, at: address, sent, took: sent.elapsed(), end }
+}
+
+async fn read(mut answer: ExchangeAnswer) -> CallEnd {
+    let seal = answer.headers.get("coltsfoothook-server-seal");
+    let seal = seal.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+    let status = answer.status.as_u16();
+    let (mut bytes, mut whole) = (Vec::new(), true);
+    while let Some(piece) = answer.body.next().await {
+        match piece {
+            Ok(piece) => bytes.extend_from_slice(&piece),
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    let body = String::from_utf8_lossy(&bytes).into_owned();
+    CallEnd::Answered { status, seal, body, whole }
+}
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -5,8 +5,10 @@
 mod caller_leaves;
 mod config_follow;
 mod peer_records;
+#[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
 mod site;
+#[allow(dead_code, reason = "the soak uses more of it")]
 mod store;
 mod vm_leaves;
 mod wire_names;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// How a server treats the next requests.
@@ -27,6 +28,8 @@
     Full,
     /// It takes a second for each event of a stream.
     Slow,
+    /// It takes some tens of milliseconds for each event.
+    Paced,
 }
 
 #[derive(Default)]
@@ -38,6 +41,10 @@
     runs: Vec<RunNote>,
     /// Streams whose reader left before their end.
     left: usize,
+    /// The highest fencing number of an order, and who gave it.
+    fence: (u64, String),
+    /// What no caller of orders may do.
+    faults: Vec<String>,
 }
 
 /// A request as the server saw it.
@@ -46,6 +53,8 @@
     pub(crate) id: String,
     pub(crate) head: String,
     pub(crate) body: String,
+    /// When it came.
+    pub(crate) at: Option<Instant>,
 }
 
 impl RunNote {
@@ -64,10 +73,14 @@
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
     state: Arc<Mutex<ServerState>>,
+    /// Set once the server has crashed or left.
+    ended: Arc<watch::Sender<bool>>,
 }
 
 /// Events of each stream.
 pub(crate) const EVENTS: usize = 4;
+/// Places for adapters.
+pub(crate) const PLACES: usize = 2;
 /// The base model that every server holds.
 pub(crate) const MODEL: &str = "base";
 
@@ -78,17 +91,46 @@
             name: name.to_owned(),
             address: listener.local_addr().unwrap(),
             state: Arc::default(),
+            ended: Arc::new(watch::Sender::new(false)),
         };
         let served = server.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let server = served.clone();
-                tokio::spawn(async move { server.connection(stream).await });
+            let mut ended = served.ended.subscribe();
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let server = served.clone();
+                    tokio::spawn(async move {
+                        let mut ended = server.ended.subscribe();
+                        tokio::select! {
+                            () = server.connection(stream) => {}
+                            _ = ended.wait_for(|ended| *ended) => {}
+                        }
+                    });
+                }
+            };
+            tokio::select! {
+                () = accept => {}
+                _ = ended.wait_for(|ended| *ended) => {}
             }
         });
         server
     }
 
+    /// Cuts all connections and takes no more, as a crash does.
+    pub(crate) fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Whether it has crashed or left.
+    pub(crate) fn is_ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
+    /// What callers of orders did that none may do.
+    pub(crate) fn faults(&self) -> Vec<String> {
+        self.state.lock().unwrap().faults.clone()
+    }
+
     /// Its entry in the store.
     pub(crate) fn entry(&self, service: &str, heartbeat: u64, state: &str) -> Value {
         let held = self.state.lock().unwrap();
@@ -127,7 +169,7 @@
 
     /// Answers one request; false if the connection ends.
     async fn answer(&self, stream: &mut TcpStream, head: String, body: String) -> bool {
-        let note = RunNote { head, body, ..RunNote::default() };
+        let note = RunNote { head, body, at: Some(Instant::now()), ..RunNote::default() };
         let note = RunNote {
             id: note.header("coltsfoothook-request-id").unwrap_or_default().to_owned(),
             ..note
@@ -200,7 +242,11 @@
             if cut {
                 return false;
             }
-            let pause = if mood == ServerMood::Slow { 1_000 } else { 5 };
+            let pause = match mood {
+                ServerMood::Slow => 1_000,
+                ServerMood::Paced => 60,
+                _ => 5,
+            };
             sleep(Duration::from_millis(pause)).await;
         }
         stream.write_all(b"0\r\n\r\n").await.is_ok()
@@ -217,6 +263,16 @@
 
     fn order(&self, order: Value) -> u16 {
         let mut state = self.state.lock().unwrap();
+        let (fence, holder) = (order["fence"].as_u64(), order["holder"].as_str());
+        let (fence, holder) = (fence.unwrap_or(0), holder.unwrap_or_default().to_owned());
+        if fence < state.fence.0 {
+            return 412;
+        }
+        if fence == state.fence.0 && fence > 0 && holder != state.fence.1 {
+            let fault = format!("{holder} and {} both order with {fence}", state.fence.1);
+            state.faults.push(fault);
+        }
+        state.fence = (fence, holder);
         if order["precondition"].as_u64() != Some(state.orders.len() as u64) {
             return 409;
         }
@@ -226,6 +282,10 @@
         if load {
             state.adapters.push(adapter);
         }
+        if state.adapters.len() > PLACES {
+            let fault = format!("{:?} are more than {PLACES} adapters", state.adapters);
+            state.faults.push(fault);
+        }
         state.orders.push(order);
         if load { 202 } else { 200 }
     }
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::server::{MODEL, StandinServer};
+use crate::server::{MODEL, PLACES, StandinServer};
 use crate::store::StandinStore;
 
 /// The longest that a test waits for something.
@@ -79,7 +79,7 @@
         let model = json!({ "name": MODEL, "weights_mb": 10.0, "adapters": 9, "adapter_mb": 1.0 });
         let engine = json!({
             "slots": 8, "kv_capacity_tokens": 10_000, "models": [model], "weights_mb": 20.0,
-            "adapter_slots": 2, "loads_per_s": 5.0,
+            "adapter_slots": PLACES, "loads_per_s": 5.0,
         });
         let config = json!({
             "version": version,
--- a/gateway/tests/suite/store.rs
+++ b/gateway/tests/suite/store.rs
@@ -28,6 +28,16 @@
 struct GroupMember {
     name: String,
     joined: Instant,
+    lifetime: Duration,
+}
+
+/// A share that the group's members are dealt.
+struct DealtShare {
+    topic: String,
+    part: u64,
+    holder: String,
+    /// Who gets it once its holder has joined with the generation of the move, or lapsed.
+    next: Option<(String, u64)>,
 }
 
 #[derive(Default)]
@@ -36,7 +46,10 @@
     /// The oldest kept offset of each topic, once history was dropped.
     first: Vec<(String, usize)>,
     members: Vec<GroupMember>,
+    shares: Vec<DealtShare>,
     generation: u64,
+    /// Whether all members get shares, or the one that joined first alone.
+    deals_evenly: bool,
 }
 
 /// The store. Clones share it.
@@ -88,6 +101,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Deals shares to all members from now on.
+    pub(crate) fn deal_evenly(&self) {
+        self.state.lock().unwrap().deals_evenly = true;
+    }
+
     /// Answers nothing but 503 from now on, or serves again.
     pub(crate) fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::SeqCst);
@@ -181,30 +199,74 @@
         if lines.len() <= from { None } else { Some(raw(framed(lines.len(), &lines[from..]))) }
     }
 
-    /// Deals all shares to the first member that lives.
     fn join(&self, join: &Value) -> Value {
-        let name = join["member"].as_str().unwrap();
-        let lifetime = Duration::from_millis(join["ttl_ms"].as_u64().unwrap());
         let mut state = self.state.lock().unwrap();
-        let before = state.members.len();
-        state.members.retain(|member| member.joined.elapsed() < lifetime);
-        let mut changed = state.members.len() != before;
-        match state.members.iter_mut().find(|member| member.name == name) {
+        let topics = join["topics"].as_array().unwrap();
+        let topics: Vec<&str> = topics.iter().map(|topic| topic.as_str().unwrap()).collect();
+        let lifetime = Duration::from_millis(join["ttl_ms"].as_u64().unwrap());
+        let name = join["member"].as_str().unwrap();
+        state.join(name, lifetime, &topics);
+        let parts = state.dealt(name, join["generation"].as_u64().unwrap_or(0));
+        json!({ "generation": state.generation, "ttl_ms": join["ttl_ms"], "parts": parts })
+    }
+}
+
+impl StoreState {
+    /// Keeps a member in the group, and deals the shares anew if a member came or lapsed.
+    fn join(&mut self, name: &str, lifetime: Duration, topics: &[&str]) {
+        let before = self.members.len();
+        self.members.retain(|member| member.joined.elapsed() < member.lifetime);
+        let mut changed = self.members.len() != before;
+        match self.members.iter_mut().find(|member| member.name == name) {
             Some(member) => member.joined = Instant::now(),
             None => {
-                let member = GroupMember { name: name.to_owned(), joined: Instant::now() };
-                state.members.push(member);
+                let member =
+                    GroupMember { name: name.to_owned(), joined: Instant::now(), lifetime };
+                self.members.push(member);
                 changed = true;
             }
         }
-        state.generation += u64::from(changed);
-        let mut parts = Vec::new();
-        if state.members[0].name == name {
-            for topic in join["topics"].as_array().unwrap() {
-                parts.extend((0..PARTS).map(|part| json!([topic, part, 0])));
+        if !changed {
+            return;
+        }
+        self.generation += 1;
+        let names: Vec<String> = self.members.iter().map(|m| m.name.clone()).collect();
+        let dealt = if self.deals_evenly { names.len() } else { 1 };
+        if self.shares.is_empty() {
+            let pairs = topics.iter().flat_map(|topic| (0..PARTS).map(move |part| (*topic, part)));
+            self.shares = pairs
+                .map(|(topic, part)| DealtShare {
+                    topic: topic.to_owned(),
+                    part,
+                    holder: String::new(),
+                    next: None,
+                })
+                .collect();
+        }
+        for (number, share) in self.shares.iter_mut().enumerate() {
+            let target = &names[number % dealt];
+            if !names.contains(&share.holder) {
+                share.holder.clone_from(target);
+                share.next = None;
+            } else if share.holder == *target {
+                share.next = None;
+            } else {
+                share.next = Some((target.clone(), self.generation));
             }
         }
-        json!({ "generation": state.generation, "ttl_ms": join["ttl_ms"], "parts": parts })
+    }
+
+    /// The shares of a member that states the last generation that it knows.
+    fn dealt(&mut self, name: &str, generation: u64) -> Vec<Value> {
+        for share in &mut self.shares {
+            if share.holder == name
+                && let Some((next, _)) = share.next.take_if(|(_, from)| generation >= *from)
+            {
+                share.holder = next;
+            }
+        }
+        let own = self.shares.iter().filter(|share| share.holder == name && share.next.is_none());
+        own.map(|share| json!([share.topic, share.part, 0])).collect()
     }
 }
 
