Orders follow lost ones at once; wishes keep their turn; copies of sought adapters alone

Free places are told less those that are wished for. A wish moves on only to a server that can load at once. Owners tell how much each adapter is used; a copy needs 0.12 of a server's fair share at each holder.

Ruled out: the weight store's rate (40 of 64 loads a second were used).

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -33,6 +33,11 @@
 /// at twice the mean the busiest servers were already late.
 const COPY_PERCENT: u64 = 130;
 const COPY_TOKENS: u64 = 4_000;
+/// The part of a server's fair share of all requests that an adapter must bring to each of its holders
+/// for another copy: a copy of one that brings less takes a place and a transfer from the weight store,
+/// and hardly any load off its holder. Without it an adapter asked for once in some seconds was fetched
+/// five times in a minute.
+const COPY_SHARE: f64 = 0.12;
 /// A copy goes to a server whose cost is at most this many hundredths of the holder's.
 const COPY_TARGET_PERCENT: u64 = 67;
 /// A server that held an adapter lately gets it back while its cost is at most this many hundredths of
@@ -61,6 +66,8 @@
         pub version: u64,
         /// From when it can be used, on this process's clock.
         pub usable_from: TimePoint,
+        /// How much it is used there, as the VM that orders the server counts it.
+        pub heat: u32,
     }
 }
 
@@ -411,6 +418,25 @@
         Some(if owner.vm == *vm { TimePoint(0) } else { owner.at })
     }
 
+    /// Where to have an adapter loaded that `slow` was asked for a while ago; `other` is the choice without
+    /// it. Only a server that can load at once is worth the change, unless nobody orders `slow`: where
+    /// all places are in use, each change would lose the request's turn, and in the end two servers
+    /// would fetch the adapter.
+    #[must_use]
+    pub fn load_elsewhere(
+        &self,
+        slow: ServerName,
+        other: &ServerChoice,
+        now: TimePoint,
+    ) -> ServerName {
+        let ServerChoice::Load { server: other } = other else { return slow };
+        let takes = |name: &ServerName| {
+            self.get(name.as_str()).is_some_and(|state| state.takes_loads(now))
+        };
+        let ordered = self.owner(slow.as_str(), now).is_some();
+        if takes(other) || !ordered { other.clone() } else { slow }
+    }
+
     /// Whether a server of a service with model engines has had no owner for a while, as far as this
     /// VM heard.
     #[must_use]
@@ -476,9 +502,10 @@
         draw: u64,
         now: TimePoint,
     ) -> Option<&'a BackendState> {
+        let typical = self.typical(need.service);
         let cost = |state: &&&BackendState| {
             let local = state.entry.domain == *need.domain;
-            state.cost(self.typical(need.service), now) + if local { 0 } else { DOMAIN_TOKENS }
+            state.cost(typical, now) + if local { 0 } else { DOMAIN_TOKENS }
         };
         if need.shared.tokens >= SHARED_TOKENS {
             let home = among.iter().min_by_key(|state| state.prompt_rank(need.shared.id))?.name();
@@ -510,7 +537,7 @@
         let total: u64 = all.iter().map(|state| state.cost(typical, now)).sum();
         let mean = total / (all.len() as u64).max(1);
         let cost = best.cost(typical, now);
-        if cost < COPY_TOKENS.max(mean * COPY_PERCENT / 100) {
+        if cost < COPY_TOKENS.max(mean * COPY_PERCENT / 100) || !is_sought(all, key) {
             return None;
         }
         let without: Vec<&BackendState> =
@@ -592,6 +619,21 @@
     }
 }
 
+/// Whether an adapter brings each of its holders among `all` enough requests for another copy.
+fn is_sought(all: &[&BackendState], key: &AdapterKey) -> bool {
+    let heats = |state: &&BackendState| -> u64 {
+        state.holdings.iter().map(|holding| u64::from(holding.heat)).sum()
+    };
+    let total: u64 = all.iter().map(heats).sum();
+    let fair = total as f64 / all.len().max(1) as f64;
+    let held = all.iter().filter_map(|state| {
+        let at = state.holdings.binary_search_by(|holding| holding.key.cmp(key)).ok()?;
+        Some(u64::from(state.holdings[at].heat))
+    });
+    let (holders, heat) = held.fold((0u64, 0u64), |(count, sum), heat| (count + 1, sum + heat));
+    heat as f64 >= COPY_SHARE * fair * holders as f64
+}
+
 /// What is usual at the servers of a service.
 #[derive(Clone, Copy, Debug)]
 struct TypicalCondition {
@@ -658,7 +700,7 @@
                 let key =
                     AdapterKey { model: held.model.clone(), adapter: adapter.adapter.clone() };
                 let version = adapter.version;
-                holdings.push(AdapterHolding { key, version, usable_from: TimePoint(0) });
+                holdings.push(AdapterHolding { key, version, usable_from: TimePoint(0), heat: 0 });
             }
         }
         holdings.sort_by(|a, b| a.key.cmp(&b.key));
@@ -702,7 +744,8 @@
     }
 
     /// Whether its owner could load an adapter there when it last told.
-    fn takes_loads(&self, now: TimePoint) -> bool {
+    #[must_use]
+    pub fn takes_loads(&self, now: TimePoint) -> bool {
         self.active_owner(now).is_some_and(|owner| owner.free > 0)
     }
 
--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -58,6 +58,8 @@
     Refused,
     /// No answer: it may be carried out now or later.
     Lost,
+    /// The server could not be reached.
+    Unsent,
 }
 
 /// What to do next for a server.
@@ -215,6 +217,8 @@
     pub version: u64,
     /// From when it can be used.
     pub usable_from: TimePoint,
+    /// How much it is used there: its requests, of which older ones count less.
+    pub heat: u32,
 }
 
 /// The orders of one life of a server.
@@ -233,7 +237,8 @@
     wishes: Vec<LoadWish>,
     waiting: bool,
     ask_at: TimePoint,
-    rest_until: TimePoint,
+    /// Orders in a row that the server did not answer.
+    unanswered: u32,
     lately: Vec<AdapterKey>,
     revision: u64,
 }
@@ -242,9 +247,14 @@
 const LATELY_HELD: usize = 120;
 /// Microseconds between two questions to a server that is loading a base model.
 const MODEL_ASK_US: u64 = 250_000;
-/// Microseconds without orders to a server that did not answer one. A server that is down refuses
-/// connections at once, and asking it without a rest would fill the wire.
-const LOST_REST_US: u64 = 60_000;
+/// Orders in a row without an answer after which a server is taken to be away. Some servers leave one
+/// order in three unanswered for a while; the next one then follows at once, since it states the same
+/// count and cannot do harm.
+const LOST_IN_ROW: u32 = 3;
+/// Microseconds after which a server that is away is asked for a report; it gets no order before it has
+/// given one. A server that is down refuses connections at once, and orders without a rest would fill
+/// the wire.
+const AWAY_REST_US: u64 = 60_000;
 /// Microseconds after which an adapter that was told to make way is asked about.
 const LEAVING_ASK_US: u64 = 400_000;
 
@@ -263,7 +273,7 @@
             wishes: Vec::new(),
             waiting: false,
             ask_at: now,
-            rest_until: TimePoint(0),
+            unanswered: 0,
             lately: Vec::new(),
             revision: 0,
         }
@@ -283,11 +293,15 @@
 
     /// The adapters that requests may count on.
     #[must_use]
-    pub fn adapters(&self) -> Vec<BookedAdapter> {
+    pub fn adapters(&self, now: TimePoint) -> Vec<BookedAdapter> {
+        let half_life = self.settings.half_life_us as f64;
         let booked = |place: &AdapterPlace| match place.state {
-            PlaceState::Held { usable_from, .. } => {
-                Some(BookedAdapter { key: place.key.clone(), version: place.version, usable_from })
-            }
+            PlaceState::Held { usable_from, .. } => Some(BookedAdapter {
+                key: place.key.clone(),
+                version: place.version,
+                usable_from,
+                heat: place.heat_at(half_life, now).round() as u32,
+            }),
             PlaceState::Leaving { .. } => None,
         };
         self.held.iter().filter_map(booked).collect()
@@ -365,7 +379,7 @@
 
     /// What to do now, if anything. `model` is a base model that may be loaded if there is none.
     pub fn next(&mut self, model: Option<&ModelName>, now: TimePoint) -> Option<BookAction> {
-        if self.waiting || now < self.rest_until {
+        if self.waiting {
             return None;
         }
         let wish_us = self.settings.wish_us;
@@ -376,7 +390,7 @@
         }
         let expected = self.accepted?;
         // An adapter that makes way waits for its runs, and the server takes no order meanwhile.
-        if self.busy || self.held.iter().any(AdapterPlace::is_leaving) {
+        if self.busy || self.is_away() || self.held.iter().any(AdapterPlace::is_leaving) {
             return None;
         }
         let action = match model {
@@ -391,11 +405,18 @@
     }
 
     fn needs_report(&self, now: TimePoint) -> bool {
-        let unsettled =
-            self.accepted.is_none() || self.busy || self.held.iter().any(AdapterPlace::is_leaving);
+        let unsettled = self.accepted.is_none()
+            || self.busy
+            || self.is_away()
+            || self.held.iter().any(AdapterPlace::is_leaving);
         unsettled && now >= self.ask_at
     }
 
+    /// Whether the server has left so many orders unanswered that it is taken to be away.
+    fn is_away(&self) -> bool {
+        self.unanswered >= LOST_IN_ROW
+    }
+
     fn adapter_action(&self, now: TimePoint) -> Option<OrderAction> {
         let coming = |place: &&AdapterPlace| match place.state {
             PlaceState::Held { usable_from, .. } => usable_from > now,
@@ -443,6 +464,11 @@
         now: TimePoint,
     ) {
         self.waiting = false;
+        match reply {
+            OrderReply::Lost => self.unanswered += 1,
+            OrderReply::Unsent => self.unanswered = (self.unanswered + 1).max(LOST_IN_ROW),
+            _ => self.unanswered = 0,
+        }
         match reply {
             OrderReply::Accepted | OrderReply::Done => {
                 self.carried_out(order, reply, times, now);
@@ -452,7 +478,7 @@
                 self.accepted = None;
                 self.ask_at = now.plus(self.settings.report_lag_us);
             }
-            OrderReply::Lost => self.lost(order, now),
+            OrderReply::Lost | OrderReply::Unsent => self.lost(order, now),
         }
         if reply == OrderReply::Refused
             && let OrderAction::LoadAdapter { key, .. } = &order.action
@@ -465,7 +491,9 @@
     /// next order states the same count: either it is accepted and the lost one can't be any more, or
     /// it is refused since the lost one was. So nothing needs to wait for the server's late report.
     fn lost(&mut self, order: &ServerOrder, now: TimePoint) {
-        self.rest_until = now.plus(LOST_REST_US);
+        if self.is_away() {
+            self.ask_at = now.plus(AWAY_REST_US);
+        }
         self.stays(order, now);
         if matches!(order.action, OrderAction::LoadModel { .. }) {
             self.accepted = None;
@@ -530,6 +558,7 @@
             self.ask_at = now.plus(self.settings.report_lag_us / 2);
             return;
         }
+        self.unanswered = 0;
         self.accepted = Some(report.orders);
         self.least_accepted = report.orders;
         self.busy = report.busy;
@@ -619,15 +648,17 @@
         Some(&mut self.held[at])
     }
 
-    /// How many adapters could be loaded now: places that are empty or whose adapter nobody uses. None
-    /// while the server does not answer orders or waits for runs to end.
+    /// How many more adapters could be loaded now: places that are empty or whose adapter nobody uses,
+    /// less those that are wished for already. None while the server does not answer orders or waits
+    /// for runs to end.
     #[must_use]
     pub fn free(&self, now: TimePoint) -> usize {
-        if self.busy || now < self.rest_until || self.held.iter().any(AdapterPlace::is_leaving) {
+        if self.busy || self.is_away() || self.held.iter().any(AdapterPlace::is_leaving) {
             return 0;
         }
         let idle = self.held.iter().filter(|place| place.is_idle(&self.settings, now));
-        self.places.saturating_sub(self.held.len()) + idle.count()
+        let free = self.places.saturating_sub(self.held.len()) + idle.count();
+        free.saturating_sub(self.wishes.len())
     }
 
     /// Adapters that are held or on their way, and places.
--- a/decision/tests/suite/order_book.rs
+++ b/decision/tests/suite/order_book.rs
@@ -89,8 +89,8 @@
     assert_ne!(order.action, OrderAction::UnloadAdapter { key: key("a3") });
 }
 
-/// A server leaves a load unanswered. The next order follows on the same count after a short rest: if
-/// it is accepted, the lost one can never be carried out any more.
+/// A server leaves a load unanswered, as a third of them may be for seconds. The next order follows at
+/// once on the same count: if it is accepted, the lost one can never be carried out any more.
 #[test]
 fn lost_order() {
     let now = TimePoint(0);
@@ -98,13 +98,37 @@
     book.wish(&key("a2"), 1, now);
     let lost = next_order(&mut book, now).expect("there is a free place");
     book.replied(&lost, OrderReply::Lost, &LoadTimes::default(), now);
-    assert_eq!(next_order(&mut book, now), None);
-    let later = now.plus(100 * MILLI);
-    book.wish(&key("a2"), 1, later);
-    let again = next_order(&mut book, later).expect("the server had its rest");
+    let again = next_order(&mut book, now).expect("it follows at once");
     assert_eq!(again.expected, lost.expected);
 }
 
+/// A server leaves three orders in a row unanswered, or cannot be reached: it is down, or silent. Orders
+/// one after the other would fill the wire, and requests would wait for its places. It is asked now and
+/// then, has no free place, and gets orders again once it has answered.
+#[test]
+fn silent_server() {
+    for (reply, orders) in [(OrderReply::Lost, 3), (OrderReply::Unsent, 1)] {
+        let now = TimePoint(0);
+        let mut book = known_book(&["a1"], now);
+        book.wish(&key("a2"), 1, now);
+        assert!(book.free(now) > 0);
+        for _ in 0..orders {
+            let order = next_order(&mut book, now).expect("it may be one answer that is lost");
+            book.replied(&order, reply, &LoadTimes::default(), now);
+        }
+        assert_eq!((book.next(None, now), book.free(now)), (None, 0));
+        let later = now.plus(60 * MILLI);
+        assert_eq!(book.next(None, later), Some(BookAction::Ask));
+        book.reported(None, &LoadTimes::default(), later);
+        assert_eq!((book.next(None, later), book.free(later)), (None, 0));
+        let back = now.plus(700 * MILLI);
+        assert_eq!(book.next(None, back), Some(BookAction::Ask));
+        book.reported(Some(&report(0, &["a1"])), &LoadTimes::default(), back);
+        book.wish(&key("a2"), 1, back);
+        assert!(next_order(&mut book, back).is_some());
+    }
+}
+
 /// A server that works through runs before an adapter makes way takes no order; the book asks until
 /// the adapter is gone instead of sending orders that are refused.
 #[test]
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -42,11 +42,15 @@
     let owner = ServerOwner { vm: "a".into(), fence: 1, at: now, free: 4 };
     let holdings = adapters
         .iter()
-        .map(|name| AdapterHolding { key: key(name), version: 1, usable_from: TimePoint(0) })
+        .map(|name| holding(name, 0))
         .collect();
     assert!(table.list(server, owner, now.0, holdings));
 }
 
+fn holding(adapter: &str, heat: u32) -> AdapterHolding {
+    AdapterHolding { key: key(adapter), version: 1, usable_from: TimePoint(0), heat }
+}
+
 /// What a request for `adapter` needs, with the owned parts that it borrows.
 struct Need {
     service: ServiceName,
@@ -137,19 +141,57 @@
     assert_eq!(choice, ServerChoice::Send { server: "s0".into(), copy });
     // A copy on its way is enough.
     let owner = ServerOwner { vm: "a".into(), fence: 1, at: now, free: 4 };
-    let coming = AdapterHolding { key: key("a1"), version: 1, usable_from: now.plus(SECOND) };
+    let coming = AdapterHolding { usable_from: now.plus(SECOND), ..holding("a1", 0) };
     table.list("s3", owner, now.0 + 1, vec![coming]);
     let choice = Need::new("a1").choose(&table, 1, now);
     assert_eq!(choice, ServerChoice::Send { server: "s0".into(), copy: None });
 }
 
+/// A server has far more to do than the others since it holds a popular adapter, and seldom used ones
+/// beside it. Only the popular one is worth a copy: a copy of each of the others, one request at a time,
+/// would fetch them all again and push out what other requests wait for.
+#[test]
+fn seldom_copied() {
+    let now = TimePoint(SECOND);
+    let mut table = table(4, |_| vec![], now);
+    let owner = ServerOwner { vm: "a".into(), fence: 1, at: now, free: 4 };
+    let mixed = vec![holding("a1", 50), holding("a2", 1)];
+    assert!(table.list("s0", owner.clone(), now.0 + 1, mixed));
+    for server in ["s1", "s2", "s3"] {
+        assert!(table.list(server, owner.clone(), now.0 + 1, vec![holding("a3", 20)]));
+    }
+    table.peer_load(&"b".into(), "s0", LoadFigure { running: 60, unread: 9_000 }, now);
+    let copy = |adapter: &str| match Need::new(adapter).choose(&table, 1, now) {
+        ServerChoice::Send { copy, .. } => copy.is_some(),
+        other => panic!("not sent: {other:?}"),
+    };
+    assert!(copy("a1"));
+    assert!(!copy("a2"));
+}
+
+/// A load was not ordered for a while. Where another server could load at once the wish goes there;
+/// where all places are in use it keeps its turn, unless nobody orders that server any more.
+#[test]
+fn keeps_turn() {
+    let now = TimePoint(SECOND);
+    let mut table = table(2, |_| vec![], now);
+    let other = ServerChoice::Load { server: "s1".into() };
+    let owner = |free| ServerOwner { vm: "a".into(), fence: 1, at: now, free };
+    assert_eq!(table.load_elsewhere("s0".into(), &other, now).as_str(), "s1");
+    assert!(table.list("s1", owner(0), now.0 + 1, vec![]));
+    assert_eq!(table.load_elsewhere("s0".into(), &other, now).as_str(), "s0");
+    assert_eq!(table.load_elsewhere("s0".into(), &ServerChoice::Nowhere, now).as_str(), "s0");
+    let silent = now.plus(5 * SECOND);
+    assert_eq!(table.load_elsewhere("s0".into(), &other, silent).as_str(), "s1");
+}
+
 /// Lists can overtake each other. An older one of the same owner, or one of a deposed owner, changes
 /// nothing: requests would go to a server that has dropped the adapter.
 #[test]
 fn old_lists() {
     let now = TimePoint(SECOND);
     let mut table = table(1, |_| vec!["a1"], now);
-    let holdings = vec![AdapterHolding { key: key("a2"), version: 1, usable_from: TimePoint(0) }];
+    let holdings = vec![holding("a2", 0)];
     let owner = |vm: &str, fence| ServerOwner { vm: vm.into(), fence, at: now, free: 0 };
     assert!(!table.list("s0", owner("a", 1), 3, holdings.clone()));
     assert!(table.list("s0", owner("b", 2), 1, holdings.clone()));
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -106,19 +106,13 @@
             (choice, wish)
         }
         ServerChoice::Load { server } => {
-            let tried = beliefs.wishes.tried(key);
-            if tried.is_empty() {
-                let wish = (key.clone(), newest, server.clone());
-                return (choice, Some(wish));
-            }
-            let elsewhere = [not.as_slice(), &tried].concat();
-            match beliefs.backends.choose(&server_need(&elsewhere, oldest), draw, now) {
-                ServerChoice::Load { server } => {
-                    let wish = (key.clone(), newest, server.clone());
-                    (ServerChoice::Load { server }, Some(wish))
-                }
-                _ => (choice, None),
+            let mut server = server.clone();
+            if let Some(slow) = beliefs.wishes.overdue(key, now) {
+                let elsewhere = [not.as_slice(), std::slice::from_ref(&slow)].concat();
+                let other = beliefs.backends.choose(&server_need(&elsewhere, oldest), draw, now);
+                server = beliefs.backends.load_elsewhere(slow, &other, now);
             }
+            (ServerChoice::Load { server: server.clone() }, Some((key.clone(), newest, server)))
         }
         _ => (choice, None),
     }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -12,7 +12,7 @@
 
 /// The first byte of each datagram. Another release with other messages takes another number, and
 /// datagrams of a strange number are dropped.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 /// The most bytes of a datagram that is read.
 pub(crate) const MOST_BYTES: usize = 60_000;
 
@@ -75,6 +75,8 @@
         pub version: u64,
         /// Milliseconds until it can be used.
         pub usable_in_ms: u32,
+        /// How much it is used there.
+        pub heat: u32,
     }
 
     /// A wish that an adapter be loaded at a server, sent to the VM that orders it.
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -211,11 +211,12 @@
         entry.told_free = free;
         let vm = gateway.settings.vm.clone();
         let (server, fence, revision) = (entry.server.clone(), entry.fence, entry.told_revision);
-        let booked = entry.book.adapters();
+        let booked = entry.book.adapters(now);
         let listed = booked.iter().map(|adapter| ListedAdapter {
             key: adapter.key.clone(),
             version: adapter.version,
             usable_in_ms: adapter.usable_from.since(now).div_ceil(1_000) as u32,
+            heat: adapter.heat,
         });
         let list = AdapterList {
             vm: vm.clone(),
@@ -229,6 +230,7 @@
             key: adapter.key,
             version: adapter.version,
             usable_from: adapter.usable_from,
+            heat: adapter.heat,
         });
         let owner = ServerOwner { vm, fence, at: now, free };
         self.backends.list(server.as_str(), owner, revision, holdings.collect());
@@ -308,7 +310,7 @@
     if reply == OrderReply::Fenced {
         beliefs.tenure.refused(fence);
     }
-    if reply == OrderReply::Lost {
+    if matches!(reply, OrderReply::Lost | OrderReply::Unsent) {
         beliefs.backends.unreachable(server.as_str(), now);
     }
     let Some(book) = beliefs.books.get(server) else { return };
@@ -363,6 +365,7 @@
         OrderReply::Fenced => "fenced",
         OrderReply::Refused => "refused",
         OrderReply::Lost => "lost",
+        OrderReply::Unsent => "unsent",
     }
 }
 
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -206,6 +206,7 @@
     let holdings = list.adapters.into_iter().map(|adapter| AdapterHolding {
         key: adapter.key,
         version: adapter.version,
+        heat: adapter.heat,
         usable_from: if adapter.usable_in_ms == 0 {
             now
         } else {
--- a/gateway/src/wish.rs
+++ b/gateway/src/wish.rs
@@ -16,7 +16,6 @@
     server: ServerName,
     since: TimePoint,
     sent_at: TimePoint,
-    tried: Vec<ServerName>,
 }
 
 /// The wishes, sorted by adapter.
@@ -35,12 +34,12 @@
 }
 
 impl WishList {
-    /// Servers that did not carry out a wish for this adapter in time.
-    pub(crate) fn tried(&self, key: &AdapterKey) -> Vec<ServerName> {
-        match self.wishes.binary_search_by(|wish| wish.key.cmp(key)) {
-            Ok(at) => self.wishes[at].tried.clone(),
-            Err(_) => Vec::new(),
-        }
+    /// The server that has not carried out a wish for this adapter in time, if there is one.
+    pub(crate) fn overdue(&self, key: &AdapterKey, now: TimePoint) -> Option<ServerName> {
+        let at = self.wishes.binary_search_by(|wish| wish.key.cmp(key)).ok()?;
+        let wish = &self.wishes[at];
+        let open = now.since(wish.sent_at) <= FORGET_US;
+        (open && now.since(wish.since) > ELSEWHERE_US).then(|| wish.server.clone())
     }
 
     /// A request would have the adapter at `server`; another request's open choice comes first.
@@ -58,7 +57,6 @@
                     server: server.clone(),
                     since: now,
                     sent_at: now,
-                    tried: Vec::new(),
                 };
                 self.wishes.insert(at, wish);
                 return WishStep::Send(server.clone());
@@ -66,17 +64,11 @@
         };
         let wish = &mut self.wishes[at];
         if now.since(wish.sent_at) > FORGET_US {
-            wish.tried.clear();
             wish.server = server.clone();
             wish.since = now;
         } else if now.since(wish.since) > ELSEWHERE_US && wish.server != *server {
-            wish.tried.push(wish.server.clone());
             wish.server = server.clone();
             wish.since = now;
-        } else if now.since(wish.since) > ELSEWHERE_US {
-            // The chooser gives the same server until it is told that it was tried.
-            wish.tried.push(wish.server.clone());
-            return WishStep::Sent;
         } else if now.since(wish.sent_at) < REPEAT_US {
             return WishStep::Sent;
         }
