A full server is not a late load; copies follow demand; waiting datagrams are sent

A 503 of a full server soon after a load was taken for a load that is late: the adapter was said to be not usable yet, again and again, and no copy was made since one seemed to be coming. The busiest server had 2.7 times the mean, 12,000 of 44,000 arrivals were refused, the budget of repeats was used up. (A load that is not done answers 421.) 3. Copies came only once a holder was late, one at a time. 4. Refused connections counted as repeats. 5. Each VM learnt load times from its own one or two servers.

Change: datagrams that the kernel does not take wait in a queue of 1,024; news of servers leave out adapters; the VMs that read for others are drawn by hash, not of one failure domain. 503 makes a server avoided for 120 ms, and requests for its seldom used adapters wait for it. An adapter that brings each holder half of a server's fair share gets copies, one for two holders at a time, at a server that all VMs choose alike. Lists tell how long loads take. Requests look again only at lists with what they wait for.

Ruled out: lost datagrams on the links (the first VMs in order got all).

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -33,8 +33,11 @@
 /// at twice the mean the busiest servers were already late.
 const COPY_PERCENT: u64 = 130;
 const COPY_TOKENS: u64 = 4_000;
-/// The part of a server's fair share of all requests that an adapter must bring to each of its holders
-/// for another copy: a copy of one that brings less takes a place and a transfer from the weight store,
+/// The part of a server's fair share of all requests that an adapter may bring to each of its holders;
+/// beyond it another copy is loaded before its holders are late. Few adapters bring so much, so their
+/// copies take few places, and with many holders each request finds one with little to do.
+const FULL_SHARE: f64 = 0.5;
+/// The least part that it must bring for another copy where its holders are late: a copy of one that brings less takes a place and a transfer from the weight store,
 /// and hardly any load off its holder. Without it an adapter asked for once in some seconds was fetched
 /// five times in a minute.
 const COPY_SHARE: f64 = 0.12;
@@ -49,6 +52,8 @@
 /// How long a server is avoided after the first failure, doubled up to the last for each further.
 const FIRST_AVOID_US: u64 = 150_000;
 const LAST_AVOID_US: u64 = 2_000_000;
+/// How long a server that said that it is full is avoided: some of its requests end within it.
+const FULL_AVOID_US: u64 = 120_000;
 /// The part that a new figure has in a server's mean.
 const MEAN_PART: f64 = 0.15;
 /// The share of failed answers beyond that of its service at which a server costs twice as much.
@@ -163,6 +168,16 @@
     pub shared: SharedPrompt,
 }
 
+impl ServerNeed<'_> {
+    /// Whether a server is of the right kind, does not leave, and was not tried.
+    fn takes(&self, state: &BackendState) -> bool {
+        state.entry.service == *self.service
+            && !state.leaving
+            && !self.not.contains(&state.entry.server)
+            && self.model.is_none_or(|model| state.holds_model(model))
+    }
+}
+
 /// The beginning of a prompt that other requests share. A server that has read it for the same adapter
 /// a moment ago need not read it again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -385,6 +400,13 @@
         condition.avoid_until = now.plus(condition.avoid_us);
     }
 
+    /// A server said that it is full.
+    pub fn full(&mut self, server: &str, now: TimePoint) {
+        let Some(state) = self.get_mut(server) else { return };
+        let until = now.plus(FULL_AVOID_US);
+        state.condition.avoid_until = state.condition.avoid_until.max(until);
+    }
+
     /// A server answered, well or with a failure of its own, at `pace_us`: the time to the head of a
     /// plain answer, or between two events of a stream.
     pub fn answered(&mut self, server: &str, good: bool, pace_us: Option<f64>) {
@@ -430,9 +452,8 @@
         now: TimePoint,
     ) -> ServerName {
         let ServerChoice::Load { server: other } = other else { return slow };
-        let takes = |name: &ServerName| {
-            self.get(name.as_str()).is_some_and(|state| state.takes_loads(now))
-        };
+        let takes =
+            |name: &ServerName| self.get(name.as_str()).is_some_and(|state| state.takes_loads(now));
         let ordered = self.owner(slow.as_str(), now).is_some();
         if takes(other) || !ordered { other.clone() } else { slow }
     }
@@ -470,7 +491,7 @@
             return ServerChoice::Send { server: best.entry.server.clone(), copy };
         }
         let coming = all.iter().filter_map(|state| state.usable_from(key, version)).min();
-        if let Some(until) = coming {
+        if let Some(until) = coming.or_else(|| self.calm_again(need, key, version, now)) {
             return ServerChoice::Wait { until };
         }
         match self.load_target(&all, need, key, now) {
@@ -482,18 +503,30 @@
     /// Servers that may take the request: of its service, not leaving, not tried; those that failed a
     /// moment ago only where there is no other.
     fn candidates(&self, need: &ServerNeed<'_>, now: TimePoint) -> Vec<&BackendState> {
-        let fits = |state: &&BackendState| {
-            state.entry.service == *need.service
-                && !state.leaving
-                && !need.not.contains(&state.entry.server)
-                && need.model.is_none_or(|model| state.holds_model(model))
-        };
-        let all: Vec<&BackendState> = self.servers.iter().filter(fits).collect();
+        let all: Vec<&BackendState> =
+            self.servers.iter().filter(|state| need.takes(state)).collect();
         let calm: Vec<&BackendState> =
             all.iter().filter(|state| now >= state.condition.avoid_until).copied().collect();
         if calm.is_empty() { all } else { calm }
     }
 
+    /// When a holder that is avoided for a moment can be used again. It said that it is full, or failed
+    /// once; fetching the adapter for another server would take longer than that.
+    fn calm_again(
+        &self,
+        need: &ServerNeed<'_>,
+        key: &AdapterKey,
+        version: u64,
+        now: TimePoint,
+    ) -> Option<TimePoint> {
+        let holders = self.servers.iter().filter(|state| {
+            need.takes(state)
+                && state.usable(key, version, now)
+                && state.condition.avoid_us <= FIRST_AVOID_US
+        });
+        holders.map(|state| state.condition.avoid_until).min()
+    }
+
     /// The cheaper of two that are drawn, or the cheapest of a few.
     fn cheapest<'a>(
         &self,
@@ -533,18 +566,32 @@
         version: u64,
         now: TimePoint,
     ) -> Option<ServerName> {
+        let share = holder_share(all, key);
+        if share < COPY_SHARE {
+            return None;
+        }
         let typical = self.typical(need.service);
         let total: u64 = all.iter().map(|state| state.cost(typical, now)).sum();
         let mean = total / (all.len() as u64).max(1);
         let cost = best.cost(typical, now);
-        if cost < COPY_TOKENS.max(mean * COPY_PERCENT / 100) || !is_sought(all, key) {
+        let late = cost >= COPY_TOKENS.max(mean * COPY_PERCENT / 100);
+        if !late && share < FULL_SHARE {
             return None;
         }
-        let without: Vec<&BackendState> =
-            all.iter().filter(|state| state.usable_from(key, version).is_none()).copied().collect();
-        if without.len() < all.len() && self.copy_coming(all, key, version, now) {
+        let (with, without): (Vec<&BackendState>, Vec<&BackendState>) =
+            all.iter().partition(|state| state.usable_from(key, version).is_some());
+        let usable = with.iter().filter(|state| state.usable(key, version, now)).count();
+        if with.len() - usable > usable / 2 {
             return None;
         }
+        if !late {
+            // All VMs see the same demand; by hash they choose the same server.
+            let fits = |state: &&&BackendState| {
+                state.takes_loads(now) && state.cost(typical, now) <= COPY_TOKENS.max(mean)
+            };
+            let target = without.iter().filter(fits).min_by_key(|state| state.rank(key))?;
+            return Some(target.entry.server.clone());
+        }
         // A copy is loaded to take load off its holder, so it goes to the server with the least.
         let takes = |state: &&&BackendState| state.takes_loads(now);
         let target = without.iter().filter(takes).min_by_key(|state| state.cost(typical, now))?;
@@ -552,16 +599,6 @@
             .then(|| target.entry.server.clone())
     }
 
-    fn copy_coming(
-        &self,
-        all: &[&BackendState],
-        key: &AdapterKey,
-        version: u64,
-        now: TimePoint,
-    ) -> bool {
-        all.iter().any(|state| state.usable_from(key, version).is_some_and(|from| from > now))
-    }
-
     /// Where to load an adapter: among the first by hash the cheapest, and before them one that held
     /// it lately, since it need not fetch it from the store.
     fn load_target<'a>(
@@ -619,19 +656,23 @@
     }
 }
 
-/// Whether an adapter brings each of its holders among `all` enough requests for another copy.
-fn is_sought(all: &[&BackendState], key: &AdapterKey) -> bool {
+/// What an adapter brings to each of its holders among `all`, as a part of a server's fair share of all
+/// requests. Without any count it is taken to be just worth a copy.
+fn holder_share(all: &[&BackendState], key: &AdapterKey) -> f64 {
     let heats = |state: &&BackendState| -> u64 {
         state.holdings.iter().map(|holding| u64::from(holding.heat)).sum()
     };
     let total: u64 = all.iter().map(heats).sum();
-    let fair = total as f64 / all.len().max(1) as f64;
+    if total == 0 {
+        return COPY_SHARE;
+    }
     let held = all.iter().filter_map(|state| {
         let at = state.holdings.binary_search_by(|holding| holding.key.cmp(key)).ok()?;
         Some(u64::from(state.holdings[at].heat))
     });
     let (holders, heat) = held.fold((0u64, 0u64), |(count, sum), heat| (count + 1, sum + heat));
-    heat as f64 >= COPY_SHARE * fair * holders as f64
+    let fair = total as f64 / all.len() as f64;
+    heat as f64 / holders.max(1) as f64 / fair
 }
 
 /// What is usual at the servers of a service.
--- a/decision/src/budget.rs
+++ b/decision/src/budget.rs
@@ -29,7 +29,7 @@
 
 /// The part of its allowance that a VM uses. The rest covers windows that slide between two VMs'
 /// counts and VMs that joined a moment ago.
-const USED_PART: f64 = 0.7;
+const USED_PART: f64 = 0.8;
 /// The pieces that a window is counted in; the oldest piece is dropped as a whole.
 const PIECES: u64 = 10;
 
--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -111,8 +111,15 @@
 /// How long loads take, learnt from requests that came too early and from those that did not.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadTimes {
-    fresh_us: f64,
-    again_us: f64,
+    fresh: LoadTime,
+    again: LoadTime,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LoadTime {
+    us: f64,
+    /// Loads that were done as expected since the last one that was not.
+    in_row: u32,
 }
 
 /// First guesses before any load was seen; a few loads correct them.
@@ -123,16 +130,27 @@
 const TOO_EARLY_PART: f64 = 0.3;
 /// How much longer than the time at which a request came too early a load is taken to last.
 const TOO_EARLY_MARGIN_US: f64 = 45_000.0;
-/// By how much the expected time shrinks with each load that was done as expected. One in some tens of
-/// loads is so met too early, which costs a second send.
-const IN_TIME: f64 = 0.992;
+/// Loads in a row that are done as expected before the expected time shrinks, and by how much it then
+/// does with each further one. About one load in forty is met too early, which costs a second send; when
+/// it shrank from the first load on it was one in eight.
+const CALM_LOADS: u32 = 32;
+const IN_TIME: f64 = 0.985;
+/// The part of the way that the expected time moves to what another VM expects. Lists come some times a
+/// second for each server, so all are close to the mean within a second.
+const HEARD_PART: f64 = 0.02;
+/// How much later an adapter is taken to be usable when a request came too early, as a part of the time
+/// since its load was ordered, and at least. Where loads take twice as long as expected, three tries
+/// find it out; each one that is refused counts as a repeat.
+const LATER_PART: f64 = 0.25;
+const LEAST_LATER_US: u64 = 45_000;
 /// The longest that a load is taken to last.
 const MOST_LOAD_US: f64 = 3_000_000.0;
 const LEAST_LOAD_US: f64 = 5_000.0;
 
 impl Default for LoadTimes {
     fn default() -> Self {
-        Self { fresh_us: FIRST_FRESH_US, again_us: FIRST_AGAIN_US }
+        let time = |us| LoadTime { us, in_row: 0 };
+        Self { fresh: time(FIRST_FRESH_US), again: time(FIRST_AGAIN_US) }
     }
 }
 
@@ -140,26 +158,36 @@
     /// A request met an adapter that was not loaded `elapsed_us` after its order.
     pub fn too_early(&mut self, again: bool, elapsed_us: u64) {
         let time = self.time_mut(again);
+        time.in_row = 0;
         let shown = elapsed_us as f64 + TOO_EARLY_MARGIN_US;
-        if shown > *time {
-            *time = (*time + TOO_EARLY_PART * (shown - *time)).min(MOST_LOAD_US);
+        if shown > time.us {
+            time.us = (time.us + TOO_EARLY_PART * (shown - time.us)).min(MOST_LOAD_US);
         }
     }
 
     /// A request met an adapter that was loaded as expected.
     pub fn in_time(&mut self, again: bool) {
         let time = self.time_mut(again);
-        *time = (*time * IN_TIME).max(LEAST_LOAD_US);
+        time.in_row += 1;
+        if time.in_row > CALM_LOADS {
+            time.us = (time.us * IN_TIME).max(LEAST_LOAD_US);
+        }
+    }
+
+    /// Another VM that orders servers expects loads from the weight store to take `expected_us`. Each VM
+    /// sees few loads, and all share one store, so their expectations move towards each other.
+    pub fn heard(&mut self, expected_us: u64) {
+        self.fresh.us += HEARD_PART * (expected_us as f64 - self.fresh.us);
     }
 
-    fn time_mut(&mut self, again: bool) -> &mut f64 {
-        if again { &mut self.again_us } else { &mut self.fresh_us }
+    fn time_mut(&mut self, again: bool) -> &mut LoadTime {
+        if again { &mut self.again } else { &mut self.fresh }
     }
 
     /// The time that a load is expected to take, in microseconds.
     #[must_use]
     pub fn expected_us(&self, again: bool) -> u64 {
-        (if again { self.again_us } else { self.fresh_us }) as u64
+        (if again { self.again.us } else { self.fresh.us }) as u64
     }
 }
 
@@ -367,12 +395,14 @@
         }
     }
 
-    /// A request came too early for an adapter; it is usable a little later than was told.
-    pub fn too_early(&mut self, key: &AdapterKey, later_us: u64, now: TimePoint) {
+    /// A request came too early for an adapter; it is usable later than was told, by a part of the time
+    /// that its load has taken so far.
+    pub fn too_early(&mut self, key: &AdapterKey, now: TimePoint) {
         if let Some(place) = self.place_mut(key)
-            && let PlaceState::Held { usable_from, .. } = &mut place.state
+            && let PlaceState::Held { usable_from, ordered_at, .. } = &mut place.state
         {
-            *usable_from = (*usable_from).max(now.plus(later_us));
+            let later_us = (now.since(*ordered_at) as f64 * LATER_PART) as u64;
+            *usable_from = (*usable_from).max(now.plus(later_us.max(LEAST_LATER_US)));
             self.revision += 1;
         }
     }
--- a/decision/src/tenure.rs
+++ b/decision/src/tenure.rs
@@ -206,6 +206,13 @@
         (now >= from).then_some(self.generation)
     }
 
+    /// Whether a server is in a share of this VM, which may not be active yet or any more.
+    #[must_use]
+    pub fn holds(&self, server: &ServerName) -> bool {
+        let share = self.share_of(server);
+        self.held.binary_search_by_key(&share, |held| held.share).is_ok()
+    }
+
     /// What this VM holds for certain now.
     #[must_use]
     pub fn record(&self, now: TimePoint) -> TenureRecord {
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -40,10 +40,7 @@
 
 fn list(table: &mut BackendTable, server: &str, adapters: &[&str], now: TimePoint) {
     let owner = ServerOwner { vm: "a".into(), fence: 1, at: now, free: 4 };
-    let holdings = adapters
-        .iter()
-        .map(|name| holding(name, 0))
-        .collect();
+    let holdings = adapters.iter().map(|name| holding(name, 0)).collect();
     assert!(table.list(server, owner, now.0, holdings));
 }
 
@@ -169,6 +166,54 @@
     assert!(!copy("a2"));
 }
 
+/// The only holder of a seldom used adapter says that it is full. Requests wait for it a moment, which is
+/// shorter than a load elsewhere; once it does not answer again and again, the adapter is loaded elsewhere.
+#[test]
+fn full_holder() {
+    let now = TimePoint(SECOND);
+    let mut table = table(3, |number| if number == 0 { vec!["a1"] } else { vec![] }, now);
+    let need = Need::new("a1");
+    table.full("s0", now);
+    let ServerChoice::Wait { until } = need.choose(&table, 1, now) else { panic!("it waits") };
+    assert!(until.since(now) < SECOND / 5);
+    assert_eq!(sent_to(&need.choose(&table, 1, until)), "s0");
+    table.unreachable("s0", now);
+    assert!(matches!(need.choose(&table, 1, now), ServerChoice::Wait { .. }));
+    table.unreachable("s0", now);
+    assert!(matches!(need.choose(&table, 1, now), ServerChoice::Load { .. }));
+}
+
+/// One adapter is asked for by a quarter of all requests, and no server is late yet. Copies are loaded
+/// until each holder has half of its fair share by it, one on its way at a time for every two that
+/// serve; all VMs choose the same server.
+#[test]
+fn demanded_copies() {
+    let now = TimePoint(SECOND);
+    let mut table = table(8, |_| vec![], now);
+    let owner = ServerOwner { vm: "a".into(), fence: 1, at: now, free: 4 };
+    let mut held: Vec<String> = vec!["s0".into()];
+    for round in 1..=8 {
+        let heat = 200 / held.len() as u32;
+        for number in 0..8 {
+            let server = format!("s{number}");
+            let mut holdings = vec![holding("b", 75)];
+            if held.contains(&server) {
+                holdings.push(holding("a1", heat));
+            }
+            assert!(table.list(&server, owner.clone(), now.0 + round, holdings));
+        }
+        let choice = |draw| match Need::new("a1").choose(&table, draw, now) {
+            ServerChoice::Send { copy, .. } => copy,
+            other => panic!("not sent: {other:?}"),
+        };
+        let copy = choice(1);
+        assert_eq!(copy, choice(77));
+        let Some(copy) = copy else { break };
+        held.push(copy.as_str().to_owned());
+    }
+    assert_eq!(held.len(), 5, "{held:?}");
+}
+
 /// A load was not ordered for a while. Where another server could load at once the wish goes there;
 /// where all places are in use it keeps its turn, unless nobody orders that server any more.
 #[test]
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -203,7 +203,7 @@
             }
         };
         if beliefs.take_entry(&entry, now) {
-            changes.entries.push(entry);
+            changes.entries.push(without_adapters(entry));
         }
         beliefs.unlapse(&record.key, record.position);
     }
@@ -213,6 +213,13 @@
     changes
 }
 
+/// An entry as other VMs are told of it. What a server holds they learn from the VM that orders it; with
+/// the adapters of some tens of servers a message would be larger than links carry at once.
+fn without_adapters(mut entry: BackendEntry) -> BackendEntry {
+    entry.models.iter_mut().for_each(|held| held.adapters.clear());
+    entry
+}
+
 /// What was new in a look at the entries.
 #[derive(Clone, Debug, Default)]
 struct EntryChanges {
@@ -244,7 +251,8 @@
     }
 }
 
-/// Whether this VM looks at the entries for all: it is among the first by name of those that live.
+/// Whether this VM looks at the entries for all: it is among the first of those that live, in an
+/// order that does not follow failure domains.
 fn reads_for_others(gateway: &Gateway) -> bool {
     let beliefs = gateway.beliefs();
     !gateway.leaving() && beliefs.roster.before(&gateway.settings.vm, clock::now()) < READERS
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -63,6 +63,9 @@
         pub revision: u64,
         /// Adapters that could be loaded now.
         pub free: u32,
+        /// How long the VM expects the load of an adapter from the weight store to take, in
+        /// milliseconds.
+        pub load_ms: u32,
         /// The adapters.
         pub adapters: Vec<ListedAdapter>,
     }
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -23,8 +23,6 @@
 const REPEAT_LIST_US: u64 = 500_000;
 /// The same in large fleets, where lists to all are most of the bytes between VMs.
 const LARGE_REPEAT_LIST_US: u64 = 1_500_000;
-/// How much later an adapter is taken to be usable when a request came too early.
-const LATER_US: u64 = 45_000;
 /// How much less often base models are loaded than the weight store allows: VMs do not know each
 /// other's loads.
 const MODEL_LOAD_MARGIN: f64 = 1.3;
@@ -198,6 +196,7 @@
     fn due_list(&mut self, gateway: &Gateway, at: usize, now: TimePoint) -> Option<AdapterList> {
         let large = self.roster.live_count(now) > SMALL_FLEET;
         let repeat_us = if large { LARGE_REPEAT_LIST_US } else { REPEAT_LIST_US };
+        let load_us = self.times.expected_us(false);
         let entry = &mut self.books.books[at];
         let free = entry.book.free(now) as u32;
         let changed =
@@ -224,6 +223,7 @@
             fence,
             revision,
             free,
+            load_ms: u32::try_from(load_us / 1_000).unwrap_or(u32::MAX),
             adapters: listed.collect(),
         };
         let holdings = booked.into_iter().map(|adapter| AdapterHolding {
@@ -380,7 +380,7 @@
         book.used(&used.key, &told, now);
         let ordered = book.ordered(&used.key);
         if used.too_early {
-            book.too_early(&used.key, LATER_US, now);
+            book.too_early(&used.key, now);
         }
         match ordered {
             Some((at, again)) if used.too_early => beliefs.times.too_early(again, now.since(at)),
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -1,8 +1,10 @@
 //! What follows a send to a server: an answer to the caller, or another try.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfoothook_decision::id::ServerName;
+use coltsfoothook_decision::id::{ServerName, TimePoint};
+use coltsfoothook_decision::routing::AdapterKey;
 use coltsfoothook_exchange::ExchangeAnswer;
 use coltsfoothook_platform::{AnswerHead, pass_on};
 use coltsfoothook_telemetry::event;
@@ -16,8 +18,6 @@
 use crate::run::RequestRun;
 use crate::send::{ANSWER_SLACK, JUST_LOADED_US};
 
-/// After a server's word that it is still loading.
-const LOADING_PAUSE: Duration = Duration::from_millis(40);
 /// When a caller should come back after a refusal, in seconds: a cold adapter is loaded by then, and
 /// the caller has most of its time left.
 const COME_BACK_S: f64 = 0.4;
@@ -104,7 +104,6 @@
     let mut beliefs = run.gateway.beliefs();
     let state = beliefs.backends.get(server.as_str());
     let usable_from = state.and_then(|state| state.usable_since(key.as_ref()?));
-    let just_loaded = usable_from.is_some_and(|from| now.since(from) < JUST_LOADED_US);
     event!(
         RequestNotRun,
         request_id = run.request.head.id,
@@ -113,24 +112,42 @@
         usable_ms? = usable_from.map(|from| now.since(from) / 1_000),
         known = head.id.is_some(),
     );
-    if just_loaded {
+    if status == StatusCode::MISDIRECTED_REQUEST {
         drop(beliefs);
-        run.met_adapter(server, |used| used.too_early = true);
-        return NextStep::Again(LOADING_PAUSE);
+        return misdirected(run, server, key.as_ref(), usable_from);
     }
-    if status == StatusCode::MISDIRECTED_REQUEST
-        && let Some(key) = &key
-        && usable_from.is_some()
-    {
-        beliefs.backends.not_held(server.as_str(), key);
-        drop(beliefs);
-        run.met_adapter(server, |used| used.missing = true);
+    // It is full, or replaces the adapter's version; it may take requests again in a moment.
+    beliefs.backends.full(server.as_str(), now);
+    drop(beliefs);
+    if key.is_none() {
+        run.avoided.push(server.clone());
         return NextStep::Again(Duration::ZERO);
     }
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        // Another life has the address; the entry of this one lags.
-        beliefs.backends.unreachable(server.as_str(), now);
+    NextStep::Again(run.next_pause())
+}
+
+/// A server does not hold the adapter, not yet or not any more, or is another life at the address.
+fn misdirected(
+    run: &mut RequestRun,
+    server: &ServerName,
+    key: Option<&AdapterKey>,
+    usable_from: Option<TimePoint>,
+) -> NextStep {
+    let now = clock::now();
+    let gateway = Arc::clone(&run.gateway);
+    let mut beliefs = gateway.beliefs();
+    if let (Some(key), Some(from)) = (key, usable_from) {
+        if now.since(from) < JUST_LOADED_US {
+            beliefs.uses.met(server, key, |used| used.too_early = true);
+            drop(beliefs);
+            return NextStep::Again(run.next_pause());
+        }
+        beliefs.backends.not_held(server.as_str(), key);
+        beliefs.uses.met(server, key, |used| used.missing = true);
+        return NextStep::Again(Duration::ZERO);
     }
+    beliefs.backends.unreachable(server.as_str(), now);
+    drop(beliefs);
     run.avoided.push(server.clone());
     NextStep::Again(Duration::ZERO)
 }
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -2,10 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use coltsfoothook_decision::backend::{AdapterHolding, LoadFigure, ServerOwner};
 use coltsfoothook_decision::id::ServerName;
 use coltsfoothook_decision::routing::AdapterKey;
@@ -13,6 +14,7 @@
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
 use crate::clock;
 use crate::follow;
@@ -33,35 +35,65 @@
 /// Other VMs that a state tells of.
 const TOLD_OF: usize = 4;
 
+/// Datagrams that may wait until the kernel takes more: one message to each VM of a large fleet. What
+/// comes beyond is dropped, and repeated by a later message.
+const MOST_WAITING: usize = 1_024;
+
 /// The socket, and a count of the states sent.
 pub(crate) struct PeerSocket {
     socket: UdpSocket,
     sequence: AtomicU64,
+    waiting: mpsc::Sender<(Bytes, SocketAddr)>,
+    queue: Mutex<Option<mpsc::Receiver<(Bytes, SocketAddr)>>>,
 }
 
 impl PeerSocket {
     pub(crate) async fn bind(address: SocketAddr) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(Self { socket, sequence: AtomicU64::new(0) })
+        let (waiting, queue) = mpsc::channel(MOST_WAITING);
+        let queue = Mutex::new(Some(queue));
+        Ok(Self { socket, sequence: AtomicU64::new(0), waiting, queue })
     }
 
-    /// Sends without waiting; what the kernel does not take is repeated by the next message.
+    /// Sends without waiting. A message to many VMs can be more than the socket's buffer holds; the rest
+    /// goes out as soon as there is room. Dropped instead, the same VMs, the last in the list, would
+    /// miss every repeat too.
     pub(crate) fn send(&self, message: &PeerMessage, to: &[SocketAddr]) {
         let bytes = match encode(message) {
-            Ok(bytes) => bytes,
+            Ok(bytes) => Bytes::from(bytes),
             Err(error) => {
                 event!(PeerRefused, cause = error, direction = "out");
                 return;
             }
         };
         for address in to {
-            if let Err(error) = self.socket.try_send_to(&bytes, *address)
-                && error.kind() != io::ErrorKind::WouldBlock
-            {
+            if let Err(error) = self.try_send(&bytes, *address) {
                 event!(PeerUnsent, address = address, cause = error);
             }
         }
     }
+
+    fn try_send(&self, bytes: &Bytes, to: SocketAddr) -> io::Result<()> {
+        if self.waiting.capacity() == MOST_WAITING {
+            match self.socket.try_send_to(bytes, to) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                ended => return ended.map(drop),
+            }
+        }
+        let full = |_| io::Error::other("too many datagrams wait");
+        self.waiting.try_send((bytes.clone(), to)).map_err(full)
+    }
+}
+
+/// Sends the datagrams that waited for room in the socket's buffer, for ever.
+pub(crate) async fn send_waiting(gateway: Arc<Gateway>) {
+    let queue = gateway.peers.queue.lock().unwrap_or_else(PoisonError::into_inner).take();
+    let Some(mut queue) = queue else { return };
+    while let Some((bytes, address)) = queue.recv().await {
+        if let Err(error) = gateway.peers.socket.send_to(&bytes, address).await {
+            event!(PeerUnsent, address = address, cause = error);
+        }
+    }
 }
 
 /// Reads datagrams for ever.
@@ -213,10 +245,16 @@
             now.plus(u64::from(adapter.usable_in_ms) * 1_000)
         },
     });
-    let holdings = holdings.collect();
-    let taken =
-        gateway.beliefs().backends.list(list.server.as_str(), owner, list.revision, holdings);
+    let holdings: Vec<AdapterHolding> = holdings.collect();
+    let mut beliefs = gateway.beliefs();
+    let awaited = holdings.iter().any(|holding| beliefs.wishes.is_open(&holding.key));
+    let taken = beliefs.backends.list(list.server.as_str(), owner, list.revision, holdings);
     if taken {
+        beliefs.times.heard(u64::from(list.load_ms) * 1_000);
+    }
+    drop(beliefs);
+    // Hundreds of lists come in a second; requests look again only for what they wait for.
+    if taken && awaited {
         gateway.changed.notify_waiters();
     }
 }
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use coltsfoothook_decision::id::{TimePoint, VmName};
+use coltsfoothook_decision::id::{TimePoint, VmName, stable_hash};
 use coltsfoothook_decision::tenure::StoreWitness;
 
 use crate::message::VmState;
@@ -132,9 +132,13 @@
         self.peers.iter().filter(takes).map(|peer| peer.requests).collect()
     }
 
-    /// How many VMs that live and do not leave come before `vm` by name.
+    /// How many VMs that live and do not leave come before `vm` in an order by hash. By name the first
+    /// ones would be of one failure domain, and lost together.
     pub(crate) fn before(&self, vm: &VmName, now: TimePoint) -> usize {
-        self.peers.iter().filter(|peer| peer.vm < *vm && !peer.leaving && peer.lives(now)).count()
+        let rank = |vm: &VmName| stable_hash(&["reader", vm.as_str()]);
+        let own = rank(vm);
+        let ahead = |peer: &&PeerState| rank(&peer.vm) < own && !peer.leaving && peer.lives(now);
+        self.peers.iter().filter(ahead).count()
     }
 
     /// The address of a VM.
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -18,6 +18,12 @@
 use crate::sent::SentCount;
 use crate::state::Gateway;
 
+/// After a server's word that it is full or still loads the adapter, doubled with each further one. The
+/// owner is told of an adapter that is late, and its next list says when it can be used.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// How often the pause is doubled.
+const PAUSE_DOUBLINGS: u32 = 3;
+
 /// Everything that is known of a request. Its end is logged and counted when it is dropped, so that a
 /// caller who leaves ends it like any other way.
 pub(crate) struct RequestRun {
@@ -31,6 +37,8 @@
     pub(crate) sends: u32,
     /// Servers that may have begun to run it.
     pub(crate) ran: u32,
+    /// Pauses that it made since a server could not take it yet.
+    pauses: u32,
     /// The server of the last send.
     pub(crate) server: Option<ServerName>,
     pub(crate) first: Option<Duration>,
@@ -60,6 +68,7 @@
         let limit = request.head.deadline.unwrap_or(Duration::MAX).min(request.route.timeout);
         let due = request.started.plus(limit.as_micros().try_into().unwrap_or(u64::MAX));
         gateway.open.fetch_add(1, Ordering::Relaxed);
+        gateway.beliefs().budget.first(&request.service, clock::now());
         Self {
             gateway,
             request,
@@ -67,6 +76,7 @@
             avoided: Vec::new(),
             sends: 0,
             ran: 0,
+            pauses: 0,
             server: None,
             first: None,
             stall: Duration::ZERO,
@@ -105,18 +115,25 @@
         route.repeat.may_repeat() && self.ran < route.most_servers && self.left() > LEAST_LEFT
     }
 
-    /// Counts a send, and says whether the budget of repeats allows it.
+    /// Whether it may be sent: the first time always, later if the budget of repeats allows it.
     pub(crate) fn may_send(&self) -> bool {
-        let now = clock::now();
-        let mut beliefs = self.gateway.beliefs();
         if self.sends == 0 {
-            beliefs.budget.first(&self.request.service, now);
             return true;
         }
+        let now = clock::now();
+        let mut beliefs = self.gateway.beliefs();
         let vms = beliefs.vm_count(now);
         beliefs.budget.again(&self.request.service, vms, now)
     }
 
+    /// How long to wait after a server could not take it yet; longer each time, since each send counts
+    /// as a repeat.
+    pub(crate) fn next_pause(&mut self) -> Duration {
+        let pause = FIRST_PAUSE * (1 << self.pauses.min(PAUSE_DOUBLINGS));
+        self.pauses += 1;
+        pause
+    }
+
     /// Notes how it ended; the first reason stays.
     pub(crate) fn end(&mut self, outcome: &'static str, reason: impl Into<String>) {
         if self.outcome.is_none() {
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -88,6 +88,11 @@
     if !matches!(end, SendEnd::Answer(..)) {
         run.count = None;
     }
+    if matches!(end, SendEnd::Unsent(_)) {
+        // No server saw it, so it does not count as a repeat: while servers are down, refused
+        // connections would use up the budget.
+        run.sends -= 1;
+    }
     note(run, server, &end);
     end
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -222,6 +222,9 @@
         server: &ServerName,
         now: TimePoint,
     ) -> Option<u64> {
+        if !self.tenure.holds(server) {
+            return None;
+        }
         // Without fences at the servers, what was heard is not enough: a holder that is cut off from
         // this VM may still reach the server.
         let by_lists = settings.promises.servers_check_fences;
--- a/gateway/src/wish.rs
+++ b/gateway/src/wish.rs
@@ -42,6 +42,11 @@
         (open && now.since(wish.since) > ELSEWHERE_US).then(|| wish.server.clone())
     }
 
+    /// Whether requests of this VM wait for an adapter, or did a moment ago.
+    pub(crate) fn is_open(&self, key: &AdapterKey) -> bool {
+        self.wishes.binary_search_by(|wish| wish.key.cmp(key)).is_ok()
+    }
+
     /// A request would have the adapter at `server`; another request's open choice comes first.
     pub(crate) fn ask(
         &mut self,
@@ -52,21 +57,16 @@
         let at = match self.wishes.binary_search_by(|wish| wish.key.cmp(key)) {
             Ok(at) => at,
             Err(at) => {
-                let wish = OpenWish {
-                    key: key.clone(),
-                    server: server.clone(),
-                    since: now,
-                    sent_at: now,
-                };
+                let wish =
+                    OpenWish { key: key.clone(), server: server.clone(), since: now, sent_at: now };
                 self.wishes.insert(at, wish);
                 return WishStep::Send(server.clone());
             }
         };
         let wish = &mut self.wishes[at];
-        if now.since(wish.sent_at) > FORGET_US {
-            wish.server = server.clone();
-            wish.since = now;
-        } else if now.since(wish.since) > ELSEWHERE_US && wish.server != *server {
+        let forgotten = now.since(wish.sent_at) > FORGET_US;
+        let moves = now.since(wish.since) > ELSEWHERE_US && wish.server != *server;
+        if forgotten || moves {
             wish.server = server.clone();
             wish.since = now;
         } else if now.since(wish.sent_at) < REPEAT_US {
