--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -39,5 +39,9 @@
 mod uses;
 mod wish;
 
+#[cfg(test)]
+#[path = "../tests/unit/waiting_datagrams.rs"]
+mod waiting_datagrams;
+
 pub use process::{GatewayError, GatewayProcess, run_gateway};
 pub use settings::{GatewaySettings, ListenSettings, PromiseSettings, StoreSettings};
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -86,11 +86,11 @@
 }
 
 /// Sends the datagrams that waited for room in the socket's buffer, for ever.
-pub(crate) async fn send_waiting(gateway: Arc<Gateway>) {
-    let queue = gateway.peers.queue.lock().unwrap_or_else(PoisonError::into_inner).take();
+pub(crate) async fn send_waiting(peers: Arc<PeerSocket>) {
+    let queue = peers.queue.lock().unwrap_or_else(PoisonError::into_inner).take();
     let Some(mut queue) = queue else { return };
     while let Some((bytes, address)) = queue.recv().await {
-        if let Err(error) = gateway.peers.socket.send_to(&bytes, address).await {
+        if let Err(error) = peers.socket.send_to(&bytes, address).await {
             event!(PeerUnsent, address = address, cause = error);
         }
     }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -96,7 +96,7 @@
     pub(crate) client: ExchangeClient,
     pub(crate) servers: Box<dyn ServerCalls>,
     pub(crate) store: Box<dyn MetadataStore>,
-    pub(crate) peers: PeerSocket,
+    pub(crate) peers: Arc<PeerSocket>,
     pub(crate) metrics: GatewayMetrics,
     leaving: AtomicBool,
     /// Set when kept connections should end.
@@ -152,7 +152,7 @@
             servers: Box::new(HttpServers::new(client.clone())),
             store: Box::new(HttpMetadata::new(settings.store.address)),
             client,
-            peers,
+            peers: Arc::new(peers),
             metrics: GatewayMetrics::new(),
             leaving: AtomicBool::new(false),
             closing: watch::Sender::new(false),
