In large fleets some VMs read the store and order servers for all; stated keep times are believed

Change: with more than 24 VMs three read the operators' records and tell of named versions and the version in force; who is behind takes the configuration from any VM that has it. 24 VMs at most order servers. VMs that seldom call the store are no witnesses of an outage. Tries while the store is away are rarer. Lists name each model once. A server's stated keep time goes before the client's own, up to 6 s. choice.rs is split from backend.rs, and routing and backend no longer import each other.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod backend;
 pub mod budget;
 pub mod check;
+pub mod choice;
 pub mod claim;
 pub mod config;
 pub mod control;
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::backend::SharedPrompt;
 use crate::id::{AdapterName, ConfigVersion, ModelName, ServiceName, stable_hash};
 use crate::value;
 
@@ -173,6 +172,16 @@
     }
 }
 
+/// The beginning of a prompt that other requests share. A server that has read it for the same adapter
+/// a moment ago need not read it again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SharedPrompt {
+    /// What tells it from others.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u64,
+}
+
 /// Callers leave a stream that brings nothing for the longest of this, four times the target and eight
 /// times the longest pause that is on time.
 const LEAST_SILENCE: Duration = Duration::from_secs(2);
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -1,11 +1,11 @@
 //! Which server a request goes to, and where an adapter is loaded.
 
 use coltsfoothook_decision::backend::{
-    AdapterHolding, BackendTable, EntryChange, LoadFigure, ServerChoice, ServerNeed, ServerOwner,
-    SharedPrompt,
+    AdapterHolding, BackendTable, EntryChange, LoadFigure, ServerOwner,
 };
+use coltsfoothook_decision::choice::{ServerChoice, ServerNeed};
 use coltsfoothook_decision::id::{DomainName, ModelName, ServerName, ServiceName, TimePoint};
-use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel};
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel, SharedPrompt};
 
 const SECOND: u64 = 1_000_000;
 
--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -16,7 +16,7 @@
 use crate::answer::{AnswerBody, ExchangeAnswer};
 use crate::counted::{CountedStream, WrittenCount};
 use crate::error::{ExchangeError, ExchangeStage};
-use crate::pool::{ConnectionPool, OpenConnection};
+use crate::pool::{ConnectionPool, KeepTimes, OpenConnection};
 
 /// The least time by which an idle connection is given up before its server closes it. It covers the
 /// way there and back and a late timer.
@@ -31,8 +31,10 @@
         pub head_ms: u64 = 30_000, in 1..=3_600_000;
         /// For each further piece of the answer's body.
         pub body_ms: u64 = 30_000, in 1..=3_600_000;
-        /// How long an idle connection is kept.
+        /// How long an idle connection is kept whose server does not say how long it keeps it.
         pub keep_ms: u64 = 20_000, in 0..=3_600_000;
+        /// How long one is kept at most whose server says so.
+        pub most_keep_ms: u64 = 20_000, in 0..=3_600_000;
         /// After how much silence the kernel probes a connection, in milliseconds. A peer that
         /// vanished without a reset is noticed after four such times.
         pub probe_ms: u64 = 1_000, in 1_000..=600_000;
@@ -124,7 +126,10 @@
     /// A client without connections yet.
     #[must_use]
     pub fn new(settings: ExchangeSettings) -> Self {
-        let keep = Duration::from_millis(settings.keep_ms);
+        let keep = KeepTimes {
+            unstated: Duration::from_millis(settings.keep_ms),
+            most_stated: Duration::from_millis(settings.most_keep_ms),
+        };
         let pool = ConnectionPool::new(keep, settings.idle_connections);
         Self { settings, pool }
     }
--- a/exchange/src/pool.rs
+++ b/exchange/src/pool.rs
@@ -46,13 +46,22 @@
 #[derive(Clone)]
 pub(crate) struct ConnectionPool {
     shards: Arc<[Mutex<PoolShard>]>,
-    keep: Duration,
+    keep: KeepTimes,
     limit: usize,
 }
 
+/// How long idle connections are kept.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KeepTimes {
+    /// Where their server does not say how long it keeps them.
+    pub(crate) unstated: Duration,
+    /// At most, where it does.
+    pub(crate) most_stated: Duration,
+}
+
 impl ConnectionPool {
-    /// Keeps at most `limit` idle connections a server, each at most for `keep`.
-    pub(crate) fn new(keep: Duration, limit: usize) -> Self {
+    /// Keeps at most `limit` idle connections a server.
+    pub(crate) fn new(keep: KeepTimes, limit: usize) -> Self {
         let shards = (0..SHARD_COUNT).map(|_| Mutex::default()).collect();
         Self { shards, keep, limit }
     }
@@ -115,11 +124,11 @@
 
     /// Drops old connections of all servers, once in a while. Without it the connections to a
     /// server that is used no more would stay open, and hold up its graceful stop.
-    fn sweep(&mut self, now: Instant, keep: Duration) {
+    fn sweep(&mut self, now: Instant, keep: KeepTimes) {
         if self.sweep_at.is_some_and(|at| now < at) {
             return;
         }
-        self.sweep_at = Some(now + keep);
+        self.sweep_at = Some(now + keep.unstated);
         self.servers.retain_mut(|server| {
             server.idle.retain(|entry| entry.is_good(keep));
             !server.idle.is_empty()
@@ -128,8 +137,9 @@
 }
 
 impl IdleConnection {
-    fn is_good(&self, keep: Duration) -> bool {
-        let keep = self.connection.keep.map_or(keep, |stated| stated.min(keep));
+    fn is_good(&self, keep: KeepTimes) -> bool {
+        let stated = self.connection.keep.map(|stated| stated.min(keep.most_stated));
+        let keep = stated.unwrap_or(keep.unstated);
         !self.connection.sender.is_closed() && self.since.elapsed() < keep
     }
 }
--- a/exchange/tests/suite/odd_servers.rs
+++ b/exchange/tests/suite/odd_servers.rs
@@ -154,3 +154,25 @@
     }
     assert_eq!(path_segment("cf1.vm-1.7@x:2~_"), Ok("cf1.vm-1.7@x:2~_"));
 }
+
+/// Servers that state how long they keep an idle connection are believed beyond the client's own time,
+/// up to a bound: else most exchanges with a server that is used once a second would open a new one.
+#[tokio::test]
+async fn stated_keep() {
+    const STATED: &[u8] =
+        b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=9\r\ncontent-length: 2\r\n\r\nok";
+    for (answer, most_keep_ms, connection) in
+        [(STATED, 9_000, 0), (STATED, 0, 1), (WHOLE, 9_000, 1)]
+    {
+        let (address, mut told) = odd_server(vec![answer; 2]).await;
+        let settings = ExchangeSettings { keep_ms: 0, most_keep_ms, ..ExchangeSettings::default() };
+        let client = client(settings);
+        for _ in 0..2 {
+            let answer = client.send(address, ExchangeRequest::get("/x")).await.unwrap();
+            answer.body.collect(10).await.unwrap();
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+        assert_eq!(told.recv().await, Some(0));
+        assert_eq!(told.recv().await, Some(connection), "{most_keep_ms}");
+    }
+}
--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -21,7 +21,7 @@
 use crate::answer::{AnswerStream, own_answer, whole_answer};
 use crate::clock;
 use crate::forward;
-use crate::share::{SHARED_PATH, shared_body};
+use crate::share::{SHARED_PATH, TABLE_QUERY, shared_body};
 use crate::state::Gateway;
 
 /// Connections that may wait to be accepted: a burst must not lose opening packets, which are sent
@@ -140,7 +140,8 @@
         if request.uri().path() != SHARED_PATH {
             return own_answer(StatusCode::NOT_FOUND, "", None);
         }
-        whole_answer(StatusCode::OK, HeaderMap::new(), shared_body(&self.0).into())
+        let table_only = request.uri().query() == Some(TABLE_QUERY);
+        whole_answer(StatusCode::OK, HeaderMap::new(), shared_body(&self.0, table_only).into())
     }
 }
 
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfoothook_decision::backend::{ServerChoice, ServerNeed, longest_wait};
+use coltsfoothook_decision::choice::{ServerChoice, ServerNeed, longest_wait};
 use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::routing::{AdapterKey, ModelNeed};
 use coltsfoothook_telemetry::event;
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -5,7 +5,7 @@
 
 use coltsfoothook_decision::backend::EntryChange;
 use coltsfoothook_decision::id::TimePoint;
-use coltsfoothook_decision::routing::{BackendEntry, RouteTable};
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
 use coltsfoothook_platform::{
     KeyedRecord, KeyedTopic, MetadataError, OperatorRecord, RecordPage, read_operator_record,
     read_registration,
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::message::{EntryNews, GoneServer, PeerMessage};
+use crate::message::{GoneServer, PeerMessage, RecordNews, SharedVersion};
 use crate::order;
 use crate::state::{Beliefs, Gateway, LapsedServer};
 
@@ -26,14 +26,21 @@
 const SERVER_PAUSE: Duration = Duration::from_millis(600);
 /// VMs that look at the entries for all. Two of them may be gone at once.
 const READERS: usize = 3;
-/// Between two looks of the others, which only confirm what they were told.
+/// Between two looks of the others, which only confirm what they were told; in large fleets, where they
+/// would be most of the calls to the store, less often.
 const OTHERS_PAUSE_US: u64 = 8_000_000;
+const LARGE_OTHERS_PAUSE_US: u64 = 30_000_000;
+/// Between two looks of a VM that others read the operators' records for whether they still do.
+const FED_LOOK: Duration = Duration::from_millis(200);
 /// A VM that was told nothing for so long looks itself: two messages of each reader may be lost.
 const NEWS_TRUST_US: u64 = 1_400_000;
 /// How many messages repeat a change.
 const NEWS_REPEATS: usize = 5;
 /// Between two tries after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// The same in large fleets at a VM that does not read for others: when the store is away for all, the
+/// tries of all VMs would be most of a day's calls, and those who read for others tell when it is back.
+const LARGE_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 /// For so long after the store was away, a server without entry may still come back: entries lapse
 /// while the store is away and are written again within two seconds.
 const LAPSE_US: u64 = 2_000_000;
@@ -49,11 +56,14 @@
             }
             Err(error) => {
                 health.bad(&gateway, &error);
-                sleep(RETRY_PAUSE).await;
+                sleep(retry_pause(&gateway)).await;
                 continue;
             }
         };
         loop {
+            if wait_while_fed(&gateway).await {
+                break;
+            }
             // A peer with a newer configuration shows that this question was missed.
             let page = tokio::select! {
                 page = gateway.store.read(KeyedTopic::Operators, next, OPERATOR_WAIT) => page,
@@ -73,31 +83,72 @@
                 }
                 Err(error) => {
                     health.bad(&gateway, &error);
-                    sleep(RETRY_PAUSE).await;
+                    sleep(retry_pause(&gateway)).await;
                 }
             }
         }
     }
 }
 
+/// Whether other VMs read the operators' records for this one: in large fleets, while their news come. A
+/// question of each VM that each record answers would be most of the calls to the store.
+pub(crate) fn is_fed(beliefs: &Beliefs, gateway: &Gateway, now: TimePoint) -> bool {
+    beliefs.table.is_some()
+        && beliefs.roster.is_large(now)
+        && beliefs.roster.before(&gateway.settings.vm, now) >= READERS
+        && now.since(beliefs.news_at) < NEWS_TRUST_US
+}
+
+/// Waits while others read the operators' records for this VM; true if it did wait, so that what came
+/// meanwhile has to be read.
+async fn wait_while_fed(gateway: &Gateway) -> bool {
+    let from = clock::now();
+    let mut waited = false;
+    loop {
+        let now = clock::now();
+        let fed = is_fed(&gateway.beliefs(), gateway, now);
+        if !fed || now.since(from) > LARGE_OTHERS_PAUSE_US {
+            return waited;
+        }
+        waited = true;
+        sleep(FED_LOOK).await;
+    }
+}
+
 fn apply_operators(gateway: &Arc<Gateway>, page: &RecordPage) -> u64 {
+    let before = gateway.beliefs().table.as_ref().map(|table| table.version);
+    let mut named = false;
     for record in &page.records {
         let Some(value) = &record.value else { continue };
         match read_operator_record(&record.key, value) {
             Ok(OperatorRecord::Configuration(table)) => take_table(gateway, *table),
             Ok(OperatorRecord::Adapter { key, version }) => {
-                let fresh = gateway.beliefs().name_version(key.clone(), version, clock::now());
-                if fresh {
-                    event!(AdapterVersionNamed, adapter = key.adapter, version = version);
-                }
+                named |= take_version(gateway, key, version, true);
             }
             Ok(OperatorRecord::Other) => {}
             Err(error) => event!(RecordSkipped, topic = "operators", cause = error),
         }
     }
+    let changed = gateway.beliefs().table.as_ref().map(|table| table.version) != before;
+    if (named || changed) && reads_for_others(gateway) {
+        tell_news(gateway, &EntryHistory::default());
+    }
     page.next
 }
 
+/// Takes a version of an adapter that was named, and tells others of it if it was read here.
+fn take_version(gateway: &Gateway, key: AdapterKey, version: u64, read: bool) -> bool {
+    let mut beliefs = gateway.beliefs();
+    if !beliefs.name_version(key.clone(), version, clock::now()) {
+        return false;
+    }
+    event!(AdapterVersionNamed, adapter = key.adapter, version = version);
+    if read {
+        beliefs.told_versions.push((SharedVersion { key, version }, NEWS_REPEATS));
+    }
+    true
+}
+
 /// Puts a configuration into force unless a newer one is. Old ones come from stale reads and from
 /// records that are read twice; going back would undo what callers have seen.
 pub(crate) fn take_table(gateway: &Arc<Gateway>, table: RouteTable) {
@@ -124,7 +175,7 @@
             }
             Err(error) => {
                 health.bad(&gateway, &error);
-                sleep(RETRY_PAUSE).await;
+                sleep(retry_pause(&gateway)).await;
                 continue;
             }
         };
@@ -154,6 +205,9 @@
                 }
                 Err(error) => {
                     health.bad(&gateway, &error);
+                    if !reads {
+                        sleep(retry_pause(&gateway)).await;
+                    }
                 }
             }
             remove_lapsed(&gateway);
@@ -251,6 +305,11 @@
     }
 }
 
+fn retry_pause(gateway: &Gateway) -> Duration {
+    let large = gateway.beliefs().roster.is_large(clock::now());
+    if large && !reads_for_others(gateway) { LARGE_RETRY_PAUSE } else { RETRY_PAUSE }
+}
+
 /// Whether this VM looks at the entries for all: it is among the first of those that live, in an
 /// order that does not follow failure domains.
 fn reads_for_others(gateway: &Gateway) -> bool {
@@ -261,26 +320,43 @@
 /// Whether another VM tells this one of changes, so that it need not look itself yet.
 fn is_told(gateway: &Gateway, looked_at: TimePoint) -> bool {
     let now = clock::now();
-    let told = now.since(gateway.beliefs().news_at) < NEWS_TRUST_US;
-    told && now.since(looked_at) < OTHERS_PAUSE_US
+    let beliefs = gateway.beliefs();
+    let told = now.since(beliefs.news_at) < NEWS_TRUST_US;
+    let large = beliefs.roster.is_large(now);
+    let pause_us = if large { LARGE_OTHERS_PAUSE_US } else { OTHERS_PAUSE_US };
+    told && now.since(looked_at) < pause_us
 }
 
 fn tell_news(gateway: &Arc<Gateway>, history: &EntryHistory) {
-    let news = EntryNews {
+    let mut beliefs = gateway.beliefs();
+    let versions = beliefs.told_versions.iter().map(|(version, _)| version.clone()).collect();
+    beliefs.told_versions.iter_mut().for_each(|(_, left)| *left -= 1);
+    beliefs.told_versions.retain(|(_, left)| *left > 0);
+    let news = RecordNews {
         vm: gateway.settings.vm.clone(),
+        config: beliefs.table.as_ref().map_or(0, |table| table.version.0),
+        versions,
         entries: history.last.iter().flat_map(|changes| changes.entries.clone()).collect(),
         gone: history.last.iter().flat_map(|changes| changes.gone.clone()).collect(),
     };
-    let peers = gateway.beliefs().roster.live(clock::now());
-    gateway.peers.send(&PeerMessage::Entries(news), &peers);
+    let peers = beliefs.roster.live(clock::now());
+    drop(beliefs);
+    gateway.peers.send(&PeerMessage::News(news), &peers);
 }
 
 /// Takes changes that another VM read.
-pub(crate) fn take_news(gateway: &Arc<Gateway>, news: EntryNews) {
+pub(crate) fn take_news(gateway: &Arc<Gateway>, news: RecordNews) {
     let now = clock::now();
     let mut changes = EntryChanges::default();
+    for named in news.versions {
+        take_version(gateway, named.key, named.version, false);
+    }
     let mut beliefs = gateway.beliefs();
     beliefs.news_at = now;
+    beliefs.roster.told_config(&news.vm, news.config);
+    if beliefs.table.as_ref().is_some_and(|table| table.version.0 < news.config) {
+        gateway.config_behind.notify_waiters();
+    }
     for entry in news.entries {
         if beliefs.take_entry(&entry, now) {
             changes.entries.push(entry);
--- a/gateway/src/group.rs
+++ b/gateway/src/group.rs
@@ -25,6 +25,9 @@
 /// For how long a VM that starts among others that order all servers keeps out of the group. Each
 /// change of the group moves shares, and servers whose share moves take no loads for seconds.
 const LATE_JOIN_US: u64 = 20_000_000;
+/// VMs that order servers, in the order by hash of those that live. Each renews its shares every second,
+/// and each that comes or goes moves shares; this many lose a few servers each when one goes.
+const ORDERERS: usize = 24;
 /// Between two looks whether to join.
 const JOIN_LOOK: Duration = Duration::from_millis(250);
 /// For so long a starting VM listens whether others order all servers.
@@ -34,9 +37,12 @@
 pub(crate) async fn keep(gateway: Arc<Gateway>) {
     let mut link = StoreLink::new("group");
     let mut since = gained_since(&gateway, &mut link).await;
-    if since == GainedSince::Unknown {
-        wait_for_need(&gateway).await;
+    if !matches!(since, GainedSince::Restart(_)) {
+        wait_for_turn(&gateway, &since).await;
+        // A first start is over by the time at which a VM has waited for long.
+        since = later(&gateway);
     }
+    gateway.beliefs().calls_store = true;
     let lifetime = Duration::from_millis(gateway.settings.store.least_lifetime_ms * LIFETIMES);
     let mut members_at: Option<TimePoint> = None;
     let mut written = TenureRecord::default();
@@ -112,8 +118,13 @@
     }
 }
 
-/// Waits while other VMs order all servers.
-async fn wait_for_need(gateway: &Arc<Gateway>) {
+/// Waits until this VM should order servers: among the first of those that live, and at the system's first
+/// start, or once a server has no owner, or after a while.
+async fn wait_for_turn(gateway: &Arc<Gateway>, since: &GainedSince) {
+    // At the system's first start nobody orders servers yet; those that others ask first begin.
+    if *since == GainedSince::FirstStart && is_asked_first(gateway) {
+        return;
+    }
     loop {
         sleep(JOIN_LOOK).await;
         let now = clock::now();
@@ -122,15 +133,29 @@
             continue;
         }
         let beliefs = gateway.beliefs();
+        if beliefs.roster.before(&gateway.settings.vm, now) >= ORDERERS {
+            continue;
+        }
+        // The first configuration may come just ahead of the first requests.
+        if *since == GainedSince::FirstStart {
+            return;
+        }
         let Some(table) = &beliefs.table else { continue };
         let engines = table.services().iter().filter(|plan| plan.engine.is_some());
         let lacks = |service| beliefs.backends.any_without_owner(service, now);
-        if age > LATE_JOIN_US || engines.map(|plan| &plan.service).any(lacks) {
+        let lacks = engines.map(|plan| &plan.service).any(lacks);
+        if lacks || age > LATE_JOIN_US {
             return;
         }
     }
 }
 
+/// Whether this VM is among the seeds, or knows of no others.
+fn is_asked_first(gateway: &Gateway) -> bool {
+    let (seeds, own) = (&gateway.settings.seeds, gateway.settings.listen.peers.ip());
+    seeds.is_empty() || seeds.iter().any(|seed| seed.ip() == own)
+}
+
 fn renewed(
     gateway: &Arc<Gateway>,
     sent: TimePoint,
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use coltsfoothook_decision::id::{ServerName, VmName};
+use coltsfoothook_decision::id::{AdapterName, ModelName, ServerName, VmName};
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
 use coltsfoothook_decision::value;
 
@@ -33,8 +33,9 @@
         pub leaving: bool,
         /// The version of the configuration in force there.
         pub config: u64,
-        /// Milliseconds since its last successful call to the platform's store.
-        pub store_age_ms: u32,
+        /// Milliseconds since its last successful call to the platform's store; none from a VM that
+        /// seldom calls it, whose silence tells nothing of the store.
+        pub store_age_ms: Option<u32>,
         /// Its requests at servers.
         pub loads: Vec<ServerLoad>,
         /// Other VMs that it hears of.
@@ -66,14 +67,18 @@
         /// How long the VM expects the load of an adapter from the weight store to take, in
         /// milliseconds.
         pub load_ms: u32,
+        /// The base models of the adapters; most servers hold one.
+        pub models: Vec<ModelName>,
         /// The adapters.
         pub adapters: Vec<ListedAdapter>,
     }
 
     /// An adapter of an [`AdapterList`].
     pub(crate) struct ListedAdapter {
+        /// The place of its base model in the list's models.
+        pub model: u8,
         /// The adapter.
-        pub key: AdapterKey,
+        pub adapter: AdapterName,
         /// Its version.
         pub version: u64,
         /// Milliseconds until it can be used.
@@ -128,10 +133,14 @@
         pub version: u64,
     }
 
-    /// Changes of servers' entries, from a VM that reads them for others.
-    pub(crate) struct EntryNews {
+    /// Changes of records in the platform's store, from a VM that reads them for others.
+    pub(crate) struct RecordNews {
         /// The VM.
         pub vm: VmName,
+        /// The version of the configuration in force there.
+        pub config: u64,
+        /// Versions of adapters that were named.
+        pub versions: Vec<SharedVersion>,
         /// Servers that appeared, began to leave, or hold other base models.
         pub entries: Vec<BackendEntry>,
         /// Servers whose entry was removed.
@@ -156,8 +165,8 @@
         Wish(AdapterWish),
         /// Uses of the VM that is named.
         Uses(VmName, Vec<AdapterUse>),
-        /// Changes of entries.
-        Entries(EntryNews),
+        /// Changes of records.
+        News(RecordNews),
     }
 }
 
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -15,7 +15,6 @@
 
 use crate::clock;
 use crate::message::{AdapterList, AdapterUse, ListedAdapter, PeerMessage};
-use crate::roster::SMALL_FLEET;
 use crate::state::{Beliefs, Gateway};
 
 /// After how long a server's list is spread again without a change: VMs that missed a datagram and
@@ -194,7 +193,7 @@
     }
 
     fn due_list(&mut self, gateway: &Gateway, at: usize, now: TimePoint) -> Option<AdapterList> {
-        let large = self.roster.live_count(now) > SMALL_FLEET;
+        let large = self.roster.is_large(now);
         let repeat_us = if large { LARGE_REPEAT_LIST_US } else { REPEAT_LIST_US };
         let load_us = self.times.expected_us(false);
         let entry = &mut self.books.books[at];
@@ -211,12 +210,15 @@
         let vm = gateway.settings.vm.clone();
         let (server, fence, revision) = (entry.server.clone(), entry.fence, entry.told_revision);
         let booked = entry.book.adapters(now);
+        let mut models: Vec<ModelName> = Vec::new();
         let listed = booked.iter().map(|adapter| ListedAdapter {
-            key: adapter.key.clone(),
+            model: place_of(&mut models, &adapter.key.model),
+            adapter: adapter.key.adapter.clone(),
             version: adapter.version,
             usable_in_ms: adapter.usable_from.since(now).div_ceil(1_000) as u32,
             heat: adapter.heat,
         });
+        let adapters = listed.collect();
         let list = AdapterList {
             vm: vm.clone(),
             server: server.clone(),
@@ -224,7 +226,8 @@
             revision,
             free,
             load_ms: u32::try_from(load_us / 1_000).unwrap_or(u32::MAX),
-            adapters: listed.collect(),
+            models,
+            adapters,
         };
         let holdings = booked.into_iter().map(|adapter| AdapterHolding {
             key: adapter.key,
@@ -238,6 +241,16 @@
     }
 }
 
+/// The place of a base model among those of a list. A server holds a few models at most.
+fn place_of(models: &mut Vec<ModelName>, model: &ModelName) -> u8 {
+    let found = models.iter().position(|known| known == model);
+    let at = found.unwrap_or_else(|| {
+        models.push(model.clone());
+        models.len() - 1
+    });
+    u8::try_from(at).unwrap_or(u8::MAX)
+}
+
 /// Places for adapters at a server: as many as are allowed, and as fit beside its base models.
 fn places(plan: &EnginePlan, held: &[HeldModel]) -> usize {
     let weights = |model: &ModelName| {
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -171,8 +171,9 @@
         ready: beliefs.table.is_some() && beliefs.servers_read,
         leaving: gateway.leaving(),
         config: beliefs.table.as_ref().map_or(0, |table| table.version.0),
-        store_age_ms: u32::try_from(clock::now().since(beliefs.store_reached_at) / 1_000)
-            .unwrap_or(u32::MAX),
+        store_age_ms: beliefs.calls_store.then(|| {
+            u32::try_from(clock::now().since(beliefs.store_reached_at) / 1_000).unwrap_or(u32::MAX)
+        }),
         loads: beliefs.backends.own_loads().into_iter().map(load).collect(),
         others,
     }
@@ -198,7 +199,7 @@
             drop(beliefs);
             order::drive(gateway, &wish.server);
         }
-        PeerMessage::Entries(news) => follow::take_news(gateway, news),
+        PeerMessage::News(news) => follow::take_news(gateway, news),
         PeerMessage::Uses(vm, uses) => order::take_uses(gateway, &vm, &uses),
     }
 }
@@ -235,15 +236,16 @@
 fn take_list(gateway: &Arc<Gateway>, list: AdapterList) {
     let now = clock::now();
     let owner = ServerOwner { vm: list.vm, fence: list.fence, at: now, free: list.free };
-    let holdings = list.adapters.into_iter().map(|adapter| AdapterHolding {
-        key: adapter.key,
-        version: adapter.version,
-        heat: adapter.heat,
-        usable_from: if adapter.usable_in_ms == 0 {
-            now
-        } else {
-            now.plus(u64::from(adapter.usable_in_ms) * 1_000)
-        },
+    let models = list.models;
+    let holdings = list.adapters.into_iter().filter_map(|adapter| {
+        let model = models.get(usize::from(adapter.model))?.clone();
+        let later_us = u64::from(adapter.usable_in_ms) * 1_000;
+        Some(AdapterHolding {
+            key: AdapterKey { model, adapter: adapter.adapter },
+            version: adapter.version,
+            heat: adapter.heat,
+            usable_from: now.plus(later_us),
+        })
     });
     let holdings: Vec<AdapterHolding> = holdings.collect();
     let mut beliefs = gateway.beliefs();
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -26,7 +26,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) requests: SocketAddr,
     pub(crate) config: u64,
-    reached_at: TimePoint,
+    /// None for a VM that seldom calls the store.
+    reached_at: Option<TimePoint>,
     incarnation: u64,
     sequence: u64,
     ready: bool,
@@ -150,15 +151,30 @@
     /// The VMs that were heard of lately, as witnesses of an outage of the store.
     pub(crate) fn witnesses(&self, now: TimePoint) -> Vec<StoreWitness> {
         let known = self.peers.iter().filter(|peer| now.since(peer.heard_at) < WITNESS_US);
-        known
-            .map(|peer| StoreWitness { heard_at: peer.heard_at, reached_at: peer.reached_at })
-            .collect()
+        let witness = |peer: &PeerState| {
+            Some(StoreWitness { heard_at: peer.heard_at, reached_at: peer.reached_at? })
+        };
+        known.filter_map(witness).collect()
+    }
+
+    /// Live VMs that have the newest configuration that is known, if it is newer than `version`.
+    pub(crate) fn ahead(&self, version: u64, now: TimePoint) -> Vec<SocketAddr> {
+        let live = || self.peers.iter().filter(|peer| peer.lives(now));
+        let newest = live().map(|peer| peer.config).max().unwrap_or(0);
+        let has = |peer: &&PeerState| newest > version && peer.config == newest;
+        live().filter(has).map(|peer| peer.address).collect()
+    }
+
+    /// A VM told which configuration it has.
+    pub(crate) fn told_config(&mut self, vm: &VmName, config: u64) {
+        if let Ok(at) = self.peers.binary_search_by(|peer| peer.vm.cmp(vm)) {
+            self.peers[at].config = self.peers[at].config.max(config);
+        }
     }
 
-    /// A live VM that has a newer configuration than `version`, the newest first.
-    pub(crate) fn ahead(&self, version: u64, now: TimePoint) -> Option<SocketAddr> {
-        let newer = self.peers.iter().filter(|peer| peer.lives(now) && peer.config > version);
-        newer.max_by_key(|peer| peer.config).map(|peer| peer.address)
+    /// Whether there are so many VMs that some read the store for the others.
+    pub(crate) fn is_large(&self, now: TimePoint) -> bool {
+        self.live_count(now) > SMALL_FLEET
     }
 }
 
@@ -169,7 +185,9 @@
             address,
             requests: state.requests,
             config: state.config,
-            reached_at: TimePoint(now.0.saturating_sub(u64::from(state.store_age_ms) * 1_000)),
+            reached_at: state
+                .store_age_ms
+                .map(|age_ms| TimePoint(now.0.saturating_sub(u64::from(age_ms) * 1_000))),
             incarnation: state.incarnation,
             sequence: state.sequence,
             ready: state.ready,
--- a/gateway/src/share.rs
+++ b/gateway/src/share.rs
@@ -9,7 +9,8 @@
 
 use coltsfoothook_exchange::ExchangeRequest;
 use coltsfoothook_telemetry::event;
-use tokio::time::sleep;
+use rand::seq::IndexedRandom;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::follow;
@@ -28,9 +29,17 @@
 /// The most bytes of its answer.
 const MOST_BYTES: usize = 16 << 20;
 
-/// This VM's records.
-pub(crate) fn shared_body(gateway: &Gateway) -> Vec<u8> {
+/// The query that asks for the configuration alone.
+pub(crate) const TABLE_QUERY: &str = "table";
+
+/// This VM's records, or its configuration alone.
+pub(crate) fn shared_body(gateway: &Gateway, table_only: bool) -> Vec<u8> {
     let beliefs = gateway.beliefs();
+    if table_only {
+        let table = beliefs.table.as_deref().cloned();
+        let state = SharedState { table, versions: Vec::new(), entries: Vec::new() };
+        return rmp_serde::to_vec(&state).unwrap_or_default();
+    }
     let version = |named: &crate::state::NamedVersion| SharedVersion {
         key: named.key.clone(),
         version: named.version,
@@ -48,9 +57,10 @@
 /// Takes records from other VMs while the store is away and they are ahead, for ever.
 pub(crate) async fn take_missing(gateway: Arc<Gateway>) {
     loop {
-        sleep(LOOK_PAUSE).await;
-        let Some(from) = ahead(&gateway) else { continue };
-        let mut request = ExchangeRequest::get(SHARED_PATH);
+        // A VM that others read the store for hears at once of a newer configuration.
+        let _ = timeout(LOOK_PAUSE, gateway.config_behind.notified()).await;
+        let Some((from, path)) = ahead(&gateway) else { continue };
+        let mut request = ExchangeRequest::get(path);
         request.head_within = Some(ANSWER_TIME);
         request.piece_within = Some(ANSWER_TIME);
         let answer = match gateway.client.send(from, request).await {
@@ -67,15 +77,23 @@
     }
 }
 
-/// A VM to ask, if the store is away and that VM knows more.
-fn ahead(gateway: &Gateway) -> Option<SocketAddr> {
+/// A VM to ask and for what, if it knows more and this one cannot read the store or leaves that to
+/// others. Any that is ahead will do; drawn, they share the work.
+fn ahead(gateway: &Gateway) -> Option<(SocketAddr, String)> {
     let now = clock::now();
-    let beliefs = gateway.beliefs();
-    if now.since(beliefs.store_reached_at.max(gateway.started)) < AWAY_US {
+    let mut beliefs = gateway.beliefs();
+    let away = now.since(beliefs.store_reached_at.max(gateway.started)) >= AWAY_US;
+    let path = if follow::is_fed(&beliefs, gateway, now) {
+        format!("{SHARED_PATH}?{TABLE_QUERY}")
+    } else if away {
+        SHARED_PATH.to_owned()
+    } else {
         return None;
-    }
+    };
     let own = beliefs.table.as_ref().map_or(0, |table| table.version.0);
-    beliefs.roster.ahead(own, now)
+    let ahead = beliefs.roster.ahead(own, now);
+    let from = ahead.choose(&mut beliefs.random).copied()?;
+    Some((from, path))
 }
 
 fn take(gateway: &Arc<Gateway>, from: SocketAddr, state: SharedState) {
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock;
+use crate::message::SharedVersion;
 use crate::metrics::GatewayMetrics;
 use crate::order::ServerBooks;
 use crate::peer::PeerSocket;
@@ -35,9 +36,13 @@
 /// was heard of it may be half a second old.
 const PAUSE_SLACK_US: u64 = 1_100_000;
 /// Idle connections that are kept to a server.
-const IDLE_CONNECTIONS: usize = 24;
-/// How long an idle connection is kept, in milliseconds, where its server does not say.
-const KEEP_MS: u64 = 1_000;
+const IDLE_CONNECTIONS: usize = 16;
+/// How long an idle connection is kept, in milliseconds, where its server does not say: it then keeps it
+/// for less than a second or for long, and a new one takes a few milliseconds.
+const KEEP_MS: u64 = 800;
+/// How long one is kept at most, in milliseconds, where its server says how long it does. It bounds the
+/// connections that many VMs keep at a server, which resets those beyond its limit.
+const MOST_KEEP_MS: u64 = 6_000;
 
 /// The version of an adapter that the operators named, and when this VM learnt of it.
 #[derive(Clone, Debug)]
@@ -78,6 +83,10 @@
     pub(crate) lapsed: Vec<LapsedServer>,
     /// When the store last answered.
     pub(crate) store_reached_at: TimePoint,
+    /// Whether this VM calls the store about each second, so that others can tell an outage by it.
+    pub(crate) calls_store: bool,
+    /// Versions of adapters that others are still told of, and how many more times.
+    pub(crate) told_versions: Vec<(SharedVersion, usize)>,
     /// How adapters were met, not yet told to those who order their servers.
     pub(crate) uses: UseList,
     pub(crate) random: Pcg64,
@@ -122,6 +131,7 @@
         };
         let client = ExchangeClient::new(ExchangeSettings {
             keep_ms: KEEP_MS,
+            most_keep_ms: MOST_KEEP_MS,
             idle_connections: IDLE_CONNECTIONS,
             connect_ms: 400,
             ..ExchangeSettings::default()
@@ -140,6 +150,8 @@
             news_at: TimePoint(0),
             lapsed: Vec::new(),
             store_reached_at: TimePoint(0),
+            calls_store: false,
+            told_versions: Vec::new(),
             uses: UseList::default(),
             random: Pcg64::seed_from_u64(incarnation ^ stable_hash(&[settings.vm.as_str()])),
         };
