--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -39,6 +39,9 @@
 mod uses;
 mod wish;
 
+#[cfg(test)]
+#[path = "../tests/unit/large_fleet.rs"]
+mod large_fleet;
 #[cfg(test)]
 #[path = "../tests/unit/waiting_datagrams.rs"]
 mod waiting_datagrams;
--- a/gateway/tests/suite/adapter_loads.rs
+++ b/gateway/tests/suite/adapter_loads.rs
@@ -122,3 +122,17 @@
     let cold = async || first.ask("stream", "r2", "a2").await.status == 200;
     eventually("a cold adapter is served without the store", cold).await;
 }
+
+/// The whole system starts for the first time, and the configuration comes a moment before the first
+/// requests. All VMs share out the servers before: one that joined later would have to wait for the pause
+/// between two holders, and the first seconds' cold adapters would find nobody to load them.
+#[tokio::test]
+async fn joins_unconfigured() {
+    let site = Site::start_unconfigured(1, 0).await;
+    let first = site.gateway("vm-1", &[]).await;
+    let _second = site.gateway("vm-2", &[&first]).await;
+    eventually("both are members", async || site.store.members() == 2).await;
+    site.configure(1, "plain");
+    first.wait_ready().await;
+    assert_eq!(first.ask("stream", "r1", "a1").await.status, 200);
+}
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -47,6 +47,13 @@
 impl Site {
     /// A site with a configuration and servers that are registered.
     pub(crate) async fn start(engines: usize, plain: usize) -> Self {
+        let site = Self::start_unconfigured(engines, plain).await;
+        site.configure(1, "plain");
+        site
+    }
+
+    /// A site whose operators have not published a configuration yet.
+    pub(crate) async fn start_unconfigured(engines: usize, plain: usize) -> Self {
         let store = StandinStore::start().await;
         let mut site = Self {
             store,
@@ -61,7 +68,6 @@
         for number in 0..plain {
             site.plain.push(StandinServer::start(&format!("p-{number}")).await);
         }
-        site.configure(1, "plain");
         site.register("ready");
         site
     }
--- a/gateway/tests/suite/store.rs
+++ b/gateway/tests/suite/store.rs
@@ -106,6 +106,11 @@
         self.state.lock().unwrap().deals_evenly = true;
     }
 
+    /// How many members the group has had at once.
+    pub(crate) fn members(&self) -> usize {
+        self.state.lock().unwrap().members.len()
+    }
+
     /// Answers nothing but 503 from now on, or serves again.
     pub(crate) fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::SeqCst);
--- /dev/null
+++ b/gateway/tests/unit/large_fleet.rs
@@ -0,0 +1,82 @@
+//! What changes where there are too many VMs for each to call the store and tell all others.
+
+use std::net::SocketAddr;
+
+use coltsfoothook_decision::id::{TimePoint, VmName};
+
+use crate::message::VmState;
+use crate::roster::{PeerRoster, SMALL_FLEET};
+
+const NOW: TimePoint = TimePoint(10_000_000);
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 1, number as u8], 9))
+}
+
+fn state(number: usize, config: u64, store_age_ms: Option<u32>) -> VmState {
+    VmState {
+        vm: VmName::from(format!("vm-{number}").as_str()),
+        incarnation: 1,
+        sequence: 1,
+        requests: address(number),
+        ready: true,
+        leaving: false,
+        config,
+        store_age_ms,
+        loads: Vec::new(),
+        others: Vec::new(),
+    }
+}
+
+/// The VMs of a fleet but `own`, each with its configuration and the age of its last call to the store.
+fn roster(count: usize, own: usize, told: impl Fn(usize) -> (u64, Option<u32>)) -> PeerRoster {
+    let mut roster = PeerRoster::default();
+    for number in (0..count).filter(|number| *number != own) {
+        let (config, age) = told(number);
+        roster.heard(&state(number, config, age), address(number), NOW);
+    }
+    roster
+}
+
+/// All VMs agree on who is first, so that just as many read the store for the others as are meant to,
+/// and those are not the first by name, which would be of one failure domain.
+#[test]
+fn same_order() {
+    let count = 75;
+    let rank = |own: usize| {
+        let roster = roster(count, own, |_| (1, None));
+        roster.before(&VmName::from(format!("vm-{own}").as_str()), NOW)
+    };
+    let mut ranks: Vec<usize> = (0..count).map(rank).collect();
+    assert_ne!(&ranks[..3], &[0, 1, 2]);
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..count).collect::<Vec<_>>());
+}
+
+/// Most VMs of a large fleet call the store twice a minute. Their silence must not look like an outage:
+/// a VM that was cut off from the store would go on ordering servers that another one orders by now.
+#[test]
+fn no_witness() {
+    let seldom = roster(75, 0, |number| (1, (number == 7).then_some(100)));
+    assert_eq!(seldom.witnesses(NOW).len(), 1);
+    assert!(roster(75, 0, |_| (1, None)).witnesses(NOW).is_empty());
+}
+
+/// A VM that is behind takes the configuration from any VM that has the newest one. If all took it from
+/// one, the small VM there would be busy with it while callers wait.
+#[test]
+fn many_are_ahead() {
+    let fleet = roster(75, 0, |number| (if number < 40 { 7 } else { 6 }, None));
+    assert_eq!(fleet.ahead(6, NOW).len(), 39);
+    assert!(fleet.ahead(7, NOW).is_empty());
+}
+
+/// The news of one VM tell of a newer configuration before its next state does.
+#[test]
+fn told_in_news() {
+    let mut fleet = roster(SMALL_FLEET + 2, 0, |_| (6, None));
+    assert!(fleet.is_large(NOW));
+    fleet.told_config(&VmName::from("vm-3"), 7);
+    fleet.told_config(&VmName::from("vm-3"), 5);
+    assert_eq!(fleet.ahead(6, NOW), [address(3)]);
+}
