ctl losses: where requests were late, refused or lost, from log files

Cause: the split of lost requests by route, adapter rank and second, by which the last three faults were found, was a script that nobody else had.

--- a/ctl/src/arguments.rs
+++ b/ctl/src/arguments.rs
@@ -16,6 +16,7 @@
   coltsfoothook-ctl drain server engine-7 --settings ctl.json
   coltsfoothook-ctl explain vm-2.51.1907 --settings ctl.json
   coltsfoothook-ctl trace 9c41d07be2a35f68 logs/*.log
+  coltsfoothook-ctl losses --late-ms 800 logs/*.log
   coltsfoothook-ctl hash-credential --generate
 Exit codes:
   0 done; 1 refused, nothing changed; 2 usage; 3 no entry VM reached; 4 outcome unknown
@@ -116,6 +117,21 @@
         #[bpaf(positional("FILE"), some("a log file is needed"))]
         files: Vec<PathBuf>,
     },
+    /// Shows where requests were late, refused or lost, from log files of gateways
+    #[bpaf(command)]
+    Losses {
+        /// After how many milliseconds to the first piece a request is late
+        #[bpaf(argument("MS"), fallback(1_000))]
+        late_ms: u64,
+        /// How many seconds are counted together
+        #[bpaf(argument("SECONDS"), fallback(2))]
+        every_s: u64,
+        #[bpaf(external)]
+        json: bool,
+        /// Log files, best of all VMs
+        #[bpaf(positional("FILE"), some("a log file is needed"))]
+        files: Vec<PathBuf>,
+    },
     /// Lifts the condemnation of a request that crashed backend servers
     #[bpaf(command)]
     Lift {
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -19,6 +19,7 @@
 use crate::diff::ManifestDiff;
 use crate::document::ManifestFile;
 use crate::error::{CtlError, CtlExit};
+use crate::losses::losses;
 use crate::publish::{PublishOrder, hexadecimal, publish};
 use crate::report::CtlReport;
 use crate::show::{explain_text, status_text};
@@ -85,6 +86,7 @@
             | Self::Explain { json, .. }
             | Self::Lift { json, .. }
             | Self::Trace { json, .. }
+            | Self::Losses { json, .. }
             | Self::HashCredential { json, .. } => *json,
         }
     }
@@ -94,6 +96,7 @@
     match command {
         CtlCommand::Check { onto, file, .. } => check(&file, onto.as_deref()),
         CtlCommand::Trace { id, files, .. } => trace(&id, &files),
+        CtlCommand::Losses { late_ms, every_s, files, .. } => losses(&files, late_ms, every_s),
         CtlCommand::HashCredential { generate, .. } => hash_credential(generate, streams),
         remote => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -145,9 +148,10 @@
             let _: WrittenAnswer = client.change(Method::POST, "/v1/lift", &call).await?;
             Ok(CtlReport::done(text, &json!({ "exit": 0, "fingerprint": call.fingerprint })))
         }
-        CtlCommand::Check { .. } | CtlCommand::HashCredential { .. } | CtlCommand::Trace { .. } => {
-            Err(CtlError::usage("this command needs no connection"))
-        }
+        CtlCommand::Check { .. }
+        | CtlCommand::HashCredential { .. }
+        | CtlCommand::Losses { .. }
+        | CtlCommand::Trace { .. } => Err(CtlError::usage("this command needs no connection")),
     }
 }
 
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -17,6 +17,8 @@
 mod diff;
 mod document;
 mod error;
+mod logline;
+mod losses;
 mod publish;
 mod report;
 mod settings;
--- a/ctl/tests/suite/main.rs
+++ b/ctl/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod event_names;
 mod exit_codes;
 mod fake;
+mod loss_report;
 mod lost_answer;
 mod manual_examples;
 mod publish_twice;
