--- a/ctl/tests/suite/loss_report.rs
+++ b/ctl/tests/suite/loss_report.rs
@@ -41,5 +41,6 @@
         caller_left: no reason     1
         failed: answer cut: reset  1
         refused: adapter_wait      1
-    "#]].assert_eq(&ended.out);
+    "#]]
+    .assert_eq(&ended.out);
 }
--- a/load/src/call.rs
+++ b/load/src/call.rs
@@ -17,11 +17,13 @@
 use coltsfoothook_decision::record::{JobEntry, JobRecord};
 use rand::Rng;
 
-use crate::fake::LogRecord;
-use crate::vm::{
-    AbandonedRun, BrokenSafeguard, CallPhase, OpenCall, OpenRelease, OpenWithdrawal, PeerMessage,
-    RunSubject, SoakKind, SoakRequest, SoakVm, TENANT, VmOutput,
+use crate::effect::{
+    AbandonedRun, CallPhase, OpenCall, OpenRelease, OpenWithdrawal, PeerMessage, RunSubject,
+    SoakKind, SoakRequest, VmOutput,
 };
+use crate::fake::LogRecord;
+use crate::safeguard::BrokenSafeguard;
+use crate::vm::{SoakVm, TENANT};
 
 /// Milliseconds that a question to another VM may take.
 const ASK_MS: u64 = 1_500;
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -11,9 +11,12 @@
 //! ```
 
 pub mod call;
+pub mod effect;
 pub mod fake;
 mod fault;
 pub mod oracle;
+mod ownership;
+pub mod safeguard;
 mod traffic;
 pub mod vm;
 pub mod world;
--- a/load/src/soak.rs
+++ b/load/src/soak.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use coltsfoothook_load::vm::BrokenSafeguard;
+use coltsfoothook_load::safeguard::BrokenSafeguard;
 use coltsfoothook_load::world::{SoakResult, SoakSettings, run_seed};
 
 /// Options of `soak`.
--- a/load/src/traffic.rs
+++ b/load/src/traffic.rs
@@ -10,7 +10,8 @@
 use rand::RngExt;
 
 use crate::call::MODEL;
-use crate::vm::{SoakKind, SoakRequest, TENANT};
+use crate::effect::{SoakKind, SoakRequest};
+use crate::vm::TENANT;
 use crate::world::{CallerRequest, REGION, SoakWorld, VmEvent, WorldEvent};
 
 /// Milliseconds after which a caller sends a request again that got no answer.
--- a/load/src/world.rs
+++ b/load/src/world.rs
@@ -23,11 +23,11 @@
 use rand_pcg::Pcg64;
 
 use crate::call::RunEnd;
+use crate::effect::{OrderEnd, PeerMessage, RunSubject, SoakKind, SoakRequest, VmOutput};
 use crate::fake::{FakeEngine, FakeLog, LogPage, LogRecord, LogStream};
 use crate::oracle::{SoakOracle, SoakViolation};
-use crate::vm::{
-    BrokenSafeguard, OrderEnd, PeerMessage, RunSubject, SoakKind, SoakRequest, SoakVm, VmOutput,
-};
+use crate::safeguard::BrokenSafeguard;
+use crate::vm::SoakVm;
 
 /// Settings of a run.
 #[derive(Clone, Debug, PartialEq)]
--- a/load/tests/suite/broken_safeguards.rs
+++ b/load/tests/suite/broken_safeguards.rs
@@ -2,7 +2,7 @@
 // the outside view must see callers harmed: two runs of a call that must run once, or an adapter
 // evicted under a running request.
 
-use coltsfoothook_load::vm::BrokenSafeguard;
+use coltsfoothook_load::safeguard::BrokenSafeguard;
 use coltsfoothook_load::world::{SoakSettings, run_seed};
 
 /// Seeds that are tried until one catches the break. The decisions draw from the seed's generator,
