--- a/gateway/tests/soak/main.rs
+++ b/gateway/tests/soak/main.rs
@@ -15,6 +15,8 @@
 mod verdict;
 mod world;
 
+#[path = "../suite/configuration.rs"]
+mod configuration;
 #[path = "../suite/server.rs"]
 #[allow(dead_code, reason = "the suite uses more of it")]
 mod server;
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -8,14 +8,15 @@
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::time::{sleep, timeout};
 
 use crate::callers::{call_on, probe_on};
+use crate::configuration::configuration;
 use crate::faults::{FaultMix, SLOTS, strike};
 use crate::fleet::{GatewayChild, GatewayPlace};
 use crate::proxy::LinkProxy;
-use crate::server::{MODEL, PLACES, RunNote, ServerMood, StandinServer};
+use crate::server::{RunNote, ServerMood, StandinServer};
 use crate::store::StandinStore;
 use crate::verdict::SoakVerdict;
 
@@ -359,38 +360,3 @@
         seeds: (0..store_links.len().min(3)).map(|n| SocketAddr::from((ip(n), 7_004))).collect(),
     }
 }
-
-fn configuration(version: u64, moved: &str) -> Value {
-    let route = |name: &str, kind: &str, service: &str, attempts: u64, resumable: bool| {
-        json!({
-            "name": name, "host": "a.example", "path_prefix": format!("/{name}/"),
-            "kind": kind, "timeout_ms": 4_000, "target_latency_ms": 500, "priority": 0,
-            "service": service, "max_attempts": attempts, "resumable": resumable,
-            "target_gap_ms": 200,
-        })
-    };
-    let model = json!({ "name": MODEL, "weights_mb": 10.0, "adapters": 9, "adapter_mb": 1.0 });
-    let engine = json!({
-        "slots": 8, "kv_capacity_tokens": 10_000, "models": [model], "weights_mb": 20.0,
-        "adapter_slots": PLACES, "loads_per_s": 5.0,
-    });
-    json!({
-        "version": version,
-        "routes": [
-            route("safe", "safe", "plain", 2, false),
-            route("once", "unsafe", "plain", 2, false),
-            route("moved", "safe", moved, 1, false),
-            route("stream", "streaming", "engines", 1, false),
-            route("resumed", "streaming", "engines", 2, true),
-        ],
-        "services": [
-            { "name": "engines", "max_connections": 50, "engine": engine },
-            { "name": "plain", "max_connections": 50 },
-            { "name": "elsewhere", "max_connections": 50 },
-        ],
-        "limits": {
-            "max_header_bytes": 16_384, "max_body_bytes": 65_536,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-        },
-    })
-}
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod broken_answers;
 mod caller_leaves;
 mod config_follow;
+mod configuration;
 mod peer_records;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -10,10 +10,11 @@
 };
 use futures::StreamExt;
 use http::{HeaderName, HeaderValue};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::time::sleep;
 
-use crate::server::{MODEL, PLACES, StandinServer};
+use crate::configuration::configuration;
+use crate::server::{MODEL, StandinServer};
 use crate::store::StandinStore;
 
 /// The longest that a test waits for something.
@@ -74,38 +75,7 @@
 
     /// Publishes a configuration whose `/moved/` goes to `service`.
     pub(crate) fn configure(&self, version: u64, service: &str) {
-        let route = |name: &str, kind: &str, service: &str, attempts: u64, resumable: bool| {
-            json!({
-                "name": name, "host": "a.example", "path_prefix": format!("/{name}/"),
-                "kind": kind, "timeout_ms": 4_000, "target_latency_ms": 500, "priority": 0,
-                "service": service, "max_attempts": attempts, "resumable": resumable,
-                "target_gap_ms": 100,
-            })
-        };
-        let model = json!({ "name": MODEL, "weights_mb": 10.0, "adapters": 9, "adapter_mb": 1.0 });
-        let engine = json!({
-            "slots": 8, "kv_capacity_tokens": 10_000, "models": [model], "weights_mb": 20.0,
-            "adapter_slots": PLACES, "loads_per_s": 5.0,
-        });
-        let config = json!({
-            "version": version,
-            "routes": [
-                route("safe", "safe", "plain", 2, false),
-                route("once", "unsafe", "plain", 2, false),
-                route("moved", "safe", service, 1, false),
-                route("stream", "streaming", "engines", 1, false),
-                route("resumed", "streaming", "engines", 2, true),
-            ],
-            "services": [
-                { "name": "engines", "max_connections": 50, "engine": engine },
-                { "name": "plain", "max_connections": 50 },
-                { "name": "elsewhere", "max_connections": 50 },
-            ],
-            "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 65_536,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-            },
-        });
+        let config = configuration(version, service);
         self.store.write("keyed.op", "config", Some(&config));
     }
 
