--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -43,6 +43,9 @@
 #[path = "../tests/unit/large_fleet.rs"]
 mod large_fleet;
 #[cfg(test)]
+#[path = "../tests/unit/metrics_page.rs"]
+mod metrics_page;
+#[cfg(test)]
 #[path = "../tests/unit/waiting_datagrams.rs"]
 mod waiting_datagrams;
 
--- /dev/null
+++ b/gateway/tests/unit/metrics_page.rs
@@ -0,0 +1,50 @@
+//! docs/GATEWAY-METRICS.md is made from the metrics themselves.
+
+use std::time::Duration;
+
+use expect_test::expect_file;
+
+use crate::metrics::{GatewayMetrics, RequestTiming};
+
+/// A metric that is added or renamed without its line on the page fails here; `UPDATE_EXPECT=1` writes the
+/// page.
+#[test]
+fn page() {
+    let metrics = GatewayMetrics::new();
+    let timing = RequestTiming {
+        first: Some(Duration::ZERO),
+        whole: Duration::ZERO,
+        stall: Duration::from_millis(1),
+    };
+    metrics.request("ROUTE", "OUTCOME", &timing);
+    metrics.sent("RESULT");
+    metrics.store_call("CALL", "RESULT");
+    metrics.server_call("CALL", "RESULT");
+    metrics.set("WHAT", 1);
+    let mut rows = Vec::new();
+    let text = metrics.text();
+    let mut help = "";
+    for line in text.lines() {
+        if let Some(rest) = line.strip_prefix("# HELP ") {
+            help = rest.split_once(' ').map_or("", |(_, help)| help);
+        } else if let Some(rest) = line.strip_prefix("# TYPE ") {
+            let (name, kind) = rest.split_once(' ').unwrap();
+            let sample = text.lines().find(|line| line.starts_with(&format!("{name}{{")));
+            let sample = sample
+                .or_else(|| text.lines().find(|line| line.starts_with(&format!("{name}_count{{"))));
+            let labels = sample.and_then(|line| line.split(['{', '}']).nth(1)).unwrap_or("");
+            let labels: Vec<String> = labels
+                .split(',')
+                .filter_map(|label| Some(format!("`{}`", label.split_once('=')?.0)))
+                .collect();
+            rows.push(format!("| `{name}` | {kind} | {} | {help} |", labels.join(", ")));
+        }
+    }
+    let page = format!(
+        "# Metrics of the gateway\n\nMade from the code by `metrics_page` in the tests of `gateway`. \
+         Durations are in seconds. Routes beyond the\nfirst 64 are counted as `other`.\n\n\
+         | metric | kind | labels | meaning |\n|---|---|---|---|\n{}\n",
+        rows.join("\n"),
+    );
+    expect_file!["../../../docs/GATEWAY-METRICS.md"].assert_eq(&page);
+}
