News of named versions are bounded

Cause, found on reading the change: a VM that starts among thousands of named versions would tell all of them in one datagram, too large to send, five times; news of leaving servers go in the same messages. VMs that read nothing for others kept the list for ever.

Change: 256 at most, and only at VMs that read for others.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -34,6 +34,9 @@
 const FED_LOOK: Duration = Duration::from_millis(200);
 /// A VM that was told nothing for so long looks itself: two messages of each reader may be lost.
 const NEWS_TRUST_US: u64 = 1_400_000;
+/// Named versions that one message tells of at most. A VM that starts reads thousands, which all others
+/// have read too; in one datagram they would be too large to send, and hold back news of servers.
+const MOST_TOLD_VERSIONS: usize = 256;
 /// How many messages repeat a change.
 const NEWS_REPEATS: usize = 5;
 /// Between two tries after a failure.
@@ -117,20 +120,21 @@
 
 fn apply_operators(gateway: &Arc<Gateway>, page: &RecordPage) -> u64 {
     let before = gateway.beliefs().table.as_ref().map(|table| table.version);
+    let reads = reads_for_others(gateway);
     let mut named = false;
     for record in &page.records {
         let Some(value) = &record.value else { continue };
         match read_operator_record(&record.key, value) {
             Ok(OperatorRecord::Configuration(table)) => take_table(gateway, *table),
             Ok(OperatorRecord::Adapter { key, version }) => {
-                named |= take_version(gateway, key, version, true);
+                named |= take_version(gateway, key, version, reads);
             }
             Ok(OperatorRecord::Other) => {}
             Err(error) => event!(RecordSkipped, topic = "operators", cause = error),
         }
     }
     let changed = gateway.beliefs().table.as_ref().map(|table| table.version) != before;
-    if (named || changed) && reads_for_others(gateway) {
+    if (named || changed) && reads {
         tell_news(gateway, &EntryHistory::default());
     }
     page.next
@@ -143,7 +147,7 @@
         return false;
     }
     event!(AdapterVersionNamed, adapter = key.adapter, version = version);
-    if read {
+    if read && beliefs.told_versions.len() < MOST_TOLD_VERSIONS {
         beliefs.told_versions.push((SharedVersion { key, version }, NEWS_REPEATS));
     }
     true
