--- a/caller/src/answer.rs
+++ b/caller/src/answer.rs
@@ -7,32 +7,16 @@
 use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use serde::Serialize;
-use snafu::Snafu;
 
 use crate::handler::{AnswerBody, AnswerStream, CompletionAnswer, ServiceAnswer};
 use crate::header::backward_headers;
+use crate::payload::{CutError, FaceBody, whole_body};
 use crate::problem::{CallProblem, FaceReason, ProblemIds, problem_json, problem_response};
 
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// An answer ended short; the connection is broken so that the caller sees it.
-#[derive(Debug, Snafu)]
-#[snafu(display("the answer was cut: {reason}"))]
-pub(crate) struct CutError {
-    reason: &'static str,
-}
-
-/// The body of a response.
-pub(crate) type FaceBody = UnsyncBoxBody<Bytes, CutError>;
-
-/// A body that is there already.
-pub(crate) fn whole_body(bytes: Bytes) -> FaceBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
-}
-
 /// How the end of a broken stream is told.
 #[derive(Clone, Debug)]
 enum CutSignal {
--- a/caller/src/face.rs
+++ b/caller/src/face.rs
@@ -9,14 +9,13 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 
-use crate::answer::{
-    FaceBody, bytes_response, completion_response, json_response, service_response,
-};
+use crate::answer::{bytes_response, completion_response, json_response, service_response};
 use crate::body::{completion_fingerprint, guess_kind, parse_completion, read_body};
 use crate::handler::{
     CallHandler, CompletionCall, CompletionKind, JobCall, ModelPage, ModelQuery, ServiceCall,
 };
 use crate::header::{CallHeaders, forward_headers, read_bearer, read_caller_id, read_headers};
+use crate::payload::FaceBody;
 use crate::problem::{CallProblem, FaceReason, ProblemIds, problem_response};
 use crate::route::{CallerRoute, find_route};
 use crate::settings::CallerSettings;
--- a/caller/src/lib.rs
+++ b/caller/src/lib.rs
@@ -22,6 +22,7 @@
 mod face;
 mod handler;
 mod header;
+mod payload;
 mod problem;
 mod route;
 mod server;
--- a/caller/src/problem.rs
+++ b/caller/src/problem.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode};
 use serde::Serialize;
 
-use crate::answer::{FaceBody, whole_body};
+use crate::payload::{FaceBody, whole_body};
 
 /// The content type of problem documents.
 const PROBLEM_TYPE: &str = "application/problem+json";
