Messages to many VMs begin at another VM each time

The VMs that read for all are small, with links of 10 Mbit/s, and a message to 88 others is more than the link holds: it drops the last ones, the same in each repeat. The VMs that look at the store themselves every 8 s hid it; since some read for all, nobody did.

Change: each message begins at another VM, by multiples of the golden ratio; news of a leaving server leave out its models too.

Test: narrow_link; it fails with a fixed order (the last half gets none).

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -274,6 +274,10 @@
 /// An entry as other VMs are told of it. What a server holds they learn from the VM that orders it; with
 /// the adapters of some tens of servers a message would be larger than links carry at once.
 fn without_adapters(mut entry: BackendEntry) -> BackendEntry {
+    if !entry.ready {
+        // A server that leaves gets no new work, whatever it holds.
+        entry.models.clear();
+    }
     entry.models.iter_mut().for_each(|held| held.adapters.clear());
     entry
 }
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -43,6 +43,7 @@
 pub(crate) struct PeerSocket {
     socket: UdpSocket,
     sequence: AtomicU64,
+    sends: AtomicU64,
     waiting: mpsc::Sender<(Bytes, SocketAddr)>,
     queue: Mutex<Option<mpsc::Receiver<(Bytes, SocketAddr)>>>,
 }
@@ -52,7 +53,8 @@
         let socket = UdpSocket::bind(address).await?;
         let (waiting, queue) = mpsc::channel(MOST_WAITING);
         let queue = Mutex::new(Some(queue));
-        Ok(Self { socket, sequence: AtomicU64::new(0), waiting, queue })
+        let (sequence, sends) = (AtomicU64::new(0), AtomicU64::new(0));
+        Ok(Self { socket, sequence, sends, waiting, queue })
     }
 
     /// Sends without waiting. A message to many VMs can be more than the socket's buffer holds; the rest
@@ -66,7 +68,9 @@
                 return;
             }
         };
-        for address in to {
+        let first = first_told(self.sends.fetch_add(1, Ordering::Relaxed), to.len());
+        let (later, sooner) = to.split_at(first);
+        for address in sooner.iter().chain(later) {
             if let Err(error) = self.try_send(&bytes, *address) {
                 event!(PeerUnsent, address = address, cause = error);
             }
@@ -85,6 +89,15 @@
     }
 }
 
+/// Which of `count` VMs a message goes to first. A VM with a narrow link cannot carry a message to some tens
+/// of others at once: the link drops what comes last. In the same order each time, the same VMs would miss
+/// the message and each of its repeats, for seconds.
+pub(crate) fn first_told(sends: u64, count: usize) -> usize {
+    // The golden ratio's multiples spread evenly, whatever the count.
+    let spread = sends.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+    (spread as usize) % count.max(1)
+}
+
 /// Sends the datagrams that waited for room in the socket's buffer, for ever.
 pub(crate) async fn send_waiting(peers: Arc<PeerSocket>) {
     let queue = peers.queue.lock().unwrap_or_else(PoisonError::into_inner).take();
--- a/gateway/tests/unit/waiting_datagrams.rs
+++ b/gateway/tests/unit/waiting_datagrams.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use crate::message::{AdapterUse, MOST_BYTES, PeerMessage};
-use crate::peer::{PeerSocket, send_waiting};
+use crate::peer::{PeerSocket, first_told, send_waiting};
 
 /// A VM tells some tens of others of servers that leave while its socket takes nothing: here it is not
 /// known to be writable yet, in a large fleet its buffer is full. What the socket did not take used to be
@@ -35,3 +35,18 @@
     }
     waiting.abort();
 }
+
+/// The link of a small VM carries half of each message to 88 others, the half that is sent first. Of the
+/// fifteen messages that tell of a leaving server, five from each of three VMs, every VM gets some.
+#[test]
+fn narrow_link() {
+    let count = 88;
+    let mut got = vec![0; count];
+    for sends in 0..15 {
+        let first = first_told(sends, count);
+        for step in 0..count / 2 {
+            got[(first + step) % count] += 1;
+        }
+    }
+    assert!(got.iter().all(|messages| *messages >= 4), "{got:?}");
+}
