Comments of the messages to many VMs say what holds now

Two comments still gave the fixed order of messages as the reason for the queue, though each message begins at another VM since; the multiplier has a name.

--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -28,8 +28,7 @@
 const FULL_SHARE: f64 = 0.5;
 /// The least part that it must bring for another copy where its holders are late: a copy of one that
 /// brings less takes a place and a transfer from the weight store, and hardly any load off its holder.
-/// Without it an adapter asked for once in some seconds was fetched
-/// five times in a minute.
+/// Without it an adapter asked for once in some seconds was fetched five times in a minute.
 const COPY_SHARE: f64 = 0.12;
 /// A copy goes to a server whose cost is at most this many hundredths of the holder's.
 const COPY_TARGET_PERCENT: u64 = 67;
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -57,9 +57,8 @@
         Ok(Self { socket, sequence, sends, waiting, queue })
     }
 
-    /// Sends without waiting. A message to many VMs can be more than the socket's buffer holds; the rest
-    /// goes out as soon as there is room. Dropped instead, the same VMs, the last in the list, would
-    /// miss every repeat too.
+    /// Sends without waiting. What the socket does not take at once goes out as soon as there is room;
+    /// what the queue cannot hold either is repeated by a later message, which begins at another VM.
     pub(crate) fn send(&self, message: &PeerMessage, to: &[SocketAddr]) {
         let bytes = match encode(message) {
             Ok(bytes) => Bytes::from(bytes),
@@ -89,12 +88,14 @@
     }
 }
 
+/// The golden ratio as a part of 2^64: its multiples spread evenly over any count.
+const GOLDEN_RATIO: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Which of `count` VMs a message goes to first. A VM with a narrow link cannot carry a message to some tens
 /// of others at once: the link drops what comes last. In the same order each time, the same VMs would miss
 /// the message and each of its repeats, for seconds.
 pub(crate) fn first_told(sends: u64, count: usize) -> usize {
-    // The golden ratio's multiples spread evenly, whatever the count.
-    let spread = sends.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+    let spread = sends.wrapping_mul(GOLDEN_RATIO) >> 32;
     (spread as usize) % count.max(1)
 }
 
--- a/gateway/tests/unit/waiting_datagrams.rs
+++ b/gateway/tests/unit/waiting_datagrams.rs
@@ -11,9 +11,8 @@
 use crate::peer::{PeerSocket, first_told, send_waiting};
 
 /// A VM tells some tens of others of servers that leave while its socket takes nothing: here it is not
-/// known to be writable yet, in a large fleet its buffer is full. What the socket did not take used to be
-/// dropped, and as every repeat goes out in the same order, the last VMs never heard of it and sent
-/// requests to servers that had left.
+/// known to be writable yet, in a large fleet its buffer may be full. Dropped, the message would reach
+/// nobody before its next repeat, and requests would go to servers that have left.
 #[tokio::test]
 async fn all_are_told() {
     let sender = Arc::new(PeerSocket::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap());
