--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -6,7 +6,8 @@
 //! spread.
 
 use crate::id::{ModelName, ServerName, ServiceName, TimePoint, VmName};
-use crate::routing::{AdapterKey, BackendEntry};
+use crate::reading::ReadingPace;
+use crate::routing::{AdapterKey, BackendEntry, HeldModel};
 use crate::value;
 
 /// How long an owner's list is believed over the server's own entry. Owners repeat it within two
@@ -64,6 +65,8 @@
 pub struct ServerOwner {
     /// The VM.
     pub vm: VmName,
+    /// The life of the server that it orders.
+    pub born: u64,
     /// Its fencing number.
     pub fence: u64,
     /// When it last said so.
@@ -116,6 +119,8 @@
 pub enum EntryChange {
     /// The server was not known.
     Appeared,
+    /// It started again under its name, and holds and knows nothing of before.
+    Restarted,
     /// It has begun to leave.
     Leaving,
     /// It holds other base models.
@@ -132,6 +137,8 @@
     servers: Vec<BackendState>,
     /// The newest last.
     removed: Vec<RemovedServer>,
+    /// Sorted by service.
+    paces: Vec<(ServiceName, ReadingPace)>,
 }
 
 /// A server whose entry was removed.
@@ -140,7 +147,8 @@
     server: ServerName,
     /// The place of the removal in the entries' topic.
     position: u64,
-    /// The last heartbeat that is known.
+    /// The last life and heartbeat that are known.
+    born: u64,
     heartbeat: u64,
 }
 
@@ -181,7 +189,14 @@
             }
         };
         let state = &mut self.servers[at];
-        if entry.heartbeat < state.entry.heartbeat || entry.position < state.entry.position {
+        if entry.born > state.entry.born {
+            state.restart(entry, now);
+            return EntryChange::Restarted;
+        }
+        // Heartbeats count within a life; those of an earlier one tell nothing of this one.
+        let stale =
+            entry.heartbeat < state.entry.heartbeat || entry.position < state.entry.position;
+        if entry.born < state.entry.born || stale {
             return EntryChange::Nothing;
         }
         let leaves = !entry.ready && !state.leaving;
@@ -210,8 +225,10 @@
             return true;
         };
         let gone = &mut self.removed[at];
-        if entry.position <= gone.position || entry.heartbeat <= gone.heartbeat {
-            gone.heartbeat = gone.heartbeat.max(entry.heartbeat);
+        let newer = (entry.born, entry.heartbeat) > (gone.born, gone.heartbeat);
+        if entry.position <= gone.position || !newer {
+            (gone.born, gone.heartbeat) =
+                (gone.born, gone.heartbeat).max((entry.born, entry.heartbeat));
             return false;
         }
         self.removed.remove(at);
@@ -221,25 +238,54 @@
     /// Drops a server whose entry was removed by the record at `position`.
     pub fn remove(&mut self, server: &str, position: u64) -> EntryChange {
         let found = self.servers.binary_search_by(|state| state.name().cmp(server));
-        let mut heartbeat = 0;
+        let mut last = (0, 0);
         if let Ok(at) = found {
             if self.servers[at].entry.position > position {
                 return EntryChange::Nothing;
             }
-            heartbeat = self.servers.remove(at).entry.heartbeat;
+            let entry = self.servers.remove(at).entry;
+            last = (entry.born, entry.heartbeat);
         }
         if let Some(at) = self.removed.iter().position(|gone| gone.server.as_str() == server) {
             let before = self.removed.remove(at);
-            heartbeat = heartbeat.max(before.heartbeat);
+            last = last.max((before.born, before.heartbeat));
         }
-        self.removed.push(RemovedServer { server: ServerName::from(server), position, heartbeat });
+        let (born, heartbeat) = last;
+        let server = ServerName::from(server);
+        self.removed.push(RemovedServer { server, position, born, heartbeat });
         let excess = self.removed.len().saturating_sub(REMOVED_KEPT);
         self.removed.drain(..excess);
         if found.is_ok() { EntryChange::Gone } else { EntryChange::Nothing }
     }
 
-    /// Takes an owner's list of what its server holds. A list of an older owner, or an older list of
-    /// the same one, is dropped.
+    /// Whether a server is known in this life, so that what was met there tells of it.
+    #[must_use]
+    pub fn is_life(&self, server: &str, born: u64) -> bool {
+        self.get(server).is_some_and(|state| state.entry.born == born)
+    }
+
+    /// A server's report, or the VM that orders it, told of a later life of it than its entry did, which
+    /// holds `models` as far as is known. True if this VM did not know of it.
+    pub fn reborn(
+        &mut self,
+        server: &str,
+        born: u64,
+        models: &[HeldModel],
+        now: TimePoint,
+    ) -> bool {
+        let Some(state) = self.get_mut(server) else { return false };
+        if born <= state.entry.born {
+            return false;
+        }
+        // Its entry comes with the next heartbeat.
+        let models = models.to_vec();
+        let entry = BackendEntry { born, heartbeat: 0, models, ..state.entry.clone() };
+        state.restart(entry, now);
+        true
+    }
+
+    /// Takes an owner's list of what its server holds. A list of an earlier life, of an older owner, or
+    /// an older list of the same one is dropped.
     pub fn list(
         &mut self,
         server: &str,
@@ -247,7 +293,11 @@
         revision: u64,
         mut holdings: Vec<AdapterHolding>,
     ) -> bool {
+        self.reborn(server, owner.born, &[], owner.at);
         let Some(state) = self.get_mut(server) else { return false };
+        if owner.born < state.entry.born {
+            return false;
+        }
         let known = state.owner.as_ref().map_or(0, |known| known.fence);
         let now = owner.at;
         if owner.fence < known || (owner.fence, revision) < state.list_revision {
@@ -281,17 +331,34 @@
         }
     }
 
-    /// Counts a request of this VM at a server.
-    pub fn sent(&mut self, server: &str, tokens: u64) {
-        let Some(state) = self.get_mut(server) else { return };
+    /// Counts a request of this VM at a server. Returns the tokens that the server had to read before.
+    pub fn sent(&mut self, server: &str, tokens: u64, now: TimePoint) -> u64 {
+        let Some(state) = self.get_mut(server) else { return 0 };
+        let before = state.load(now).unread;
         state.own.running += 1;
         state.own.unread += tokens;
+        before
     }
 
-    /// The first event of a request came: its prompt was read.
-    pub fn read(&mut self, server: &str, tokens: u64) {
+    /// The first event of a request came: its prompt was read. `alone_us` is the time since it was sent,
+    /// if the server had nothing else to read then.
+    pub fn read(&mut self, server: &str, tokens: u64, alone_us: Option<u64>) {
         let Some(state) = self.get_mut(server) else { return };
         state.own.unread = state.own.unread.saturating_sub(tokens);
+        let Some(waited_us) = alone_us else { return };
+        let service = state.entry.service.clone();
+        let found = self.paces.binary_search_by(|(known, _)| known.cmp(&service));
+        let at = found.unwrap_or_else(|at| {
+            self.paces.insert(at, (service, ReadingPace::default()));
+            at
+        });
+        self.paces[at].1.observe(tokens, waited_us);
+    }
+
+    /// How fast the engines of a service read.
+    pub(crate) fn pace(&self, service: &ServiceName) -> ReadingPace {
+        let found = self.paces.binary_search_by(|(known, _)| known.cmp(service));
+        found.map_or_else(|_| ReadingPace::default(), |at| self.paces[at].1)
     }
 
     /// A request of this VM ended at a server; `unread` is what [`Self::read`] was not told of.
@@ -336,6 +403,14 @@
         state.holdings.retain(|holding| holding.key != *key);
     }
 
+    /// Adapters that are on their way to servers.
+    #[must_use]
+    pub fn loads_under_way(&self, now: TimePoint) -> usize {
+        let lives = |state: &&BackendState| !state.leaving && !state.is_avoided(now);
+        let holdings = self.servers.iter().filter(lives).flat_map(|state| &state.holdings);
+        holdings.filter(|holding| holding.usable_from > now).count()
+    }
+
     /// Who orders a server now, as far as is known.
     #[must_use]
     pub fn owner(&self, server: &str, now: TimePoint) -> Option<&ServerOwner> {
@@ -361,6 +436,12 @@
         })
     }
 
+    /// This VM's counts at one server.
+    #[must_use]
+    pub fn own_load(&self, server: &str) -> LoadFigure {
+        self.get(server).map(|state| state.own).unwrap_or_default()
+    }
+
     /// This VM's counts at servers where it has requests or had some when it last told its peers.
     #[must_use]
     pub fn own_loads(&self) -> Vec<(ServerName, LoadFigure)> {
@@ -390,12 +471,26 @@
         state
     }
 
+    /// Forgets the life before. Requests that run there stay counted until this VM and others see their
+    /// end.
+    fn restart(&mut self, entry: BackendEntry, now: TimePoint) {
+        let before = std::mem::replace(self, Self::new(entry, now));
+        self.own = before.own;
+        self.peers = before.peers;
+    }
+
     /// The server's name.
     #[must_use]
     pub fn name(&self) -> &str {
         self.entry.server.as_str()
     }
 
+    /// Whether it failed a moment ago, and may have lost what it held.
+    #[must_use]
+    pub fn is_avoided(&self, now: TimePoint) -> bool {
+        now < self.condition.avoid_until && self.condition.avoid_us > 0
+    }
+
     /// What it holds or is being sent.
     #[must_use]
     pub fn holdings(&self) -> &[AdapterHolding] {
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -60,6 +60,10 @@
     pub domain: &'a DomainName,
     /// What other requests' prompts begin with as well.
     pub shared: SharedPrompt,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// The pause that streams at the service allow. None where the request is not held back for them.
+    pub gap: Option<Duration>,
 }
 
 impl ServerNeed<'_> {
@@ -82,6 +86,14 @@
         /// Where to load another copy of its adapter.
         copy: Option<ServerName>,
     },
+    /// Those that could take it have so much to read that its prompt would stop their streams for too
+    /// long; one is expected to have room then.
+    Hold {
+        /// When to look again at the latest.
+        until: TimePoint,
+        /// Where to load another copy of its adapter.
+        copy: Option<ServerName>,
+    },
     /// Its adapter is on the way and usable then.
     Wait {
         /// From when.
@@ -101,21 +113,18 @@
     /// are a moment old, all would else choose the same server.
     #[must_use]
     pub fn choose(&self, need: &ServerNeed<'_>, draw: u64, now: TimePoint) -> ServerChoice {
+        let all = self.candidates(need, now);
         let Some((key, version)) = need.adapter else {
-            let all = self.candidates(need, now);
             return match self.cheapest(&all, need, draw, now) {
-                Some(state) => {
-                    ServerChoice::Send { server: state.entry.server.clone(), copy: None }
-                }
+                Some(best) => self.send_or_hold(&all, best, None, need, draw, now),
                 None => ServerChoice::Nowhere,
             };
         };
-        let all = self.candidates(need, now);
         let holds = |state: &&&BackendState| state.usable(key, version, now);
         let holders: Vec<&BackendState> = all.iter().filter(holds).copied().collect();
         if let Some(best) = self.cheapest(&holders, need, draw, now) {
             let copy = self.copy_target(&all, best, need, key, version, now);
-            return ServerChoice::Send { server: best.entry.server.clone(), copy };
+            return self.send_or_hold(&holders, best, copy, need, draw, now);
         }
         let coming = all.iter().filter_map(|state| state.usable_from(key, version)).min();
         if let Some(until) = coming.or_else(|| self.calm_again(need, key, version, now)) {
@@ -127,6 +136,44 @@
         }
     }
 
+    /// Sends a request to `best`, or to another of `holders` that has less to read, or holds it back.
+    fn send_or_hold(
+        &self,
+        holders: &[&BackendState],
+        best: &BackendState,
+        copy: Option<ServerName>,
+        need: &ServerNeed<'_>,
+        draw: u64,
+        now: TimePoint,
+    ) -> ServerChoice {
+        let send = |state: &BackendState, copy| ServerChoice::Send {
+            server: state.entry.server.clone(),
+            copy,
+        };
+        let pace = self.pace(need.service);
+        let Some(bound) = need.gap.and_then(|gap| pace.bound(gap)) else {
+            return send(best, copy);
+        };
+        let excess = |state: &BackendState| match state.load(now).unread {
+            0 => 0,
+            unread => (unread + need.prompt).saturating_sub(bound),
+        };
+        if excess(best) == 0 {
+            return send(best, copy);
+        }
+        let open: Vec<&BackendState> =
+            holders.iter().filter(|state| excess(state) == 0).copied().collect();
+        // A long shared beginning is worth more where it was read before than an earlier start.
+        if need.shared.tokens < SHARED_TOKENS
+            && let Some(state) = self.cheapest(&open, need, draw, now)
+        {
+            return send(state, copy);
+        }
+        let copy = copy.or_else(|| self.relief(best, need, now));
+        let least = holders.iter().map(|state| excess(state)).min().unwrap_or_default();
+        ServerChoice::Hold { until: pace.read_at(least, now), copy }
+    }
+
     /// Servers that may take the request: of its service, not leaving, not tried; those that failed a
     /// moment ago only where there is no other.
     fn candidates(&self, need: &ServerNeed<'_>, now: TimePoint) -> Vec<&BackendState> {
@@ -182,6 +229,31 @@
         drawn.iter().min_by_key(cost).copied()
     }
 
+    /// Where a copy of an adapter would take load off `held`, all of whose holders have too much to
+    /// read: at the server with the least demand, if that stays below `held`'s with a part of it.
+    fn relief(
+        &self,
+        held: &BackendState,
+        need: &ServerNeed<'_>,
+        now: TimePoint,
+    ) -> Option<ServerName> {
+        let (key, version) = need.adapter?;
+        let all = self.candidates(need, now);
+        if holder_share(&all, key) < COPY_SHARE {
+            return None;
+        }
+        let (with, without): (Vec<&BackendState>, Vec<&BackendState>) =
+            all.iter().partition(|state| state.usable_from(key, version).is_some());
+        let usable = with.iter().filter(|state| state.usable(key, version, now)).count();
+        if with.len() > usable {
+            return None;
+        }
+        let takes = |state: &&&BackendState| state.takes_loads(now);
+        let target = without.iter().filter(takes).min_by_key(|state| state.demand())?;
+        let moved = held.heat(key) / 2;
+        (target.demand() + 2 * moved <= held.demand()).then(|| target.entry.server.clone())
+    }
+
     fn copy_target(
         &self,
         all: &[&BackendState],
@@ -318,6 +390,16 @@
 }
 
 impl BackendState {
+    /// Its adapters' requests, as the VM that orders it counts them.
+    fn demand(&self) -> u64 {
+        self.holdings.iter().map(|holding| u64::from(holding.heat)).sum()
+    }
+
+    fn heat(&self, key: &AdapterKey) -> u64 {
+        let at = self.holdings.binary_search_by(|holding| holding.key.cmp(key));
+        at.map_or(0, |at| u64::from(self.holdings[at].heat))
+    }
+
     fn rank(&self, key: &AdapterKey) -> u64 {
         stable_hash(&["place", self.name(), key.model.as_str(), key.adapter.as_str()])
     }
--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -7,6 +7,7 @@
 //! way never passes the places. docs/PLATFORM.md, "Orders".
 
 use crate::id::{ModelName, TimePoint, VmName};
+use crate::loadtime::{LoadForecast, OrderedLoad};
 use crate::routing::{AdapterKey, ServerReport};
 use crate::value;
 
@@ -108,95 +109,11 @@
     }
 }
 
-/// How long loads take, learnt from requests that came too early and from those that did not.
-#[derive(Clone, Copy, Debug)]
-pub struct LoadTimes {
-    fresh: LoadTime,
-    again: LoadTime,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct LoadTime {
-    us: f64,
-    /// Loads that were done as expected since the last one that was not.
-    in_row: u32,
-}
-
-/// First guesses before any load was seen; a few loads correct them.
-const FIRST_FRESH_US: f64 = 260_000.0;
-const FIRST_AGAIN_US: f64 = 40_000.0;
-/// The part of the way that the expected time moves to what a request that came too early has shown.
-/// Several requests wait for one load; each moves it towards the same time and not beyond.
-const TOO_EARLY_PART: f64 = 0.3;
-/// How much longer than the time at which a request came too early a load is taken to last.
-const TOO_EARLY_MARGIN_US: f64 = 45_000.0;
-/// Loads in a row that are done as expected before the expected time shrinks, and by how much it then
-/// does with each further one. About one load in forty is met too early, which costs a second send; when
-/// it shrank from the first load on it was one in eight.
-const CALM_LOADS: u32 = 32;
-const IN_TIME: f64 = 0.985;
-/// The part of the way that the expected time moves to what another VM expects. Lists come some times a
-/// second for each server, so all are close to the mean within a second.
-const HEARD_PART: f64 = 0.02;
-/// How much later an adapter is taken to be usable when a request came too early, as a part of the time
-/// since its load was ordered, and at least. Where loads take twice as long as expected, three tries
-/// find it out; each one that is refused counts as a repeat.
-const LATER_PART: f64 = 0.25;
-const LEAST_LATER_US: u64 = 45_000;
-/// The longest that a load is taken to last.
-const MOST_LOAD_US: f64 = 3_000_000.0;
-const LEAST_LOAD_US: f64 = 5_000.0;
-
-impl Default for LoadTimes {
-    fn default() -> Self {
-        let time = |us| LoadTime { us, in_row: 0 };
-        Self { fresh: time(FIRST_FRESH_US), again: time(FIRST_AGAIN_US) }
-    }
-}
-
-impl LoadTimes {
-    /// A request met an adapter that was not loaded `elapsed_us` after its order.
-    pub fn too_early(&mut self, again: bool, elapsed_us: u64) {
-        let time = self.time_mut(again);
-        time.in_row = 0;
-        let shown = elapsed_us as f64 + TOO_EARLY_MARGIN_US;
-        if shown > time.us {
-            time.us = (time.us + TOO_EARLY_PART * (shown - time.us)).min(MOST_LOAD_US);
-        }
-    }
-
-    /// A request met an adapter that was loaded as expected.
-    pub fn in_time(&mut self, again: bool) {
-        let time = self.time_mut(again);
-        time.in_row += 1;
-        if time.in_row > CALM_LOADS {
-            time.us = (time.us * IN_TIME).max(LEAST_LOAD_US);
-        }
-    }
-
-    /// Another VM that orders servers expects loads from the weight store to take `expected_us`. Each VM
-    /// sees few loads, and all share one store, so their expectations move towards each other.
-    pub fn heard(&mut self, expected_us: u64) {
-        self.fresh.us += HEARD_PART * (expected_us as f64 - self.fresh.us);
-    }
-
-    fn time_mut(&mut self, again: bool) -> &mut LoadTime {
-        if again { &mut self.again } else { &mut self.fresh }
-    }
-
-    /// The time that a load is expected to take, in microseconds.
-    #[must_use]
-    pub fn expected_us(&self, again: bool) -> u64 {
-        (if again { self.again.us } else { self.fresh.us }) as u64
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlaceState {
     Held {
         usable_from: TimePoint,
-        ordered_at: TimePoint,
-        again: bool,
+        load: OrderedLoad,
     },
     /// It was told to make way, by the order that was decided on this count of accepted orders.
     Leaving {
@@ -271,6 +188,14 @@
     revision: u64,
 }
 
+/// How much later an adapter is taken to be usable when a request came too early, as a part of the time
+/// since its load was ordered, and at least. Where loads take twice as long as expected, three tries
+/// find it out; each one that is refused counts as a repeat.
+const LATER_PART: f64 = 0.25;
+const LEAST_LATER_US: u64 = 45_000;
+/// A load that lasts more than this many times as long as expected is asked about. Postponed again and
+/// again, it would never be found out that the server lost it.
+const MOST_TIMES_EXPECTED: f64 = 2.5;
 /// Adapters that a book remembers as held lately.
 const LATELY_HELD: usize = 120;
 /// Microseconds between two questions to a server that is loading a base model.
@@ -385,12 +310,12 @@
         }
     }
 
-    /// When an adapter's load was ordered, and whether it came from the server's own memory or disk.
+    /// The load of an adapter that is held or on its way.
     #[must_use]
-    pub fn ordered(&self, key: &AdapterKey) -> Option<(TimePoint, bool)> {
+    pub fn ordered(&self, key: &AdapterKey) -> Option<OrderedLoad> {
         let at = self.held.binary_search_by(|place| place.key.cmp(key)).ok()?;
         match self.held[at].state {
-            PlaceState::Held { ordered_at, again, .. } => Some((ordered_at, again)),
+            PlaceState::Held { load, .. } => Some(load),
             PlaceState::Leaving { .. } => None,
         }
     }
@@ -398,10 +323,18 @@
     /// A request came too early for an adapter; it is usable later than was told, by a part of the time
     /// that its load has taken so far.
     pub fn too_early(&mut self, key: &AdapterKey, now: TimePoint) {
+        let overdue = |load: OrderedLoad| {
+            now.since(load.at) as f64 > load.expected_us as f64 * MOST_TIMES_EXPECTED
+        };
+        if self.ordered(key).is_some_and(overdue) {
+            // It was lost, with a start of the server that nobody told of yet.
+            self.missing(key, now);
+            return;
+        }
         if let Some(place) = self.place_mut(key)
-            && let PlaceState::Held { usable_from, ordered_at, .. } = &mut place.state
+            && let PlaceState::Held { usable_from, load } = &mut place.state
         {
-            let later_us = (now.since(*ordered_at) as f64 * LATER_PART) as u64;
+            let later_us = (now.since(load.at) as f64 * LATER_PART) as u64;
             *usable_from = (*usable_from).max(now.plus(later_us.max(LEAST_LATER_US)));
             self.revision += 1;
         }
@@ -490,7 +423,7 @@
         &mut self,
         order: &ServerOrder,
         reply: OrderReply,
-        times: &LoadTimes,
+        forecast: &LoadForecast,
         now: TimePoint,
     ) {
         self.waiting = false;
@@ -501,7 +434,7 @@
         }
         match reply {
             OrderReply::Accepted | OrderReply::Done => {
-                self.carried_out(order, reply, times, now);
+                self.carried_out(order, reply, forecast, now);
             }
             OrderReply::Conflict | OrderReply::Fenced | OrderReply::Refused => {
                 self.stays(order, now);
@@ -537,7 +470,7 @@
         if let OrderAction::UnloadAdapter { key } = &order.action
             && let Some(place) = self.place_mut(key)
         {
-            place.state = PlaceState::Held { usable_from: now, ordered_at: now, again: false };
+            place.state = PlaceState::Held { usable_from: now, load: OrderedLoad::done(now) };
             self.revision += 1;
         }
     }
@@ -546,7 +479,7 @@
         &mut self,
         order: &ServerOrder,
         reply: OrderReply,
-        times: &LoadTimes,
+        forecast: &LoadForecast,
         now: TimePoint,
     ) {
         let held_already =
@@ -557,8 +490,10 @@
         match &order.action {
             OrderAction::LoadAdapter { key, version } => {
                 let again = self.lately.contains(key);
-                let take = if held_already { 0 } else { times.expected_us(again) };
-                self.place(key, *version, now.plus(take), again, now);
+                let take = if held_already { 0 } else { forecast.expected_us(again) };
+                let load =
+                    OrderedLoad { at: now, again, beside: forecast.beside, expected_us: take };
+                self.place(key, *version, now.plus(take), load);
                 self.wishes.retain(|wish| wish.key != *key);
                 self.lately.retain(|other| other != key);
             }
@@ -578,7 +513,12 @@
     }
 
     /// Takes a server's report, or that there was none.
-    pub fn reported(&mut self, report: Option<&ServerReport>, times: &LoadTimes, now: TimePoint) {
+    pub fn reported(
+        &mut self,
+        report: Option<&ServerReport>,
+        forecast: &LoadForecast,
+        now: TimePoint,
+    ) {
         self.waiting = false;
         let Some(report) = report else {
             self.ask_at = now.plus(self.settings.lost_pause_us);
@@ -599,12 +539,12 @@
             for adapter in &held.adapters {
                 let key =
                     AdapterKey { model: held.model.clone(), adapter: adapter.adapter.clone() };
-                self.place(&key, adapter.version, now, false, now);
+                self.place(&key, adapter.version, now, OrderedLoad::done(now));
             }
         }
         for pending in &report.pending {
-            let from = now.plus(times.expected_us(false) / 2);
-            self.place(&pending.key, pending.version, from, false, now);
+            let from = now.plus(forecast.expected_us(false) / 2);
+            self.place(&pending.key, pending.version, from, OrderedLoad::done(now));
         }
         for old in before {
             match self.place_mut(&old.key) {
@@ -627,15 +567,8 @@
         self.revision += 1;
     }
 
-    fn place(
-        &mut self,
-        key: &AdapterKey,
-        version: u64,
-        usable_from: TimePoint,
-        again: bool,
-        now: TimePoint,
-    ) {
-        let state = PlaceState::Held { usable_from, ordered_at: now, again };
+    fn place(&mut self, key: &AdapterKey, version: u64, usable_from: TimePoint, load: OrderedLoad) {
+        let state = PlaceState::Held { usable_from, load };
         match self.held.binary_search_by(|place| place.key.cmp(key)) {
             Ok(at) => {
                 self.held[at].version = version;
@@ -643,7 +576,7 @@
             }
             Err(at) => {
                 // The request that it is loaded for is on its way until then.
-                let used_at = usable_from.max(now);
+                let used_at = usable_from.max(load.at);
                 let place = AdapterPlace {
                     key: key.clone(),
                     version,
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -120,6 +120,8 @@
     routes: Vec<ServingRoute>,
     /// Sorted by name.
     services: Vec<ServicePlan>,
+    /// The shortest pause between events that a route allows, for each service with streams; sorted.
+    gaps: Vec<(ServiceName, Duration)>,
 }
 
 impl RouteTable {
@@ -133,7 +135,15 @@
     ) -> Self {
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         services.sort_by(|a, b| a.service.cmp(&b.service));
-        Self { version, limits, routes, services }
+        let gaps = least_gaps(&routes);
+        Self { version, limits, routes, services, gaps }
+    }
+
+    /// The longest pause between two events that every stream at a service allows, where there are any.
+    #[must_use]
+    pub fn least_gap(&self, service: &ServiceName) -> Option<Duration> {
+        let at = self.gaps.binary_search_by(|(known, _)| known.cmp(service)).ok()?;
+        Some(self.gaps[at].1)
     }
 
     /// The route of `host` with the longest prefix that begins `path`.
@@ -172,6 +182,20 @@
     }
 }
 
+fn least_gaps(routes: &[ServingRoute]) -> Vec<(ServiceName, Duration)> {
+    let mut gaps: Vec<(ServiceName, Duration)> = Vec::new();
+    for route in routes {
+        let Some(gap) = route.target_gap else { continue };
+        for share in &route.shares {
+            match gaps.binary_search_by(|(service, _)| service.cmp(&share.service)) {
+                Ok(at) => gaps[at].1 = gaps[at].1.min(gap),
+                Err(at) => gaps.insert(at, (share.service.clone(), gap)),
+            }
+        }
+    }
+    gaps
+}
+
 /// The beginning of a prompt that other requests share. A server that has read it for the same adapter
 /// a moment ago need not read it again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -279,8 +303,12 @@
 
     /// A backend server as it registered itself.
     pub struct BackendEntry {
-        /// Its life: each start of a server has another name.
+        /// Its name. Most starts of a server have a name of their own, some the one of the start before.
         pub server: crate::id::ServerName,
+        /// When this life of the server began, in Unix milliseconds as the server states it; 0 where it
+        /// states none. It is compared with that of other lives under the same name, and with no clock.
+        #[serde(default)]
+        pub born: u64,
         /// The service that it belongs to.
         pub service: ServiceName,
         /// Where it is reached.
@@ -319,6 +347,9 @@
 
     /// What a server says of itself when asked; some hundred milliseconds old.
     pub struct ServerReport {
+        /// When this life of the server began; as in [`BackendEntry::born`].
+        #[serde(default)]
+        pub born: u64,
         /// Orders that this life accepted so far.
         pub orders: u64,
         /// Whether a base model is being loaded or unloaded.
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -20,6 +20,13 @@
 pub(crate) const LEAST_LEFT: Duration = Duration::from_millis(10);
 /// How long a waiting request sleeps at most before it looks again.
 const LOOK_AGAIN: Duration = Duration::from_millis(60);
+/// The part of a request's target for which it is held back so that streams do not pause. Beyond it the
+/// request itself would be late.
+const HOLD_PART: f64 = 0.5;
+/// A server that has read a prompt has room for one request, and every VM that holds one hears of it at
+/// about the same time. Each waits for a random part of this, in microseconds, so that the first one's
+/// word arrives before the others look: it takes one or two milliseconds.
+const TURN_US: u64 = 10_000;
 /// How long a request whose service has no server that takes it waits for one: entries of servers
 /// are read every 600 ms, so one that just came is known within it.
 const NOWHERE_WAIT: Duration = Duration::from_millis(700);
@@ -30,19 +37,28 @@
     let from = clock::now();
     let patience = longest_wait(run.left().min(run.request.route.silence()));
     let mut nowhere_from: Option<TimePoint> = None;
+    let mut held = false;
+    let longest_hold = run.request.route.target.mul_f64(HOLD_PART);
     let found = loop {
         let changed = gateway.changed.notified();
+        let own_read = gateway.own_read.notified();
+        let mut turn = Duration::ZERO;
         let now = clock::now();
         if run.left() < LEAST_LEFT {
             break Err("deadline");
         }
         let waited = Duration::from_micros(now.since(from));
-        let (choice, wish) = choose(run, now);
+        let (choice, wish) = choose(run, waited < longest_hold, now);
         if let Some((key, version, server)) = wish {
             ask_for(&gateway, &key, version, &server, now);
         }
         let pause = match choice {
             ServerChoice::Send { server, .. } => break Ok(server),
+            ServerChoice::Hold { until, .. } => {
+                held = true;
+                turn = Duration::from_micros(gateway.beliefs().draw() % TURN_US);
+                Duration::from_micros(until.since(now)).min(LOOK_AGAIN)
+            }
             ServerChoice::Wait { until } => {
                 nowhere_from = None;
                 Duration::from_micros(until.since(now)).min(LOOK_AGAIN)
@@ -63,15 +79,25 @@
             break Err("adapter_wait");
         }
         // A millisecond more than asked: timers may be early by a part of one.
-        let _ = timeout(pause + Duration::from_millis(1), changed).await;
+        tokio::select! {
+            _ = timeout(pause + Duration::from_millis(1), changed) => {
+                if !turn.is_zero() {
+                    tokio::time::sleep(turn).await;
+                }
+            }
+            () = own_read, if !turn.is_zero() => {}
+        }
     };
-    run.stall += Duration::from_micros(clock::now().since(from));
+    let waited = Duration::from_micros(clock::now().since(from));
+    run.stall += waited;
+    run.held |= held;
     found
 }
 
 /// Chooses a server, and an adapter that should be loaded somewhere.
 fn choose(
     run: &RequestRun,
+    may_hold: bool,
     now: TimePoint,
 ) -> (ServerChoice, Option<(AdapterKey, u64, ServerName)>) {
     let mut beliefs = run.gateway.beliefs();
@@ -81,6 +107,7 @@
     let (oldest, newest) = key.map_or((0, 0), |key| beliefs.usable_versions(run, key, now));
     let not = run.avoided.clone();
     let domain = &run.gateway.settings.domain;
+    let gap = beliefs.table.as_ref().and_then(|table| table.least_gap(&run.request.service));
     let server_need = |not, version| ServerNeed {
         service: &run.request.service,
         model: need.map(|need| &need.model),
@@ -88,11 +115,14 @@
         not,
         domain,
         shared: need.map(ModelNeed::shared).unwrap_or_default(),
+        prompt: run.prompt_tokens(),
+        gap: gap.filter(|_| may_hold),
     };
     let choice = beliefs.backends.choose(&server_need(&not, oldest), draw, now);
     let Some(key) = key else { return (choice, None) };
     match &choice {
-        ServerChoice::Send { copy: Some(server), .. } => {
+        ServerChoice::Send { copy: Some(server), .. }
+        | ServerChoice::Hold { copy: Some(server), .. } => {
             let wish = (key.clone(), newest, server.clone());
             (choice, Some(wish))
         }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -256,10 +256,13 @@
         let entry = match read_registration(&record.key, value, record.position) {
             Ok(entry) => entry,
             Err(error) => {
-                event!(RecordSkipped, topic = "servers", cause = error);
+                if beliefs.skipped.is_new(&record.key) {
+                    event!(RecordSkipped, topic = "servers", cause = error);
+                }
                 continue;
             }
         };
+        beliefs.skipped.readable(&record.key);
         if beliefs.take_entry(&entry, now) {
             changes.entries.push(without_adapters(entry));
         }
@@ -407,6 +410,15 @@
                 );
                 true
             }
+            EntryChange::Restarted => {
+                event!(
+                    ServerRestarted,
+                    server = entry.server,
+                    born = entry.born,
+                    told_by = "entry"
+                );
+                true
+            }
             EntryChange::Leaving => {
                 event!(ServerDraining, server = entry.server, heartbeat = entry.heartbeat);
                 true
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod sent;
 mod settings;
 mod share;
+mod skipped;
 mod state;
 mod uses;
 mod wish;
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -12,7 +12,7 @@
 
 /// The first byte of each datagram. Another release with other messages takes another number, and
 /// datagrams of a strange number are dropped.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 /// The most bytes of a datagram that is read.
 pub(crate) const MOST_BYTES: usize = 60_000;
 
@@ -52,12 +52,26 @@
         pub unread: u64,
     }
 
+    /// A VM's requests at servers where they changed a moment ago, between two messages of its state.
+    pub(crate) struct LoadNews {
+        /// The VM.
+        pub vm: VmName,
+        /// The life of its process.
+        pub incarnation: u64,
+        /// The last state that it sent before.
+        pub sequence: u64,
+        /// Its requests at these servers.
+        pub loads: Vec<ServerLoad>,
+    }
+
     /// What a server holds, as told by the VM that orders it.
     pub(crate) struct AdapterList {
         /// The VM.
         pub vm: VmName,
         /// The server.
         pub server: ServerName,
+        /// The life of the server.
+        pub born: u64,
         /// The VM's fencing number.
         pub fence: u64,
         /// Grows with each change.
@@ -65,8 +79,10 @@
         /// Adapters that could be loaded now.
         pub free: u32,
         /// How long the VM expects the load of an adapter from the weight store to take, in
-        /// milliseconds.
-        pub load_ms: u32,
+        /// microseconds, while few are under way.
+        pub load_us: u32,
+        /// The same for each load under way, where many are.
+        pub each_us: u32,
         /// The base models of the adapters; most servers hold one.
         pub models: Vec<ModelName>,
         /// The adapters.
@@ -101,6 +117,8 @@
     pub(crate) struct AdapterUse {
         /// The server.
         pub server: ServerName,
+        /// The life of the server.
+        pub born: u64,
         /// The adapter.
         pub key: AdapterKey,
         /// Requests that began since the last message.
@@ -167,20 +185,23 @@
         Uses(VmName, Vec<AdapterUse>),
         /// Changes of records.
         News(RecordNews),
+        /// Requests that changed.
+        Loads(LoadNews),
     }
 }
 
 impl AdapterUse {
     /// What is to be told now; only the running requests are told again later.
     pub(crate) fn take(&mut self) -> Self {
-        let later = Self { running: self.running, ..Self::of(&self.server, &self.key) };
+        let later = Self { running: self.running, ..Self::of(&self.server, self.born, &self.key) };
         std::mem::replace(self, later)
     }
 
     /// A use of which nothing was noted yet.
-    pub(crate) fn of(server: &ServerName, key: &AdapterKey) -> Self {
+    pub(crate) fn of(server: &ServerName, born: u64, key: &AdapterKey) -> Self {
         Self {
             server: server.clone(),
+            born,
             key: key.clone(),
             count: 0,
             running: 0,
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -6,6 +6,7 @@
 
 use coltsfoothook_decision::backend::{AdapterHolding, ServerOwner};
 use coltsfoothook_decision::id::{ModelName, ServerName, TimePoint, VmName};
+use coltsfoothook_decision::loadtime::LoadForecast;
 use coltsfoothook_decision::orderbook::{
     BookAction, BookSettings, OrderAction, OrderBook, OrderReply, ServerOrder, ToldUse,
 };
@@ -30,6 +31,8 @@
 #[derive(Debug)]
 struct ServerBook {
     server: ServerName,
+    /// The life that the book is of. A later one has accepted no orders and holds nothing.
+    born: u64,
     fence: u64,
     book: OrderBook,
     told_revision: u64,
@@ -55,18 +58,30 @@
         Some(&mut self.books[at].book)
     }
 
+    /// The book of a server's life, if this VM orders it and knows of no later one.
+    fn of_life(&mut self, server: &ServerName, born: u64) -> Option<&mut OrderBook> {
+        let at = self.find(server).ok()?;
+        let entry = &mut self.books[at];
+        (entry.born == born).then_some(&mut entry.book)
+    }
+
     fn close(&mut self, server: &ServerName) -> bool {
         let found = self.find(server);
         found.map(|at| self.books.remove(at)).is_ok()
     }
 
-    fn open(&mut self, server: &ServerName, fence: u64, places: usize, now: TimePoint) -> usize {
+    fn open(&mut self, server: &ServerName, terms: &OrderTerms, now: TimePoint) -> usize {
+        let OrderTerms { born, fence, places, .. } = *terms;
+        if self.find(server).is_ok_and(|at| self.books[at].born != born) {
+            self.close(server);
+        }
         let at = self.find(server).unwrap_or_else(|at| {
-            event!(OwnerTaken, server = server, fence = fence, places = places);
+            event!(OwnerTaken, server = server, born = born, fence = fence, places = places);
             let book = OrderBook::new(BookSettings::default(), places, now);
             let server = server.clone();
             let entry = ServerBook {
                 server,
+                born,
                 fence,
                 book,
                 told_revision: 0,
@@ -87,9 +102,20 @@
     }
 }
 
+/// Under which terms a server may be ordered.
+struct OrderTerms {
+    address: SocketAddr,
+    born: u64,
+    fence: u64,
+    places: usize,
+    /// The base model to load if it holds none.
+    model: Option<ModelName>,
+}
+
 /// What is to be sent to a server.
 struct ServerCall {
     address: SocketAddr,
+    born: u64,
     fence: u64,
     action: BookAction,
 }
@@ -139,13 +165,14 @@
         server: &ServerName,
         now: TimePoint,
     ) -> Option<(Option<ServerCall>, Option<AdapterList>)> {
-        let Some((fence, address, places, model)) = self.order_terms(gateway, server, now) else {
+        let Some(terms) = self.order_terms(gateway, server, now) else {
             if self.books.close(server) {
                 event!(OwnerLost, server = server);
             }
             return None;
         };
-        let at = self.books.open(server, fence, places, now);
+        let at = self.books.open(server, &terms, now);
+        let OrderTerms { address, born, fence, model, .. } = terms;
         let may_load = model.is_some() && self.books.books[at].book.is_empty();
         let book = &mut self.books.books[at];
         let action = book.book.next(model.as_ref().filter(|_| may_load), now);
@@ -154,25 +181,31 @@
         {
             self.books.model_load_at = Some(now);
         }
-        let call = action.map(|action| ServerCall { address, fence, action });
+        let call = action.map(|action| ServerCall { address, born, fence, action });
         let list = self.due_list(gateway, at, now);
         Some((call, list))
     }
 
+    /// What a load that is ordered now is expected to take.
+    fn forecast(&self, now: TimePoint) -> LoadForecast {
+        self.times.forecast(self.backends.loads_under_way(now))
+    }
+
     /// Under which terms this VM may order a server now.
     fn order_terms(
         &self,
         gateway: &Gateway,
         server: &ServerName,
         now: TimePoint,
-    ) -> Option<(u64, SocketAddr, usize, Option<ModelName>)> {
+    ) -> Option<OrderTerms> {
         let state = self.backends.get(server.as_str()).filter(|state| !state.leaving)?;
         let table = self.table.as_ref()?;
         let plan = table.service(state.entry.service.as_str())?.engine.as_ref()?;
         let fence = self.fence(&gateway.settings, server, now)?;
         let places = places(plan, &state.entry.models);
         let model = self.model_to_load(plan, now);
-        Some((fence, state.entry.address, places, model))
+        let (address, born) = (state.entry.address, state.entry.born);
+        Some(OrderTerms { address, born, fence, places, model })
     }
 
     /// The base model that an empty server should load: the one that the fewest servers hold. None
@@ -195,7 +228,7 @@
     fn due_list(&mut self, gateway: &Gateway, at: usize, now: TimePoint) -> Option<AdapterList> {
         let large = self.roster.is_large(now);
         let repeat_us = if large { LARGE_REPEAT_LIST_US } else { REPEAT_LIST_US };
-        let load_us = self.times.expected_us(false);
+        let (alone_us, each_us) = self.times.told();
         let entry = &mut self.books.books[at];
         let free = entry.book.free(now) as u32;
         let changed =
@@ -209,6 +242,7 @@
         entry.told_free = free;
         let vm = gateway.settings.vm.clone();
         let (server, fence, revision) = (entry.server.clone(), entry.fence, entry.told_revision);
+        let born = entry.born;
         let booked = entry.book.adapters(now);
         let mut models: Vec<ModelName> = Vec::new();
         let listed = booked.iter().map(|adapter| ListedAdapter {
@@ -222,10 +256,12 @@
         let list = AdapterList {
             vm: vm.clone(),
             server: server.clone(),
+            born,
             fence,
             revision,
             free,
-            load_ms: u32::try_from(load_us / 1_000).unwrap_or(u32::MAX),
+            load_us: u32::try_from(alone_us).unwrap_or(u32::MAX),
+            each_us: u32::try_from(each_us).unwrap_or(u32::MAX),
             models,
             adapters,
         };
@@ -235,7 +271,7 @@
             usable_from: adapter.usable_from,
             heat: adapter.heat,
         });
-        let owner = ServerOwner { vm, fence, at: now, free };
+        let owner = ServerOwner { vm, born, fence, at: now, free };
         self.backends.list(server.as_str(), owner, revision, holdings.collect());
         Some(list)
     }
@@ -272,45 +308,47 @@
 }
 
 async fn perform(gateway: &Arc<Gateway>, server: &ServerName, call: ServerCall) {
-    match call.action {
+    match &call.action {
         BookAction::Ask => {
             let report = gateway.servers.report(call.address, server).await;
             gateway.metrics.server_call("report", if report.is_some() { "ok" } else { "lost" });
             let now = clock::now();
             let mut beliefs = gateway.beliefs();
-            let times = beliefs.times;
-            if let Some(book) = beliefs.books.get(server) {
-                book.reported(report.as_ref(), &times, now);
+            let forecast = beliefs.forecast(now);
+            if let Some(report) = &report
+                && beliefs.backends.reborn(server.as_str(), report.born, &report.models, now)
+            {
+                event!(ServerRestarted, server = server, born = report.born, told_by = "report");
+            }
+            // What another life says of itself tells nothing of this one.
+            if let Some(book) = beliefs.books.of_life(server, call.born) {
+                let of_life = report.as_ref().filter(|report| report.born == call.born);
+                book.reported(of_life, &forecast, now);
             }
             let held = report.as_ref().map(|r| r.models.iter().map(|m| m.adapters.len()).sum());
             let held: Option<usize> = held;
             let orders = report.as_ref().map(|report| report.orders);
             event!(ServerReported, server = server, orders? = orders, adapters? = held);
         }
-        BookAction::Order(order) => give(gateway, server, call.address, call.fence, order).await,
+        BookAction::Order(order) => give(gateway, server, &call, order).await,
     }
 }
 
-async fn give(
-    gateway: &Arc<Gateway>,
-    server: &ServerName,
-    address: SocketAddr,
-    fence: u64,
-    order: ServerOrder,
-) {
-    if !may_give(gateway, server, &order) {
+async fn give(gateway: &Arc<Gateway>, server: &ServerName, call: &ServerCall, order: &ServerOrder) {
+    let (address, born, fence) = (call.address, call.born, call.fence);
+    if !may_give(gateway, server, born, order) {
         // Nothing was sent: the book looks at the server anew instead of waiting for a reply.
         let now = clock::now();
         let mut beliefs = gateway.beliefs();
-        let times = beliefs.times;
-        if let Some(book) = beliefs.books.get(server) {
-            book.replied(&order, OrderReply::Conflict, &times, now);
+        let forecast = beliefs.forecast(now);
+        if let Some(book) = beliefs.books.of_life(server, born) {
+            book.replied(order, OrderReply::Conflict, &forecast, now);
         }
         return;
     }
     let vm = gateway.settings.vm.clone();
     let holder = OrderHolder { vm: vm.as_str(), fence };
-    let (reply, text) = gateway.servers.order(address, server, holder, &order).await;
+    let (reply, text) = gateway.servers.order(address, server, holder, order).await;
     let (kind, key, version) = match &order.action {
         OrderAction::LoadAdapter { key, version } => ("load", key.adapter.as_str(), *version),
         OrderAction::UnloadAdapter { key } => ("unload", key.adapter.as_str(), 0),
@@ -319,15 +357,17 @@
     gateway.metrics.server_call(kind, reply_name(reply));
     let now = clock::now();
     let mut beliefs = gateway.beliefs();
-    let times = beliefs.times;
+    let forecast = beliefs.forecast(now);
     if reply == OrderReply::Fenced {
         beliefs.tenure.refused(fence);
     }
-    if matches!(reply, OrderReply::Lost | OrderReply::Unsent) {
+    if matches!(reply, OrderReply::Lost | OrderReply::Unsent)
+        && beliefs.backends.is_life(server.as_str(), born)
+    {
         beliefs.backends.unreachable(server.as_str(), now);
     }
-    let Some(book) = beliefs.books.get(server) else { return };
-    book.replied(&order, reply, &times, now);
+    let Some(book) = beliefs.books.of_life(server, born) else { return };
+    book.replied(order, reply, &forecast, now);
     let (held, places) = book.fill();
     event!(
         OrderGiven,
@@ -341,11 +381,17 @@
         answer = text,
         held = held,
         places = places,
+        beside = forecast.beside,
+        expected_ms = forecast.expected_us(false) / 1_000,
     );
 }
 
 /// Looks at an order once more before it is sent.
-fn may_give(gateway: &Gateway, server: &ServerName, order: &ServerOrder) -> bool {
+fn may_give(gateway: &Gateway, server: &ServerName, born: u64, order: &ServerOrder) -> bool {
+    // The count that the order states is that of one life; another may have come to the same.
+    if !gateway.beliefs().backends.is_life(server.as_str(), born) {
+        return false;
+    }
     // The tenure may have ended since the order was decided on: the VM may have been suspended.
     if gateway.beliefs().fence(&gateway.settings, server, clock::now()).is_none() {
         return false;
@@ -388,7 +434,7 @@
     for used in uses {
         let mut beliefs = gateway.beliefs();
         let beliefs = &mut *beliefs;
-        let Some(book) = beliefs.books.get(&used.server) else { continue };
+        let Some(book) = beliefs.books.of_life(&used.server, used.born) else { continue };
         let told = ToldUse { vm, begun: used.count, running: used.running };
         book.used(&used.key, &told, now);
         let ordered = book.ordered(&used.key);
@@ -396,8 +442,8 @@
             book.too_early(&used.key, now);
         }
         match ordered {
-            Some((at, again)) if used.too_early => beliefs.times.too_early(again, now.since(at)),
-            Some((_, again)) if used.in_time => beliefs.times.in_time(again),
+            Some(load) if used.too_early => beliefs.times.too_early(load, now.since(load.at)),
+            Some(load) if used.in_time => beliefs.times.in_time(load),
             _ => {}
         }
         if used.missing {
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -14,6 +14,7 @@
 use crate::answer::{AnswerStream, own_answer, whole_answer};
 use crate::clock;
 use crate::find::LEAST_LEFT;
+use crate::peer;
 use crate::relay::StreamRelay;
 use crate::run::RequestRun;
 use crate::send::{ANSWER_SLACK, JUST_LOADED_US};
@@ -68,7 +69,9 @@
         let mut beliefs = run.gateway.beliefs();
         let good = !failed && body.is_ok();
         let pace = good.then_some(pace.as_micros() as f64);
-        beliefs.backends.answered(server.as_str(), good, pace);
+        if beliefs.backends.is_life(server.as_str(), run.born) {
+            beliefs.backends.answered(server.as_str(), good, pace);
+        }
     }
     let body = match body {
         Ok(body) => body,
@@ -112,6 +115,10 @@
         usable_ms? = usable_from.map(|from| now.since(from) / 1_000),
         known = head.id.is_some(),
     );
+    if !beliefs.backends.is_life(server.as_str(), run.born) {
+        // The server started again since; what its earlier life refused tells nothing of this one.
+        return NextStep::Again(Duration::ZERO);
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         drop(beliefs);
         return misdirected(run, server, key.as_ref(), usable_from);
@@ -137,13 +144,16 @@
     let gateway = Arc::clone(&run.gateway);
     let mut beliefs = gateway.beliefs();
     if let (Some(key), Some(from)) = (key, usable_from) {
-        if now.since(from) < JUST_LOADED_US {
-            beliefs.uses.met(server, key, |used| used.too_early = true);
+        let lost = beliefs.backends.get(server.as_str()).is_some_and(|state| state.is_avoided(now));
+        if now.since(from) < JUST_LOADED_US && !lost {
+            beliefs.uses.met(server, run.born, key, |used| used.too_early = true);
             drop(beliefs);
+            // Others wait for the same load; told at once, they do not come too early as well.
+            peer::tell_use(&gateway, server, run.born, key);
             return NextStep::Again(run.next_pause());
         }
         beliefs.backends.not_held(server.as_str(), key);
-        beliefs.uses.met(server, key, |used| used.missing = true);
+        beliefs.uses.met(server, run.born, key, |used| used.missing = true);
         return NextStep::Again(Duration::ZERO);
     }
     beliefs.backends.unreachable(server.as_str(), now);
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::follow;
 use crate::message::{
-    AdapterList, AdapterUse, MOST_BYTES, PeerMessage, ServerLoad, VmState, decode, encode,
+    AdapterList, AdapterUse, LoadNews, MOST_BYTES, PeerMessage, ServerLoad, VmState, decode, encode,
 };
 use crate::order;
 use crate::roster::{PeerChange, SMALL_FLEET};
@@ -27,6 +27,8 @@
 
 /// Between two messages of a VM's state.
 const STATE_PAUSE: Duration = Duration::from_millis(125);
+/// How long a change of this VM's requests waits for others, to be told with them in one message.
+const LOAD_PAUSE: Duration = Duration::from_millis(3);
 /// Every so many of them go to silent VMs too, which may have come back.
 const SILENT_EVERY: u64 = 8;
 /// The VMs that a state goes to at once in fleets of more than [`SMALL_FLEET`]. They take turns, which
@@ -138,6 +140,55 @@
     }
 }
 
+/// Tells the other VMs at once where this VM's requests changed, for ever.
+///
+/// An engine reads a usual prompt in less time than lies between two states. With those alone several
+/// VMs send to a server that just got a prompt, and its streams stop for all of them.
+pub(crate) async fn tell_loads(gateway: Arc<Gateway>) {
+    loop {
+        gateway.loads_changed.notified().await;
+        tokio::time::sleep(LOAD_PAUSE).await;
+        tell_loads_now(&gateway);
+    }
+}
+
+/// Tells the other VMs where this VM's requests changed.
+pub(crate) fn tell_loads_now(gateway: &Arc<Gateway>) {
+    let now = clock::now();
+    let mut beliefs = gateway.beliefs();
+    let servers = std::mem::take(&mut beliefs.untold_loads);
+    if servers.is_empty() || beliefs.roster.is_large(now) {
+        return;
+    }
+    let load = |server: ServerName| {
+        let figure = beliefs.backends.own_load(server.as_str());
+        ServerLoad { server, running: figure.running, unread: figure.unread }
+    };
+    let news = LoadNews {
+        vm: gateway.settings.vm.clone(),
+        incarnation: gateway.incarnation,
+        sequence: gateway.peers.sequence.load(Ordering::Relaxed),
+        loads: servers.into_iter().map(load).collect(),
+    };
+    let to = beliefs.roster.live(now);
+    drop(beliefs);
+    gateway.peers.send(&PeerMessage::Loads(news), &to);
+}
+
+fn take_loads(gateway: &Arc<Gateway>, news: &LoadNews) {
+    let now = clock::now();
+    let mut beliefs = gateway.beliefs();
+    if !beliefs.roster.is_current(&news.vm, news.incarnation, news.sequence) {
+        return;
+    }
+    for load in &news.loads {
+        let figure = LoadFigure { running: load.running, unread: load.unread };
+        beliefs.backends.peer_load(&news.vm, load.server.as_str(), figure, now);
+    }
+    drop(beliefs);
+    gateway.changed.notify_waiters();
+}
+
 /// Tells the other VMs of this one now.
 pub(crate) fn tell_once(gateway: &Arc<Gateway>) {
     let sequence = gateway.peers.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -214,6 +265,7 @@
             order::drive(gateway, &wish.server);
         }
         PeerMessage::News(news) => follow::take_news(gateway, news),
+        PeerMessage::Loads(news) => take_loads(gateway, &news),
         PeerMessage::Uses(vm, uses) => order::take_uses(gateway, &vm, &uses),
     }
 }
@@ -249,7 +301,8 @@
 
 fn take_list(gateway: &Arc<Gateway>, list: AdapterList) {
     let now = clock::now();
-    let owner = ServerOwner { vm: list.vm, fence: list.fence, at: now, free: list.free };
+    let owner =
+        ServerOwner { vm: list.vm, born: list.born, fence: list.fence, at: now, free: list.free };
     let models = list.models;
     let holdings = list.adapters.into_iter().filter_map(|adapter| {
         let model = models.get(usize::from(adapter.model))?.clone();
@@ -264,9 +317,12 @@
     let holdings: Vec<AdapterHolding> = holdings.collect();
     let mut beliefs = gateway.beliefs();
     let awaited = holdings.iter().any(|holding| beliefs.wishes.is_open(&holding.key));
+    if beliefs.backends.reborn(list.server.as_str(), list.born, &[], now) {
+        event!(ServerRestarted, server = list.server, born = list.born, told_by = "vm");
+    }
     let taken = beliefs.backends.list(list.server.as_str(), owner, list.revision, holdings);
     if taken {
-        beliefs.times.heard(u64::from(list.load_ms) * 1_000);
+        beliefs.times.heard(u64::from(list.load_us), u64::from(list.each_us));
     }
     drop(beliefs);
     // Hundreds of lists come in a second; requests look again only for what they wait for.
@@ -303,11 +359,11 @@
 }
 
 /// Tells the VM that orders a server at once how an adapter is used there.
-pub(crate) fn tell_use(gateway: &Arc<Gateway>, server: &ServerName, key: &AdapterKey) {
+pub(crate) fn tell_use(gateway: &Arc<Gateway>, server: &ServerName, born: u64, key: &AdapterKey) {
     let now = clock::now();
     let mut beliefs = gateway.beliefs();
     let Some(owner) = beliefs.backends.owner(server.as_str(), now).cloned() else { return };
-    let told = beliefs.uses.take_one(server, key);
+    let told = beliefs.uses.take_one(server, born, key);
     let address = beliefs.roster.address(&owner.vm);
     drop(beliefs);
     let vm = &gateway.settings.vm;
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -77,6 +77,7 @@
         listeners.serve(&gateway, &mut tasks);
         tasks.spawn(peer::listen(Arc::clone(&gateway)));
         tasks.spawn(peer::tell(Arc::clone(&gateway)));
+        tasks.spawn(peer::tell_loads(Arc::clone(&gateway)));
         tasks.spawn(peer::send_waiting(Arc::clone(&gateway.peers)));
         tasks.spawn(follow::operators(Arc::clone(&gateway)));
         tasks.spawn(follow::servers(Arc::clone(&gateway)));
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -93,7 +93,7 @@
                 RelayPiece::End => {
                     self.run.status = 200;
                     self.run.end("done", "");
-                    self.answered(true);
+                    self.answered(true, None);
                     return Ok(None);
                 }
                 RelayPiece::Broken(cause) => cause,
@@ -102,7 +102,7 @@
                     return Err(BrokenAnswer);
                 }
             };
-            self.answered(false);
+            self.answered(false, None);
             if !self.resume(&cause).await {
                 self.run.end("failed", cause);
                 return Err(BrokenAnswer);
@@ -140,13 +140,18 @@
             self.last_piece = now;
             return;
         }
-        let pace = now.duration_since(self.last_piece).as_micros() as f64;
+        let pause = now.duration_since(self.last_piece);
         self.last_piece = now;
-        self.run.gateway.beliefs().backends.answered(self.server.as_str(), true, Some(pace));
+        self.run.pause = self.run.pause.max(pause);
+        self.answered(true, Some(pause.as_micros() as f64));
     }
 
-    fn answered(&self, good: bool) {
-        self.run.gateway.beliefs().backends.answered(self.server.as_str(), good, None);
+    /// Notes how the server does, unless it started again since.
+    fn answered(&self, good: bool, pace_us: Option<f64>) {
+        let mut beliefs = self.run.gateway.beliefs();
+        if beliefs.backends.is_life(self.server.as_str(), self.run.born) {
+            beliefs.backends.answered(self.server.as_str(), good, pace_us);
+        }
     }
 
     /// Goes on at another server after the last event that was passed on.
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -91,6 +91,15 @@
         }
     }
 
+    /// Whether news of a VM came after the last state that was heard of it.
+    pub(crate) fn is_current(&self, vm: &VmName, incarnation: u64, sequence: u64) -> bool {
+        let found = self.peers.binary_search_by(|peer| peer.vm.cmp(vm));
+        found.is_ok_and(|at| {
+            let peer = &self.peers[at];
+            peer.incarnation == incarnation && sequence >= peer.sequence
+        })
+    }
+
     /// Remembers an address that may be a VM's.
     pub(crate) fn hint(&mut self, address: SocketAddr) {
         if let Err(at) = self.hints.binary_search(&address) {
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -39,10 +39,15 @@
     pub(crate) ran: u32,
     /// Pauses that it made since a server could not take it yet.
     pauses: u32,
-    /// The server of the last send.
+    /// The server of the last send, and the life of it that the request was sent to.
     pub(crate) server: Option<ServerName>,
+    pub(crate) born: u64,
     pub(crate) first: Option<Duration>,
     pub(crate) stall: Duration,
+    /// Whether it was held back for streams that would have paused.
+    pub(crate) held: bool,
+    /// The longest pause between two events that were passed on.
+    pub(crate) pause: Duration,
     pub(crate) status: u16,
     /// Counts it at the server that it was sent to last.
     pub(crate) count: Option<SentCount>,
@@ -78,8 +83,11 @@
             ran: 0,
             pauses: 0,
             server: None,
+            born: 0,
             first: None,
             stall: Duration::ZERO,
+            held: false,
+            pause: Duration::ZERO,
             status: 0,
             count: None,
             outcome: None,
@@ -148,7 +156,7 @@
         else {
             return;
         };
-        self.gateway.beliefs().uses.met(server, key, change);
+        self.gateway.beliefs().uses.met(server, self.born, key, change);
     }
 }
 
@@ -163,6 +171,7 @@
         let adapter = adapter.map(|key| key.adapter.as_str());
         let first_ms = self.first.map(|first| first.as_millis());
         let stall_ms = (!self.stall.is_zero()).then_some(self.stall.as_millis());
+        let pause_ms = (!self.pause.is_zero()).then_some(self.pause.as_millis());
         let reason = (!self.reason.is_empty()).then_some(self.reason.as_str());
         event!(
             RequestDone,
@@ -176,7 +185,9 @@
             adapter? = adapter,
             sends = self.sends,
             stall_ms? = stall_ms,
+            held? = self.held.then_some(true),
             first_ms? = first_ms,
+            pause_ms? = pause_ms,
             whole_ms = whole.as_millis(),
         );
     }
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -49,14 +49,14 @@
         );
         return SendEnd::Unsent("it may have run".to_owned());
     }
-    let (address, version) = {
+    let (address, born, version) = {
         let beliefs = gateway.beliefs();
         let state = beliefs.backends.get(server.as_str()).filter(|state| !state.leaving);
         let Some(state) = state else {
             return SendEnd::Unsent("the server is leaving or gone".to_owned());
         };
         let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
-        (state.entry.address, key.and_then(|key| state.version(key)))
+        (state.entry.address, state.entry.born, key.and_then(|key| state.version(key)))
     };
     let left = run.left();
     let marks = ForwardMarks {
@@ -73,6 +73,9 @@
     request.piece_within = Some(run.request.route.silence().min(left + ANSWER_SLACK));
     run.sends += 1;
     run.server = Some(server.clone());
+    run.born = born;
+    let key = run.request.head.need.as_ref().and_then(|need| need.adapter.clone());
+    let count = SentCount::new(&gateway, server, born, key, run.prompt_tokens());
     event!(
         RequestSent,
         request_id = run.request.head.id,
@@ -80,9 +83,10 @@
         send = run.sends,
         version? = version,
         left_ms = left.as_millis(),
+        prompt = run.prompt_tokens(),
+        unread = count.ahead,
     );
-    let key = run.request.head.need.as_ref().and_then(|need| need.adapter.clone());
-    run.count = Some(SentCount::new(&gateway, server, key, run.prompt_tokens()));
+    run.count = Some(count);
     let sent = gateway.client.send(address, request).await;
     let end = classify(run, sent);
     if !matches!(end, SendEnd::Answer(..)) {
@@ -146,10 +150,12 @@
     let now = clock::now();
     let mut beliefs = run.gateway.beliefs();
     match end {
-        SendEnd::Unsent(_) | SendEnd::Unknown(_) => {
+        SendEnd::Unsent(_) | SendEnd::Unknown(_)
+            if beliefs.backends.is_life(server.as_str(), run.born) =>
+        {
             beliefs.backends.unreachable(server.as_str(), now);
         }
-        SendEnd::Answer(..) | SendEnd::NotRun(..) => {}
+        _ => {}
     }
     let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
     let fresh = key.is_some_and(|key| {
--- a/gateway/src/sent.rs
+++ b/gateway/src/sent.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use coltsfoothook_decision::id::ServerName;
+use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::routing::AdapterKey;
 
+use crate::clock;
 use crate::peer;
 use crate::state::Gateway;
 
@@ -12,8 +13,13 @@
 pub(crate) struct SentCount {
     gateway: Arc<Gateway>,
     server: ServerName,
+    /// The life of the server.
+    born: u64,
     adapter: Option<AdapterKey>,
     unread: u64,
+    sent_at: TimePoint,
+    /// Tokens that the server had to read before it.
+    pub(crate) ahead: u64,
 }
 
 impl SentCount {
@@ -21,26 +27,42 @@
     pub(crate) fn new(
         gateway: &Arc<Gateway>,
         server: &ServerName,
+        born: u64,
         adapter: Option<AdapterKey>,
         unread: u64,
     ) -> Self {
         let gateway = Arc::clone(gateway);
         let mut beliefs = gateway.beliefs();
-        beliefs.backends.sent(server.as_str(), unread);
-        let first = adapter.as_ref().filter(|key| beliefs.uses.begin(server, key));
+        let now = clock::now();
+        let ahead = beliefs.backends.sent(server.as_str(), unread, now);
+        if unread > 0 {
+            beliefs.load_changed(server);
+        }
+        let first = adapter.as_ref().filter(|key| beliefs.uses.begin(server, born, key));
         drop(beliefs);
+        if unread > 0 {
+            peer::tell_loads_now(&gateway);
+        }
         if let Some(key) = first {
-            peer::tell_use(&gateway, server, key);
+            peer::tell_use(&gateway, server, born, key);
         }
-        Self { gateway, server: server.clone(), adapter, unread }
+        Self { gateway, server: server.clone(), born, adapter, unread, sent_at: now, ahead }
     }
 
     /// The prompt was read.
     pub(crate) fn read(&mut self) {
         let tokens = std::mem::take(&mut self.unread);
-        if tokens > 0 {
-            self.gateway.beliefs().backends.read(self.server.as_str(), tokens);
+        if tokens == 0 {
+            return;
         }
+        let waited_us = clock::now().since(self.sent_at);
+        let mut beliefs = self.gateway.beliefs();
+        beliefs.backends.read(self.server.as_str(), tokens, (self.ahead == 0).then_some(waited_us));
+        beliefs.load_changed(&self.server);
+        drop(beliefs);
+        self.gateway.loads_changed.notify_one();
+        // Requests that were held back for this prompt look again.
+        self.gateway.own_read.notify_waiters();
     }
 }
 
@@ -48,10 +70,14 @@
     fn drop(&mut self) {
         let mut beliefs = self.gateway.beliefs();
         beliefs.backends.ended(self.server.as_str(), self.unread);
-        let last = self.adapter.as_ref().filter(|key| beliefs.uses.end(&self.server, key));
+        if self.unread > 0 {
+            beliefs.load_changed(&self.server);
+        }
+        let last =
+            self.adapter.as_ref().filter(|key| beliefs.uses.end(&self.server, self.born, key));
         drop(beliefs);
         if let Some(key) = last {
-            peer::tell_use(&self.gateway, &self.server, key);
+            peer::tell_use(&self.gateway, &self.server, self.born, key);
         }
     }
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use coltsfoothook_decision::backend::BackendTable;
 use coltsfoothook_decision::budget::{RepeatBounds, RepeatBudget};
 use coltsfoothook_decision::id::{ServerName, TimePoint, stable_hash};
-use coltsfoothook_decision::orderbook::LoadTimes;
+use coltsfoothook_decision::loadtime::LoadTimes;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
 use coltsfoothook_decision::tenure::{OrderTenure, TenureSettings, judge_outage};
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings};
@@ -22,6 +22,7 @@
 use crate::peer::PeerSocket;
 use crate::roster::PeerRoster;
 use crate::settings::GatewaySettings;
+use crate::skipped::SkippedKeys;
 use crate::uses::UseList;
 use crate::wish::WishList;
 
@@ -81,6 +82,8 @@
     pub(crate) news_at: TimePoint,
     /// Servers without entry, sorted by name.
     pub(crate) lapsed: Vec<LapsedServer>,
+    /// Servers' entries that cannot be read.
+    pub(crate) skipped: SkippedKeys,
     /// When the store last answered.
     pub(crate) store_reached_at: TimePoint,
     /// Whether this VM calls the store about each second, so that others can tell an outage by it.
@@ -89,6 +92,8 @@
     pub(crate) told_versions: Vec<(SharedVersion, usize)>,
     /// How adapters were met, not yet told to those who order their servers.
     pub(crate) uses: UseList,
+    /// Servers at which this VM's counts changed since it last told the others.
+    pub(crate) untold_loads: Vec<ServerName>,
     pub(crate) random: Pcg64,
 }
 
@@ -100,6 +105,10 @@
     beliefs: Mutex<Beliefs>,
     /// Told when servers or what they hold change, so that waiting requests look again.
     pub(crate) changed: Notify,
+    /// Told when a server has read a prompt of this VM.
+    pub(crate) own_read: Notify,
+    /// Told when this VM's counts at a server changed.
+    pub(crate) loads_changed: Notify,
     /// Told when a configuration is known to be newer than the one in force.
     pub(crate) config_behind: Notify,
     pub(crate) client: ExchangeClient,
@@ -149,10 +158,12 @@
             servers_read: false,
             news_at: TimePoint(0),
             lapsed: Vec::new(),
+            skipped: SkippedKeys::default(),
             store_reached_at: TimePoint(0),
             calls_store: false,
             told_versions: Vec::new(),
             uses: UseList::default(),
+            untold_loads: Vec::new(),
             random: Pcg64::seed_from_u64(incarnation ^ stable_hash(&[settings.vm.as_str()])),
         };
         Self {
@@ -160,6 +171,8 @@
             started: clock::now(),
             beliefs: Mutex::new(beliefs),
             changed: Notify::new(),
+            own_read: Notify::new(),
+            loads_changed: Notify::new(),
             config_behind: Notify::new(),
             servers: Box::new(HttpServers::new(client.clone())),
             store: Box::new(HttpMetadata::new(settings.store.address)),
@@ -196,6 +209,13 @@
 }
 
 impl Beliefs {
+    /// This VM's counts at a server changed; the others are told in a moment.
+    pub(crate) fn load_changed(&mut self, server: &ServerName) {
+        if !self.untold_loads.contains(server) {
+            self.untold_loads.push(server.clone());
+        }
+    }
+
     /// A random number.
     pub(crate) fn draw(&mut self) -> u64 {
         self.random.next_u64()
--- a/gateway/src/uses.rs
+++ b/gateway/src/uses.rs
@@ -10,7 +10,7 @@
 
 use crate::message::AdapterUse;
 
-/// The uses, sorted by server and adapter.
+/// The uses, sorted by server, its life and adapter.
 #[derive(Debug, Default)]
 pub(crate) struct UseList {
     uses: Vec<AdapterUse>,
@@ -18,16 +18,16 @@
 
 impl UseList {
     /// A request goes to a server; true if it is the first one on that adapter there.
-    pub(crate) fn begin(&mut self, server: &ServerName, key: &AdapterKey) -> bool {
-        let open = self.open(server, key);
+    pub(crate) fn begin(&mut self, server: &ServerName, born: u64, key: &AdapterKey) -> bool {
+        let open = self.open(server, born, key);
         open.running += 1;
         open.count += 1;
         open.running == 1
     }
 
     /// A request ended there; true if it was the last one.
-    pub(crate) fn end(&mut self, server: &ServerName, key: &AdapterKey) -> bool {
-        let open = self.open(server, key);
+    pub(crate) fn end(&mut self, server: &ServerName, born: u64, key: &AdapterKey) -> bool {
+        let open = self.open(server, born, key);
         open.running = open.running.saturating_sub(1);
         open.running == 0
     }
@@ -36,15 +36,21 @@
     pub(crate) fn met(
         &mut self,
         server: &ServerName,
+        born: u64,
         key: &AdapterKey,
         change: impl FnOnce(&mut AdapterUse),
     ) {
-        change(self.open(server, key));
+        change(self.open(server, born, key));
     }
 
     /// What is to be told of one adapter now.
-    pub(crate) fn take_one(&mut self, server: &ServerName, key: &AdapterKey) -> AdapterUse {
-        self.open(server, key).take()
+    pub(crate) fn take_one(
+        &mut self,
+        server: &ServerName,
+        born: u64,
+        key: &AdapterKey,
+    ) -> AdapterUse {
+        self.open(server, born, key).take()
     }
 
     /// What is to be told of all now; what is no longer used is forgotten.
@@ -54,11 +60,12 @@
         told
     }
 
-    fn open(&mut self, server: &ServerName, key: &AdapterKey) -> &mut AdapterUse {
+    fn open(&mut self, server: &ServerName, born: u64, key: &AdapterKey) -> &mut AdapterUse {
+        let wanted = (server, born, key);
         let found =
-            self.uses.binary_search_by(|open| (&open.server, &open.key).cmp(&(server, key)));
+            self.uses.binary_search_by(|open| (&open.server, open.born, &open.key).cmp(&wanted));
         let at = found.unwrap_or_else(|at| {
-            self.uses.insert(at, AdapterUse::of(server, key));
+            self.uses.insert(at, AdapterUse::of(server, born, key));
             at
         });
         &mut self.uses[at]
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod peer_records;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
+mod server_lives;
 mod site;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod store;
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// A server that started again writes its first heartbeat.
+    pub(crate) fn register_anew(&mut self, server: &StandinServer, service: &str) {
+        self.store.write("keyed.servers", &server.name, Some(&server.entry(service, 1, "ready")));
+    }
+
     /// One server writes that it leaves.
     pub(crate) fn drain(&mut self, server: &StandinServer, service: &str) {
         self.heartbeat += 1;
