Loads wait while the store is crowded; held back only where streams pause; certain counts of unloads

A load from the store waits while those under way would make it last longer than 400 ms; the most valuable wish goes first (requests that it serves in time, late ones for 0.3, a copy for 0.25), VMs take turns of up to 6 ms. Requests are held back only where the longest pause of one stream in twenty is too long; a load is in time only if it is met within 15 ms of its expected end; unloads count for certain only when the next order proves it.

Tests: crowded_store, uncounted_unload, small_pieces.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -5,6 +5,8 @@
 //! at each change; and what this VM's own requests met there. docs/PLATFORM.md tells how they are
 //! spread.
 
+use std::time::Duration;
+
 use crate::id::{ModelName, ServerName, ServiceName, TimePoint, VmName};
 use crate::reading::ReadingPace;
 use crate::routing::{AdapterKey, BackendEntry, HeldModel};
@@ -347,12 +349,21 @@
         state.own.unread = state.own.unread.saturating_sub(tokens);
         let Some(waited_us) = alone_us else { return };
         let service = state.entry.service.clone();
+        self.pace_mut(service).observe(tokens, waited_us);
+    }
+
+    /// A stream of a service ended whole; its longest pause was `pause`, of which it allows `gap`.
+    pub fn stream_ended(&mut self, service: &ServiceName, pause: Duration, gap: Duration) {
+        self.pace_mut(service.clone()).stream_ended(pause, gap);
+    }
+
+    fn pace_mut(&mut self, service: ServiceName) -> &mut ReadingPace {
         let found = self.paces.binary_search_by(|(known, _)| known.cmp(&service));
         let at = found.unwrap_or_else(|at| {
             self.paces.insert(at, (service, ReadingPace::default()));
             at
         });
-        self.paces[at].1.observe(tokens, waited_us);
+        &mut self.paces[at].1
     }
 
     /// How fast the engines of a service read.
@@ -411,6 +422,13 @@
         holdings.filter(|holding| holding.usable_from > now).count()
     }
 
+    /// When the next adapter that is on its way arrives.
+    #[must_use]
+    pub fn next_load_done(&self, now: TimePoint) -> Option<TimePoint> {
+        let holdings = self.servers.iter().flat_map(|state| &state.holdings);
+        holdings.map(|holding| holding.usable_from).filter(|from| *from > now).min()
+    }
+
     /// Who orders a server now, as far as is known.
     #[must_use]
     pub fn owner(&self, server: &str, now: TimePoint) -> Option<&ServerOwner> {
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -151,7 +151,8 @@
             copy,
         };
         let pace = self.pace(need.service);
-        let Some(bound) = need.gap.and_then(|gap| pace.bound(gap)) else {
+        let gap = need.gap.filter(|_| pace.holds_back());
+        let Some(bound) = gap.and_then(|gap| pace.bound(gap)) else {
             return send(best, copy);
         };
         let excess = |state: &BackendState| match state.load(now).unread {
--- a/decision/src/loadtime.rs
+++ b/decision/src/loadtime.rs
@@ -20,9 +20,9 @@
 /// loads that were under way at five servers that crashed at once taught all VMs three times the store's
 /// time, and requests waited in vain for the rest of the minute.
 const MOST_SHOWN: f64 = 1.5;
-/// A load beside so many that they account for at least this part of the expected time tells of the
-/// store's pace when it lasts longer, another one of the time that a load takes alone.
-const CROWDED_PART: f64 = 0.5;
+/// A load that lasts longer than expected tells of the store's pace if it is one of at least so many, else
+/// of the time that a load takes alone. Stores carry more than these at full speed.
+const CROWD: u32 = 6;
 /// Loads in a row that are done as expected before the expected time shrinks, and by how much it then
 /// does with each further one. About one load in forty is met too early, which costs a second send; when
 /// it shrank from the first load on it was one in eight.
@@ -65,9 +65,23 @@
     pub beside: u32,
     fresh_us: u64,
     again_us: u64,
+    /// What the loads under way take the store.
+    crowded_us: u64,
 }
 
+/// The expected time of a load, in microseconds, beyond which it waits until others are done. Half of what
+/// callers commonly allow for the first event; above it the store is busy at all times, and each further
+/// load only makes all of them later.
+const CROWDED_US: u64 = 400_000;
+
 impl LoadForecast {
+    /// Whether one more load from the store would only slow down those under way. It is better ordered
+    /// when one of them is done: by then it is known for whom it would still come in time.
+    #[must_use]
+    pub fn is_crowded(&self) -> bool {
+        self.crowded_us > CROWDED_US
+    }
+
     /// The time that the load is expected to take, in microseconds; `again` if the server has the
     /// adapter in its own memory.
     #[must_use]
@@ -138,7 +152,7 @@
         let beside = f64::from(load.beside);
         if load.again {
             self.again.too_short(shown, MOST_LOAD_US);
-        } else if self.is_crowded(load) {
+        } else if load.beside >= CROWD {
             self.each.too_short(shown / beside, MOST_LOAD_US / beside);
         } else {
             self.alone.too_short(shown, MOST_LOAD_US);
@@ -156,10 +170,6 @@
         }
     }
 
-    fn is_crowded(&self, load: OrderedLoad) -> bool {
-        self.each.us * f64::from(load.beside) > CROWDED_PART * self.alone.us
-    }
-
     /// Another VM that orders servers expects a load to take `alone_us`, or `each_us` for each load under
     /// way. Each VM sees few loads, and all share one store, so their expectations move together.
     pub fn heard(&mut self, alone_us: u64, each_us: u64) {
@@ -182,6 +192,7 @@
             beside,
             fresh_us: self.alone.us.max(crowded_us) as u64,
             again_us: self.again.us as u64,
+            crowded_us: crowded_us as u64,
         }
     }
 }
--- a/decision/src/orderbook.rs
+++ b/decision/src/orderbook.rs
@@ -140,6 +140,34 @@
     version: u64,
     since: TimePoint,
     asked_at: TimePoint,
+    waiting: Vec<WaitingRequests>,
+}
+
+/// Requests of one VM that wait for an adapter.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingRequests {
+    /// The VM.
+    pub vm: VmName,
+    /// How many; none where a copy is wished for.
+    pub count: u32,
+    /// Until when the load must be done for the newest of them to be served in time.
+    pub in_time_until: TimePoint,
+}
+
+/// What a request that is served late is worth against one that is served in time, as callers commonly
+/// value them; and a copy of an adapter that is held elsewhere.
+const LATE_VALUE: f64 = 0.3;
+const COPY_VALUE: f64 = 0.25;
+
+impl LoadWish {
+    /// What the load brings if it is done at `done`, in requests that are served in time.
+    fn value(&self, done: TimePoint) -> f64 {
+        let each = |waiting: &WaitingRequests| {
+            let value = if waiting.in_time_until >= done { 1.0 } else { LATE_VALUE };
+            value * f64::from(waiting.count)
+        };
+        self.waiting.iter().map(each).sum::<f64>().max(COPY_VALUE)
+    }
 }
 
 /// What a VM tells of its requests on an adapter at a server.
@@ -272,7 +300,13 @@
     }
 
     /// A VM has requests for an adapter and would have it here.
-    pub fn wish(&mut self, key: &AdapterKey, version: u64, now: TimePoint) {
+    pub fn wish(
+        &mut self,
+        key: &AdapterKey,
+        version: u64,
+        waiting: WaitingRequests,
+        now: TimePoint,
+    ) {
         if self.version_of(key).is_some_and(|held| held >= version) {
             return;
         }
@@ -280,10 +314,13 @@
             Some(wish) => {
                 wish.version = wish.version.max(version);
                 wish.asked_at = now;
+                wish.waiting.retain(|known| known.vm != waiting.vm);
+                wish.waiting.push(waiting);
             }
             None => {
-                let key = key.clone();
-                self.wishes.push(LoadWish { key, version, since: now, asked_at: now });
+                let (key, waiting) = (key.clone(), vec![waiting]);
+                let wish = LoadWish { key, version, since: now, asked_at: now, waiting };
+                self.wishes.push(wish);
             }
         }
     }
@@ -341,7 +378,12 @@
     }
 
     /// What to do now, if anything. `model` is a base model that may be loaded if there is none.
-    pub fn next(&mut self, model: Option<&ModelName>, now: TimePoint) -> Option<BookAction> {
+    pub fn next(
+        &mut self,
+        model: Option<&ModelName>,
+        forecast: &LoadForecast,
+        now: TimePoint,
+    ) -> Option<BookAction> {
         if self.waiting {
             return None;
         }
@@ -360,7 +402,7 @@
             Some(model) if self.models.is_empty() => {
                 Some(OrderAction::LoadModel { model: model.clone() })
             }
-            _ => self.adapter_action(now),
+            _ => self.adapter_action(forecast, now),
         }?;
         self.waiting = true;
         self.begin(&action, expected);
@@ -380,7 +422,7 @@
         self.unanswered >= LOST_IN_ROW
     }
 
-    fn adapter_action(&self, now: TimePoint) -> Option<OrderAction> {
+    fn adapter_action(&self, forecast: &LoadForecast, now: TimePoint) -> Option<OrderAction> {
         let coming = |place: &&AdapterPlace| match place.state {
             PlaceState::Held { usable_from, .. } => usable_from > now,
             PlaceState::Leaving { .. } => false,
@@ -389,7 +431,13 @@
             return None;
         }
         let holds_model = |wish: &&LoadWish| self.models.contains(&wish.key.model);
-        let wish = self.wishes.iter().filter(holds_model).min_by_key(|wish| wish.since)?;
+        let again = |wish: &&LoadWish| self.lately.contains(&wish.key);
+        let allowed = |wish: &&LoadWish| !forecast.is_crowded() || again(wish);
+        let value = |wish: &&LoadWish| wish.value(now.plus(forecast.expected_us(again(wish))));
+        let first = |a: &&LoadWish, b: &&LoadWish| {
+            value(b).total_cmp(&value(a)).then(a.since.cmp(&b.since))
+        };
+        let wish = self.wishes.iter().filter(holds_model).filter(allowed).min_by(first)?;
         let replaces = self.held.binary_search_by(|place| place.key.cmp(&wish.key)).is_ok();
         if replaces || self.held.len() < self.places {
             let (key, version) = (wish.key.clone(), wish.version);
@@ -486,7 +534,12 @@
             reply == OrderReply::Done && !matches!(order.action, OrderAction::UnloadAdapter { .. });
         let count = order.expected + u64::from(!held_already);
         self.accepted = Some(count);
-        self.least_accepted = self.least_accepted.max(count);
+        // A server answers alike whether it dropped an adapter or never had it, and counts only the first.
+        // Taken for certain, that count would make each later report look older than the answer, and the
+        // server would get no order any more.
+        let unload = matches!(order.action, OrderAction::UnloadAdapter { .. });
+        let certain = if unload && reply == OrderReply::Done { order.expected } else { count };
+        self.least_accepted = self.least_accepted.max(certain);
         match &order.action {
             OrderAction::LoadAdapter { key, version } => {
                 let again = self.lately.contains(key);
@@ -624,6 +677,12 @@
         free.saturating_sub(self.wishes.len())
     }
 
+    /// Whether loads from the store are wished for; they may wait for others to be done.
+    #[must_use]
+    pub fn has_wishes(&self) -> bool {
+        !self.wishes.is_empty()
+    }
+
     /// Adapters that are held or on their way, and places.
     #[must_use]
     pub fn fill(&self) -> (usize, usize) {
--- a/decision/src/reading.rs
+++ b/decision/src/reading.rs
@@ -21,14 +21,31 @@
 /// with these parts it settles where about one sample in ten is above it.
 const FASTER_PART: f64 = 0.09;
 const SLOWER_PART: f64 = 0.01;
+/// Requests are held back where the longest pause of more than one stream in twenty is too long. Where an
+/// engine's pieces are small against the pause that is allowed, streams go on in time whatever it reads;
+/// there holding back would only make first events late, those of the longest prompts most of all.
+const LONG_RANK: f64 = 0.95;
+/// How far one stream moves what is known of long pauses, as a part of what is allowed. Two or three late
+/// streams in a row begin to hold requests back; it ends when some hundred were in time.
+const PART_STEP: f64 = 0.02;
+const FIRST_PART: f64 = 0.95;
+const MOST_PART: f64 = 1.2;
 /// The shortest time that a held request waits before it looks again: less than a server's step.
 const LEAST_HOLD_US: u64 = 4_000;
 
 /// How fast the engines of a service read prompts, in tokens a microsecond; nothing until a first event
 /// was seen.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct ReadingPace {
     tokens_per_us: f64,
+    /// The longest pause of a stream that nineteen in twenty stay below, as a part of what is allowed.
+    long_part: f64,
+}
+
+impl Default for ReadingPace {
+    fn default() -> Self {
+        Self { tokens_per_us: 0.0, long_part: FIRST_PART }
+    }
 }
 
 impl ReadingPace {
@@ -47,6 +64,19 @@
         self.tokens_per_us += part * (sample - self.tokens_per_us);
     }
 
+    /// A stream ended whole whose longest pause was `pause`, of which it allows `gap`.
+    pub fn stream_ended(&mut self, pause: Duration, gap: Duration) {
+        let part = pause.as_secs_f64() / gap.as_secs_f64().max(f64::MIN_POSITIVE);
+        let step = if part > self.long_part { LONG_RANK } else { LONG_RANK - 1.0 };
+        self.long_part = (self.long_part + PART_STEP * step).clamp(0.0, MOST_PART);
+    }
+
+    /// Whether so many streams pause too long that requests are held back for them.
+    #[must_use]
+    pub fn holds_back(&self) -> bool {
+        self.long_part > 1.0
+    }
+
     /// The tokens that an engine may have to read, this request's among them, where its streams may
     /// pause for `gap`. None while the pace is not known.
     #[must_use]
--- a/decision/tests/suite/order_book.rs
+++ b/decision/tests/suite/order_book.rs
@@ -4,6 +4,7 @@
 use coltsfoothook_decision::loadtime::{LoadForecast, LoadTimes};
 use coltsfoothook_decision::orderbook::{
     BookAction, BookSettings, OrderAction, OrderBook, OrderReply, ServerOrder, ToldUse,
+    WaitingRequests,
 };
 use coltsfoothook_decision::routing::{
     AdapterKey, HeldAdapter, HeldModel, PendingAdapter, ServerReport,
@@ -33,13 +34,13 @@
 /// A book of a server that reported `adapters`.
 fn known_book(adapters: &[&str], now: TimePoint) -> OrderBook {
     let mut book = OrderBook::new(BookSettings::default(), PLACES, now);
-    assert_eq!(book.next(None, now), Some(BookAction::Ask));
+    assert_eq!(book.next(None, &forecast(), now), Some(BookAction::Ask));
     book.reported(Some(&report(0, adapters)), &forecast(), now);
     book
 }
 
 fn next_order(book: &mut OrderBook, now: TimePoint) -> Option<ServerOrder> {
-    match book.next(None, now) {
+    match book.next(None, &forecast(), now) {
         Some(BookAction::Order(order)) => Some(order),
         Some(BookAction::Ask) | None => None,
     }
@@ -61,7 +62,7 @@
     let now = begin.plus(500 * MILLI);
     book.used(&key("a1"), &told(&vm, 1, 1), now);
     book.used(&key("a2"), &told(&vm, 1, 1), now);
-    book.wish(&key("a4"), 1, now);
+    book.wish(&key("a4"), 1, WaitingRequests::default(), now);
     let order = next_order(&mut book, now).expect("one adapter is idle");
     assert_eq!(order.action, OrderAction::UnloadAdapter { key: key("a3") });
 }
@@ -75,7 +76,7 @@
     for name in ["a1", "a2", "a3"] {
         book.used(&key(name), &told(&vm, 1, 1), now);
     }
-    book.wish(&key("a4"), 1, now);
+    book.wish(&key("a4"), 1, WaitingRequests::default(), now);
     assert_eq!(next_order(&mut book, now), None);
     assert_eq!(book.free(now), 0);
 }
@@ -86,11 +87,11 @@
 fn awaited_stays() {
     let now = TimePoint(0);
     let mut book = known_book(&["a1", "a2"], now);
-    book.wish(&key("a3"), 1, now);
+    book.wish(&key("a3"), 1, WaitingRequests::default(), now);
     let order = next_order(&mut book, now).expect("there is a free place");
     book.replied(&order, OrderReply::Accepted, &forecast(), now);
     let loaded = now.plus(forecast().expected_us(false) + 100 * MILLI);
-    book.wish(&key("a4"), 1, loaded);
+    book.wish(&key("a4"), 1, WaitingRequests::default(), loaded);
     let order = next_order(&mut book, loaded).expect("others are idle");
     assert_ne!(order.action, OrderAction::UnloadAdapter { key: key("a3") });
 }
@@ -101,7 +102,7 @@
 fn lost_order() {
     let now = TimePoint(0);
     let mut book = known_book(&["a1"], now);
-    book.wish(&key("a2"), 1, now);
+    book.wish(&key("a2"), 1, WaitingRequests::default(), now);
     let lost = next_order(&mut book, now).expect("there is a free place");
     book.replied(&lost, OrderReply::Lost, &forecast(), now);
     let again = next_order(&mut book, now).expect("it follows at once");
@@ -116,21 +117,21 @@
     for (reply, orders) in [(OrderReply::Lost, 3), (OrderReply::Unsent, 1)] {
         let now = TimePoint(0);
         let mut book = known_book(&["a1"], now);
-        book.wish(&key("a2"), 1, now);
+        book.wish(&key("a2"), 1, WaitingRequests::default(), now);
         assert!(book.free(now) > 0);
         for _ in 0..orders {
             let order = next_order(&mut book, now).expect("it may be one answer that is lost");
             book.replied(&order, reply, &forecast(), now);
         }
-        assert_eq!((book.next(None, now), book.free(now)), (None, 0));
+        assert_eq!((book.next(None, &forecast(), now), book.free(now)), (None, 0));
         let later = now.plus(60 * MILLI);
-        assert_eq!(book.next(None, later), Some(BookAction::Ask));
+        assert_eq!(book.next(None, &forecast(), later), Some(BookAction::Ask));
         book.reported(None, &forecast(), later);
-        assert_eq!((book.next(None, later), book.free(later)), (None, 0));
+        assert_eq!((book.next(None, &forecast(), later), book.free(later)), (None, 0));
         let back = now.plus(700 * MILLI);
-        assert_eq!(book.next(None, back), Some(BookAction::Ask));
+        assert_eq!(book.next(None, &forecast(), back), Some(BookAction::Ask));
         book.reported(Some(&report(0, &["a1"])), &forecast(), back);
-        book.wish(&key("a2"), 1, back);
+        book.wish(&key("a2"), 1, WaitingRequests::default(), back);
         assert!(next_order(&mut book, back).is_some());
     }
 }
@@ -141,15 +142,15 @@
 fn slow_unload() {
     let now = TimePoint(500 * MILLI);
     let mut book = known_book(&["a1", "a2", "a3"], TimePoint(0));
-    book.wish(&key("a4"), 1, now);
+    book.wish(&key("a4"), 1, WaitingRequests::default(), now);
     let unload = next_order(&mut book, now).expect("all are idle");
     book.replied(&unload, OrderReply::Accepted, &forecast(), now);
-    book.wish(&key("a5"), 1, now);
+    book.wish(&key("a5"), 1, WaitingRequests::default(), now);
     assert_eq!(next_order(&mut book, now), None);
     let later = now.plus(450 * MILLI);
-    assert_eq!(book.next(None, later), Some(BookAction::Ask));
+    assert_eq!(book.next(None, &forecast(), later), Some(BookAction::Ask));
     book.reported(Some(&report(1, &["a2", "a3"])), &forecast(), later);
-    book.wish(&key("a4"), 1, later);
+    book.wish(&key("a4"), 1, WaitingRequests::default(), later);
     let load = next_order(&mut book, later).expect("a place is free");
     assert_eq!(load.action, OrderAction::LoadAdapter { key: key("a4"), version: 1 });
 }
@@ -159,13 +160,13 @@
 fn empty_server() {
     let now = TimePoint(0);
     let mut book = OrderBook::new(BookSettings::default(), PLACES, now);
-    assert_eq!(book.next(None, now), Some(BookAction::Ask));
+    assert_eq!(book.next(None, &forecast(), now), Some(BookAction::Ask));
     let empty =
         ServerReport { born: 0, orders: 0, busy: false, models: Vec::new(), pending: Vec::new() };
     book.reported(Some(&empty), &forecast(), now);
     assert!(book.is_empty());
     let model = "base".into();
-    let Some(BookAction::Order(order)) = book.next(Some(&model), now) else {
+    let Some(BookAction::Order(order)) = book.next(Some(&model), &forecast(), now) else {
         panic!("the base model is to be loaded");
     };
     assert_eq!(order.action, OrderAction::LoadModel { model });
@@ -224,12 +225,17 @@
         let mut now = TimePoint(0);
         for _ in 0..1_000 {
             now = now.plus(u64::from(random.next_u32() % 200) * MILLI);
-            book.wish(&key(&format!("a{}", random.next_u32() % 9)), 1, now);
+            book.wish(
+                &key(&format!("a{}", random.next_u32() % 9)),
+                1,
+                WaitingRequests::default(),
+                now,
+            );
             if random.next_u32().is_multiple_of(3) && !server.late.is_empty() {
                 let late = server.late.remove(0);
                 server.carry_out(&late);
             }
-            match book.next(None, now) {
+            match book.next(None, &forecast(), now) {
                 Some(BookAction::Ask) => book.reported(Some(&server.report()), &times, now),
                 Some(BookAction::Order(order)) if random.next_u32().is_multiple_of(3) => {
                     server.late.push(order.clone());
@@ -245,3 +251,58 @@
         assert!(server.accepted > 20, "seed {seed}: orders stopped at {}", server.accepted);
     }
 }
+
+/// An adapter is told to make way that the server does not have: its load was lost, or is still on its
+/// way. The server answers that this is so, as it does after dropping one, but counts no order. The book
+/// must not take the higher count for certain: each later report would look older than that answer, and
+/// the server would get no order any more.
+#[test]
+fn uncounted_unload() {
+    let now = TimePoint(10_000 * MILLI);
+    let mut book = known_book(&["a1", "a2", "a3"], now);
+    let now = now.plus(500 * MILLI);
+    book.wish(&key("a4"), 1, WaitingRequests::default(), now);
+    let unload = next_order(&mut book, now).unwrap();
+    book.replied(&unload, OrderReply::Done, &forecast(), now);
+    let load = next_order(&mut book, now).unwrap();
+    assert_eq!(load.expected, 1);
+    book.replied(&load, OrderReply::Conflict, &forecast(), now);
+    let later = now.plus(1_000 * MILLI);
+    assert_eq!(book.next(None, &forecast(), later), Some(BookAction::Ask));
+    book.reported(Some(&report(0, &["a2", "a3"])), &forecast(), later);
+    book.wish(&key("a4"), 1, WaitingRequests::default(), later);
+    assert_eq!(next_order(&mut book, later).unwrap().expected, 0);
+}
+
+fn waiting(vm: &str, count: u32, in_time_until: TimePoint) -> WaitingRequests {
+    WaitingRequests { vm: vm.into(), count, in_time_until }
+}
+
+/// Many adapters are cold at once, as when traffic begins or demand moves on: more are wished for than the
+/// store brings in time. While so many loads are under way that one more would only slow down all, none is
+/// ordered, but for an adapter that the server has in its own memory. When there is room, the load goes
+/// first that serves the most requests in time; those that are late already count for less.
+#[test]
+fn crowded_store() {
+    let now = TimePoint(10_000 * MILLI);
+    let crowded = LoadTimes::default().forecast(200);
+    let mut book = known_book(&[], now);
+    let soon = now.plus(700 * MILLI);
+    let wish = |book: &mut OrderBook| {
+        book.wish(&key("a1"), 1, waiting("x", 1, soon), now);
+        book.wish(&key("a2"), 1, waiting("x", 2, TimePoint(0)), now);
+        book.wish(&key("a3"), 1, waiting("x", 1, soon), now);
+        book.wish(&key("a3"), 1, waiting("y", 1, soon), now);
+        book.wish(&key("a4"), 1, WaitingRequests::default(), now);
+    };
+    wish(&mut book);
+    assert_eq!(book.next(None, &crowded, now), None);
+    let mut loaded = Vec::new();
+    for _ in 0..PLACES {
+        let order = next_order(&mut book, now).unwrap();
+        let OrderAction::LoadAdapter { key, .. } = &order.action else { panic!("{order:?}") };
+        loaded.push(key.adapter.as_str().to_owned());
+        book.replied(&order, OrderReply::Accepted, &forecast(), now);
+    }
+    assert_eq!(loaded, ["a3", "a1", "a2"]);
+}
--- a/decision/tests/suite/reading_pace.rs
+++ b/decision/tests/suite/reading_pace.rs
@@ -51,6 +51,11 @@
     table.sent("s0", 1_900, now);
     table.read("s0", 1_900, Some(1_900_000 / PACE));
     table.ended("s0", 0);
+    // Its streams pause for 350 ms now and then.
+    for number in 0..100 {
+        let pause = if number % 4 == 0 { GAP * 7 / 6 } else { GAP / 2 };
+        table.stream_ended(&"engines".into(), pause, GAP);
+    }
     table
 }
 
@@ -100,6 +105,22 @@
     assert!((in_gap * 2 / 5..in_gap * 3 / 5).contains(&bound), "{bound}");
 }
 
+/// Where streams may pause for longer than three pieces take, hardly any stream is late however much is
+/// read. Nothing is held back there; a few late streams for other reasons change nothing.
+#[test]
+fn small_pieces() {
+    let mut pace = ReadingPace::default();
+    for number in 0..2_000 {
+        let pause = if number % 40 == 0 { GAP * 3 } else { GAP * 9 / 10 };
+        pace.stream_ended(pause, GAP);
+        assert!(number < 100 || !pace.holds_back(), "after {number} streams");
+    }
+    for _ in 0..10 {
+        pace.stream_ended(GAP * 7 / 6, GAP);
+    }
+    assert!(pace.holds_back(), "ten late streams in a row");
+}
+
 /// One holder, and another VM has just sent it two prompts. A third would stop its streams for longer
 /// than they allow: it is held until one is read, and sent then.
 #[test]
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -14,6 +14,7 @@
 use crate::order;
 use crate::run::RequestRun;
 use crate::state::{Beliefs, Gateway};
+use crate::waits::WaitNote;
 use crate::wish::WishStep;
 
 /// Less time than this is not worth a send: it goes by on the way.
@@ -38,6 +39,7 @@
     let patience = longest_wait(run.left().min(run.request.route.silence()));
     let mut nowhere_from: Option<TimePoint> = None;
     let mut held = false;
+    let mut wait = None;
     let longest_hold = run.request.route.target.mul_f64(HOLD_PART);
     let found = loop {
         let changed = gateway.changed.notified();
@@ -50,6 +52,10 @@
         let waited = Duration::from_micros(now.since(from));
         let (choice, wish) = choose(run, waited < longest_hold, now);
         if let Some((key, version, server)) = wish {
+            if matches!(choice, ServerChoice::Load { .. }) {
+                let in_time = run.request.started.plus(run.request.route.target.as_micros() as u64);
+                wait.get_or_insert_with(|| WaitNote::new(&gateway, &key, in_time));
+            }
             ask_for(&gateway, &key, version, &server, now);
         }
         let pause = match choice {
@@ -137,7 +143,10 @@
         }
         ServerChoice::Load { server } => {
             let mut server = server.clone();
-            if let Some(slow) = beliefs.wishes.overdue(key, now) {
+            // While the store is crowded a wish waits for its turn there, whichever server it names.
+            if !beliefs.forecast(now).is_crowded()
+                && let Some(slow) = beliefs.wishes.overdue(key, now)
+            {
                 let elsewhere = [not.as_slice(), std::slice::from_ref(&slow)].concat();
                 let other = beliefs.backends.choose(&server_need(&elsewhere, oldest), draw, now);
                 server = beliefs.backends.load_elsewhere(slow, &other, now);
@@ -175,9 +184,10 @@
     let WishStep::Send(server) = step else { return };
     let Some(owner) = beliefs.backends.owner(server.as_str(), now).cloned() else { return };
     let own = owner.vm == gateway.settings.vm;
+    let waiting = beliefs.waits.of(&gateway.settings.vm, key);
     let address = beliefs.roster.address(&owner.vm);
     if own && let Some(book) = beliefs.books.get(&server) {
-        book.wish(key, version, now);
+        book.wish(key, version, waiting.clone(), now);
     }
     drop(beliefs);
     event!(
@@ -190,7 +200,15 @@
     if own {
         order::drive(gateway, &server);
     } else if let Some(address) = address {
-        let wish = AdapterWish { server, key: key.clone(), version };
+        let in_time_ms = (waiting.in_time_until.since(now) / 1_000) as u32;
+        let wish = AdapterWish {
+            server,
+            key: key.clone(),
+            version,
+            vm: waiting.vm,
+            waiting: waiting.count,
+            in_time_ms,
+        };
         gateway.peers.send(&PeerMessage::Wish(wish), &[address]);
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod skipped;
 mod state;
 mod uses;
+mod waits;
 mod wish;
 
 #[cfg(test)]
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -111,6 +111,12 @@
         pub key: AdapterKey,
         /// The version.
         pub version: u64,
+        /// The VM whose requests wait for it.
+        pub vm: VmName,
+        /// How many of them do; none where a copy is wished for.
+        pub waiting: u32,
+        /// Milliseconds within which the load must be done for the newest to be served in time.
+        pub in_time_ms: u32,
     }
 
     /// How an adapter was met at a server, sent to the VM that orders it.
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -96,6 +96,12 @@
         at
     }
 
+    /// Servers at which adapters are wished for.
+    fn with_wishes(&self) -> Vec<ServerName> {
+        let wished = self.books.iter().filter(|entry| entry.book.has_wishes());
+        wished.map(|entry| entry.server.clone()).collect()
+    }
+
     /// Servers with a book.
     pub(crate) fn servers(&self) -> Vec<ServerName> {
         self.books.iter().map(|book| book.server.clone()).collect()
@@ -133,6 +139,38 @@
     }
 }
 
+/// The longest that a VM lets others go first when the store has room for a load, in microseconds: about
+/// what the word of a load takes to reach the others.
+const TURN_US: u64 = 6_000;
+/// Between two looks whether loads wait for others to be done.
+const TURN_LOOK: Duration = Duration::from_millis(125);
+
+/// Orders the loads that wait for others to be done, for ever.
+///
+/// Each VM hears of all loads and knows when they will be done. Without a turn all would order their next
+/// load in the same moment.
+pub(crate) async fn take_turns(gateway: Arc<Gateway>) {
+    loop {
+        let pause = next_turn(&gateway).unwrap_or(TURN_LOOK);
+        tokio::time::sleep(pause).await;
+        let waits = gateway.beliefs().books.with_wishes();
+        for server in &waits {
+            drive(&gateway, server);
+        }
+    }
+}
+
+/// The time until this VM may order a load that waits for others to be done.
+fn next_turn(gateway: &Gateway) -> Option<Duration> {
+    let now = clock::now();
+    let mut beliefs = gateway.beliefs();
+    if beliefs.books.with_wishes().is_empty() {
+        return None;
+    }
+    let done = beliefs.backends.next_load_done(now)?;
+    Some(Duration::from_micros(done.since(now) + beliefs.draw() % TURN_US))
+}
+
 /// Gives a server its next order, if there is one, and tells the other VMs what changed.
 pub(crate) fn drive(gateway: &Arc<Gateway>, server: &ServerName) {
     if let Some(call) = next_call(gateway, server) {
@@ -173,9 +211,10 @@
         };
         let at = self.books.open(server, &terms, now);
         let OrderTerms { address, born, fence, model, .. } = terms;
+        let forecast = self.forecast(now);
         let may_load = model.is_some() && self.books.books[at].book.is_empty();
         let book = &mut self.books.books[at];
-        let action = book.book.next(model.as_ref().filter(|_| may_load), now);
+        let action = book.book.next(model.as_ref().filter(|_| may_load), &forecast, now);
         if let Some(BookAction::Order(order)) = &action
             && matches!(order.action, OrderAction::LoadModel { .. })
         {
@@ -187,7 +226,7 @@
     }
 
     /// What a load that is ordered now is expected to take.
-    fn forecast(&self, now: TimePoint) -> LoadForecast {
+    pub(crate) fn forecast(&self, now: TimePoint) -> LoadForecast {
         self.times.forecast(self.backends.loads_under_way(now))
     }
 
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use coltsfoothook_decision::backend::{AdapterHolding, LoadFigure, ServerOwner};
 use coltsfoothook_decision::id::ServerName;
+use coltsfoothook_decision::orderbook::WaitingRequests;
 use coltsfoothook_decision::routing::AdapterKey;
 use coltsfoothook_telemetry::event;
 use rand::seq::SliceRandom;
@@ -259,7 +260,9 @@
             let now = clock::now();
             let mut beliefs = gateway.beliefs();
             if let Some(book) = beliefs.books.get(&wish.server) {
-                book.wish(&wish.key, wish.version, now);
+                let in_time_until = now.plus(u64::from(wish.in_time_ms) * 1_000);
+                let waiting = WaitingRequests { vm: wish.vm, count: wish.waiting, in_time_until };
+                book.wish(&wish.key, wish.version, waiting, now);
             }
             drop(beliefs);
             order::drive(gateway, &wish.server);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -94,6 +94,7 @@
                     self.run.status = 200;
                     self.run.end("done", "");
                     self.answered(true, None);
+                    self.ended_whole();
                     return Ok(None);
                 }
                 RelayPiece::Broken(cause) => cause,
@@ -146,6 +147,15 @@
         self.answered(true, Some(pause.as_micros() as f64));
     }
 
+    /// Notes how long the stream paused, since requests are held back where streams pause for too long.
+    fn ended_whole(&self) {
+        let request = &self.run.request;
+        if let Some(gap) = request.route.target_gap {
+            let mut beliefs = self.run.gateway.beliefs();
+            beliefs.backends.stream_ended(&request.service, self.run.pause, gap);
+        }
+    }
+
     /// Notes how the server does, unless it started again since.
     fn answered(&self, good: bool, pace_us: Option<f64>) {
         let mut beliefs = self.run.gateway.beliefs();
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -15,6 +15,9 @@
 
 /// A refusal within this time after an adapter became usable is put down to its load.
 pub(crate) const JUST_LOADED_US: u64 = 600_000;
+/// A request that is sent within this time after its adapter became usable shows that the load took no
+/// longer than expected. One that comes later would have been served after a longer load too.
+const AS_EXPECTED_US: u64 = 15_000;
 /// What a server may take beyond the deadline that it was given before its silence ends the request.
 pub(crate) const ANSWER_SLACK: Duration = Duration::from_millis(150);
 /// How many times its target an idempotent request waits for one server before another is tried.
@@ -158,10 +161,11 @@
         _ => {}
     }
     let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
+    let sent_at = run.count.as_ref().map_or(now, |count| count.sent_at);
     let fresh = key.is_some_and(|key| {
         let state = beliefs.backends.get(server.as_str());
         let from = state.and_then(|state| state.usable_since(key));
-        from.is_some_and(|from| now.since(from) < JUST_LOADED_US)
+        from.is_some_and(|from| sent_at.since(from) < AS_EXPECTED_US)
     });
     drop(beliefs);
     if matches!(end, SendEnd::Answer(..)) && fresh {
--- a/gateway/src/sent.rs
+++ b/gateway/src/sent.rs
@@ -17,7 +17,7 @@
     born: u64,
     adapter: Option<AdapterKey>,
     unread: u64,
-    sent_at: TimePoint,
+    pub(crate) sent_at: TimePoint,
     /// Tokens that the server had to read before it.
     pub(crate) ahead: u64,
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -24,6 +24,7 @@
 use crate::settings::GatewaySettings;
 use crate::skipped::SkippedKeys;
 use crate::uses::UseList;
+use crate::waits::WaitList;
 use crate::wish::WishList;
 
 /// Topics that the shares of the fleet are dealt from. With the partitions that the platform gives a
@@ -76,6 +77,7 @@
     pub(crate) books: ServerBooks,
     pub(crate) times: LoadTimes,
     pub(crate) wishes: WishList,
+    pub(crate) waits: WaitList,
     /// Whether the servers' entries were read once.
     pub(crate) servers_read: bool,
     /// When a VM that reads entries for others was last heard of.
@@ -155,6 +157,7 @@
             books: ServerBooks::default(),
             times: LoadTimes::default(),
             wishes: WishList::default(),
+            waits: WaitList::default(),
             servers_read: false,
             news_at: TimePoint(0),
             lapsed: Vec::new(),
