--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -535,8 +535,8 @@
     }
 
     /// Tokens that the server still has to read, as far as this VM knows. What another VM told a while ago
-    /// has been read since: in large fleets counts are up to a second old, and requests were held back for
-    /// prompts that were long done (quiet day of 61 VMs: worth 0.69 to 0.60).
+    /// has been read since: in large fleets counts are up to a second old, and requests would be held back
+    /// for prompts that were read long ago.
     pub(crate) fn unread(&self, pace: ReadingPace, now: TimePoint) -> u64 {
         let trusted = |peer: &&PeerLoad| now.since(peer.at) < PEER_LOAD_TRUST_US;
         let left = |peer: &PeerLoad| {
--- a/decision/src/loadtime.rs
+++ b/decision/src/loadtime.rs
@@ -11,7 +11,7 @@
 const FIRST_ALONE_US: f64 = 260_000.0;
 /// Loads that a store is first taken to carry at full speed: stores are sized with their fleets. The users'
 /// carry 0.4 to 1.8 for each server, and 8 at least. Too low a guess holds loads back for nothing when all is
-/// cold (67 instead of 139 a second before 60 servers), too high a one begins too many at once.
+/// cold, too high a one begins too many at once.
 const FIRST_AT_ONCE: f64 = 12.0;
 const FIRST_AT_ONCE_PER_SERVER: f64 = 0.67;
 const FIRST_AGAIN_US: f64 = 40_000.0;
