--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -367,10 +367,7 @@
 /// What an adapter brings to each of its holders among `all`, as a part of a server's fair share of all
 /// requests. Without any count it is taken to be just worth a copy.
 fn holder_share(all: &[&BackendState], key: &AdapterKey) -> f64 {
-    let heats = |state: &&BackendState| -> u64 {
-        state.holdings.iter().map(|holding| u64::from(holding.heat)).sum()
-    };
-    let total: u64 = all.iter().map(heats).sum();
+    let total: u64 = all.iter().map(|state| state.demand()).sum();
     if total == 0 {
         return COPY_SHARE;
     }
