How long ago the store answered each kind of call is a metric

While an old configuration was in force, logs and metrics could not tell whether the operators' records had been read and not taken, or not been read at all: no line is written before a held question's time limit, 21 s, and calls are counted only when they end. The age of the last answer by kind of call tells them apart at any moment. What follows whether the store answers has a module of its own; no decision changes.

--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -21,6 +21,7 @@
 use crate::answer::{AnswerStream, own_answer, whole_answer};
 use crate::clock;
 use crate::forward;
+use crate::link::StoreCall;
 use crate::share::{SHARED_PATH, TABLE_QUERY, shared_body};
 use crate::state::Gateway;
 
@@ -126,6 +127,11 @@
             gateway.metrics.set("ordered_servers", beliefs.books.servers().len());
             let version = beliefs.table.as_ref().map_or(0, |table| table.version.0);
             gateway.metrics.set("configuration", usize::try_from(version).unwrap_or(usize::MAX));
+            for call in StoreCall::ALL {
+                if let Some(age) = beliefs.answers.age(call, now) {
+                    gateway.metrics.answer_age(call.name(), age);
+                }
+            }
         }
         whole_answer(StatusCode::OK, HeaderMap::new(), gateway.metrics.text().into())
     }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::link::{StoreCall, StoreLink};
 use crate::message::{GoneServer, PeerMessage, RecordNews, SharedVersion};
 use crate::order;
 use crate::state::{Beliefs, Gateway, LapsedServer};
@@ -50,7 +51,7 @@
 
 /// Follows the operators' records for ever.
 pub(crate) async fn operators(gateway: Arc<Gateway>) {
-    let mut health = StoreLink::new("operators");
+    let mut health = StoreLink::new(StoreCall::Operators);
     loop {
         let mut next = match gateway.store.newest(KeyedTopic::Operators).await {
             Ok(page) => {
@@ -169,7 +170,7 @@
 
 /// Follows the servers' entries for ever.
 pub(crate) async fn servers(gateway: Arc<Gateway>) {
-    let mut health = StoreLink::new("servers");
+    let mut health = StoreLink::new(StoreCall::Servers);
     loop {
         let mut next = match gateway.store.newest(KeyedTopic::Servers).await {
             Ok(page) => {
@@ -475,33 +476,3 @@
         }
     }
 }
-
-/// Whether the store answered one task's last call, for the log.
-pub(crate) struct StoreLink {
-    topic: &'static str,
-    down_since: Option<TimePoint>,
-}
-
-impl StoreLink {
-    pub(crate) fn new(topic: &'static str) -> Self {
-        Self { topic, down_since: None }
-    }
-
-    /// The store answered; true if it had been away.
-    pub(crate) fn good(&mut self, gateway: &Gateway) -> bool {
-        gateway.metrics.store_call(self.topic, "ok");
-        let now = clock::now();
-        gateway.beliefs().store_reached_at = now;
-        let Some(since) = self.down_since.take() else { return false };
-        event!(LogUp, topic = self.topic, away_ms = now.since(since) / 1_000);
-        true
-    }
-
-    pub(crate) fn bad(&mut self, gateway: &Gateway, error: &MetadataError) {
-        gateway.metrics.store_call(self.topic, "failed");
-        if self.down_since.is_none() {
-            event!(LogDown, topic = self.topic, cause = error);
-            self.down_since = Some(clock::now());
-        }
-    }
-}
--- a/gateway/src/group.rs
+++ b/gateway/src/group.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::follow::StoreLink;
+use crate::link::{StoreCall, StoreLink};
 use crate::order;
 use crate::state::{Gateway, LIFETIMES, SHARE_TOPICS};
 
@@ -35,7 +35,7 @@
 
 /// Keeps this VM in the group for ever.
 pub(crate) async fn keep(gateway: Arc<Gateway>) {
-    let mut link = StoreLink::new("group");
+    let mut link = StoreLink::new(StoreCall::Group);
     let mut since = gained_since(&gateway, &mut link).await;
     if !matches!(since, GainedSince::Restart(_)) {
         wait_for_turn(&gateway, &since).await;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod follow;
 mod forward;
 mod group;
+mod link;
 mod message;
 mod metrics;
 mod order;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Routes that are told apart; requests of further ones are counted together, so that a
@@ -26,6 +26,7 @@
     sends: IntCounterVec,
     store: IntCounterVec,
     servers: IntCounterVec,
+    ages: GaugeVec,
     gauges: IntGaugeVec,
     routes: std::sync::Mutex<Vec<String>>,
 }
@@ -52,6 +53,15 @@
         )
         .expect("the names of metrics are valid");
         registry.register(Box::new(gauges.clone())).expect("each metric is registered once");
+        let ages = GaugeVec::new(
+            Opts::new(
+                "coltsfoothook_gateway_answer_age_seconds",
+                "Time since the platform's store last answered, by call.",
+            ),
+            &["call"],
+        )
+        .expect("the names of metrics are valid");
+        registry.register(Box::new(ages.clone())).expect("each metric is registered once");
         Self {
             requests: counter(
                 "coltsfoothook_gateway_requests_total",
@@ -91,6 +101,7 @@
                 "Orders and questions to servers.",
                 &["call", "result"],
             ),
+            ages,
             gauges,
             registry,
             routes: std::sync::Mutex::new(Vec::new()),
@@ -131,6 +142,11 @@
         self.servers.with_label_values(&[call, result]).inc();
     }
 
+    /// How long ago the store last answered such a call.
+    pub(crate) fn answer_age(&self, call: &str, age: Duration) {
+        self.ages.with_label_values(&[call]).set(age.as_secs_f64());
+    }
+
     /// Sets a count of what this VM knows.
     pub(crate) fn set(&self, what: &str, value: usize) {
         self.gauges.with_label_values(&[what]).set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -17,6 +17,7 @@
 
 use crate::aggregate::DomainView;
 use crate::clock;
+use crate::link::AnswerTimes;
 use crate::message::SharedVersion;
 use crate::metrics::GatewayMetrics;
 use crate::order::ServerBooks;
@@ -89,6 +90,8 @@
     pub(crate) skipped: SkippedKeys,
     /// When the store last answered.
     pub(crate) store_reached_at: TimePoint,
+    /// The same by kind of call.
+    pub(crate) answers: AnswerTimes,
     /// Whether this VM calls the store about each second, so that others can tell an outage by it.
     pub(crate) calls_store: bool,
     /// Versions of adapters that others are still told of, and how many more times.
@@ -171,6 +174,7 @@
             lapsed: Vec::new(),
             skipped: SkippedKeys::default(),
             store_reached_at: TimePoint(0),
+            answers: AnswerTimes::default(),
             calls_store: false,
             told_versions: Vec::new(),
             uses: UseList::default(),
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -22,6 +22,7 @@
     metrics.sent("RESULT");
     metrics.store_call("CALL", "RESULT");
     metrics.server_call("CALL", "RESULT");
+    metrics.answer_age("CALL", Duration::ZERO);
     metrics.set("WHAT", 1);
     let mut rows = Vec::new();
     let text = metrics.text();
