What readers knew of one topic is no sign for another

In fleets of more than 24 VMs three read operators' records and servers' entries for all. The others took each of their messages for a sign that both are read: with the readers' questions for records lost, no VM of the fleet would have asked for them, though the readers' looks at servers went well; and configurations in quick succession would have hidden that servers' entries are not seen.

News now carry how long ago the store answered the teller for each, and a VM relies on them by those ages.

Why it holds: an age only shrinks by an answer of the store to that very call, and grows on the way.

--- a/decision/src/question.rs
+++ b/decision/src/question.rs
@@ -16,6 +16,8 @@
 /// After which part of the promise a question is taken to be lost. The rest is for asking again, and in
 /// large fleets for telling the others.
 const LOST_PART: f64 = 0.6;
+/// After which part of the promise a VM that knew all records is no longer relied on for them.
+const STALE_PART: f64 = 0.75;
 
 value! {
     /// A question that the store is to hold until there is a record.
@@ -62,3 +64,10 @@
         self.failed = true;
     }
 }
+
+/// Whether a VM that knew all records `age` ago can be relied on for those that must be in force within
+/// `promise`.
+#[must_use]
+pub fn is_current(age: Duration, promise: Duration) -> bool {
+    age < promise.mul_f64(STALE_PART)
+}
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -5,7 +5,7 @@
 
 use coltsfoothook_decision::backend::EntryChange;
 use coltsfoothook_decision::id::TimePoint;
-use coltsfoothook_decision::question::{HeldQuestion, QuestionPacer};
+use coltsfoothook_decision::question::{HeldQuestion, QuestionPacer, is_current};
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
 use coltsfoothook_platform::{
     KeyedRecord, KeyedTopic, MetadataError, OperatorRecord, RecordPage, read_operator_record,
@@ -31,7 +31,8 @@
 const LARGE_OTHERS_PAUSE_US: u64 = 30_000_000;
 /// Between two looks of a VM that others read the operators' records for whether they still do.
 const FED_LOOK: Duration = Duration::from_millis(200);
-/// A VM that was told nothing for so long looks itself: two messages of each reader may be lost.
+/// A VM to which the readers' entries are as old as this looks itself: two messages of each reader may be
+/// lost.
 const NEWS_TRUST_US: u64 = 1_400_000;
 /// Named versions that one message tells of at most. A VM that starts reads thousands, which all others
 /// have read too; in one datagram they would be too large to send, and hold back news of servers.
@@ -53,8 +54,7 @@
 /// Follows the operators' records for ever.
 pub(crate) async fn operators(gateway: Arc<Gateway>) {
     let mut link = StoreLink::new(StoreCall::Operators);
-    let promise = Duration::from_millis(gateway.settings.promises.config_ms);
-    let mut pacer = QuestionPacer::new(promise);
+    let mut pacer = QuestionPacer::new(promise(&gateway));
     loop {
         let asked = clock::now();
         let mut next = match gateway.store.newest(KeyedTopic::Operators).await {
@@ -93,6 +93,11 @@
     }
 }
 
+/// Within which time an accepted configuration must be in force.
+fn promise(gateway: &Gateway) -> Duration {
+    Duration::from_millis(gateway.settings.promises.config_ms)
+}
+
 /// Asks for the operators' records from an offset on. Each VM relies on the answer alone: where the store
 /// loses the questions of all, no other VM has anything newer to tell.
 async fn ask_operators(
@@ -110,13 +115,15 @@
     }
 }
 
-/// Whether other VMs read the operators' records for this one: in large fleets, while their news come. A
-/// question of each VM that each record answers would be most of the calls to the store.
+/// Whether other VMs read the operators' records for this one: in large fleets, while the store answers
+/// them for these records. That it answers them for the servers' entries is no sign of it: with their
+/// questions lost, all VMs would keep an old configuration. A question of each VM that each record answers
+/// would be most of the calls to the store.
 pub(crate) fn is_fed(beliefs: &Beliefs, gateway: &Gateway, now: TimePoint) -> bool {
     beliefs.table.is_some()
         && beliefs.roster.is_large(now)
         && beliefs.roster.before(&gateway.settings.vm, now) >= READERS
-        && now.since(beliefs.news_at) < NEWS_TRUST_US
+        && is_current(Duration::from_micros(now.since(beliefs.operators_told_at)), promise(gateway))
 }
 
 /// Waits while others read the operators' records for this VM; true if it did wait, so that what came
@@ -359,28 +366,37 @@
 }
 
 /// Whether another VM tells this one of changes, so that it need not look itself yet.
-fn is_told(gateway: &Gateway, looked_at: TimePoint) -> bool {
+pub(crate) fn is_told(gateway: &Gateway, looked_at: TimePoint) -> bool {
     let now = clock::now();
     let beliefs = gateway.beliefs();
-    let told = now.since(beliefs.news_at) < NEWS_TRUST_US;
+    let told = now.since(beliefs.servers_told_at) < NEWS_TRUST_US;
     let large = beliefs.roster.is_large(now);
     let pause_us = if large { LARGE_OTHERS_PAUSE_US } else { OTHERS_PAUSE_US };
     told && now.since(looked_at) < pause_us
 }
 
 fn tell_news(gateway: &Arc<Gateway>, history: &EntryHistory) {
+    let now = clock::now();
     let mut beliefs = gateway.beliefs();
+    let age_ms = |call| {
+        let age = beliefs.answers.age(call, now).unwrap_or(Duration::MAX);
+        u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+    };
+    let operators_age_ms = age_ms(StoreCall::Operators);
+    let servers_age_ms = age_ms(StoreCall::Servers);
     let versions = beliefs.told_versions.iter().map(|(version, _)| version.clone()).collect();
     beliefs.told_versions.iter_mut().for_each(|(_, left)| *left -= 1);
     beliefs.told_versions.retain(|(_, left)| *left > 0);
     let news = RecordNews {
         vm: gateway.settings.vm.clone(),
         config: beliefs.table.as_ref().map_or(0, |table| table.version.0),
+        operators_age_ms,
+        servers_age_ms,
         versions,
         entries: history.last.iter().flat_map(|changes| changes.entries.clone()).collect(),
         gone: history.last.iter().flat_map(|changes| changes.gone.clone()).collect(),
     };
-    let peers = beliefs.roster.live(clock::now());
+    let peers = beliefs.roster.live(now);
     drop(beliefs);
     gateway.peers.send(&PeerMessage::News(news), &peers);
 }
@@ -393,7 +409,9 @@
         take_version(gateway, named.key, named.version, false);
     }
     let mut beliefs = gateway.beliefs();
-    beliefs.news_at = now;
+    let known_at = |age_ms: u32| TimePoint(now.0.saturating_sub(u64::from(age_ms) * 1_000));
+    beliefs.operators_told_at = beliefs.operators_told_at.max(known_at(news.operators_age_ms));
+    beliefs.servers_told_at = beliefs.servers_told_at.max(known_at(news.servers_age_ms));
     beliefs.roster.told_config(&news.vm, news.config);
     if beliefs.table.as_ref().is_some_and(|table| table.version.0 < news.config) {
         gateway.config_behind.notify_waiters();
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -56,6 +56,9 @@
 #[path = "../tests/unit/metrics_page.rs"]
 mod metrics_page;
 #[cfg(test)]
+#[path = "../tests/unit/told_records.rs"]
+mod told_records;
+#[cfg(test)]
 #[path = "../tests/unit/waiting_datagrams.rs"]
 mod waiting_datagrams;
 
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -14,7 +14,7 @@
 
 /// The first byte of each datagram. Another release with other messages takes another number, and
 /// datagrams of a strange number are dropped.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 5;
 /// The most bytes of a datagram that is read.
 pub(crate) const MOST_BYTES: usize = 60_000;
 
@@ -163,6 +163,10 @@
         pub vm: VmName,
         /// The version of the configuration in force there.
         pub config: u64,
+        /// Milliseconds since the store last answered it for the operators' records.
+        pub operators_age_ms: u32,
+        /// The same for the servers' entries.
+        pub servers_age_ms: u32,
         /// Versions of adapters that were named.
         pub versions: Vec<SharedVersion>,
         /// Servers that appeared, began to leave, or hold other base models.
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -82,8 +82,10 @@
     pub(crate) waits: WaitList,
     /// Whether the servers' entries were read once.
     pub(crate) servers_read: bool,
-    /// When a VM that reads entries for others was last heard of.
-    pub(crate) news_at: TimePoint,
+    /// Up to when the VMs that read the operators' records for others know them.
+    pub(crate) operators_told_at: TimePoint,
+    /// The same for the servers' entries.
+    pub(crate) servers_told_at: TimePoint,
     /// Servers without entry, sorted by name.
     pub(crate) lapsed: Vec<LapsedServer>,
     /// Servers' entries that cannot be read.
@@ -170,7 +172,8 @@
             wishes: WishList::default(),
             waits: WaitList::default(),
             servers_read: false,
-            news_at: TimePoint(0),
+            operators_told_at: TimePoint(0),
+            servers_told_at: TimePoint(0),
             lapsed: Vec::new(),
             skipped: SkippedKeys::default(),
             store_reached_at: TimePoint(0),
--- a/gateway/tests/unit/large_fleet.rs
+++ b/gateway/tests/unit/large_fleet.rs
@@ -33,11 +33,16 @@
 }
 
 /// The VMs of a fleet but `own`, each with its configuration and the age of its last call to the store.
-fn roster(count: usize, own: usize, told: impl Fn(usize) -> (u64, Option<u32>)) -> PeerRoster {
+pub(crate) fn roster(
+    count: usize,
+    own: usize,
+    heard_at: TimePoint,
+    told: impl Fn(usize) -> (u64, Option<u32>),
+) -> PeerRoster {
     let mut roster = PeerRoster::default();
     for number in (0..count).filter(|number| *number != own) {
         let (config, age) = told(number);
-        roster.heard(&state(number, config, age), address(number), NOW);
+        roster.heard(&state(number, config, age), address(number), heard_at);
     }
     roster
 }
@@ -48,7 +53,7 @@
 fn same_order() {
     let count = 75;
     let rank = |own: usize| {
-        let roster = roster(count, own, |_| (1, None));
+        let roster = roster(count, own, NOW, |_| (1, None));
         roster.before(&VmName::from(format!("vm-{own}").as_str()), NOW)
     };
     let mut ranks: Vec<usize> = (0..count).map(rank).collect();
@@ -61,16 +66,16 @@
 /// a VM that was cut off from the store would go on ordering servers that another one orders by now.
 #[test]
 fn no_witness() {
-    let seldom = roster(75, 0, |number| (1, (number == 7).then_some(100)));
+    let seldom = roster(75, 0, NOW, |number| (1, (number == 7).then_some(100)));
     assert_eq!(seldom.witnesses(NOW).len(), 1);
-    assert!(roster(75, 0, |_| (1, None)).witnesses(NOW).is_empty());
+    assert!(roster(75, 0, NOW, |_| (1, None)).witnesses(NOW).is_empty());
 }
 
 /// A VM that is behind takes the configuration from any VM that has the newest one. If all took it from
 /// one, the small VM there would be busy with it while callers wait.
 #[test]
 fn many_are_ahead() {
-    let fleet = roster(75, 0, |number| (if number < 40 { 7 } else { 6 }, None));
+    let fleet = roster(75, 0, NOW, |number| (if number < 40 { 7 } else { 6 }, None));
     assert_eq!(fleet.ahead(6, NOW).len(), 39);
     assert!(fleet.ahead(7, NOW).is_empty());
 }
@@ -118,7 +123,7 @@
 /// The news of one VM tell of a newer configuration before its next state does.
 #[test]
 fn told_in_news() {
-    let mut fleet = roster(SMALL_FLEET + 2, 0, |_| (6, None));
+    let mut fleet = roster(SMALL_FLEET + 2, 0, NOW, |_| (6, None));
     assert!(fleet.is_large(NOW));
     fleet.told_config(&VmName::from("vm-3"), 7);
     fleet.told_config(&VmName::from("vm-3"), 5);
@@ -130,11 +135,11 @@
 #[test]
 fn one_lost_state() {
     for count in [195, 363] {
-        let fleet = roster(count, 0, |_| (1, None));
+        let fleet = roster(count, 0, NOW, |_| (1, None));
         let round_us = count as u64 * 250_000 / 16;
         let after_one_lost = TimePoint(NOW.0 + 2 * round_us - 100_000);
         assert_eq!(fleet.live_count(after_one_lost), count - 1);
     }
-    let small = roster(20, 0, |_| (1, None));
+    let small = roster(20, 0, NOW, |_| (1, None));
     assert_eq!(small.live_count(TimePoint(NOW.0 + 4_100_000)), 0);
 }
