Postmortem of the old configuration; the soak has a silent store and judges what is in force

The soak never judged how soon a configuration is in force, and its store could be down but not silent.

--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -18,6 +18,8 @@
 pub(crate) enum FaultKind {
     /// The store answers nothing but 503.
     StoreDown,
+    /// The store answers nothing, and never what it was asked before or meanwhile.
+    StoreSilent,
     /// The link of one gateway to the store is harmed.
     StoreLink(usize, LinkState),
     /// The link of all gateways to one server is harmed.
@@ -114,7 +116,7 @@
         ServerMood::Paced,
     ];
     let mood = *moods.choose(random).expect("there are moods");
-    match random.random_range(0..16) {
+    match random.random_range(0..17) {
         0 => FaultKind::StoreDown,
         1 | 2 => FaultKind::StoreLink(gateway, link),
         3 | 4 => FaultKind::ServerLink(server, link),
@@ -126,6 +128,7 @@
         12 => FaultKind::Term(gateway),
         13 => FaultKind::KillAll,
         14 => FaultKind::Compact,
+        15 => FaultKind::StoreSilent,
         _ => FaultKind::Configure,
     }
 }
@@ -137,6 +140,11 @@
             sleep(lasts).await;
             world.store.set_down(false);
         }
+        FaultKind::StoreSilent => {
+            world.store.set_silent(true);
+            sleep(lasts).await;
+            world.store.set_silent(false);
+        }
         FaultKind::StoreLink(gateway, link) => {
             world.store_links[gateway].set(link);
             sleep(lasts).await;
--- a/gateway/tests/soak/verdict.rs
+++ b/gateway/tests/soak/verdict.rs
@@ -61,6 +61,11 @@
                 at
             }
         };
+        if world.in_force_from().is_some_and(|from| note.sent > from)
+            && newest.is_multiple_of(2) != elsewhere
+        {
+            self.find(format!("{}: gateway {gateway} uses an old configuration", note.id));
+        }
         let oldest = &mut known[at].1;
         if oldest.is_multiple_of(2) != elsewhere {
             *oldest += 1;
