Servers that are gone get work from VMs that are told of entries

Found while looking for the cause of the old configuration elsewhere: three VMs look at the entries for all, and the others take their messages for a sign that they hear of every change.

--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -13,5 +13,6 @@
 mod site;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod store;
+mod untold_changes;
 mod vm_leaves;
 mod wire_names;
