--- a/decision/benches/fleet_cost.rs
+++ b/decision/benches/fleet_cost.rs
@@ -11,9 +11,14 @@
 use coltsfoothook_decision::domain_news::NewsWriter;
 use coltsfoothook_decision::holding::AdapterHolding;
 use coltsfoothook_decision::id::TimePoint;
-use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel, SharedPrompt};
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, SharedPrompt};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 
+#[path = "../tests/suite/fixture.rs"]
+mod fixture;
+
+use fixture::engine_entry;
+
 const SIZES: [usize; 3] = [60, 124, 860];
 const PLACES: usize = 10;
 const NOW: TimePoint = TimePoint(1_000_000_000);
@@ -36,19 +41,7 @@
 fn fleet(servers: usize) -> BackendTable {
     let mut table = BackendTable::default();
     for server in 0..servers {
-        let entry = BackendEntry {
-            server: name(server).as_str().into(),
-            service: "engines".into(),
-            address: ([127, 0, 0, 1], 80).into(),
-            domain: "d1".into(),
-            slots: 16,
-            ready: true,
-            born: 1,
-            heartbeat: 1,
-            position: 1,
-            models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
-        };
-        table.entry(entry, NOW);
+        table.entry(BackendEntry { born: 1, ..engine_entry(&name(server)) }, NOW);
         list(&mut table, server, server * PLACES, 1);
         let figure = LoadFigure { running: (server % 12) as u32, unread: 700 };
         table.fleet_load(&name(server), figure, NOW);
--- a/decision/tests/suite/domain_news.rs
+++ b/decision/tests/suite/domain_news.rs
@@ -8,27 +8,18 @@
 use coltsfoothook_decision::domain_news::{ListChange, NewsWriter, parts};
 use coltsfoothook_decision::holding::AdapterHolding;
 use coltsfoothook_decision::id::{ServerName, TimePoint};
-use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel};
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+use crate::fixture::engine_entry;
+
 const MILLI: u64 = 1_000;
 const SECOND: u64 = 1_000 * MILLI;
 const START: u64 = 100 * SECOND;
 
 fn entry(server: &str) -> BackendEntry {
-    BackendEntry {
-        server: server.into(),
-        service: "engines".into(),
-        address: ([127, 0, 0, 1], 80).into(),
-        domain: "d1".into(),
-        slots: 16,
-        ready: true,
-        born: 1,
-        heartbeat: 1,
-        position: 1,
-        models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
-    }
+    BackendEntry { born: 1, ..engine_entry(server) }
 }
 
 fn table(servers: usize) -> BackendTable {
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod config_race;
 mod control_fold;
 mod domain_news;
+mod fixture;
 mod group_routes;
 mod job_results;
 mod load_recovery;
--- a/decision/tests/suite/reading_pace.rs
+++ b/decision/tests/suite/reading_pace.rs
@@ -12,7 +12,9 @@
 use coltsfoothook_decision::holding::AdapterHolding;
 use coltsfoothook_decision::id::{DomainName, ModelName, ServiceName, TimePoint};
 use coltsfoothook_decision::reading::ReadingPace;
-use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel, SharedPrompt};
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, SharedPrompt};
+
+use crate::fixture::engine_entry;
 
 const GAP: Duration = Duration::from_millis(300);
 const PACE: u64 = 19;
@@ -26,19 +28,7 @@
     let mut table = BackendTable::default();
     for (number, heat) in heats.iter().enumerate() {
         let server = format!("s{number}");
-        let entry = BackendEntry {
-            server: server.as_str().into(),
-            born: 0,
-            service: "engines".into(),
-            address: "127.0.0.1:9".parse().unwrap(),
-            domain: "d1".into(),
-            slots: 48,
-            ready: true,
-            heartbeat: 1,
-            position: 1,
-            models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
-        };
-        table.entry(entry, now);
+        table.entry(BackendEntry { slots: 48, ..engine_entry(&server) }, now);
         let holding = |name: &str, heat| AdapterHolding {
             key: key(name),
             version: 1,
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -7,7 +7,9 @@
 use coltsfoothook_decision::counts::LoadFigure;
 use coltsfoothook_decision::holding::AdapterHolding;
 use coltsfoothook_decision::id::{DomainName, ModelName, ServerName, ServiceName, TimePoint};
-use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel, SharedPrompt};
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, SharedPrompt};
+
+use crate::fixture::engine_entry;
 
 const SECOND: u64 = 1_000_000;
 
@@ -16,18 +18,7 @@
 }
 
 fn entry(server: &str, heartbeat: u64) -> BackendEntry {
-    BackendEntry {
-        server: server.into(),
-        born: 0,
-        service: "engines".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        domain: "d1".into(),
-        slots: 64,
-        ready: true,
-        heartbeat,
-        position: heartbeat,
-        models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
-    }
+    BackendEntry { slots: 64, heartbeat, position: heartbeat, ..engine_entry(server) }
 }
 
 /// A table of `count` servers that one VM orders, each holding the adapters that `held` gives.
--- a/decision/tests/suite/server_lives.rs
+++ b/decision/tests/suite/server_lives.rs
@@ -8,23 +8,14 @@
 use coltsfoothook_decision::backend::{BackendTable, EntryChange, ServerOwner};
 use coltsfoothook_decision::holding::AdapterHolding;
 use coltsfoothook_decision::id::TimePoint;
-use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, HeldModel};
+use coltsfoothook_decision::routing::{AdapterKey, BackendEntry};
+
+use crate::fixture::engine_entry;
 
 const NOW: TimePoint = TimePoint(1_000_000);
 
 fn entry(born: u64, heartbeat: u64, position: u64) -> BackendEntry {
-    BackendEntry {
-        server: "s0".into(),
-        born,
-        service: "engines".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        domain: "d1".into(),
-        slots: 64,
-        ready: true,
-        heartbeat,
-        position,
-        models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
-    }
+    BackendEntry { born, slots: 64, heartbeat, position, ..engine_entry("s0") }
 }
 
 fn list(table: &mut BackendTable, born: u64, revision: u64, adapters: &[&str]) -> bool {
