When the store last answered follows from the answers by kind of call

Found reading the whole change: the time of the last answer of any kind stood beside the times by kind, and one follows from the others. The latest of them is asked for instead; where none came yet it is the beginning of time as before.

--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -46,6 +46,11 @@
         self.at[call as usize].map(|at| Duration::from_micros(now.since(at)))
     }
 
+    /// When it last answered a call of any kind; the beginning of time before the first answer.
+    pub(crate) fn last(&self) -> TimePoint {
+        self.at.iter().flatten().copied().max().unwrap_or_default()
+    }
+
     fn answered(&mut self, call: StoreCall, now: TimePoint) {
         self.at[call as usize] = Some(now);
     }
@@ -67,7 +72,6 @@
         gateway.metrics.store_call(self.call.name(), "ok");
         let now = clock::now();
         let mut beliefs = gateway.beliefs();
-        beliefs.store_reached_at = now;
         beliefs.answers.answered(self.call, now);
         drop(beliefs);
         let Some(since) = self.down_since.take() else { return false };
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -281,7 +281,7 @@
         leaving: gateway.leaving(),
         config: beliefs.table.as_ref().map_or(0, |table| table.version.0),
         store_age_ms: beliefs.calls_store.then(|| {
-            u32::try_from(clock::now().since(beliefs.store_reached_at) / 1_000).unwrap_or(u32::MAX)
+            u32::try_from(clock::now().since(beliefs.answers.last()) / 1_000).unwrap_or(u32::MAX)
         }),
         domain: gateway.settings.domain.clone(),
         strong: beliefs.domain.strong,
--- a/gateway/src/share.rs
+++ b/gateway/src/share.rs
@@ -82,7 +82,7 @@
 fn ahead(gateway: &Gateway) -> Option<(SocketAddr, String)> {
     let now = clock::now();
     let mut beliefs = gateway.beliefs();
-    let away = now.since(beliefs.store_reached_at.max(gateway.started)) >= AWAY_US;
+    let away = now.since(beliefs.answers.last().max(gateway.started)) >= AWAY_US;
     let path = if follow::is_fed(&beliefs, gateway, now) {
         format!("{SHARED_PATH}?{TABLE_QUERY}")
     } else if away {
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -98,9 +98,7 @@
     pub(crate) lapsed: Vec<LapsedServer>,
     /// Servers' entries that cannot be read.
     pub(crate) skipped: SkippedKeys,
-    /// When the store last answered.
-    pub(crate) store_reached_at: TimePoint,
-    /// The same by kind of call.
+    /// When the store last answered, by kind of call.
     pub(crate) answers: AnswerTimes,
     /// Whether this VM calls the store about each second, so that others can tell an outage by it.
     pub(crate) calls_store: bool,
@@ -189,7 +187,6 @@
             entry_history: ToldHistory::new(NEWS_REPEATS),
             lapsed: Vec::new(),
             skipped: SkippedKeys::default(),
-            store_reached_at: TimePoint(0),
             answers: AnswerTimes::default(),
             calls_store: false,
             told_versions: Vec::new(),
