What a server states of its limit is decoded, logged and counted

No log line and no metric showed that a server in need names how many requests a second it takes from all VMs, so two hypotheses of the incident could not be told apart. Only responses that certainly come from that server count: a 421 may come from another one at its address, and a refusal may leave out what answers state.

No decision uses it yet.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -73,6 +73,7 @@
 mod row;
 pub mod slot;
 pub mod snapshot;
+pub mod statement;
 pub mod suspect;
 pub mod takeover;
 mod topology;
--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -123,6 +123,9 @@
         {
             let view = gateway.view();
             gateway.metrics.set("servers", view.backends.servers().len());
+            let limited =
+                view.backends.servers().iter().filter(|state| state.limit_per_s().is_some());
+            gateway.metrics.set("limited_servers", limited.count());
             gateway.metrics.set("vms", view.vm_count(now));
             gateway.metrics.set("shares", view.lease.held());
             gateway.metrics.set("ordered_servers", view.order_trackers.servers().len());
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod settings;
 mod skipped;
 mod state;
+mod statement;
 mod uses;
 mod waits;
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     sends: IntCounterVec,
     store: IntCounterVec,
     servers: IntCounterVec,
+    statements: IntCounterVec,
     ages: GaugeVec,
     peer_bytes: IntGaugeVec,
     gauges: IntGaugeVec,
@@ -133,6 +134,12 @@
                 "Orders and questions to servers.",
                 &["call", "result"],
             ),
+            statements: counter(
+                "coltsfoothook_gateway_server_statements_total",
+                "Responses in which a server states something about itself, by what it states; \
+                 `unreadable` are those that could not be decoded.",
+                &["what"],
+            ),
             customers: counter(
                 "coltsfoothook_gateway_customer_requests_total",
                 "Requests of customers that ended, by outcome; `customer_limit` are refusals over a limit.",
@@ -193,6 +200,11 @@
         self.servers.with_label_values(&[call, result]).inc();
     }
 
+    /// Counts a response in which a server states something about itself.
+    pub(crate) fn statement(&self, what: &str) {
+        self.statements.with_label_values(&[what]).inc();
+    }
+
     /// Sets the time since the store last answered a kind of call.
     pub(crate) fn answer_age(&self, call: &str, age: Duration) {
         self.ages.with_label_values(&[call]).set(age.as_secs_f64());
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::run::RequestRun;
 use crate::sent::SentCount;
+use crate::statement;
 
 /// Time in microseconds. A refusal within it after an adapter became usable is attributed to a load that took
 /// longer than expected.
@@ -108,9 +109,25 @@
         run.sends -= 1;
     }
     record_send(run, server, &end);
+    record_statement(run, server, &end);
     end
 }
 
+/// Records what the server states about itself, if the answer certainly is its own: a 421 may come from another server
+/// at its address.
+fn record_statement(run: &RequestRun, server: &ServerName, end: &SendEnd) {
+    let (headers, served) = match end {
+        SendEnd::Answer(answer) => (&answer.headers, true),
+        SendEnd::NotRun(answer, head)
+            if head.id.is_some() && answer.status != StatusCode::MISDIRECTED_REQUEST =>
+        {
+            (&answer.headers, false)
+        }
+        _ => return,
+    };
+    statement::record(&run.gateway, server, run.incarnation, headers, served);
+}
+
 /// Returns how long to wait for the head: where another server may run the request, only as long as a healthy one
 /// would take.
 fn head_timeout(run: &RequestRun, left: Duration) -> Duration {
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -24,6 +24,7 @@
     metrics.sent("RESULT");
     metrics.store_call("CALL", "RESULT");
     metrics.server_call("CALL", "RESULT");
+    metrics.statement("WHAT");
     metrics.answer_age("CALL", Duration::ZERO);
     metrics.set("WHAT", 1);
     let mut rows = Vec::new();
