Failing tests: servers' limits over all VMs

Three VMs share a server that states how many requests a second it takes; one server that is all there is; one that restarts, refuses, and states a value that cannot be read. The stand-in server states a limit and records when requests reach it.

--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod peer_records;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
+mod server_limits;
 mod server_lives;
 mod site;
 #[allow(dead_code, reason = "the soak uses more of it")]
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -52,6 +52,10 @@
     fence: (u64, String),
     /// Orders that no correct VM sends.
     violations: Vec<String>,
+    /// The limit that it states in its answers, as text.
+    limit: Option<String>,
+    /// When requests of callers reached it, run or not.
+    arrivals: Vec<Instant>,
 }
 
 /// A request as the server received it.
@@ -142,7 +146,8 @@
         let mut state = self.state.lock().unwrap();
         let incarnation = state.incarnation + 5_000;
         let (mode, runs) = (state.mode, std::mem::take(&mut state.runs));
-        *state = ServerState { incarnation, mode, runs, ..ServerState::default() };
+        let arrivals = std::mem::take(&mut state.arrivals);
+        *state = ServerState { incarnation, mode, runs, arrivals, ..ServerState::default() };
         drop(state);
         self.starts.send_modify(|starts| *starts += 1);
     }
@@ -172,6 +177,26 @@
         self.state.lock().unwrap().mode = mode;
     }
 
+    /// States a limit in all answers from now on, or none.
+    pub(crate) fn state_limit(&self, limit: Option<&str>) {
+        self.state.lock().unwrap().limit = limit.map(str::to_owned);
+    }
+
+    /// Returns when requests of callers reached it after `since`.
+    pub(crate) fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
+        let state = self.state.lock().unwrap();
+        state.arrivals.iter().filter(|at| **at > since).copied().collect()
+    }
+
+    /// Returns the most requests of callers that reached it within `window` after `since`.
+    pub(crate) fn most_arrivals(&self, window: Duration, since: Instant) -> usize {
+        let arrivals = self.arrivals_since(since);
+        let within = |from: &Instant| {
+            arrivals.iter().filter(|at| **at >= *from && **at < *from + window).count()
+        };
+        arrivals.iter().map(within).max().unwrap_or(0)
+    }
+
     pub(crate) fn runs(&self) -> Vec<RunRecord> {
         self.state.lock().unwrap().runs.clone()
     }
@@ -211,8 +236,15 @@
             let status = self.order(serde_json::from_str(&record.body).unwrap());
             return send(stream, status, "", "").await;
         }
-        let echo = format!("coltsfoothook-request-id: {}\r\n", record.id);
-        let mode = self.state.lock().unwrap().mode;
+        let (mode, limit) = {
+            let mut state = self.state.lock().unwrap();
+            state.arrivals.push(Instant::now());
+            (state.mode, state.limit.clone())
+        };
+        let mut echo = format!("coltsfoothook-request-id: {}\r\n", record.id);
+        if let Some(limit) = limit {
+            echo += &format!("server-limit: {limit}\r\n");
+        }
         if mode == ServerMode::Full {
             let head = format!("{echo}coltsfoothook-not-run: 1\r\n");
             return send(stream, 503, &head, "").await;
