--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -12,7 +12,7 @@
 use crate::id::{ModelName, ServerName, ServiceName, TimePoint, VmName, stable_hash};
 use crate::prefill::PrefillRate;
 use crate::routing::{AdapterKey, BackendEntry, HeldModel};
-use crate::statement::{ServerStatement, StatedLimit, StatedValue};
+use crate::statement::KeptStatements;
 
 /// How long an owner's list takes precedence over the server's own entry. Owners repeat it within
 /// two seconds.
@@ -93,8 +93,7 @@
     pub(crate) recently_held: Vec<AdapterKey>,
     pub(crate) counts: RequestCounts,
     pub(crate) condition: ServerCondition,
-    /// `None` if it never stated one.
-    pub(crate) stated_limit: Option<StatedLimit>,
+    pub(crate) stated: KeptStatements,
     /// Hash of its name, from which its ranks for adapters and prompts are derived.
     pub(crate) name_hash: u64,
 }
@@ -154,6 +153,10 @@
         Some(&mut self.servers[at])
     }
 
+    pub(crate) fn servers_mut(&mut self) -> &mut [BackendState] {
+        &mut self.servers
+    }
+
     /// Returns all servers, sorted by name.
     #[must_use]
     pub fn servers(&self) -> &[BackendState] {
@@ -415,41 +418,6 @@
         }
     }
 
-    /// Records what a response of a server states about it. Responses of another incarnation are
-    /// ignored. `served` is false for a refusal, which may leave out what other responses state.
-    /// Returns whether the limit changed.
-    pub fn apply_statement(
-        &mut self,
-        server: &str,
-        incarnation: u64,
-        statement: &ServerStatement,
-        served: bool,
-        now: TimePoint,
-    ) -> bool {
-        let per_s = match statement.limit_per_s {
-            StatedValue::Readable(per_s) => Some(per_s),
-            StatedValue::Absent if served => None,
-            StatedValue::Absent | StatedValue::Unreadable => return false,
-        };
-        self.state_limit(server, incarnation, StatedLimit { per_s, at: now })
-    }
-
-    /// Applies a limit that a server stated to this or another VM, unless a later statement is
-    /// known. Returns whether the limit changed.
-    pub fn state_limit(&mut self, server: &str, incarnation: u64, limit: StatedLimit) -> bool {
-        let Some(state) = self.get_mut(server) else { return false };
-        let known = state.stated_limit;
-        let older = known.is_some_and(|known| limit.at < known.at);
-        if state.entry.incarnation != incarnation || older {
-            return false;
-        }
-        if known.is_none() && limit.per_s.is_none() {
-            return false;
-        }
-        state.stated_limit = Some(limit);
-        known.and_then(|known| known.per_s) != limit.per_s
-    }
-
     /// Records that a server answered that it does not hold an adapter listed for it.
     pub fn not_held(&mut self, server: &str, key: &AdapterKey) {
         let Some(state) = self.get_mut(server) else { return };
@@ -530,7 +498,7 @@
             recently_held: Vec::new(),
             counts: RequestCounts::default(),
             condition: ServerCondition::default(),
-            stated_limit: None,
+            stated: KeptStatements::default(),
             name_hash,
         };
         state.adopt_entry(now);
@@ -556,6 +524,11 @@
         now < self.condition.avoid_until && self.condition.avoid_us > 0
     }
 
+    /// Returns whether it is not avoided.
+    pub(crate) fn is_available(&self, now: TimePoint) -> bool {
+        now >= self.condition.avoid_until
+    }
+
     /// Returns the adapters that it holds or that are in flight to it.
     #[must_use]
     pub fn holdings(&self) -> &[AdapterHolding] {
@@ -572,7 +545,7 @@
     /// limit.
     #[must_use]
     pub fn limit_per_s(&self) -> Option<f64> {
-        self.stated_limit?.per_s
+        self.stated.limit?.per_s
     }
 
     /// Returns the requests of all VMs there, as far as known.
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -188,6 +188,13 @@
         ServerChoice::Hold { until: rate.read_at(min_excess, now), copy }
     }
 
+    /// Returns whether a choice sends the request to a server that is not avoided.
+    #[must_use]
+    pub fn sends_to_available(&self, choice: &ServerChoice, now: TimePoint) -> bool {
+        let ServerChoice::Send { server, .. } = choice else { return false };
+        self.get(server.as_str()).is_some_and(|state| state.is_available(now))
+    }
+
     /// Returns the servers that may take the request. Servers avoided after a recent failure are
     /// included only if there is no other.
     fn candidates(
@@ -198,7 +205,7 @@
         let all: Vec<&BackendState> =
             self.servers().iter().filter(|state| requirements.takes(state)).collect();
         let available: Vec<&BackendState> =
-            all.iter().filter(|state| now >= state.condition.avoid_until).copied().collect();
+            all.iter().filter(|state| state.is_available(now)).copied().collect();
         if available.is_empty() { all } else { available }
     }
 
--- a/decision/src/customer.rs
+++ b/decision/src/customer.rs
@@ -18,12 +18,12 @@
         /// the route applies.
         pub priority: Option<u8>,
         /// Limit over all VMs; `None` means unlimited.
-        pub limit: Option<CustomerLimit>,
+        pub limit: Option<FleetLimit>,
     }
 
-    /// Limit of a customer over all VMs: a token bucket of size `burst` that fills at `per_second`.
+    /// Limit over all VMs: a token bucket of size `burst` that fills at `per_second`.
     #[derive(Copy)]
-    pub struct CustomerLimit {
+    pub struct FleetLimit {
         /// Fill rate per second, in the unit of `measure`.
         pub per_second: f64,
         /// Size of the bucket, in the unit of `measure`.
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod slot;
 pub mod snapshot;
 pub mod statement;
+pub mod subject;
 pub mod suspect;
 pub mod takeover;
 mod topology;
--- a/decision/src/limit.rs
+++ b/decision/src/limit.rs
@@ -1,6 +1,6 @@
-//! Customer limits over the whole fleet.
+//! Limits over the whole fleet: of customers, and of servers that state how many requests they take.
 //!
-//! A VM admits a request without asking another VM. Each VM reports, per customer, its demand and
+//! A VM admits a request without asking another VM. Each VM reports, per subject, its demand and
 //! admissions as totals since its process started, and keeps an estimate of a fleet-wide token
 //! bucket that fills at the customer's rate and is drained by the admissions of all VMs. While the
 //! bucket is not empty, every VM admits requests. Once it is empty, each VM admits its share of the
@@ -10,14 +10,17 @@
 //! amount admitted above the limit is bounded by the age of the usage that VMs know of each other.
 //! docs/LIMITS.md has the bound.
 
-use crate::customer::{CustomerLimit, LimitMeasure};
+use std::time::Duration;
+
+use crate::customer::{FleetLimit, LimitMeasure};
 use crate::digest::CustomerUsage;
 use crate::id::{CustomerName, MICROS_PER_MILLI, TimePoint, VmIncarnation, VmName};
 use crate::manifest::ServingManifest;
 use crate::member::{MAX_SPREAD_CUSTOMERS, MemberTable};
 use crate::routing::ModelNeed;
+use crate::subject::{LimitSubject, ServerStart};
 use crate::usage::{
-    CustomerTotal, DecayingRate, MICROS_PER_SECOND, UsageLedger, UsageReport, UsageTotal,
+    DecayingRate, MICROS_PER_SECOND, SubjectTotal, UsageLedger, UsageReport, UsageTotal,
 };
 use crate::value;
 
@@ -75,6 +78,15 @@
 const FULL_RATE_FRACTION: f64 = 0.4;
 /// Fraction of its equal part that a smaller group, or a single VM, admits.
 const MINORITY_FRACTION: f64 = 0.2;
+/// What a server may get beyond the limit that it states, over all VMs.
+const SERVER_EXCESS: LimitExcess = LimitExcess { window_s: 4.0, part: 0.5, slack: 5.0 };
+/// Level of a server's bucket, as a fraction of its capacity, below which its room is scarce.
+const SCARCE_FRACTION: f64 = 0.5;
+/// Lowest rate that is kept for a server, in requests per second. A server that got none at all
+/// could not state that it takes requests again.
+const MIN_SERVER_RATE: f64 = 0.25;
+/// Shortest wait for a bucket that is empty, in seconds.
+const MIN_WAIT_S: f64 = 0.001;
 /// Maximum retry delay that a caller is given, in milliseconds.
 const MAX_RETRY_MS: f64 = 60_000.0;
 
@@ -106,10 +118,10 @@
         pub slack: f64,
     }
 
-    /// Fleet-wide bucket state of a customer.
+    /// Fleet-wide bucket state of a customer or server.
     pub struct BucketState {
-        /// The customer.
-        pub customer: CustomerName,
+        /// What the limit applies to.
+        pub subject: LimitSubject,
         /// Level of the bucket, in the limit's unit; negative if overdrawn.
         pub level: f64,
         /// Demand per second, refused requests included.
@@ -127,7 +139,7 @@
 impl LimitExcess {
     /// Returns how much more than its limit a customer may be admitted in a window, in the limit's
     /// unit.
-    fn of(&self, limit: &CustomerLimit) -> f64 {
+    fn of(&self, limit: &FleetLimit) -> f64 {
         self.part * (limit.per_second * self.window_s + limit.burst) + self.slack
     }
 }
@@ -149,9 +161,9 @@
 }
 
 #[derive(Clone, Debug)]
-struct CustomerBucket {
-    customer: CustomerName,
-    limit: CustomerLimit,
+struct LimitBucket {
+    subject: LimitSubject,
+    limit: FleetLimit,
     excess: f64,
     window_s: f64,
     /// Estimated level of the fleet-wide bucket.
@@ -181,11 +193,20 @@
     interval_start: Option<TimePoint>,
 }
 
-/// Admission control for customers with a limit at this VM.
+/// What a request is admitted from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AdmissionSource {
+    /// The bucket of the fleet.
+    Bucket,
+    /// This VM's share of the rate.
+    Share,
+}
+
+/// Admission control for customers and servers with a limit at this VM.
 #[derive(Clone, Debug)]
-pub struct CustomerLimiter {
-    /// Sorted by customer.
-    buckets: Vec<CustomerBucket>,
+pub struct FleetLimiter {
+    /// Sorted by subject.
+    buckets: Vec<LimitBucket>,
     excess: LimitExcess,
     report_interval_us: u64,
     /// Fraction of the rates that this VM and those reachable from it admit.
@@ -207,13 +228,13 @@
     domains: UsageLedger,
 }
 
-impl Default for CustomerLimiter {
+impl Default for FleetLimiter {
     fn default() -> Self {
         Self::new(LimitExcess::default(), DIGEST_INTERVAL_US)
     }
 }
 
-impl CustomerLimiter {
+impl FleetLimiter {
     /// Creates a limiter without customers, for a fleet whose VMs report usage every
     /// `report_interval_us` microseconds.
     #[must_use]
@@ -237,7 +258,8 @@
     /// Replaces the allowed excess of all customers.
     pub fn set_excess(&mut self, excess: LimitExcess) {
         self.excess = excess;
-        for bucket in &mut self.buckets {
+        let of_customer = |bucket: &&mut LimitBucket| bucket.subject.customer().is_some();
+        for bucket in self.buckets.iter_mut().filter(of_customer) {
             bucket.excess = excess.of(&bucket.limit);
             bucket.window_s = excess.window_s;
         }
@@ -245,16 +267,19 @@
 
     /// Applies the limits of the configuration in force, in any order. Known customers keep their
     /// buckets; a new one starts with an overdrawn bucket.
-    pub fn configure(&mut self, now: TimePoint, limits: Vec<(CustomerName, CustomerLimit)>) {
+    pub fn configure(&mut self, now: TimePoint, limits: Vec<(CustomerName, FleetLimit)>) {
         self.started.get_or_insert(now);
         let old = std::mem::take(&mut self.buckets);
+        let of_server = |bucket: &&LimitBucket| bucket.subject.customer().is_none();
+        self.buckets.extend(old.iter().filter(of_server).cloned());
         for (customer, limit) in limits {
-            let kept = old.binary_search_by(|bucket| bucket.customer.cmp(&customer));
+            let subject = LimitSubject::Customer(customer);
+            let kept = old.binary_search_by(|bucket| bucket.subject.cmp(&subject));
             let mut bucket = match kept {
                 Ok(at) => old[at].clone(),
                 Err(_) => {
                     let overdraft = INITIAL_OVERDRAFT_S * limit.per_second;
-                    CustomerBucket::new(now, customer, limit, -overdraft)
+                    LimitBucket::new(now, subject, limit, -overdraft)
                 }
             };
             bucket.advance(now, self.fraction);
@@ -264,7 +289,7 @@
             bucket.level = bucket.level.min(bucket.capacity(self.fraction));
             self.buckets.push(bucket);
         }
-        self.buckets.sort_by(|a, b| a.customer.cmp(&b.customer));
+        self.buckets.sort_by(|a, b| a.subject.cmp(&b.subject));
     }
 
     /// Returns the cost of a request of `customer` in the limit's unit; `None` for a customer
@@ -283,8 +308,13 @@
     /// be retried at another VM, since the limit holds for the fleet.
     pub fn admit(&mut self, now: TimePoint, customer: &str, cost: f64) -> Result<(), LimitRefusal> {
         let Some(at) = self.index_of(customer) else { return Ok(()) };
+        let view = self.fleet_view(now);
+        self.buckets[at].admit(now, cost, view)
+    }
+
+    fn fleet_view(&self, now: TimePoint) -> FleetView {
         let received_within = |us: u64| self.last_report_at.is_some_and(|at| now.since(at) < us);
-        let view = FleetView {
+        FleetView {
             fraction: self.fraction,
             known: self.known,
             report_interval_us: self.report_interval_us,
@@ -292,8 +322,7 @@
                 || self.known == 1,
             demand_valid: received_within(REPORT_TTL_INTERVALS * self.report_interval_us)
                 && now.since(self.reports_since) > SETTLE_TIME_US,
-        };
-        self.buckets[at].admit(now, cost, view)
+        }
     }
 
     /// Charges a further run of a request that was already admitted, even if the customer is over
@@ -345,13 +374,13 @@
     fn apply_increments(
         &mut self,
         now: TimePoint,
-        increments: Vec<CustomerTotal>,
+        increments: Vec<SubjectTotal>,
         interval_us: u64,
     ) {
         let fraction = self.fraction;
         self.note_report(now);
         for used in increments {
-            let found = self.buckets.binary_search_by(|bucket| bucket.customer.cmp(&used.customer));
+            let found = self.buckets.binary_search_by(|bucket| bucket.subject.cmp(&used.subject));
             let Ok(at) = found else { continue };
             let bucket = &mut self.buckets[at];
             bucket.advance(now, fraction);
@@ -380,7 +409,7 @@
         self.note_report(now);
         for bucket in &mut self.buckets {
             bucket.advance(now, fraction);
-            let found = states.iter().find(|state| state.customer == bucket.customer);
+            let found = states.iter().find(|state| state.subject == bucket.subject);
             let Some(state) = found else { continue };
             let unreported = bucket.own.admitted - bucket.reported.admitted;
             bucket.level = state.level.min(bucket.capacity(fraction)) - unreported;
@@ -399,8 +428,8 @@
             if demand_per_s < MIN_DEMAND_PER_S && bucket.level >= bucket.capacity(fraction) {
                 continue;
             }
-            let (customer, level) = (bucket.customer.clone(), bucket.level);
-            states.push(BucketState { customer, level, demand_per_s });
+            let (subject, level) = (bucket.subject.clone(), bucket.level);
+            states.push(BucketState { subject, level, demand_per_s });
         }
         states
     }
@@ -429,7 +458,7 @@
     pub fn sums(&self, now: TimePoint) -> UsageReport {
         let uses = self.totals(|bucket| {
             let mut sum = bucket.own.since(bucket.sums_base);
-            sum.add(self.members.sum(&bucket.customer));
+            sum.add(self.members.sum(&bucket.subject));
             sum
         });
         let age_ms = now.since(self.sums_since) / MICROS_PER_MILLI;
@@ -440,25 +469,101 @@
         self.started.map_or(0, |started| now.since(started) / MICROS_PER_MILLI)
     }
 
-    fn totals(&self, total: impl Fn(&CustomerBucket) -> UsageTotal) -> Vec<CustomerTotal> {
-        let used = self.buckets.iter().map(|bucket| CustomerTotal {
-            customer: bucket.customer.clone(),
-            total: total(bucket),
-        });
+    fn totals(&self, total: impl Fn(&LimitBucket) -> UsageTotal) -> Vec<SubjectTotal> {
+        let used = self
+            .buckets
+            .iter()
+            .map(|bucket| SubjectTotal { subject: bucket.subject.clone(), total: total(bucket) });
         used.filter(|used| used.total.demand > 0.0).collect()
     }
 
     fn index_of(&self, customer: &str) -> Option<usize> {
-        self.buckets.binary_search_by(|bucket| bucket.customer.as_str().cmp(customer)).ok()
+        self.buckets.binary_search_by(|bucket| bucket.subject.cmp_customer(customer)).ok()
+    }
+}
+
+/// Methods for the limits of servers, which count requests.
+impl FleetLimiter {
+    /// Sets the limit that an incarnation of a server states; `None` if it states none any more.
+    pub fn set_server_limit(&mut self, now: TimePoint, start: &ServerStart, per_s: Option<f64>) {
+        self.started.get_or_insert(now);
+        let found = self.server_index(start.server.as_str(), start.incarnation);
+        let Some(per_s) = per_s else {
+            if let Ok(at) = found {
+                self.buckets.remove(at);
+            }
+            return;
+        };
+        let per_second = per_s.max(MIN_SERVER_RATE);
+        let limit = FleetLimit { per_second, burst: 0.0, measure: LimitMeasure::Requests };
+        let at = found.unwrap_or_else(|at| {
+            let subject = LimitSubject::Server(start.clone());
+            let overdraft = INITIAL_OVERDRAFT_S * per_second;
+            self.buckets.insert(at, LimitBucket::new(now, subject, limit, -overdraft));
+            at
+        });
+        let fraction = self.fraction;
+        let bucket = &mut self.buckets[at];
+        bucket.advance(now, fraction);
+        bucket.limit = limit;
+        bucket.excess = SERVER_EXCESS.of(&limit);
+        bucket.window_s = SERVER_EXCESS.window_s;
+        bucket.level = bucket.level.min(bucket.capacity(fraction));
+    }
+
+    /// Drops the limits of servers for which `keeps` returns false.
+    pub fn retain_servers(&mut self, keeps: impl Fn(&ServerStart) -> bool) {
+        self.buckets.retain(|bucket| match &bucket.subject {
+            LimitSubject::Customer(_) => true,
+            LimitSubject::Server(start) => keeps(start),
+        });
+    }
+
+    /// Returns how long a server's limit keeps this VM from sending it a request; zero if it may
+    /// send one now.
+    pub fn server_wait(&mut self, now: TimePoint, server: &str, incarnation: u64) -> Duration {
+        let Ok(at) = self.server_index(server, incarnation) else { return Duration::ZERO };
+        let view = self.fleet_view(now);
+        self.buckets[at].wait(now, view)
+    }
+
+    /// Returns whether a server's limit leaves little room, which is then kept for requests that no
+    /// other server can take.
+    pub fn is_server_scarce(&mut self, now: TimePoint, server: &str, incarnation: u64) -> bool {
+        let Ok(at) = self.server_index(server, incarnation) else { return false };
+        let fraction = self.fraction;
+        let bucket = &mut self.buckets[at];
+        bucket.advance(now, fraction);
+        bucket.level < SCARCE_FRACTION * bucket.capacity(fraction)
+    }
+
+    /// Counts a request to a server. Returns false if its limit does not allow one now.
+    pub fn admit_server(&mut self, now: TimePoint, server: &str, incarnation: u64) -> bool {
+        let Ok(at) = self.server_index(server, incarnation) else { return true };
+        let view = self.fleet_view(now);
+        self.buckets[at].admit(now, 1.0, view).is_ok()
+    }
+
+    /// Takes back a request that certainly did not reach the server.
+    pub fn refund_server(&mut self, now: TimePoint, server: &str, incarnation: u64) {
+        let Ok(at) = self.server_index(server, incarnation) else { return };
+        let fraction = self.fraction;
+        let bucket = &mut self.buckets[at];
+        bucket.advance(now, fraction);
+        bucket.spend(-1.0);
+    }
+
+    fn server_index(&self, server: &str, incarnation: u64) -> Result<usize, usize> {
+        self.buckets.binary_search_by(|bucket| bucket.subject.cmp_server(server, incarnation))
     }
 }
 
 /// Methods for VMs that exchange usage in membership digests.
-impl CustomerLimiter {
+impl FleetLimiter {
     /// Applies the limits of a manifest.
     pub fn configure_manifest(&mut self, now: TimePoint, manifest: &ServingManifest) {
         let limited = manifest.tenants.iter().filter_map(|entry| {
-            let limit = CustomerLimit {
+            let limit = FleetLimit {
                 per_second: entry.requests_per_s?,
                 burst: f64::from(entry.burst).max(1.0),
                 measure: LimitMeasure::Requests,
@@ -474,12 +579,15 @@
         let mut used = self.report(now, 0).uses;
         used.sort_by(|a, b| b.total.demand.total_cmp(&a.total.demand));
         used.truncate(MAX_SPREAD_CUSTOMERS);
-        used.sort_by(|a, b| a.customer.cmp(&b.customer));
-        let usage = used.into_iter().map(|used| CustomerUsage {
-            per_ks: self.asked_per_ks(now, &used.customer),
-            tenant: used.customer,
-            demand: used.total.demand as u64,
-            admitted: used.total.admitted.max(0.0) as u64,
+        used.sort_by(|a, b| a.subject.cmp(&b.subject));
+        let usage = used.into_iter().filter_map(|used| {
+            let tenant = used.subject.customer()?.clone();
+            Some(CustomerUsage {
+                per_ks: self.asked_per_ks(now, &tenant),
+                tenant,
+                demand: used.total.demand as u64,
+                admitted: used.total.admitted.max(0.0) as u64,
+            })
         });
         usage.collect()
     }
@@ -495,11 +603,11 @@
             members.live().filter(|row| row.name() != members.own().name()).collect();
         self.set_reachable(now, rows.len() + 1, members.others().len() + 1);
         for row in rows {
-            let uses = row.facts().usage.iter().map(|usage| CustomerTotal {
-                customer: usage.tenant.clone(),
+            let uses = row.facts().usage.iter().map(|usage| SubjectTotal {
+                subject: LimitSubject::Customer(usage.tenant.clone()),
                 total: UsageTotal { demand: usage.demand as f64, admitted: usage.admitted as f64 },
             });
-            let uses: Vec<CustomerTotal> = uses.collect();
+            let uses: Vec<SubjectTotal> = uses.collect();
             let VmIncarnation(start_id) = row.identity().incarnation;
             let report = UsageReport { start_id, age_ms: u64::MAX, uses };
             self.apply_member_report(now, &VmName::from(row.name()), &report);
@@ -507,11 +615,11 @@
     }
 }
 
-impl CustomerBucket {
-    fn new(now: TimePoint, customer: CustomerName, limit: CustomerLimit, level: f64) -> Self {
+impl LimitBucket {
+    fn new(now: TimePoint, subject: LimitSubject, limit: FleetLimit, level: f64) -> Self {
         let rate = DecayingRate::new(now);
         Self {
-            customer,
+            subject,
             limit,
             excess: 0.0,
             window_s: f64::INFINITY,
@@ -570,15 +678,18 @@
         self.own.demand += cost;
         self.advance(now, fraction);
         self.start_interval(now, view);
-        if view.level_valid && self.level > 0.0 && self.spent <= self.spend_limit {
-            self.spend(cost);
-            return Ok(());
-        }
-        let excess_overdraft = -self.level - MAX_OVERDRAFT_FRACTION * self.excess * fraction;
-        if excess_overdraft < 0.0 && self.share > 0.0 {
-            self.share -= cost;
-            self.spend(cost);
-            return Ok(());
+        let excess_overdraft = self.excess_overdraft(fraction);
+        match self.source(view) {
+            Some(AdmissionSource::Bucket) => {
+                self.spend(cost);
+                return Ok(());
+            }
+            Some(AdmissionSource::Share) => {
+                self.share -= cost;
+                self.spend(cost);
+                return Ok(());
+            }
+            None => {}
         }
         let wait_s =
             self.until_share(cost, excess_overdraft, fraction).min(self.until_level(now, fraction));
@@ -592,6 +703,42 @@
         })
     }
 
+    /// Returns what a request would be admitted from now; `None` if it would be refused.
+    fn source(&self, view: FleetView) -> Option<AdmissionSource> {
+        if view.level_valid && self.level > 0.0 && self.spent <= self.spend_limit {
+            return Some(AdmissionSource::Bucket);
+        }
+        let share = self.excess_overdraft(view.fraction) < 0.0 && self.share > 0.0;
+        share.then_some(AdmissionSource::Share)
+    }
+
+    /// Returns by how much the bucket is overdrawn beyond what shares may still be taken from.
+    fn excess_overdraft(&self, fraction: f64) -> f64 {
+        -self.level - MAX_OVERDRAFT_FRACTION * self.excess * fraction
+    }
+
+    /// Returns the time until a request of cost 1 would be admitted, unless others come first; zero
+    /// if it would be now.
+    fn wait(&mut self, now: TimePoint, view: FleetView) -> Duration {
+        self.advance(now, view.fraction);
+        self.start_interval(now, view);
+        if self.source(view).is_some() {
+            return Duration::ZERO;
+        }
+        if view.level_valid && self.level > 0.0 {
+            let spent_us = self.interval_start.map_or(0, |start| now.since(start));
+            return Duration::from_micros(view.report_interval_us.saturating_sub(spent_us).max(1));
+        }
+        let rate = self.rate(view.fraction).max(f64::MIN_POSITIVE);
+        let wait_s = if view.level_valid {
+            (self.pending_debit - self.level) / rate
+        } else {
+            self.until_share(0.0, self.excess_overdraft(view.fraction), view.fraction)
+        };
+        let most_s = MAX_RETRY_MS / 1_000.0;
+        Duration::from_secs_f64(wait_s.clamp(MIN_WAIT_S, most_s))
+    }
+
     /// Returns the seconds until this VM's share covers a request and the bucket is no longer
     /// overdrawn too far, by `excess_overdraft` now.
     fn until_share(&self, cost: f64, excess_overdraft: f64, fraction: f64) -> f64 {
--- a/decision/src/usage.rs
+++ b/decision/src/usage.rs
@@ -1,9 +1,10 @@
-//! Usage of customer limits at this VM and the others.
+//! Usage of limits at this VM and the others.
 //!
 //! Usage is reported as totals since a start point, so that a lost or duplicated report has no
 //! effect.
 
-use crate::id::{CustomerName, TimePoint, VmName};
+use crate::id::{TimePoint, VmName};
+use crate::subject::LimitSubject;
 use crate::value;
 
 /// Microseconds per second.
@@ -28,10 +29,10 @@
         pub admitted: f64,
     }
 
-    /// Total of one customer.
-    pub struct CustomerTotal {
-        /// The customer.
-        pub customer: CustomerName,
+    /// Total of one customer or server.
+    pub struct SubjectTotal {
+        /// What the total is of.
+        pub subject: LimitSubject,
         /// Its total.
         pub total: UsageTotal,
     }
@@ -44,9 +45,9 @@
         pub start_id: u64,
         /// Milliseconds since the start point.
         pub age_ms: u64,
-        /// Totals of customers with demand since the start point; a customer without any may be
+        /// Totals of the subjects with demand since the start point; one without any may be
         /// missing.
-        pub uses: Vec<CustomerTotal>,
+        pub uses: Vec<SubjectTotal>,
     }
 }
 
@@ -100,8 +101,8 @@
 pub(crate) struct UsageLedger {
     /// Sorted by VM.
     rows: Vec<LedgerRow>,
-    /// Sums of all increments since the last [`Self::clear_sums`], sorted by customer.
-    sums: Vec<CustomerTotal>,
+    /// Sums of all increments since the last [`Self::clear_sums`], sorted by subject.
+    sums: Vec<SubjectTotal>,
 }
 
 #[derive(Clone, Debug)]
@@ -127,7 +128,7 @@
         vm: &VmName,
         report: &UsageReport,
         own_age_ms: u64,
-    ) -> (Vec<CustomerTotal>, u64) {
+    ) -> (Vec<SubjectTotal>, u64) {
         let found = self.rows.binary_search_by(|row| row.vm.cmp(vm));
         let row = LedgerRow { vm: vm.clone(), report: report.clone(), received_at: now };
         let previous = match found {
@@ -144,17 +145,19 @@
         }
         let interval_us = previous.as_ref().map_or(0, |previous| now.since(previous.received_at));
         let known = previous.map(|previous| previous.report.uses).unwrap_or_default();
-        let increments: Vec<CustomerTotal> = report
+        let increments: Vec<SubjectTotal> = report
             .uses
             .iter()
             .map(|used| {
-                let earlier = known.iter().find(|known| known.customer == used.customer);
+                let earlier = known.iter().find(|known| known.subject == used.subject);
+                // A total that fell was counted anew, after the limit was dropped and set again.
+                let earlier = earlier.filter(|known| known.total.demand <= used.total.demand);
                 let earlier = earlier.map(|known| known.total).unwrap_or_default();
-                CustomerTotal { customer: used.customer.clone(), total: used.total.since(earlier) }
+                SubjectTotal { subject: used.subject.clone(), total: used.total.since(earlier) }
             })
             .collect();
         for used in &increments {
-            match self.sums.binary_search_by(|sum| sum.customer.cmp(&used.customer)) {
+            match self.sums.binary_search_by(|sum| sum.subject.cmp(&used.subject)) {
                 Ok(at) => self.sums[at].total.add(used.total),
                 Err(at) => self.sums.insert(at, used.clone()),
             }
@@ -162,8 +165,8 @@
         (increments, interval_us)
     }
 
-    pub(crate) fn sum(&self, customer: &CustomerName) -> UsageTotal {
-        let found = self.sums.binary_search_by(|sum| sum.customer.cmp(customer));
+    pub(crate) fn sum(&self, subject: &LimitSubject) -> UsageTotal {
+        let found = self.sums.binary_search_by(|sum| sum.subject.cmp(subject));
         found.map_or_else(|_| UsageTotal::default(), |at| self.sums[at].total)
     }
 }
--- a/decision/tests/suite/encoded_names.rs
+++ b/decision/tests/suite/encoded_names.rs
@@ -7,7 +7,7 @@
 use coltsfoothook_decision::check::{FaultKind, ManifestFault};
 use coltsfoothook_decision::coverage::ReportedSpan;
 use coltsfoothook_decision::credential::{CredentialHash, CredentialTable};
-use coltsfoothook_decision::customer::{CustomerLimit, CustomerPlan, CustomerTable, LimitMeasure};
+use coltsfoothook_decision::customer::{CustomerPlan, CustomerTable, FleetLimit, LimitMeasure};
 use coltsfoothook_decision::domain_update::{ListChange, ListedHolding};
 use coltsfoothook_decision::grant::*;
 use coltsfoothook_decision::holding::AdapterHolding;
@@ -26,7 +26,8 @@
 use coltsfoothook_decision::record::*;
 use coltsfoothook_decision::report::{EngineReport, SlotReport};
 use coltsfoothook_decision::routing::*;
-use coltsfoothook_decision::usage::{CustomerTotal, UsageReport, UsageTotal};
+use coltsfoothook_decision::subject::LimitSubject;
+use coltsfoothook_decision::usage::{SubjectTotal, UsageReport, UsageTotal};
 use expect_test::{Expect, expect};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -213,7 +214,7 @@
         name: "clinic".into(),
         keys: vec![hash()],
         priority: Some(3),
-        limit: Some(CustomerLimit { per_second: 2.5, burst: 3.5, measure }),
+        limit: Some(FleetLimit { per_second: 2.5, burst: 3.5, measure }),
     }])
 }
 
@@ -742,14 +743,21 @@
         &[LimitExcess { window_s: 1.5, part: 2.5, slack: 3.5 }],
         expect![[r#"{"window_s":1.5,"part":2.5,"slack":3.5}"#]],
     );
-    let standing = BucketState { customer: "clinic".into(), level: 1.5, demand_per_s: 2.5 };
-    same(&[standing], expect![[r#"{"customer":"clinic","level":1.5,"asked_per_s":2.5}"#]]);
+    let standing = BucketState {
+        subject: LimitSubject::Customer("clinic".into()),
+        level: 1.5,
+        demand_per_s: 2.5,
+    };
+    same(
+        &[standing],
+        expect![[r#"{"subject":{"customer":"clinic"},"level":1.5,"asked_per_s":2.5}"#]],
+    );
     let total = UsageTotal { demand: 1.5, admitted: 2.5 };
-    let uses = vec![CustomerTotal { customer: "clinic".into(), total }];
+    let uses = vec![SubjectTotal { subject: LimitSubject::Customer("clinic".into()), total }];
     same(
         &[UsageReport { start_id: 1, age_ms: 2, uses }],
         expect![[
-            r#"{"life":1,"age_ms":2,"uses":[{"customer":"clinic","total":{"asked":1.5,"admitted":2.5}}]}"#
+            r#"{"life":1,"age_ms":2,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]}"#
         ]],
     );
     same(
--- a/decision/tests/suite/fleet_limits.rs
+++ b/decision/tests/suite/fleet_limits.rs
@@ -1,8 +1,8 @@
 //! Customer limits over a fleet whose VMs receive each other's reports late, or not at all.
 
-use coltsfoothook_decision::customer::{CustomerLimit, LimitMeasure};
+use coltsfoothook_decision::customer::{FleetLimit, LimitMeasure};
 use coltsfoothook_decision::id::{TimePoint, VmName};
-use coltsfoothook_decision::limit::{BucketState, CustomerLimiter, LimitExcess};
+use coltsfoothook_decision::limit::{BucketState, FleetLimiter, LimitExcess};
 use coltsfoothook_decision::usage::UsageReport;
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -14,8 +14,8 @@
 const RATE: f64 = 200_000.0;
 const CUSTOMER: &str = "c";
 const EXCESS: LimitExcess = LimitExcess { window_s: 8.0, part: 0.1, slack: 72_000.0 };
-const LIMIT: CustomerLimit =
-    CustomerLimit { per_second: RATE, burst: RATE, measure: LimitMeasure::Tokens { plain: 200.0 } };
+const LIMIT: FleetLimit =
+    FleetLimit { per_second: RATE, burst: RATE, measure: LimitMeasure::Tokens { plain: 200.0 } };
 /// Steps between two reports of a VM to its aggregator, and between two updates of an aggregator.
 const REPORT_STEPS: u64 = 2;
 const UPDATE_STEPS: u64 = 15;
@@ -43,7 +43,7 @@
 }
 
 struct FleetVm {
-    limiter: CustomerLimiter,
+    limiter: FleetLimiter,
     incarnation: u64,
     /// Whether it aggregates the usage of its domain.
     aggregates: bool,
@@ -77,8 +77,8 @@
     refused: f64,
 }
 
-fn limiter(now: u64) -> CustomerLimiter {
-    let mut limiter = CustomerLimiter::new(EXCESS, UPDATE_STEPS * STEP_US);
+fn limiter(now: u64) -> FleetLimiter {
+    let mut limiter = FleetLimiter::new(EXCESS, UPDATE_STEPS * STEP_US);
     limiter.configure(TimePoint(now), vec![(CUSTOMER.into(), LIMIT)]);
     limiter
 }
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -25,6 +25,7 @@
 mod repeat_budget;
 mod route_table;
 mod server_choice;
+mod server_limits;
 mod server_lives;
 mod stage_table;
 mod takeover_rank;
--- a/decision/tests/suite/tenant_limits.rs
+++ b/decision/tests/suite/tenant_limits.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use coltsfoothook_decision::id::{TimePoint, VmIdentity, VmIncarnation};
-use coltsfoothook_decision::limit::CustomerLimiter;
+use coltsfoothook_decision::limit::FleetLimiter;
 use coltsfoothook_decision::manifest::{ServingManifest, TenantEntry};
 use coltsfoothook_decision::member::{
     CustomerUsage, MemberDigest, MemberEvent, MemberFacts, MemberPlace, MemberSettings,
@@ -40,7 +40,7 @@
 /// Runs for `seconds` with `load` requests per second at each VM. Returns the requests admitted per
 /// second, after the shares have settled.
 fn admitted(load: [u64; VMS], seconds: u64) -> f64 {
-    let mut limiters = vec![CustomerLimiter::default(); VMS];
+    let mut limiters = vec![FleetLimiter::default(); VMS];
     limiters.iter_mut().for_each(|limiter| limiter.configure_manifest(TimePoint(0), &manifest()));
     let mut tables: Vec<MemberTable> =
         (0..VMS).map(|at| MemberTable::new(MemberSettings::default(), vm(at), place())).collect();
@@ -95,7 +95,7 @@
 
 #[test]
 fn refusal_has_retry_delay() {
-    let mut limiter = CustomerLimiter::default();
+    let mut limiter = FleetLimiter::default();
     limiter.configure_manifest(TimePoint(0), &manifest());
     let refused = (0..100).find_map(|_| limiter.admit(TimePoint(0), "flood", 1.0).err());
     let wait = refused.expect("a burst of 8 is exhausted").retry_after_ms;
--- a/entry/src/limits.rs
+++ b/entry/src/limits.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 
 use coltsfoothook_decision::id::TimePoint;
-use coltsfoothook_decision::limit::{CustomerLimiter, LimitRefusal};
+use coltsfoothook_decision::limit::{FleetLimiter, LimitRefusal};
 use coltsfoothook_decision::member::CustomerUsage;
 use coltsfoothook_decision::retry::{RetryBudget, RetrySettings};
 
@@ -15,14 +15,14 @@
 
 /// The customer limiter and the retry budget, each with its own lock.
 pub(crate) struct RequestLimits {
-    limiter: Mutex<CustomerLimiter>,
+    limiter: Mutex<FleetLimiter>,
     budget: Mutex<RetryBudget>,
 }
 
 impl RequestLimits {
     pub(crate) fn new() -> Self {
         Self {
-            limiter: Mutex::new(CustomerLimiter::default()),
+            limiter: Mutex::new(FleetLimiter::default()),
             budget: Mutex::new(RetryBudget::new(RetrySettings::default())),
         }
     }
--- a/gateway/src/aggregate.rs
+++ b/gateway/src/aggregate.rs
@@ -209,19 +209,22 @@
     let vm = gateway.settings.vm.clone();
     let bucket_states = view.limiter.bucket_states(now);
     let uses = view.limiter.sums(now);
+    let limits = view.backends.limits_to_report(true, now);
     let in_domain = view.reporting_members(&gateway.settings, now);
     let reachable_vms = in_domain + view.domain.reporting_elsewhere(now);
     let aggregators = view.roster.aggregators(now);
     drop(guard);
-    let mut loads = server_loads(fleet);
+    let (mut loads, mut part_limits) = (server_loads(fleet), limits.clone());
     for part in split_lists(lists) {
         let (loads, lists) = (std::mem::take(&mut loads), server_lists(part, times));
-        let bucket_states = bucket_states.clone();
-        let update = DomainUpdate { vm: vm.clone(), loads, lists, bucket_states, reachable_vms };
+        let (limits, bucket_states) = (std::mem::take(&mut part_limits), bucket_states.clone());
+        let vm = vm.clone();
+        let update = DomainUpdate { vm, loads, lists, limits, bucket_states, reachable_vms };
         gateway.peers.send(&PeerMessage::Domain(update), &members);
     }
     let busy = domain.into_iter().filter(|(_, figure)| *figure != LoadFigure::default());
-    let sums = DomainSums { vm, loads: server_loads(busy.collect()), uses, members: in_domain };
+    let loads = server_loads(busy.collect());
+    let sums = DomainSums { vm, loads, uses, limits, members: in_domain };
     gateway.peers.send(&PeerMessage::Sums(sums), &aggregators);
     gateway.peer_loads_changed.notify_waiters();
 }
@@ -247,6 +250,7 @@
             view.backends.fleet_load(load.server.as_str(), load.figure(), now);
         }
         view.domain.reporting = Some((update.reachable_vms, now));
+        view.apply_reported_limits(&update.limits, now);
         view.limiter.set_bucket_states(now, &update.bucket_states);
     }
     drop(view);
@@ -262,5 +266,6 @@
     let loads = sums.loads.iter().map(|load| (load.server.clone(), load.figure())).collect();
     view.domain.writer.set_sums(&sums.vm, loads, now);
     view.domain.record_domain(&sums.vm, sums.members, now);
+    view.apply_reported_limits(&sums.limits, now);
     view.limiter.apply_domain_report(now, &sums.vm, &sums.uses);
 }
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -34,6 +34,10 @@
 /// entries every 600 ms, so that a newly registered server is known within this time.
 const NO_SERVER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Fraction of a request's target for which it waits for a server at its limit. One that would wait
+/// for longer is refused at once, so that its caller can return in time.
+const LIMIT_WAIT_FRACTION: f64 = 0.25;
+
 /// Returns a server that can run the request, or the reason for which there is none.
 ///
 /// Waits for the request's adapter to be loaded, and for a server that has room for its prompt.
@@ -42,6 +46,7 @@
     let from = clock::now();
     let max_wait = max_wait(run.left().min(run.request.route.idle_timeout()));
     let max_hold = run.request.route.target.mul_f64(MAX_HOLD_FRACTION);
+    let max_limit_wait = run.request.route.target.mul_f64(LIMIT_WAIT_FRACTION);
     let (held_before, mut unserved_from) = (run.held, None);
     // Counts the request among those that wait for its adapter until a server is found.
     let mut waiting = None;
@@ -54,7 +59,8 @@
         if run.left() < MIN_TIME_LEFT {
             break Err("deadline");
         }
-        let (choice, load_request) = choose(run, waited < max_hold, now);
+        let PreparedChoice { choice, load_request, limit_wait } =
+            choose(run, waited < max_hold, now);
         if let Some((key, version, server)) = load_request {
             if matches!(choice, ServerChoice::Load { .. }) {
                 waiting.get_or_insert_with(|| WaitGuard::new(&gateway, &key, run.in_time_until()));
@@ -69,6 +75,13 @@
             }
             ServerChoice::Wait { until } => Duration::from_micros(until.since(now)),
             ServerChoice::Load { .. } => RECHECK_INTERVAL,
+            ServerChoice::Unavailable if let Some(wait) = limit_wait => {
+                if waited + wait > max_limit_wait {
+                    run.retry_after = Some(wait);
+                    break Err("server_limit");
+                }
+                wait
+            }
             ServerChoice::Unavailable if let Some(orders_after) = time_until_orders(run, now) => {
                 if waited + orders_after > max_wait {
                     run.retry_after = Some(orders_after);
@@ -136,19 +149,25 @@
     run.held += Duration::from_micros(clock::now().since(from));
 }
 
-/// Chooses a server for the request. If an adapter should be loaded, also returns the adapter, the
-/// version and the server at which to load it.
-fn choose(
-    run: &RequestRun,
-    may_hold: bool,
-    now: TimePoint,
-) -> (ServerChoice, Option<(AdapterKey, u64, ServerName)>) {
+/// A choice for a request.
+struct PreparedChoice {
+    choice: ServerChoice,
+    /// An adapter that should be loaded, its version, and the server at which to load it.
+    load_request: Option<(AdapterKey, u64, ServerName)>,
+    /// Time until a server of the service that is at its limit may get a request; `None` if none is.
+    limit_wait: Option<Duration>,
+}
+
+/// Chooses a server for the request.
+fn choose(run: &RequestRun, may_hold: bool, now: TimePoint) -> PreparedChoice {
     let mut view = run.gateway.view();
     let draw = view.random();
     let need = run.request.head.need.as_ref();
     let key = need.and_then(|need| need.adapter.as_ref());
     let (oldest, newest) = key.map_or((0, 0), |key| view.usable_versions(run, key, now));
-    let excluded = run.avoided.clone();
+    let limited = view.limited_servers(&run.request.service, &run.avoided, now);
+    let excluded = [run.avoided.as_slice(), limited.full.as_slice()].concat();
+    let sparing = [excluded.as_slice(), limited.scarce.as_slice()].concat();
     let domain = &run.gateway.settings.domain;
     let gap = view.table.as_ref().and_then(|table| table.min_gap(&run.request.service));
     let requirements = |excluded, version| ServerRequirements {
@@ -161,13 +180,21 @@
         prompt: run.prompt_tokens(),
         gap: gap.filter(|_| may_hold),
     };
-    let choice = view.backends.choose(&requirements(&excluded, oldest), draw, now);
-    let Some(key) = key else { return (choice, None) };
+    let mut choice = view.backends.choose(&requirements(&excluded, oldest), draw, now);
+    if !limited.scarce.is_empty() {
+        let other = view.backends.choose(&requirements(&sparing, oldest), draw, now);
+        if view.backends.sends_to_available(&other, now) {
+            choice = other;
+        }
+    }
+    let prepared =
+        |choice, load_request| PreparedChoice { choice, load_request, limit_wait: limited.wait };
+    let Some(key) = key else { return prepared(choice, None) };
     match &choice {
         ServerChoice::Send { copy: Some(server), .. }
         | ServerChoice::Hold { copy: Some(server), .. } => {
             let load_request = (key.clone(), newest, server.clone());
-            (choice, Some(load_request))
+            prepared(choice, Some(load_request))
         }
         ServerChoice::Send { copy: None, .. } if oldest < newest => {
             // The request runs on the previous version while the new one is loaded at another
@@ -177,7 +204,7 @@
                 ServerChoice::Load { server } => Some((key.clone(), newest, server)),
                 _ => None,
             };
-            (choice, load_request)
+            prepared(choice, load_request)
         }
         ServerChoice::Load { server } => {
             let mut server = server.clone();
@@ -190,9 +217,10 @@
                 let other = view.backends.choose(&requirements(&excluded, oldest), draw, now);
                 server = view.backends.load_elsewhere(slow, &other, now);
             }
-            (ServerChoice::Load { server: server.clone() }, Some((key.clone(), newest, server)))
+            let load_request = (key.clone(), newest, server.clone());
+            prepared(ServerChoice::Load { server }, Some(load_request))
         }
-        _ => (choice, None),
+        _ => prepared(choice, None),
     }
 }
 
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -12,12 +12,13 @@
 use coltsfoothook_decision::id::{DomainName, ServerName, TimePoint, VmName};
 use coltsfoothook_decision::limit::BucketState;
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
+use coltsfoothook_decision::statement::ReportedLimit;
 use coltsfoothook_decision::usage::UsageReport;
 use coltsfoothook_decision::value;
 
 /// First byte of each datagram. Releases with other messages use other numbers, and datagrams with
 /// an unknown number are dropped.
-const FORMAT: u8 = 6;
+const FORMAT: u8 = 7;
 /// Maximum size of a received datagram, in bytes.
 pub(crate) const MAX_BYTES: usize = 60_000;
 
@@ -49,8 +50,10 @@
         pub aggregates: bool,
         /// Its requests at servers. `None` in large fleets if the receiver does not aggregate them.
         pub loads: Option<Vec<ServerLoad>>,
-        /// Its customers' use, sent to the same VMs as `loads`.
+        /// Its use of limits, sent to the same VMs as `loads`.
         pub uses: Option<UsageReport>,
+        /// Limits that servers stated to it, sent to the same VMs as `loads`.
+        pub limits: Vec<ReportedLimit>,
         /// Addresses of some other live VMs, for discovery.
         pub others: Vec<SocketAddr>,
     }
@@ -74,8 +77,10 @@
         pub sequence: u64,
         /// Its requests at these servers.
         pub loads: Vec<ServerLoad>,
-        /// Its customers' use, if it changed.
+        /// Its use of limits, if it changed.
         pub uses: Option<UsageReport>,
+        /// Limits that servers stated to it.
+        pub limits: Vec<ReportedLimit>,
     }
 
     /// Lists of what servers hold: of one from the VM that orders it, or of several from an
@@ -99,7 +104,9 @@
         pub loads: Vec<ServerLoad>,
         /// Changes of what servers hold.
         pub lists: ServerLists,
-        /// Bucket states of the customers that have little left of their limits.
+        /// Limits that servers stated to any VM.
+        pub limits: Vec<ReportedLimit>,
+        /// Bucket states of the customers and servers that have little left of their limits.
         #[serde(rename = "standings")]
         pub bucket_states: Vec<BucketState>,
         /// How many VMs of all domains reported their customers' use recently.
@@ -112,8 +119,10 @@
         pub vm: VmName,
         /// The requests of the domain's VMs at servers, sorted by server.
         pub loads: Vec<ServerLoad>,
-        /// The use of customers over the domain's VMs.
+        /// The use of limits over the domain's VMs.
         pub uses: UsageReport,
+        /// Limits that servers stated to any VM.
+        pub limits: Vec<ReportedLimit>,
         /// How many of these VMs reported their use recently.
         pub members: usize,
     }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -185,16 +185,21 @@
         if !run.may_send() {
             return false;
         }
-        let Ok(server) = find_server(run).await else { return false };
-        event!(
-            StreamResumed,
-            request_id = run.request.head.id,
-            from = self.server,
-            server = server,
-            last_event? = last,
-            cause = cause,
-        );
-        let sent = send(run, &server, last.as_deref()).await;
+        let (server, sent) = loop {
+            let Ok(server) = find_server(run).await else { return false };
+            event!(
+                StreamResumed,
+                request_id = run.request.head.id,
+                from = self.server,
+                server = server,
+                last_event? = last,
+                cause = cause,
+            );
+            match send(run, &server, last.as_deref()).await {
+                SendEnd::AtLimit => continue,
+                sent => break (server, sent),
+            }
+        };
         run.ran += 1;
         match sent {
             SendEnd::Answer(answer) if answer.status.is_success() => {
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -5,6 +5,7 @@
 
 use coltsfoothook_decision::id::ServerName;
 use coltsfoothook_decision::routing::RetryRule;
+use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_exchange::{ExchangeError, ExchangeRequest, ExchangeResponse};
 use coltsfoothook_platform::{ForwardValues, ResponseHead, forward_headers, read_response_head};
 use coltsfoothook_telemetry::event;
@@ -35,6 +36,8 @@
     Answer(ExchangeResponse),
     /// The server states that it did not run the request.
     NotRun(ExchangeResponse, ResponseHead),
+    /// The server's limit allows no request now.
+    AtLimit,
     /// No byte was sent, for this cause.
     Unsent(String),
     /// The request was sent, and whether it ran is not known, for this cause.
@@ -58,15 +61,28 @@
         );
         return SendEnd::Unsent("an earlier send may have run it".to_owned());
     }
-    let (address, incarnation, version) = {
-        let view = gateway.view();
+    let (address, incarnation, version, limit_per_s) = {
+        let mut view = gateway.view();
         let state = view.backends.get(server.as_str()).filter(|state| !state.leaving);
         let Some(state) = state else {
             return SendEnd::Unsent("the server is draining or unknown".to_owned());
         };
         let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
-        (state.entry.address, state.entry.incarnation, key.and_then(|key| state.version(key)))
+        let version = key.and_then(|key| state.version(key));
+        let (address, incarnation) = (state.entry.address, state.entry.incarnation);
+        let limit_per_s = state.limit_per_s();
+        if limit_per_s.is_some() {
+            if !view.limiter.admit_server(clock::now(), server.as_str(), incarnation) {
+                gateway.metrics.sent("at_limit");
+                return SendEnd::AtLimit;
+            }
+            view.uses_changed = true;
+        }
+        (address, incarnation, version, limit_per_s)
     };
+    if limit_per_s.is_some() {
+        gateway.loads_changed.notify_one();
+    }
     let left = run.left();
     let marks = ForwardValues {
         server,
@@ -96,6 +112,7 @@
         left_ms = left.as_millis(),
         prompt = run.prompt_tokens(),
         unread = count.ahead,
+        limit_per_s? = limit_per_s,
     );
     run.count = Some(count);
     let sent = gateway.client.send(address, request).await;
@@ -125,7 +142,8 @@
         }
         _ => return,
     };
-    statement::record(&run.gateway, server, run.incarnation, headers, served);
+    let start = ServerStart { server: server.clone(), incarnation: run.incarnation };
+    statement::record(&run.gateway, &start, headers, served);
 }
 
 /// Returns how long to wait for the head: where another server may run the request, only as long as a healthy one
@@ -190,12 +208,16 @@
     let (result, cause) = match end {
         SendEnd::Answer(..) => ("answer", ""),
         SendEnd::NotRun(..) => ("not_run", ""),
+        SendEnd::AtLimit => ("at_limit", ""),
         SendEnd::Unsent(cause) => ("unsent", cause.as_str()),
         SendEnd::Unknown(cause) => ("unknown", cause.as_str()),
     };
     run.gateway.metrics.sent(result);
     let now = clock::now();
     let mut view = run.gateway.view();
+    if matches!(end, SendEnd::Unsent(_)) {
+        view.limiter.refund_server(now, server.as_str(), run.incarnation);
+    }
     match end {
         SendEnd::Unsent(_) | SendEnd::Unknown(_)
             if view.backends.is_current_incarnation(server.as_str(), run.incarnation) =>
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use coltsfoothook_decision::freshness::ConfigConfirmation;
 use coltsfoothook_decision::id::{ServerName, TimePoint, stable_hash};
 use coltsfoothook_decision::lease::{LeaseSettings, OrderLease, assess_outage};
-use coltsfoothook_decision::limit::CustomerLimiter;
+use coltsfoothook_decision::limit::FleetLimiter;
 use coltsfoothook_decision::loadtime::LoadTimes;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings};
@@ -88,7 +88,7 @@
     pub(crate) wrong_keys: WrongKeys,
     /// When an unknown key last caused a poll of the store.
     pub(crate) unknown_key_queried_at: Option<TimePoint>,
-    pub(crate) limiter: CustomerLimiter,
+    pub(crate) limiter: FleetLimiter,
     /// Whether customers' use changed since this VM last reported it.
     pub(crate) uses_changed: bool,
     /// Named versions, sorted by adapter.
@@ -200,7 +200,7 @@
             confirmation: ConfigConfirmation::new(promises.key_removal()),
             wrong_keys: WrongKeys::default(),
             unknown_key_queried_at: None,
-            limiter: CustomerLimiter::new(promises.limit_excess(), UPDATE_INTERVAL_US),
+            limiter: FleetLimiter::new(promises.limit_excess(), UPDATE_INTERVAL_US),
             uses_changed: false,
             versions: Vec::new(),
             backends: BackendTable::default(),
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -10,7 +10,9 @@
 use coltsfoothook_decision::routing::{
     AdapterKey, BackendEntry, CallerLimits, HeldAdapter, HeldModel, RouteTable,
 };
-use coltsfoothook_decision::usage::{CustomerTotal, UsageReport, UsageTotal};
+use coltsfoothook_decision::statement::ReportedLimit;
+use coltsfoothook_decision::subject::{LimitSubject, ServerStart};
+use coltsfoothook_decision::usage::{SubjectTotal, UsageReport, UsageTotal};
 use expect_test::{Expect, expect};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -48,10 +50,15 @@
 
 fn uses() -> UsageReport {
     let total = UsageTotal { demand: 1.5, admitted: 2.5 };
-    let uses = vec![CustomerTotal { customer: "clinic".into(), total }];
+    let uses = vec![SubjectTotal { subject: LimitSubject::Customer("clinic".into()), total }];
     UsageReport { start_id: 13, age_ms: 14, uses }
 }
 
+fn limits() -> Vec<ReportedLimit> {
+    let start = ServerStart { server: "s-1".into(), incarnation: 15 };
+    vec![ReportedLimit { start, per_s: Some(5.5), age_ms: 16 }]
+}
+
 fn lists() -> ServerLists {
     let listed = ListedHolding {
         key: key(),
@@ -114,16 +121,13 @@
         aggregates: false,
         loads: Some(loads()),
         uses: Some(uses()),
+        limits: limits(),
         others: vec![([10, 0, 0, 2], 81).into()],
     };
     same_message(
         PeerMessage::State(state),
-        expect![[
-            r#"{"state":{"vm":"vm-1","incarnation":1,"sequence":2,"requests":"10.0.0.1:80","ready":true,"leaving":false,"config":3,"store_age_ms":4,"domain":"d1","strong":true,"aggregates":false,"loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"customer":"clinic","total":{"asked":1.5,"admitted":2.5}}]},"others":["10.0.0.2:81"]}}"#
-        ]],
-        expect![[
-            r#"6 {"state":["vm-1",1,2,{"V4":[[10,0,0,1],80]},true,false,3,4,"d1",true,false,[["s-1",11,12]],[13,14,[["clinic",[1.5,2.5]]]],[{"V4":[[10,0,0,2],81]}]]}"#
-        ]],
+        expect![[r#"{"state":{"vm":"vm-1","incarnation":1,"sequence":2,"requests":"10.0.0.1:80","ready":true,"leaving":false,"config":3,"store_age_ms":4,"domain":"d1","strong":true,"aggregates":false,"loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"limits":[{"start":{"server":"s-1","born":15},"per_s":5.5,"age_ms":16}],"others":["10.0.0.2:81"]}}"#]],
+        expect![[r#"7 {"state":["vm-1",1,2,{"V4":[[10,0,0,1],80]},true,false,3,4,"d1",true,false,[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],5.5,16]],[{"V4":[[10,0,0,2],81]}]]}"#]],
     );
 }
 
@@ -134,9 +138,7 @@
         expect![[
             r#"{"lists":{"lists":[{"server":"s-1","born":24,"vm":"vm-1","fence":25,"revision":26,"base":27,"free":28,"adapters":[{"key":{"model":"base","adapter":"swahili"},"version":21,"usable_in_ms":22,"heat":23,"from_memory":true}],"dropped":[{"model":"base","adapter":"swahili"}]}],"load_us":29,"each_us":30,"shorter":true}}"#
         ]],
-        expect![[
-            r#"6 {"lists":[[["s-1",24,"vm-1",25,26,27,28,[[["base","swahili"],21,22,23,true]],[["base","swahili"]]]],29,30,true]}"#
-        ]],
+        expect![[r#"7 {"lists":[[["s-1",24,"vm-1",25,26,27,28,[[["base","swahili"],21,22,23,true]],[["base","swahili"]]]],29,30,true]}"#]],
     );
 }
 
@@ -155,7 +157,7 @@
         expect![[
             r#"{"wish":{"server":"s-1","key":{"model":"base","adapter":"swahili"},"version":1,"vm":"vm-1","waiting":2,"in_time_ms":3}}"#
         ]],
-        expect![[r#"6 {"wish":["s-1",["base","swahili"],1,"vm-1",2,3]}"#]],
+        expect![[r#"7 {"wish":["s-1",["base","swahili"],1,"vm-1",2,3]}"#]],
     );
 }
 
@@ -176,7 +178,7 @@
         expect![[
             r#"{"uses":["vm-1",[{"server":"s-1","born":1,"key":{"model":"base","adapter":"swahili"},"count":2,"running":3,"too_early":true,"missing":false,"in_time":true}]]}"#
         ]],
-        expect![[r#"6 {"uses":["vm-1",[["s-1",1,["base","swahili"],2,3,true,false,true]]]}"#]],
+        expect![[r#"7 {"uses":["vm-1",[["s-1",1,["base","swahili"],2,3,true,false,true]]]}"#]],
     );
 }
 
@@ -197,9 +199,7 @@
         expect![[
             r#"{"news":{"vm":"vm-1","config":1,"operators_age_ms":2,"servers_age_ms":3,"span":{"since":4,"up_to":5},"versions":[{"key":{"model":"base","adapter":"swahili"},"version":41}],"entries":[{"server":"s-1","born":32,"service":"speech","address":"10.0.0.2:80","domain":"d1","slots":33,"ready":true,"heartbeat":34,"position":35,"models":[{"model":"base","adapters":[{"adapter":"swahili","version":31}]}]}],"gone":[{"server":"s-2","position":6}]}}"#
         ]],
-        expect![[
-            r#"6 {"news":["vm-1",1,2,3,[4,5],[[["base","swahili"],41]],[["s-1",32,"speech",{"V4":[[10,0,0,2],80]},"d1",33,true,34,35,[["base",[["swahili",31]]]]]],[["s-2",6]]]}"#
-        ]],
+        expect![[r#"7 {"news":["vm-1",1,2,3,[4,5],[[["base","swahili"],41]],[["s-1",32,"speech",{"V4":[[10,0,0,2],80]},"d1",33,true,34,35,[["base",[["swahili",31]]]]]],[["s-2",6]]]}"#]],
     );
 }
 
@@ -211,46 +211,50 @@
         sequence: 2,
         loads: loads(),
         uses: Some(uses()),
+        limits: limits(),
     };
     same_message(
         PeerMessage::Loads(update),
-        expect![[
-            r#"{"loads":{"vm":"vm-1","incarnation":1,"sequence":2,"loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"customer":"clinic","total":{"asked":1.5,"admitted":2.5}}]}}}"#
-        ]],
-        expect![[r#"6 {"loads":["vm-1",1,2,[["s-1",11,12]],[13,14,[["clinic",[1.5,2.5]]]]]}"#]],
+        expect![[r#"{"loads":{"vm":"vm-1","incarnation":1,"sequence":2,"loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"limits":[{"start":{"server":"s-1","born":15},"per_s":5.5,"age_ms":16}]}}"#]],
+        expect![[r#"7 {"loads":["vm-1",1,2,[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],5.5,16]]]}"#]],
     );
 }
 
 #[test]
 fn domain_news() {
-    let state = BucketState { customer: "clinic".into(), level: 1.5, demand_per_s: 2.5 };
+    let state = BucketState {
+        subject: LimitSubject::Customer("clinic".into()),
+        level: 1.5,
+        demand_per_s: 2.5,
+    };
     let update = DomainUpdate {
         vm: "vm-1".into(),
         loads: loads(),
         lists: lists(),
+        limits: limits(),
         bucket_states: vec![state],
         reachable_vms: 1,
     };
     same_message(
         PeerMessage::Domain(update),
-        expect![[
-            r#"{"domain":{"vm":"vm-1","loads":[{"server":"s-1","running":11,"unread":12}],"lists":{"lists":[{"server":"s-1","born":24,"vm":"vm-1","fence":25,"revision":26,"base":27,"free":28,"adapters":[{"key":{"model":"base","adapter":"swahili"},"version":21,"usable_in_ms":22,"heat":23,"from_memory":true}],"dropped":[{"model":"base","adapter":"swahili"}]}],"load_us":29,"each_us":30,"shorter":true},"standings":[{"customer":"clinic","level":1.5,"asked_per_s":2.5}],"in_touch":1}}"#
-        ]],
-        expect![[
-            r#"6 {"domain":["vm-1",[["s-1",11,12]],[[["s-1",24,"vm-1",25,26,27,28,[[["base","swahili"],21,22,23,true]],[["base","swahili"]]]],29,30,true],[["clinic",1.5,2.5]],1]}"#
-        ]],
+        expect![[r#"{"domain":{"vm":"vm-1","loads":[{"server":"s-1","running":11,"unread":12}],"lists":{"lists":[{"server":"s-1","born":24,"vm":"vm-1","fence":25,"revision":26,"base":27,"free":28,"adapters":[{"key":{"model":"base","adapter":"swahili"},"version":21,"usable_in_ms":22,"heat":23,"from_memory":true}],"dropped":[{"model":"base","adapter":"swahili"}]}],"load_us":29,"each_us":30,"shorter":true},"limits":[{"start":{"server":"s-1","born":15},"per_s":5.5,"age_ms":16}],"standings":[{"subject":{"customer":"clinic"},"level":1.5,"asked_per_s":2.5}],"in_touch":1}}"#]],
+        expect![[r#"7 {"domain":["vm-1",[["s-1",11,12]],[[["s-1",24,"vm-1",25,26,27,28,[[["base","swahili"],21,22,23,true]],[["base","swahili"]]]],29,30,true],[[["s-1",15],5.5,16]],[[{"customer":"clinic"},1.5,2.5]],1]}"#]],
     );
 }
 
 #[test]
 fn domain_sums() {
-    let sums = DomainSums { vm: "vm-1".into(), loads: loads(), uses: uses(), members: 1 };
+    let sums = DomainSums {
+        vm: "vm-1".into(),
+        loads: loads(),
+        uses: uses(),
+        limits: limits(),
+        members: 1,
+    };
     same_message(
         PeerMessage::Sums(sums),
-        expect![[
-            r#"{"sums":{"vm":"vm-1","loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"customer":"clinic","total":{"asked":1.5,"admitted":2.5}}]},"members":1}}"#
-        ]],
-        expect![[r#"6 {"sums":["vm-1",[["s-1",11,12]],[13,14,[["clinic",[1.5,2.5]]]],1]}"#]],
+        expect![[r#"{"sums":{"vm":"vm-1","loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"limits":[{"start":{"server":"s-1","born":15},"per_s":5.5,"age_ms":16}],"members":1}}"#]],
+        expect![[r#"7 {"sums":["vm-1",[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],5.5,16]],1]}"#]],
     );
 }
 
@@ -259,13 +263,13 @@
     same_message(
         PeerMessage::Question(question()),
         expect![[r#"{"question":{"incarnation":1,"asked":2}}"#]],
-        expect![[r#"6 {"question":[1,2]}"#]],
+        expect![[r#"7 {"question":[1,2]}"#]],
     );
     let answer = ConfirmationAnswer { question: question(), config: 3, age_ms: 4 };
     same_message(
         PeerMessage::Answer(answer),
         expect![[r#"{"answer":{"question":{"incarnation":1,"asked":2},"config":3,"age_ms":4}}"#]],
-        expect![[r#"6 {"answer":[[1,2],3,4]}"#]],
+        expect![[r#"7 {"answer":[[1,2],3,4]}"#]],
     );
 }
 
