--- a/decision/src/statement.rs
+++ b/decision/src/statement.rs
@@ -4,6 +4,8 @@
 //! VM that receives it reports it to the others. docs/LIMITS.md, "Limits of servers", says how it
 //! is used.
 
+use std::time::Duration;
+
 use crate::backend::BackendTable;
 use crate::id::{MICROS_PER_MILLI, TimePoint};
 use crate::subject::ServerStart;
@@ -34,6 +36,10 @@
 pub struct ServerStatement {
     /// Requests per second that the server takes from all VMs together.
     pub limit_per_s: StatedValue<f64>,
+    /// Whether the server leaves. It ends some seconds later, whatever it runs.
+    pub leaving: StatedValue<bool>,
+    /// How long the server wants no request from the VM to which it sent the response, a refusal.
+    pub rest: StatedValue<Duration>,
 }
 
 /// The limit that a server last stated.
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -29,6 +29,22 @@
     if let StatedValue::Readable(_) = statement.limit_per_s {
         gateway.metrics.statement("limit");
     }
+    if statement.leaving == StatedValue::Readable(true) {
+        gateway.metrics.statement("leaving");
+        event!(ServerLeavingStated, server = start.server, born = start.incarnation);
+    }
+    if let StatedValue::Readable(rest) = statement.rest
+        && !served
+    {
+        gateway.metrics.statement("rest");
+        let rest_ms = rest.as_millis();
+        event!(
+            ServerRestStated,
+            server = start.server,
+            born = start.incarnation,
+            rest_ms = rest_ms
+        );
+    }
     let now = clock::now();
     let mut view = gateway.view();
     if view.backends.apply_statement(start, &statement, served, now) {
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -148,6 +148,8 @@
     ServerModels, "server_models", Info, "The base models of a backend server changed.";
     ServerGone, "server_gone", Warn, "A backend server's entry was removed.";
     ServerLimitStated, "server_limit_stated", Warn, "A backend server stated another limit on the requests that it takes from all VMs together; without `per_s` it states none any more. `told_by` says whether a response to this VM or another VM told it.";
+    ServerRestStated, "server_rest_stated", Warn, "A backend server refused a request and stated for how long it wants none from this VM.";
+    ServerLeavingStated, "server_leaving_stated", Info, "A backend server stated in a response that it leaves; its entry may not say so yet.";
     StatementUnreadable, "statement_unreadable", Warn, "A backend server's response states something about the server that cannot be read; it is ignored.";
     EntriesMissed, "entries_missed", Warn, "Updates on servers from another VM omit changes that this VM has not received; it reads the entries itself.";
     PeerUnsent, "peer_unsent", Debug, "A datagram to another VM could not be sent.";
