Failing tests: servers that state in their answers that they leave

The store is down, so that no entry says it; one VM is told and the others are not; the server restarts under its name. The calls at a steady rate move to a file of their own.

--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -6,8 +6,10 @@
 mod config_follow;
 mod configuration;
 mod customer_keys;
+mod leaving_answers;
 mod lost_queries;
 mod peer_records;
+mod press;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
 mod server_limits;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -52,8 +52,9 @@
     fence: (u64, String),
     /// Orders that no correct VM sends.
     violations: Vec<String>,
-    /// The limit that it states in its answers, as text.
-    limit: Option<String>,
+    /// Headers with what it states about itself, sent with all answers, and those sent with refusals only.
+    stated: Vec<(&'static str, String)>,
+    refusal_stated: Vec<(&'static str, String)>,
     /// When requests of callers reached it, run or not.
     arrivals: Vec<Instant>,
 }
@@ -179,7 +180,19 @@
 
     /// States a limit in all answers from now on, or none.
     pub(crate) fn state_limit(&self, limit: Option<&str>) {
-        self.state.lock().unwrap().limit = limit.map(str::to_owned);
+        let mut state = self.state.lock().unwrap();
+        state.stated.retain(|(name, _)| *name != "server-limit");
+        state.stated.extend(limit.map(|limit| ("server-limit", limit.to_owned())));
+    }
+
+    /// States in all answers from now on that it leaves.
+    pub(crate) fn state_leaving(&self) {
+        self.state.lock().unwrap().stated.push(("server-leaving", "1".to_owned()));
+    }
+
+    /// States in all refusals from now on for how many seconds it wants no request from the VM.
+    pub(crate) fn state_rest(&self, seconds: &str) {
+        self.state.lock().unwrap().refusal_stated = vec![("retry-after", seconds.to_owned())];
     }
 
     /// Returns when requests of callers reached it after `since`.
@@ -236,17 +249,14 @@
             let status = self.order(serde_json::from_str(&record.body).unwrap());
             return send(stream, status, "", "").await;
         }
-        let (mode, limit) = {
+        let (mode, stated, refusal_stated) = {
             let mut state = self.state.lock().unwrap();
             state.arrivals.push(Instant::now());
-            (state.mode, state.limit.clone())
+            (state.mode, lines(&state.stated), lines(&state.refusal_stated))
         };
-        let mut echo = format!("coltsfoothook-request-id: {}\r\n", record.id);
-        if let Some(limit) = limit {
-            echo += &format!("server-limit: {limit}\r\n");
-        }
+        let echo = format!("coltsfoothook-request-id: {}\r\n{stated}", record.id);
         if mode == ServerMode::Full {
-            let head = format!("{echo}coltsfoothook-not-run: 1\r\n");
+            let head = format!("{echo}{refusal_stated}coltsfoothook-not-run: 1\r\n");
             return send(stream, 503, &head, "").await;
         }
         if let Some((_, adapter)) =
@@ -353,6 +363,11 @@
     }
 }
 
+/// Returns headers as lines of a head.
+fn lines(headers: &[(&str, String)]) -> String {
+    headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect()
+}
+
 async fn send(stream: &mut TcpStream, status: u16, headers: &str, body: &str) -> bool {
     let length = body.len();
     let text = format!("HTTP/1.1 {status} X\r\n{headers}content-length: {length}\r\n\r\n{body}");
--- a/gateway/tests/suite/server_limits.rs
+++ b/gateway/tests/suite/server_limits.rs
@@ -2,11 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use futures::future::join_all;
-use tokio::time::sleep;
-
+use crate::press::{TimedAnswer, press, three_gateways};
 use crate::server::{ServerMode, StandinServer};
-use crate::site::{CallerAnswer, RunningGateway, Site, eventually};
+use crate::site::{Site, eventually};
 
 /// How long VMs have to keep to a limit after a server stated it first.
 const NOTICE: Duration = Duration::from_secs(3);
@@ -18,46 +16,6 @@
     (1.5 * per_s * WINDOW.as_secs_f64()) as usize + 5
 }
 
-/// A call's answer and how long it took.
-struct TimedAnswer {
-    answer: CallerAnswer,
-    took: Duration,
-}
-
-/// Sends a call each `pause` through one gateway after another for `period`, each as its own task.
-async fn press(
-    gateways: &[RunningGateway],
-    name: &str,
-    pause: Duration,
-    period: Duration,
-) -> Vec<TimedAnswer> {
-    let started = Instant::now();
-    let mut calls = Vec::new();
-    while started.elapsed() < period {
-        let gateway = &gateways[calls.len() % gateways.len()];
-        let id = format!("{name}-{}", calls.len());
-        let (address, sent) = (gateway.listen.requests, Instant::now());
-        calls.push(tokio::spawn(async move {
-            let answer = crate::site::call(address, "/safe/x", &id, &[]).await;
-            TimedAnswer { answer: answer.expect("the gateway answers"), took: sent.elapsed() }
-        }));
-        sleep(pause).await;
-    }
-    join_all(calls).await.into_iter().map(Result::unwrap).collect()
-}
-
-/// Starts three gateways that know of each other.
-async fn three_gateways(site: &Site) -> Vec<RunningGateway> {
-    let mut gateways = vec![site.gateway("vm-1", &[]).await];
-    for vm in ["vm-2", "vm-3"] {
-        gateways.push(site.gateway(vm, &[&gateways[0]]).await);
-    }
-    for gateway in &gateways {
-        gateway.wait_ready().await;
-    }
-    gateways
-}
-
 /// Guards against VMs that each keep a server's limit by themselves, or not at all.
 #[tokio::test]
 async fn shared_by_vms() {
