A server that states in an answer that it leaves gets no new work

What the servers got: requests 2.7 to 3.8 s after VMs had passed on an answer that says so, two seconds being allowed, while the store was silent for 13 s. A leaving server ends some time later, whatever it runs; callers would have lost those requests.

Cause: only a server's entry in the store could say that it leaves; the header was not read, as with limits. Ruled out: a header that is read and lost again to an older entry. The record has no line of a leaving server at any VM before the store's return, and arrivals go on level, without a pause.

Change: the statement marks the server as leaving, for this start and for good, as its entry would: entries from before do not take that back, and after an entry that lapsed neither does one that returns for the same start. The VM that is told reports it to the others with its next message and four times a second from then on, through the aggregators in large fleets. So a VM need not send such a server a request to learn of it.

--- a/decision/src/statement.rs
+++ b/decision/src/statement.rs
@@ -6,13 +6,16 @@
 
 use std::time::Duration;
 
-use crate::backend::BackendTable;
+use crate::backend::{BackendState, BackendTable};
 use crate::id::{MICROS_PER_MILLI, TimePoint};
 use crate::subject::ServerStart;
 use crate::value;
 
 /// Interval at which a statement that servers repeat is reported to other VMs again.
 const REPORT_INTERVAL_US: u64 = 1_000_000;
+/// Interval at which it is reported again that a server leaves: requests sent to it by a VM that
+/// missed a report may be cut.
+const LEAVING_REPORT_INTERVAL_US: u64 = 250_000;
 /// How long the end of a limit is reported to other VMs. One that misses it sends the server few
 /// requests, and learns of it from the answers.
 const REPORT_END_US: u64 = 5_000_000;
@@ -52,10 +55,19 @@
 }
 
 value! {
-    /// A limit that a server stated, as reported to other VMs.
-    pub struct ReportedLimit {
+    /// What a server stated, as reported to other VMs.
+    pub struct ReportedStatement {
         /// The server and its incarnation.
         pub start: ServerStart,
+        /// Whether it leaves.
+        pub leaving: bool,
+        /// Its limit; `None` if the report says nothing about it.
+        pub limit: Option<ReportedLimit>,
+    }
+
+    /// A limit that a server stated, as reported to other VMs.
+    #[derive(Copy)]
+    pub struct ReportedLimit {
         /// Requests per second over all VMs; `None` once the server no longer states a limit.
         pub per_s: Option<f64>,
         /// Milliseconds since the server stated it.
@@ -73,7 +85,22 @@
     /// The limit as this VM last reported it.
     reported_limit: Option<StatedLimit>,
     /// Whether the limit was stated to this VM.
-    own: bool,
+    own_limit: bool,
+    /// Whether the server stated to this VM that it leaves.
+    own_leaving: bool,
+    /// Whether another VM reported that it leaves.
+    told_leaving: bool,
+    /// When this VM last reported that it leaves.
+    reported_leaving_at: Option<TimePoint>,
+}
+
+/// What a statement changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatementChange {
+    /// The limit of the server.
+    pub limit: bool,
+    /// The server leaves, which was not known.
+    pub leaving: bool,
 }
 
 impl KeptStatements {
@@ -87,7 +114,7 @@
             return false;
         }
         self.limit = Some(limit);
-        self.own = own;
+        self.own_limit = own;
         let changes = before.and_then(|before| before.per_s) != limit.per_s;
         if changes {
             self.limit_changed_at = limit.at;
@@ -106,60 +133,93 @@
         });
         due.then_some(limit)
     }
+
+    /// Returns whether it should be reported now that the server leaves.
+    fn leaving_to_report(&self, all: bool, now: TimePoint) -> bool {
+        let due = |at| now.since(at) >= LEAVING_REPORT_INTERVAL_US;
+        (self.own_leaving || all && self.told_leaving) && self.reported_leaving_at.is_none_or(due)
+    }
 }
 
 impl BackendTable {
     /// Records what a response of a server to this VM states about the server. Responses of another
     /// incarnation are ignored. `served` is false for a refusal, which may leave out what answers
-    /// state. Returns whether the limit changed.
+    /// state.
     pub fn apply_statement(
         &mut self,
         start: &ServerStart,
         statement: &ServerStatement,
         served: bool,
         now: TimePoint,
-    ) -> bool {
+    ) -> StatementChange {
+        let Some(state) = self.of_start(start) else { return StatementChange::default() };
+        let leaves = statement.leaving == StatedValue::Readable(true);
+        state.stated.own_leaving |= leaves;
         let per_s = match statement.limit_per_s {
-            StatedValue::Readable(per_s) => Some(per_s),
-            StatedValue::Absent if served => None,
-            StatedValue::Absent | StatedValue::Unreadable => return false,
+            StatedValue::Readable(per_s) => Some(Some(per_s)),
+            StatedValue::Absent if served => Some(None),
+            StatedValue::Absent | StatedValue::Unreadable => None,
         };
-        self.set_limit(start, StatedLimit { per_s, at: now }, true)
+        let limit = per_s.map(|per_s| StatedLimit { per_s, at: now });
+        StatementChange {
+            limit: limit.is_some_and(|limit| state.stated.set_limit(limit, true)),
+            leaving: leaves && state.leave(),
+        }
+    }
+
+    /// Applies what another VM reported, except for a limit of which a later statement is known.
+    pub fn apply_report(&mut self, report: &ReportedStatement, now: TimePoint) -> StatementChange {
+        let Some(state) = self.of_start(&report.start) else { return StatementChange::default() };
+        state.stated.told_leaving |= report.leaving;
+        let limit = report.limit.map(|limit| StatedLimit {
+            per_s: limit.per_s,
+            at: TimePoint(now.0.saturating_sub(u64::from(limit.age_ms) * MICROS_PER_MILLI)),
+        });
+        StatementChange {
+            limit: limit.is_some_and(|limit| state.stated.set_limit(limit, false)),
+            leaving: report.leaving && state.leave(),
+        }
     }
 
-    /// Applies a limit that another VM reported, unless a later statement is known. Returns whether
-    /// the limit changed.
-    pub fn apply_reported_limit(&mut self, reported: &ReportedLimit, now: TimePoint) -> bool {
-        let at = TimePoint(now.0.saturating_sub(u64::from(reported.age_ms) * MICROS_PER_MILLI));
-        self.set_limit(&reported.start, StatedLimit { per_s: reported.per_s, at }, false)
+    fn of_start(&mut self, start: &ServerStart) -> Option<&mut BackendState> {
+        let state = self.get_mut(start.server.as_str())?;
+        (state.entry.incarnation == start.incarnation).then_some(state)
     }
 
-    fn set_limit(&mut self, start: &ServerStart, limit: StatedLimit, own: bool) -> bool {
-        let Some(state) = self.get_mut(start.server.as_str()) else { return false };
-        state.entry.incarnation == start.incarnation && state.stated.set_limit(limit, own)
+    /// Returns the statements to report to other VMs now, and marks them as reported: those to this
+    /// VM, or all for an aggregator.
+    pub fn statements_to_report(&mut self, all: bool, now: TimePoint) -> Vec<ReportedStatement> {
+        let reports = self.servers_mut().iter_mut().filter_map(|state| state.report(all, now));
+        reports.take(MAX_REPORTED).collect()
     }
+}
 
-    /// Returns the limits to report to other VMs now, and marks them as reported: those that were
-    /// stated to this VM, or all for an aggregator.
-    pub fn limits_to_report(&mut self, all: bool, now: TimePoint) -> Vec<ReportedLimit> {
-        let mut reported = Vec::new();
-        for state in self.servers_mut() {
-            if reported.len() == MAX_REPORTED {
-                break;
-            }
-            let Some(limit) = state.stated.limit_to_report(now) else { continue };
-            if !all && !state.stated.own {
-                continue;
-            }
-            state.stated.reported_limit = Some(limit);
-            let start = ServerStart {
-                server: state.entry.server.clone(),
-                incarnation: state.entry.incarnation,
-            };
+impl BackendState {
+    /// Records that it leaves. Returns whether that was not known.
+    fn leave(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
+    fn report(&mut self, all: bool, now: TimePoint) -> Option<ReportedStatement> {
+        let stated = &mut self.stated;
+        let limit = stated.limit_to_report(now).filter(|_| all || stated.own_limit);
+        let leaving = stated.leaving_to_report(all, now);
+        if limit.is_none() && !leaving {
+            return None;
+        }
+        if leaving {
+            stated.reported_leaving_at = Some(now);
+        }
+        let limit = limit.map(|limit| {
+            stated.reported_limit = Some(limit);
             let age_ms = now.since(limit.at) / MICROS_PER_MILLI;
             let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
-            reported.push(ReportedLimit { start, per_s: limit.per_s, age_ms });
-        }
-        reported
+            ReportedLimit { per_s: limit.per_s, age_ms }
+        });
+        Some(ReportedStatement { start: self.start(), leaving, limit })
+    }
+
+    fn start(&self) -> ServerStart {
+        ServerStart { server: self.entry.server.clone(), incarnation: self.entry.incarnation }
     }
 }
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod server_choice;
 mod server_limits;
 mod server_lives;
+mod server_statements;
 mod stage_table;
 mod takeover_rank;
 mod tenant_limits;
--- /dev/null
+++ b/decision/tests/suite/server_statements.rs
@@ -0,0 +1,126 @@
+//! What servers state about themselves in their responses.
+
+use coltsfoothook_decision::backend::{BackendTable, EntryChange};
+use coltsfoothook_decision::id::TimePoint;
+use coltsfoothook_decision::routing::BackendEntry;
+use coltsfoothook_decision::statement::{
+    ReportedLimit, ReportedStatement, ServerStatement, StatedValue,
+};
+use coltsfoothook_decision::subject::ServerStart;
+
+use crate::fixture::engine_entry;
+
+const NOW: TimePoint = TimePoint(50_000_000);
+
+fn later(ms: u64) -> TimePoint {
+    NOW.plus(ms * 1_000)
+}
+
+fn entry(incarnation: u64, heartbeat: u64, position: u64) -> BackendEntry {
+    BackendEntry { incarnation, heartbeat, position, ..engine_entry("s0") }
+}
+
+fn start(incarnation: u64) -> ServerStart {
+    ServerStart { server: "s0".into(), incarnation }
+}
+
+fn table() -> BackendTable {
+    let mut table = BackendTable::default();
+    table.apply_entry(entry(100, 1, 1), NOW);
+    table
+}
+
+fn limit(per_s: f64) -> ServerStatement {
+    ServerStatement { limit_per_s: StatedValue::Readable(per_s), ..ServerStatement::default() }
+}
+
+const LEAVING: ServerStatement = ServerStatement {
+    limit_per_s: StatedValue::Absent,
+    leaving: StatedValue::Readable(true),
+    rest: StatedValue::Absent,
+};
+
+fn limit_of(table: &BackendTable) -> Option<f64> {
+    table.get("s0").unwrap().limit_per_s()
+}
+
+/// Guards against statements of an earlier start that are taken for those of the present one.
+#[test]
+fn of_one_start() {
+    let mut table = table();
+    assert!(table.apply_statement(&start(100), &limit(5.0), true, NOW).limit);
+    assert!(!table.apply_statement(&start(99), &limit(1.0), true, later(1)).limit);
+    assert!(!table.apply_statement(&start(99), &LEAVING, true, later(1)).leaving);
+    assert_eq!(limit_of(&table), Some(5.0));
+    table.apply_entry(entry(200, 1, 2), later(2));
+    assert_eq!(limit_of(&table), None);
+    assert!(!table.apply_statement(&start(100), &LEAVING, true, later(3)).leaving);
+    assert!(!table.get("s0").unwrap().leaving);
+}
+
+/// Guards against a limit that a refusal, an unreadable value or a late report lifts or sets back.
+#[test]
+fn latest_wins() {
+    let mut table = table();
+    table.apply_statement(&start(100), &limit(5.0), true, later(1_000));
+    let unreadable =
+        ServerStatement { limit_per_s: StatedValue::Unreadable, ..ServerStatement::default() };
+    assert!(!table.apply_statement(&start(100), &unreadable, true, later(1_100)).limit);
+    let silent = ServerStatement::default();
+    assert!(!table.apply_statement(&start(100), &silent, false, later(1_200)).limit);
+    let reported = |per_s, age_ms| ReportedStatement {
+        start: start(100),
+        leaving: false,
+        limit: Some(ReportedLimit { per_s, age_ms }),
+    };
+    assert!(!table.apply_report(&reported(Some(9.0), 500), later(1_300)).limit);
+    assert_eq!(limit_of(&table), Some(5.0));
+    assert!(table.apply_report(&reported(Some(7.0), 10), later(1_400)).limit);
+    assert_eq!(limit_of(&table), Some(7.0));
+    assert!(table.apply_statement(&start(100), &silent, true, later(1_500)).limit);
+    assert_eq!(limit_of(&table), None);
+    assert!(!table.apply_report(&reported(Some(7.0), 400), later(1_600)).limit);
+    assert_eq!(limit_of(&table), None);
+}
+
+/// Guards against a leaving server that is taken back by an entry from before, or by one that returns after it lapsed.
+#[test]
+fn leaves_for_good() {
+    let mut table = table();
+    assert!(table.apply_statement(&start(100), &LEAVING, true, NOW).leaving);
+    assert!(!table.apply_statement(&start(100), &LEAVING, true, later(1)).leaving);
+    assert_eq!(table.apply_entry(entry(100, 2, 2), later(2)), EntryChange::Unchanged);
+    assert!(table.get("s0").unwrap().leaving);
+    table.apply_statement(&start(100), &ServerStatement::default(), true, later(3));
+    assert!(table.get("s0").unwrap().leaving);
+    table.remove("s0", 3);
+    assert_eq!(table.apply_entry(entry(100, 4, 4), later(4)), EntryChange::Unchanged);
+    assert!(table.get("s0").is_none());
+    assert_eq!(table.apply_entry(entry(200, 1, 5), later(5)), EntryChange::Appeared);
+    assert!(!table.get("s0").unwrap().leaving);
+}
+
+/// Guards against statements that are told once only, or for ever, or by everyone.
+#[test]
+fn reports() {
+    let mut table = table();
+    table.apply_statement(&start(100), &limit(5.0), true, later(0));
+    assert_eq!(table.statements_to_report(false, later(0)).len(), 1);
+    table.apply_statement(&start(100), &limit(5.0), true, later(500));
+    assert_eq!(table.statements_to_report(false, later(500)), []);
+    table.apply_statement(&start(100), &limit(5.0), true, later(1_000));
+    assert_eq!(table.statements_to_report(false, later(1_000)).len(), 1);
+    table.apply_statement(&start(100), &limit(6.0), true, later(1_010));
+    let changed = table.statements_to_report(false, later(1_020));
+    let limit = changed[0].limit.unwrap();
+    assert_eq!((limit.per_s, limit.age_ms), (Some(6.0), 10));
+    let silent = ServerStatement::default();
+    table.apply_statement(&start(100), &silent, true, later(1_100));
+    assert_eq!(table.statements_to_report(false, later(1_100))[0].limit.unwrap().per_s, None);
+    table.apply_statement(&start(100), &silent, true, later(60_000));
+    assert_eq!(table.statements_to_report(false, later(60_000)), []);
+    let report = ReportedStatement { start: start(100), leaving: true, limit: None };
+    assert!(table.apply_report(&report, later(61_000)).leaving);
+    assert_eq!(table.statements_to_report(false, later(61_000)), []);
+    assert_eq!(table.statements_to_report(true, later(61_000)), [report]);
+}
--- a/gateway/src/aggregate.rs
+++ b/gateway/src/aggregate.rs
@@ -209,22 +209,23 @@
     let vm = gateway.settings.vm.clone();
     let bucket_states = view.limiter.bucket_states(now);
     let uses = view.limiter.sums(now);
-    let limits = view.backends.limits_to_report(true, now);
+    let statements = view.backends.statements_to_report(true, now);
     let in_domain = view.reporting_members(&gateway.settings, now);
     let reachable_vms = in_domain + view.domain.reporting_elsewhere(now);
     let aggregators = view.roster.aggregators(now);
     drop(guard);
-    let (mut loads, mut part_limits) = (server_loads(fleet), limits.clone());
+    let (mut loads, mut part_statements) = (server_loads(fleet), statements.clone());
     for part in split_lists(lists) {
         let (loads, lists) = (std::mem::take(&mut loads), server_lists(part, times));
-        let (limits, bucket_states) = (std::mem::take(&mut part_limits), bucket_states.clone());
+        let (statements, bucket_states) =
+            (std::mem::take(&mut part_statements), bucket_states.clone());
         let vm = vm.clone();
-        let update = DomainUpdate { vm, loads, lists, limits, bucket_states, reachable_vms };
+        let update = DomainUpdate { vm, loads, lists, statements, bucket_states, reachable_vms };
         gateway.peers.send(&PeerMessage::Domain(update), &members);
     }
     let busy = domain.into_iter().filter(|(_, figure)| *figure != LoadFigure::default());
     let loads = server_loads(busy.collect());
-    let sums = DomainSums { vm, loads, uses, limits, members: in_domain };
+    let sums = DomainSums { vm, loads, uses, statements, members: in_domain };
     gateway.peers.send(&PeerMessage::Sums(sums), &aggregators);
     gateway.peer_loads_changed.notify_waiters();
 }
@@ -250,7 +251,7 @@
             view.backends.fleet_load(load.server.as_str(), load.figure(), now);
         }
         view.domain.reporting = Some((update.reachable_vms, now));
-        view.apply_reported_limits(&update.limits, now);
+        view.apply_reported_statements(&update.statements, now);
         view.limiter.set_bucket_states(now, &update.bucket_states);
     }
     drop(view);
@@ -266,6 +267,6 @@
     let loads = sums.loads.iter().map(|load| (load.server.clone(), load.figure())).collect();
     view.domain.writer.set_sums(&sums.vm, loads, now);
     view.domain.record_domain(&sums.vm, sums.members, now);
-    view.apply_reported_limits(&sums.limits, now);
+    view.apply_reported_statements(&sums.statements, now);
     view.limiter.apply_domain_report(now, &sums.vm, &sums.uses);
 }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -12,7 +12,7 @@
 use coltsfoothook_decision::id::{DomainName, ServerName, TimePoint, VmName};
 use coltsfoothook_decision::limit::BucketState;
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
-use coltsfoothook_decision::statement::ReportedLimit;
+use coltsfoothook_decision::statement::ReportedStatement;
 use coltsfoothook_decision::usage::UsageReport;
 use coltsfoothook_decision::value;
 
@@ -52,8 +52,8 @@
         pub loads: Option<Vec<ServerLoad>>,
         /// Its use of limits, sent to the same VMs as `loads`.
         pub uses: Option<UsageReport>,
-        /// Limits that servers stated to it, sent to the same VMs as `loads`.
-        pub limits: Vec<ReportedLimit>,
+        /// What servers stated to it, sent to the same VMs as `loads`.
+        pub statements: Vec<ReportedStatement>,
         /// Addresses of some other live VMs, for discovery.
         pub others: Vec<SocketAddr>,
     }
@@ -79,8 +79,8 @@
         pub loads: Vec<ServerLoad>,
         /// Its use of limits, if it changed.
         pub uses: Option<UsageReport>,
-        /// Limits that servers stated to it.
-        pub limits: Vec<ReportedLimit>,
+        /// What servers stated to it.
+        pub statements: Vec<ReportedStatement>,
     }
 
     /// Lists of what servers hold: of one from the VM that orders it, or of several from an
@@ -104,8 +104,8 @@
         pub loads: Vec<ServerLoad>,
         /// Changes of what servers hold.
         pub lists: ServerLists,
-        /// Limits that servers stated to any VM.
-        pub limits: Vec<ReportedLimit>,
+        /// What servers stated to any VM.
+        pub statements: Vec<ReportedStatement>,
         /// Bucket states of the customers and servers that have little left of their limits.
         #[serde(rename = "standings")]
         pub bucket_states: Vec<BucketState>,
@@ -121,8 +121,8 @@
         pub loads: Vec<ServerLoad>,
         /// The use of limits over the domain's VMs.
         pub uses: UsageReport,
-        /// Limits that servers stated to any VM.
-        pub limits: Vec<ReportedLimit>,
+        /// What servers stated to any VM.
+        pub statements: Vec<ReportedStatement>,
         /// How many of these VMs reported their use recently.
         pub members: usize,
     }
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -208,7 +208,7 @@
         ServerLoad::of((server, figure))
     };
     let loads: Vec<ServerLoad> = servers.into_iter().map(load).collect();
-    let limits = view.limits_to_report(now);
+    let statements = view.statements_to_report(now);
     let to = if view.roster.is_large(now) {
         for load in &loads {
             view.backends.mark_load_reported(load.server.as_str());
@@ -223,7 +223,7 @@
         sequence: gateway.peers.sequence.load(Ordering::Relaxed),
         loads,
         uses,
-        limits,
+        statements,
     };
     drop(view);
     gateway.peers.send(&PeerMessage::Loads(update), &to);
@@ -241,7 +241,7 @@
     if let Some(uses) = &update.uses {
         view.limiter.apply_member_report(now, &update.vm, uses);
     }
-    view.apply_reported_limits(&update.limits, now);
+    view.apply_reported_statements(&update.statements, now);
     drop(view);
     gateway.peer_loads_changed.notify_waiters();
 }
@@ -278,7 +278,7 @@
     if !large {
         state.loads = Some(loads);
         state.uses = Some(view.limiter.report(now, gateway.incarnation));
-        state.limits = view.limits_to_report(now);
+        state.statements = view.statements_to_report(now);
         drop(view);
         gateway.peers.send(&PeerMessage::State(state), &to);
         return;
@@ -286,14 +286,14 @@
     let aggregator = view.own_aggregator(&gateway.settings, now);
     view.backends.mark_loads_reported();
     let uses = aggregator.map(|_| view.limiter.report(now, gateway.incarnation));
-    let limits = aggregator.map(|_| view.limits_to_report(now)).unwrap_or_default();
+    let statements = aggregator.map(|_| view.statements_to_report(now)).unwrap_or_default();
     drop(view);
     to.retain(|address| Some(*address) != aggregator);
     gateway.peers.send(&PeerMessage::State(state.clone()), &to);
     if let Some(aggregator) = aggregator {
         state.loads = Some(loads);
         state.uses = uses;
-        state.limits = limits;
+        state.statements = statements;
         gateway.peers.send(&PeerMessage::State(state), &[aggregator]);
     }
 }
@@ -331,7 +331,7 @@
         aggregates: view.domain.aggregates,
         loads: None,
         uses: None,
-        limits: Vec::new(),
+        statements: Vec::new(),
         others,
     }
 }
@@ -392,7 +392,7 @@
     if let Some(uses) = &state.uses {
         view.limiter.apply_member_report(now, &state.vm, uses);
     }
-    view.apply_reported_limits(&state.limits, now);
+    view.apply_reported_statements(&state.statements, now);
     let own = view.table.as_ref().map_or(0, |table| table.version.0);
     drop(view);
     match change {
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::id::{ServerName, ServiceName, TimePoint};
-use coltsfoothook_decision::statement::{ReportedLimit, StatedValue};
+use coltsfoothook_decision::statement::{ReportedStatement, StatedValue, StatementChange};
 use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_platform::read_statement;
 use coltsfoothook_telemetry::event;
@@ -31,7 +31,6 @@
     }
     if statement.leaving == StatedValue::Readable(true) {
         gateway.metrics.statement("leaving");
-        event!(ServerLeavingStated, server = start.server, born = start.incarnation);
     }
     if let StatedValue::Readable(rest) = statement.rest
         && !served
@@ -47,10 +46,11 @@
     }
     let now = clock::now();
     let mut view = gateway.view();
-    if view.backends.apply_statement(start, &statement, served, now) {
-        view.limit_changed(start, "answer", now);
+    let change = view.backends.apply_statement(start, &statement, served, now);
+    if view.statement_changed(start, change, "answer", now) {
         drop(view);
         gateway.loads_changed.notify_one();
+        gateway.changed.notify_waiters();
     }
 }
 
@@ -66,13 +66,41 @@
 }
 
 impl SystemView {
-    /// Applies limits that other VMs reported.
-    pub(crate) fn apply_reported_limits(&mut self, limits: &[ReportedLimit], now: TimePoint) {
-        for reported in limits {
-            if self.backends.apply_reported_limit(reported, now) {
-                self.limit_changed(&reported.start, "vm", now);
-            }
+    /// Applies what other VMs reported.
+    pub(crate) fn apply_reported_statements(
+        &mut self,
+        reports: &[ReportedStatement],
+        now: TimePoint,
+    ) {
+        for report in reports {
+            let change = self.backends.apply_report(report, now);
+            self.statement_changed(&report.start, change, "vm", now);
+        }
+    }
+
+    /// Follows a change of what a server stated. Returns whether there was one. `told_by` says
+    /// whether an answer or another VM told it.
+    fn statement_changed(
+        &mut self,
+        start: &ServerStart,
+        change: StatementChange,
+        told_by: &'static str,
+        now: TimePoint,
+    ) -> bool {
+        if change.limit {
+            self.limit_changed(start, told_by, now);
+        }
+        if change.leaving {
+            // Tells the other VMs with the next report, which follows within milliseconds.
+            self.uses_changed = true;
+            event!(
+                ServerLeavingStated,
+                server = start.server,
+                born = start.incarnation,
+                told_by = told_by
+            );
         }
+        change != StatementChange::default()
     }
 
     fn limit_changed(&mut self, start: &ServerStart, told_by: &'static str, now: TimePoint) {
@@ -89,9 +117,9 @@
         );
     }
 
-    /// Returns the limits to report to the other VMs, or to the aggregator in a large fleet.
-    pub(crate) fn limits_to_report(&mut self, now: TimePoint) -> Vec<ReportedLimit> {
-        self.backends.limits_to_report(false, now)
+    /// Returns the statements to report to the other VMs, or to the aggregator in a large fleet.
+    pub(crate) fn statements_to_report(&mut self, now: TimePoint) -> Vec<ReportedStatement> {
+        self.backends.statements_to_report(false, now)
     }
 
     /// Drops the limits of servers that were removed or have restarted.
--- a/gateway/tests/unit/large_fleet.rs
+++ b/gateway/tests/unit/large_fleet.rs
@@ -29,7 +29,7 @@
         aggregates: false,
         loads: None,
         uses: None,
-        limits: Vec::new(),
+        statements: Vec::new(),
         others: Vec::new(),
     }
 }
