A server that asks for rest gets no request from this VM until its end

What callers saw: a quarter of crew summaries refused for nine seconds, up to 2 s after they were asked, while two engines turned away everything and asked for three seconds of rest. They got 15 to 18 requests from one VM in that time, two being allowed, and the retries used up what all VMs may repeat.

Cause: the time that a refusal asks for was not read; the next request waited 0.05 s and more of the VM's own, and a server that is avoided was used all the same if no other held the adapter. Both hypotheses held: with the time read into the table of avoided servers alone, the second would have broken the rule still.

Change: the rest belongs to a server's start and this VM. A resting server is closed, as one at its limit is: no candidate for requests, loads or copies, not even as the last. The refused request goes on to another holder at once, or has its adapter loaded elsewhere; where all servers are closed it is refused at once with the time that is left. A later refusal never shortens a rest, an answer to a request from before does not end it, and after it one request is awaited before others follow, so that a server which is still full refuses one and not all that waited.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -11,6 +11,7 @@
 use crate::holding::{AdapterHolding, HeldAdapters};
 use crate::id::{ModelName, ServerName, ServiceName, TimePoint, VmName, stable_hash};
 use crate::prefill::PrefillRate;
+use crate::rest::ServerRest;
 use crate::routing::{AdapterKey, BackendEntry, HeldModel};
 use crate::statement::KeptStatements;
 
@@ -94,6 +95,7 @@
     pub(crate) counts: RequestCounts,
     pub(crate) condition: ServerCondition,
     pub(crate) stated: KeptStatements,
+    pub(crate) rest: ServerRest,
     /// Hash of its name, from which its ranks for adapters and prompts are derived.
     pub(crate) name_hash: u64,
 }
@@ -347,6 +349,7 @@
     /// to process before it.
     pub fn sent(&mut self, server: &str, tokens: u64, now: TimePoint) -> u64 {
         let Some(state) = self.get_mut(server) else { return 0 };
+        state.rest.sent(now);
         let before = state.load(now).pending_prompt_tokens;
         state.counts.own.running += 1;
         state.counts.own.pending_prompt_tokens += tokens;
@@ -505,6 +508,7 @@
             counts: RequestCounts::default(),
             condition: ServerCondition::default(),
             stated: KeptStatements::default(),
+            rest: ServerRest::default(),
             name_hash,
         };
         state.adopt_entry(now);
@@ -547,6 +551,12 @@
         self.entry.models.iter().any(|held| held.model == *model)
     }
 
+    /// Returns for how long it wants no request from this VM; zero if it may get one now.
+    #[must_use]
+    pub fn rest_wait(&self, now: TimePoint) -> Duration {
+        self.rest.wait(now)
+    }
+
     /// Returns how many requests per second it takes from all VMs together; `None` if it stated no
     /// limit.
     #[must_use]
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -67,6 +67,7 @@
 mod queue;
 pub mod record;
 pub mod report;
+pub(crate) mod rest;
 pub mod retry;
 pub mod route;
 pub mod routing;
--- a/decision/src/statement.rs
+++ b/decision/src/statement.rs
@@ -161,6 +161,11 @@
             StatedValue::Absent | StatedValue::Unreadable => None,
         };
         let limit = per_s.map(|per_s| StatedLimit { per_s, at: now });
+        match statement.rest {
+            _ if served => state.rest.served(now),
+            StatedValue::Readable(rest) => state.rest.ask(rest, now),
+            StatedValue::Absent | StatedValue::Unreadable => {}
+        }
         StatementChange {
             limit: limit.is_some_and(|limit| state.stated.set_limit(limit, true)),
             leaving: leaves && state.leave(),
--- a/decision/tests/suite/server_statements.rs
+++ b/decision/tests/suite/server_statements.rs
@@ -1,5 +1,7 @@
 //! What servers state about themselves in their responses.
 
+use std::time::Duration;
+
 use coltsfoothook_decision::backend::{BackendTable, EntryChange};
 use coltsfoothook_decision::id::TimePoint;
 use coltsfoothook_decision::routing::BackendEntry;
@@ -124,3 +126,49 @@
     assert_eq!(table.statements_to_report(false, later(61_000)), []);
     assert_eq!(table.statements_to_report(true, later(61_000)), [report]);
 }
+
+fn rest(ms: u64) -> ServerStatement {
+    let rest = StatedValue::Readable(Duration::from_millis(ms));
+    ServerStatement { rest, ..ServerStatement::default() }
+}
+
+fn rest_ms(table: &BackendTable, now: TimePoint) -> u128 {
+    table.get("s0").unwrap().rest_wait(now).as_millis()
+}
+
+/// Guards against a rest that is cut short by a second refusal, or by an answer to a request from before it.
+#[test]
+fn rests_in_full() {
+    let mut table = table();
+    table.apply_statement(&start(100), &rest(3_000), false, NOW);
+    assert_eq!(rest_ms(&table, later(1_000)), 2_000);
+    table.apply_statement(&start(100), &rest(500), false, later(1_000));
+    table.apply_statement(&start(100), &ServerStatement::default(), true, later(1_100));
+    assert_eq!(rest_ms(&table, later(2_000)), 1_000);
+    assert_eq!(rest_ms(&table, later(3_000)), 0);
+    // A refusal that asks for no rest, and one whose time cannot be read, change nothing.
+    let unreadable =
+        ServerStatement { rest: StatedValue::Unreadable, ..ServerStatement::default() };
+    table.apply_statement(&start(100), &unreadable, false, later(3_100));
+    assert_eq!(rest_ms(&table, later(3_100)), 0);
+    table.apply_statement(&start(100), &rest(u64::MAX), false, later(3_200));
+    assert!(rest_ms(&table, later(9_000)) > 1_000_000);
+    table.apply_entry(entry(200, 1, 2), later(9_100));
+    assert_eq!(rest_ms(&table, later(9_100)), 0);
+}
+
+/// Guards against all waiting requests that are sent to a server at the end of its rest and refused together.
+#[test]
+fn one_after_rest() {
+    let mut table = table();
+    table.apply_statement(&start(100), &rest(1_000), false, NOW);
+    table.sent("s0", 100, later(1_100));
+    assert!(rest_ms(&table, later(1_101)) > 0, "the first request is awaited");
+    table.apply_statement(&start(100), &rest(1_000), false, later(1_150));
+    assert_eq!(rest_ms(&table, later(1_200)), 950);
+    table.sent("s0", 100, later(2_200));
+    table.apply_statement(&start(100), &ServerStatement::default(), true, later(2_250));
+    assert_eq!(rest_ms(&table, later(2_250)), 0);
+    table.sent("s0", 100, later(2_300));
+    assert_eq!(rest_ms(&table, later(2_300)), 0, "it has served a request since");
+}
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -16,6 +16,7 @@
 use crate::order;
 use crate::run::RequestRun;
 use crate::state::{Gateway, SystemView};
+use crate::statement::ClosedReason;
 use crate::waits::WaitGuard;
 
 /// A request with less time left than this is not sent: the time would be used up in transit.
@@ -34,9 +35,9 @@
 /// entries every 600 ms, so that a newly registered server is known within this time.
 const NO_SERVER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Fraction of a request's target for which it waits for a server at its limit. One that would wait
-/// for longer is refused at once, so that its caller can return in time.
-const LIMIT_WAIT_FRACTION: f64 = 0.25;
+/// Fraction of a request's target for which it waits while all servers rest or are at their limits.
+/// One that would wait for longer is refused at once, so that its caller can return in time.
+const CLOSED_WAIT_FRACTION: f64 = 0.25;
 
 /// Returns a server that can run the request, or the reason for which there is none.
 ///
@@ -46,7 +47,7 @@
     let from = clock::now();
     let max_wait = max_wait(run.left().min(run.request.route.idle_timeout()));
     let max_hold = run.request.route.target.mul_f64(MAX_HOLD_FRACTION);
-    let max_limit_wait = run.request.route.target.mul_f64(LIMIT_WAIT_FRACTION);
+    let max_closed_wait = run.request.route.target.mul_f64(CLOSED_WAIT_FRACTION);
     let (held_before, mut unserved_from) = (run.held, None);
     // Counts the request among those that wait for its adapter until a server is found.
     let mut waiting = None;
@@ -59,8 +60,7 @@
         if run.left() < MIN_TIME_LEFT {
             break Err("deadline");
         }
-        let PreparedChoice { choice, load_request, limit_wait } =
-            choose(run, waited < max_hold, now);
+        let PreparedChoice { choice, load_request, closed } = choose(run, waited < max_hold, now);
         if let Some((key, version, server)) = load_request {
             if matches!(choice, ServerChoice::Load { .. }) {
                 waiting.get_or_insert_with(|| WaitGuard::new(&gateway, &key, run.in_time_until()));
@@ -75,12 +75,12 @@
             }
             ServerChoice::Wait { until } => Duration::from_micros(until.since(now)),
             ServerChoice::Load { .. } => RECHECK_INTERVAL,
-            ServerChoice::Unavailable if let Some(wait) = limit_wait => {
-                if waited + wait > max_limit_wait {
-                    run.retry_after = Some(wait);
-                    break Err("server_limit");
+            ServerChoice::Unavailable if let Some(reason) = closed => {
+                if waited + reason.wait > max_closed_wait {
+                    run.retry_after = Some(reason.wait);
+                    break Err(reason.name);
                 }
-                wait
+                reason.wait
             }
             ServerChoice::Unavailable if let Some(orders_after) = time_until_orders(run, now) => {
                 if waited + orders_after > max_wait {
@@ -154,8 +154,8 @@
     choice: ServerChoice,
     /// An adapter that should be loaded, its version, and the server at which to load it.
     load_request: Option<(AdapterKey, u64, ServerName)>,
-    /// Time until a server of the service that is at its limit may get a request; `None` if none is.
-    limit_wait: Option<Duration>,
+    /// Why the first server to open again of those that are closed is closed; `None` if none is.
+    closed: Option<ClosedReason>,
 }
 
 /// Chooses a server for the request.
@@ -165,9 +165,9 @@
     let need = run.request.head.need.as_ref();
     let key = need.and_then(|need| need.adapter.as_ref());
     let (oldest, newest) = key.map_or((0, 0), |key| view.usable_versions(run, key, now));
-    let limited = view.limited_servers(&run.request.service, &run.avoided, now);
-    let excluded = [run.avoided.as_slice(), limited.full.as_slice()].concat();
-    let sparing = [excluded.as_slice(), limited.scarce.as_slice()].concat();
+    let closed = view.closed_servers(&run.request.service, &run.avoided, now);
+    let excluded = [run.avoided.as_slice(), closed.closed.as_slice()].concat();
+    let sparing = [excluded.as_slice(), closed.scarce.as_slice()].concat();
     let domain = &run.gateway.settings.domain;
     let gap = view.table.as_ref().and_then(|table| table.min_gap(&run.request.service));
     let requirements = |excluded, version| ServerRequirements {
@@ -181,14 +181,14 @@
         gap: gap.filter(|_| may_hold),
     };
     let mut choice = view.backends.choose(&requirements(&excluded, oldest), draw, now);
-    if !limited.scarce.is_empty() {
+    if !closed.scarce.is_empty() {
         let other = view.backends.choose(&requirements(&sparing, oldest), draw, now);
         if view.backends.sends_to_available(&other, now) {
             choice = other;
         }
     }
     let prepared =
-        |choice, load_request| PreparedChoice { choice, load_request, limit_wait: limited.wait };
+        |choice, load_request| PreparedChoice { choice, load_request, closed: closed.reason };
     let Some(key) = key else { return prepared(choice, None) };
     match &choice {
         ServerChoice::Send { copy: Some(server), .. }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -148,7 +148,7 @@
                 }
             },
             SendEnd::NotRun(answer, head) => handle_not_run(&mut run, &server, answer, &head),
-            SendEnd::AtLimit => NextStep::Retry(Duration::ZERO),
+            SendEnd::Closed => NextStep::Retry(Duration::ZERO),
             SendEnd::Unsent(_) => {
                 run.avoided.push(server);
                 NextStep::Retry(Duration::ZERO)
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -124,6 +124,11 @@
         drop(view);
         return misdirected(run, server, key.as_ref(), usable_from);
     }
+    let rests = view.backends.get(server.as_str()).is_some_and(|s| !s.rest_wait(now).is_zero());
+    if rests {
+        // It is left alone until the end of its rest, by this request too.
+        return NextStep::Retry(Duration::ZERO);
+    }
     // The server is full or is replacing the adapter's version; it may accept requests again shortly.
     view.backends.mark_full(server.as_str(), now);
     drop(view);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -196,7 +196,7 @@
                 cause = cause,
             );
             match send(run, &server, last.as_deref()).await {
-                SendEnd::AtLimit => continue,
+                SendEnd::Closed => continue,
                 sent => break (server, sent),
             }
         };
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -36,8 +36,8 @@
     Answer(ExchangeResponse),
     /// The server states that it did not run the request.
     NotRun(ExchangeResponse, ResponseHead),
-    /// The server's limit allows no request now.
-    AtLimit,
+    /// The server rests or is at its limit.
+    Closed,
     /// No byte was sent, for this cause.
     Unsent(String),
     /// The request was sent, and whether it ran is not known, for this cause.
@@ -70,14 +70,13 @@
         let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
         let version = key.and_then(|key| state.version(key));
         let (address, incarnation) = (state.entry.address, state.entry.incarnation);
-        let limit_per_s = state.limit_per_s();
-        if limit_per_s.is_some() {
-            if !view.limiter.admit_server(clock::now(), server.as_str(), incarnation) {
-                gateway.metrics.sent("at_limit");
-                return SendEnd::AtLimit;
-            }
-            view.uses_changed = true;
+        let (limit_per_s, rest) = (state.limit_per_s(), state.rest_wait(clock::now()));
+        if !rest.is_zero() || !view.limiter.admit_server(clock::now(), server.as_str(), incarnation)
+        {
+            gateway.metrics.sent("closed");
+            return SendEnd::Closed;
         }
+        view.uses_changed |= limit_per_s.is_some();
         (address, incarnation, version, limit_per_s)
     };
     if limit_per_s.is_some() {
@@ -134,7 +133,9 @@
 /// at its address.
 fn record_statement(run: &RequestRun, server: &ServerName, end: &SendEnd) {
     let (headers, served) = match end {
-        SendEnd::Answer(answer) => (&answer.headers, true),
+        SendEnd::Answer(answer) => {
+            (&answer.headers, answer.status != StatusCode::SERVICE_UNAVAILABLE)
+        }
         SendEnd::NotRun(answer, head)
             if head.id.is_some() && answer.status != StatusCode::MISDIRECTED_REQUEST =>
         {
@@ -208,7 +209,7 @@
     let (result, cause) = match end {
         SendEnd::Answer(..) => ("answer", ""),
         SendEnd::NotRun(..) => ("not_run", ""),
-        SendEnd::AtLimit => ("at_limit", ""),
+        SendEnd::Closed => ("closed", ""),
         SendEnd::Unsent(cause) => ("unsent", cause.as_str()),
         SendEnd::Unknown(cause) => ("unknown", cause.as_str()),
     };
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -54,15 +54,33 @@
     }
 }
 
-/// The servers of a service whose limits bind.
+/// Why a server gets no request now, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClosedReason {
+    /// The reason of refusals, in logs and metrics.
+    pub(crate) name: &'static str,
+    /// Time until it may get one.
+    pub(crate) wait: Duration,
+}
+
+/// The servers of a service that want no request, or few.
 #[derive(Debug, Default)]
-pub(crate) struct LimitedServers {
-    /// Servers that get no request now.
-    pub(crate) full: Vec<ServerName>,
-    /// Servers with little room left.
+pub(crate) struct ClosedServers {
+    /// Servers that get no request now, as they rest or are at their limit.
+    pub(crate) closed: Vec<ServerName>,
+    /// Servers whose limit leaves little room.
     pub(crate) scarce: Vec<ServerName>,
-    /// Time until the first of the full ones may get a request.
-    pub(crate) wait: Option<Duration>,
+    /// The reason of the closed server that opens first.
+    pub(crate) reason: Option<ClosedReason>,
+}
+
+impl ClosedServers {
+    fn close(&mut self, server: &ServerName, reason: ClosedReason) {
+        self.closed.push(server.clone());
+        if self.reason.is_none_or(|first| reason.wait < first.wait) {
+            self.reason = Some(reason);
+        }
+    }
 }
 
 impl SystemView {
@@ -130,31 +148,34 @@
         });
     }
 
-    /// Returns the servers of a service whose limits bind now, without those in `avoided`.
-    pub(crate) fn limited_servers(
+    /// Returns the servers of a service that want no request, or few, now; without those in
+    /// `avoided`.
+    pub(crate) fn closed_servers(
         &mut self,
         service: &ServiceName,
         avoided: &[ServerName],
         now: TimePoint,
-    ) -> LimitedServers {
-        let mut limited = LimitedServers::default();
+    ) -> ClosedServers {
+        let mut closed = ClosedServers::default();
         for state in self.backends.servers() {
             let server = &state.entry.server;
-            if state.limit_per_s().is_none()
+            let rest = state.rest_wait(now);
+            if (state.limit_per_s().is_none() && rest.is_zero())
                 || state.entry.service != *service
                 || avoided.contains(server)
             {
                 continue;
             }
             let (name, incarnation) = (server.as_str(), state.entry.incarnation);
-            let wait = self.limiter.server_wait(now, name, incarnation);
-            if !wait.is_zero() {
-                limited.full.push(server.clone());
-                limited.wait = Some(limited.wait.map_or(wait, |least| least.min(wait)));
+            let limit_wait = self.limiter.server_wait(now, name, incarnation);
+            if !rest.is_zero() {
+                closed.close(server, ClosedReason { name: "server_rest", wait: rest });
+            } else if !limit_wait.is_zero() {
+                closed.close(server, ClosedReason { name: "server_limit", wait: limit_wait });
             } else if self.limiter.is_server_scarce(now, name, incarnation) {
-                limited.scarce.push(server.clone());
+                closed.scarce.push(server.clone());
             }
         }
-        limited
+        closed
     }
 }
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -127,8 +127,12 @@
     };
     same_message(
         PeerMessage::State(state),
-        expect![[r#"{"state":{"vm":"vm-1","incarnation":1,"sequence":2,"requests":"10.0.0.1:80","ready":true,"leaving":false,"config":3,"store_age_ms":4,"domain":"d1","strong":true,"aggregates":false,"loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"statements":[{"start":{"server":"s-1","born":15},"leaving":true,"limit":{"per_s":5.5,"age_ms":16}}],"others":["10.0.0.2:81"]}}"#]],
-        expect![[r#"7 {"state":["vm-1",1,2,{"V4":[[10,0,0,1],80]},true,false,3,4,"d1",true,false,[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],true,[5.5,16]]],[{"V4":[[10,0,0,2],81]}]]}"#]],
+        expect![[
+            r#"{"state":{"vm":"vm-1","incarnation":1,"sequence":2,"requests":"10.0.0.1:80","ready":true,"leaving":false,"config":3,"store_age_ms":4,"domain":"d1","strong":true,"aggregates":false,"loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"statements":[{"start":{"server":"s-1","born":15},"leaving":true,"limit":{"per_s":5.5,"age_ms":16}}],"others":["10.0.0.2:81"]}}"#
+        ]],
+        expect![[
+            r#"7 {"state":["vm-1",1,2,{"V4":[[10,0,0,1],80]},true,false,3,4,"d1",true,false,[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],true,[5.5,16]]],[{"V4":[[10,0,0,2],81]}]]}"#
+        ]],
     );
 }
 
@@ -220,8 +224,12 @@
     };
     same_message(
         PeerMessage::Loads(update),
-        expect![[r#"{"loads":{"vm":"vm-1","incarnation":1,"sequence":2,"loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"statements":[{"start":{"server":"s-1","born":15},"leaving":true,"limit":{"per_s":5.5,"age_ms":16}}]}}"#]],
-        expect![[r#"7 {"loads":["vm-1",1,2,[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],true,[5.5,16]]]]}"#]],
+        expect![[
+            r#"{"loads":{"vm":"vm-1","incarnation":1,"sequence":2,"loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"statements":[{"start":{"server":"s-1","born":15},"leaving":true,"limit":{"per_s":5.5,"age_ms":16}}]}}"#
+        ]],
+        expect![[
+            r#"7 {"loads":["vm-1",1,2,[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],true,[5.5,16]]]]}"#
+        ]],
     );
 }
 
@@ -242,8 +250,12 @@
     };
     same_message(
         PeerMessage::Domain(update),
-        expect![[r#"{"domain":{"vm":"vm-1","loads":[{"server":"s-1","running":11,"unread":12}],"lists":{"lists":[{"server":"s-1","born":24,"vm":"vm-1","fence":25,"revision":26,"base":27,"free":28,"adapters":[{"key":{"model":"base","adapter":"swahili"},"version":21,"usable_in_ms":22,"heat":23,"from_memory":true}],"dropped":[{"model":"base","adapter":"swahili"}]}],"load_us":29,"each_us":30,"shorter":true},"statements":[{"start":{"server":"s-1","born":15},"leaving":true,"limit":{"per_s":5.5,"age_ms":16}}],"standings":[{"subject":{"customer":"clinic"},"level":1.5,"asked_per_s":2.5}],"in_touch":1}}"#]],
-        expect![[r#"7 {"domain":["vm-1",[["s-1",11,12]],[[["s-1",24,"vm-1",25,26,27,28,[[["base","swahili"],21,22,23,true]],[["base","swahili"]]]],29,30,true],[[["s-1",15],true,[5.5,16]]],[[{"customer":"clinic"},1.5,2.5]],1]}"#]],
+        expect![[
+            r#"{"domain":{"vm":"vm-1","loads":[{"server":"s-1","running":11,"unread":12}],"lists":{"lists":[{"server":"s-1","born":24,"vm":"vm-1","fence":25,"revision":26,"base":27,"free":28,"adapters":[{"key":{"model":"base","adapter":"swahili"},"version":21,"usable_in_ms":22,"heat":23,"from_memory":true}],"dropped":[{"model":"base","adapter":"swahili"}]}],"load_us":29,"each_us":30,"shorter":true},"statements":[{"start":{"server":"s-1","born":15},"leaving":true,"limit":{"per_s":5.5,"age_ms":16}}],"standings":[{"subject":{"customer":"clinic"},"level":1.5,"asked_per_s":2.5}],"in_touch":1}}"#
+        ]],
+        expect![[
+            r#"7 {"domain":["vm-1",[["s-1",11,12]],[[["s-1",24,"vm-1",25,26,27,28,[[["base","swahili"],21,22,23,true]],[["base","swahili"]]]],29,30,true],[[["s-1",15],true,[5.5,16]]],[[{"customer":"clinic"},1.5,2.5]],1]}"#
+        ]],
     );
 }
 
@@ -258,8 +270,12 @@
     };
     same_message(
         PeerMessage::Sums(sums),
-        expect![[r#"{"sums":{"vm":"vm-1","loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"statements":[{"start":{"server":"s-1","born":15},"leaving":true,"limit":{"per_s":5.5,"age_ms":16}}],"members":1}}"#]],
-        expect![[r#"7 {"sums":["vm-1",[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],true,[5.5,16]]],1]}"#]],
+        expect![[
+            r#"{"sums":{"vm":"vm-1","loads":[{"server":"s-1","running":11,"unread":12}],"uses":{"life":13,"age_ms":14,"uses":[{"subject":{"customer":"clinic"},"total":{"asked":1.5,"admitted":2.5}}]},"statements":[{"start":{"server":"s-1","born":15},"leaving":true,"limit":{"per_s":5.5,"age_ms":16}}],"members":1}}"#
+        ]],
+        expect![[
+            r#"7 {"sums":["vm-1",[["s-1",11,12]],[13,14,[[{"customer":"clinic"},[1.5,2.5]]]],[[["s-1",15],true,[5.5,16]]],1]}"#
+        ]],
     );
 }
 
