Limits that servers state are kept at the product's own interface too

Of three VMs' calls a server of a plain service with a limit of 6 a second got 153 in four seconds, 41 being allowed; an engine with a limit of 2 got 152 runs, 17 being allowed (server_limits of entry, with the recording of statements switched off).

These VMs do not report sends to each other, so each keeps an equal part of a limit by the number of live members. A service's server without room is left out of the rotation, an engine without room is among those that the owner of the group is asked to avoid; where no other is there the caller is refused at once, as overloaded, with the time until there is room. The stand-ins of engine and service can state a limit.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -74,6 +74,7 @@
 mod row;
 pub mod slot;
 pub mod snapshot;
+pub mod stated_servers;
 pub mod statement;
 pub mod subject;
 pub mod suspect;
--- a/decision/src/limit.rs
+++ b/decision/src/limit.rs
@@ -485,7 +485,14 @@
 /// Methods for the limits of servers, which count requests.
 impl FleetLimiter {
     /// Sets the limit that an incarnation of a server states; `None` if it states none any more.
-    pub fn set_server_limit(&mut self, now: TimePoint, start: &ServerStart, per_s: Option<f64>) {
+    /// This VM keeps one of `parts` equal parts of it: 1 where VMs report their usage to each other.
+    pub fn set_server_limit(
+        &mut self,
+        now: TimePoint,
+        start: &ServerStart,
+        per_s: Option<f64>,
+        parts: usize,
+    ) {
         self.started.get_or_insert(now);
         let found = self.server_index(start.server.as_str(), start.incarnation);
         let Some(per_s) = per_s else {
@@ -494,7 +501,8 @@
             }
             return;
         };
-        let per_second = per_s.max(MIN_SERVER_RATE);
+        let parts = parts.max(1) as f64;
+        let per_second = per_s.max(MIN_SERVER_RATE) / parts;
         let limit = FleetLimit { per_second, burst: 0.0, measure: LimitMeasure::Requests };
         let at = found.unwrap_or_else(|at| {
             let subject = LimitSubject::Server(start.clone());
@@ -506,7 +514,8 @@
         let bucket = &mut self.buckets[at];
         bucket.advance(now, fraction);
         bucket.limit = limit;
-        bucket.excess = SERVER_EXCESS.of(&limit);
+        let excess = LimitExcess { slack: SERVER_EXCESS.slack / parts, ..SERVER_EXCESS };
+        bucket.excess = excess.of(&limit);
         bucket.window_s = SERVER_EXCESS.window_s;
         bucket.level = bucket.level.min(bucket.capacity(fraction));
     }
--- a/decision/tests/suite/server_limits.rs
+++ b/decision/tests/suite/server_limits.rs
@@ -50,7 +50,7 @@
     fn limiter(&self, now: u64) -> FleetLimiter {
         let mut limiter = FleetLimiter::new(LimitExcess::default(), UPDATE_INTERVAL_US);
         limiter.set_reachable(TimePoint(now), self.names.len(), self.names.len());
-        limiter.set_server_limit(TimePoint(now), &start(), Some(self.per_s));
+        limiter.set_server_limit(TimePoint(now), &start(), Some(self.per_s), 1);
         limiter
     }
 
@@ -195,11 +195,11 @@
     let mut now = 0;
     for round in 0..6 {
         for limiter in &mut fleet.limiters {
-            limiter.set_server_limit(TimePoint(now), &start(), None);
+            limiter.set_server_limit(TimePoint(now), &start(), None, 1);
         }
         assert!(fleet.limiters[0].server_wait(TimePoint(now), "e-1", 7).is_zero());
         for limiter in &mut fleet.limiters {
-            limiter.set_server_limit(TimePoint(now), &start(), Some(4.0));
+            limiter.set_server_limit(TimePoint(now), &start(), Some(4.0), 1);
         }
         let from = fleet.sent.len();
         for step in 0..200 {
--- a/engine/src/client.rs
+++ b/engine/src/client.rs
@@ -8,7 +8,7 @@
 use coltsfoothook_decision::id::{IdempotencyKey, RequestId};
 use coltsfoothook_decision::report::EngineReport;
 use coltsfoothook_exchange::ResponseBody;
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 
 use crate::error::{OrderError, RunError};
 use crate::wire::{CacheEventPage, KvExport, LoadOrder, RoleOrder, UnloadOrder};
@@ -117,6 +117,8 @@
     pub status: StatusCode,
     /// Value of `Content-Type`: `text/event-stream` for a stream, `application/json` if absent.
     pub content_type: String,
+    /// All headers, in which the engine may state something about itself.
+    pub headers: HeaderMap,
     /// Response body. Convert an error while reading it with [`RunError::from`].
     pub body: ResponseBody,
 }
--- a/engine/src/error.rs
+++ b/engine/src/error.rs
@@ -1,7 +1,7 @@
 //! Errors of runs and orders.
 
 use coltsfoothook_exchange::{ExchangeError, ExchangeStage};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use snafu::Snafu;
 
 /// Failure of a run, by the stage that it reached.
@@ -23,6 +23,8 @@
         status: StatusCode,
         /// The engine's error message, truncated.
         reason: String,
+        /// The response's headers, in which the engine may state something about itself.
+        headers: HeaderMap,
     },
     /// The engine returned any other error status: the request may have run in part.
     #[snafu(display("failed with {status}: {reason}"))]
--- a/engine/src/http_engine.rs
+++ b/engine/src/http_engine.rs
@@ -246,21 +246,23 @@
         return Err(run_error(answer).await);
     }
     let content_type = content_type(&answer.headers);
-    Ok(RunAnswer { status: answer.status, content_type, body: answer.body })
+    let ExchangeResponse { status, headers, body } = answer;
+    Ok(RunAnswer { status, content_type, headers, body })
 }
 
 /// Maps an error response of a run. Engines return client errors and 503 only before they begin a run;
 /// any other status may follow a partial run.
 async fn run_error(answer: ExchangeResponse) -> RunError {
     let status = answer.status;
+    let headers = answer.headers.clone();
     let detail = match error_detail(answer).await {
         Ok(detail) => detail,
         Err(error) => return RunError::from(error),
     };
     let reason = detail.message;
     match status {
-        StatusCode::SERVICE_UNAVAILABLE => RunError::Refused { status, reason },
-        status if status.is_client_error() => RunError::Refused { status, reason },
+        StatusCode::SERVICE_UNAVAILABLE => RunError::Refused { status, reason, headers },
+        status if status.is_client_error() => RunError::Refused { status, reason, headers },
         status => RunError::Failed { status, reason },
     }
 }
--- a/entry/src/core.rs
+++ b/entry/src/core.rs
@@ -10,6 +10,7 @@
 };
 use coltsfoothook_decision::invariant::{InvariantLog, InvariantName};
 use coltsfoothook_decision::member::{MemberState, MemberTable};
+use coltsfoothook_decision::stated_servers::StatedServers;
 use coltsfoothook_engine::EngineClient;
 use coltsfoothook_peer::{PeerPool, PeerTarget};
 use coltsfoothook_platform::{LogClient, VmDirectory};
@@ -86,6 +87,8 @@
     pub(crate) owners: RwLock<Vec<Arc<OwnerShard>>>,
     /// Epochs below which this VM uses no grants, sorted by group.
     pub(crate) floors: Mutex<Vec<(GroupName, OwnerEpoch)>>,
+    /// What backend servers stated to this VM.
+    pub(crate) stated: Mutex<StatedServers>,
     pub(crate) held: HeldGrants,
     pub(crate) releases: ReleaseQueue,
     pub(crate) traces: RequestTraces,
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -39,6 +39,7 @@
 mod services;
 mod settings;
 mod snapshots;
+mod stated;
 mod stream;
 mod tls;
 mod trace;
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -309,6 +309,7 @@
         limits: RequestLimits::new(),
         owners: RwLock::default(),
         floors: Mutex::default(),
+        stated: Mutex::default(),
         held: crate::held::HeldGrants::default(),
         releases,
         traces: crate::trace::RequestTraces::default(),
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -33,6 +33,7 @@
 use crate::hold::GrantHold;
 use crate::measure::{micro_seconds, seconds};
 use crate::reserve::{TimedGrant, reserve, usable};
+use crate::stated;
 use crate::stream::AnswerRun;
 
 /// Delay before the first retry. Each further delay is [`RETRY_DELAY_FACTOR`] times the previous
@@ -324,8 +325,9 @@
     run: &mut RequestRun,
     spec: &RequestSpec,
 ) -> Result<FirstPart, FailedAttempt> {
-    let TimedGrant { grant, start } = obtain_grant(run, spec).await?;
     let core = Arc::clone(&run.core);
+    let spec = &sparing_closed(&core, spec);
+    let TimedGrant { grant, start } = obtain_grant(run, spec).await?;
     let view = core.view();
     let Some((entry, _)) = view.engine(grant.server.as_str()) else {
         let problem = not_run(RefusalReason::NoServer, "the engine is no longer configured");
@@ -350,6 +352,13 @@
         .map_err(|failed| FailedAttempt { server: Some(server), ..failed })
 }
 
+/// Returns the request with the engines that want no request now among those to avoid.
+fn sparing_closed(core: &EntryCore, spec: &RequestSpec) -> RequestSpec {
+    let closed = stated::closed(core);
+    let added = closed.into_iter().filter(|server| !spec.avoid.contains(server));
+    RequestSpec { avoid: spec.avoid.iter().cloned().chain(added).collect(), ..spec.clone() }
+}
+
 async fn obtain_grant(
     run: &mut RequestRun,
     spec: &RequestSpec,
@@ -440,15 +449,28 @@
         let problem = not_run(RefusalReason::NotOwner, "the grant expired or its owner changed");
         return Err(FailedAttempt::new(CallStage::GrantVoid, problem));
     }
+    let server = hold.grant.server.clone();
+    if !stated::take(&core, &server) {
+        hold.end(GrantEnd::NotRun, 0);
+        // The owner avoids engines that want no request, so there is no other one.
+        let retry_ms = stated::retry_ms(stated::wait(&core, &server));
+        let detail = "the engines with the adapter want no request now";
+        let problem = CallProblem::refused(RefusalReason::Overloaded, retry_ms, detail);
+        return Err(FailedAttempt::new(CallStage::OwnerRefused, problem));
+    }
     hold.mark_sent();
     let answer = match core.clients.engines.run(hold.address, call).await {
         Ok(answer) => answer,
         Err(error) => {
             run.may_have_run |= !error.certainly_not_run();
+            if let RunError::Refused { headers, .. } = &error {
+                stated::record(&core, &server, headers, false);
+            }
             return Err(failed_run(&mut hold, &error));
         }
     };
     run.may_have_run = true;
+    stated::record(&core, &server, &answer.headers, true);
     run.step(StepKind::Sent, format!("status={}", answer.status.as_u16()));
     read_first(run, hold, &mut filter, answer).await.map(|(hold, answer, first)| FirstPart {
         hold,
--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -20,6 +20,7 @@
 use crate::claims::{KeyedRequest, RunningKey};
 use crate::core::{EntryCore, read};
 use crate::gate::GatePass;
+use crate::stated;
 
 const RETRY_MS: u64 = 1_000;
 
@@ -137,14 +138,28 @@
     let mut avoid: Vec<ServerName> = Vec::new();
     core.limits.first_try();
     loop {
-        let Some(server) = choose_server(&run, &avoid) else {
-            let detail = "no backend server offers the service";
-            return Err(run.fail(CallProblem::refused(RefusalReason::NoServer, RETRY_MS, detail)));
+        let server = match choose_server(&run, &avoid) {
+            ServerChoice::Send(name, address) => (name, address),
+            ServerChoice::Closed(wait) => {
+                let detail = "all backend servers of the service are at their limits";
+                let retry_ms = stated::retry_ms(wait);
+                let problem = CallProblem::refused(RefusalReason::Overloaded, retry_ms, detail);
+                return Err(run.fail(problem));
+            }
+            ServerChoice::None => {
+                let detail = "no backend server offers the service";
+                let problem = CallProblem::refused(RefusalReason::NoServer, RETRY_MS, detail);
+                return Err(run.fail(problem));
+            }
         };
         run.server = Some(server.0.clone());
         let sent = sent_call(&run);
         let error = match core.clients.services.call(server.1, sent).await {
-            Ok(answer) => return Ok(forward(run, answer)),
+            Ok(answer) => {
+                let served = answer.status != StatusCode::SERVICE_UNAVAILABLE;
+                stated::record(&core, &server.0, &answer.headers, served);
+                return Ok(forward(run, answer));
+            }
             Err(error) => error,
         };
         let (stage, reason) = stage_of(&error);
@@ -166,15 +181,22 @@
     }
 }
 
-/// Chooses the next server of the service in rotation, without draining ones. Prefers servers of
-/// this region and then servers that this call has not tried; `None` if there is no server.
-fn choose_server(
-    run: &ServiceRun,
-    avoid: &[ServerName],
-) -> Option<(ServerName, std::net::SocketAddr)> {
-    let view = run.core.view();
-    let control = read(&run.core.control);
-    let region = run.core.settings.region.as_str();
+/// Where a call goes next.
+enum ServerChoice {
+    Send(ServerName, std::net::SocketAddr),
+    /// No server wants a call now; the first of them does after this time.
+    Closed(Duration),
+    /// There is no server.
+    None,
+}
+
+/// Chooses the next server of the service in rotation, without draining ones and those that want no
+/// call now. Prefers servers of this region and then servers that this call has not tried.
+fn choose_server(run: &ServiceRun, avoid: &[ServerName]) -> ServerChoice {
+    let core = &run.core;
+    let view = core.view();
+    let control = read(&core.control);
+    let region = core.settings.region.as_str();
     let mut servers: Vec<_> = view
         .service_servers(run.call.service.as_str())
         .filter(|entry| !control.is_server_draining(entry.name.as_str()))
@@ -182,15 +204,21 @@
     if servers.iter().any(|entry| entry.region.as_str() == region) {
         servers.retain(|entry| entry.region.as_str() == region);
     }
+    let first_open = servers.iter().map(|entry| stated::wait(core, &entry.name)).min();
+    servers.retain(|entry| stated::wait(core, &entry.name).is_zero());
     if servers.iter().any(|entry| !avoid.contains(&entry.name)) {
         servers.retain(|entry| !avoid.contains(&entry.name));
     }
     if servers.is_empty() {
-        return None;
+        return first_open.map_or(ServerChoice::None, ServerChoice::Closed);
+    }
+    let rotation = core.request_numbers.fetch_add(1, Ordering::Relaxed) as usize;
+    // Another call may take what is left of a server's limit in between.
+    let mut turn = (0..servers.len()).map(|at| servers[(rotation + at) % servers.len()]);
+    match turn.find(|entry| stated::take(core, &entry.name)) {
+        Some(entry) => ServerChoice::Send(entry.name.clone(), entry.address),
+        None => ServerChoice::Closed(first_open.unwrap_or_default()),
     }
-    let rotation = run.core.request_numbers.fetch_add(1, Ordering::Relaxed) as usize;
-    let entry = servers[rotation % servers.len()];
-    Some((entry.name.clone(), entry.address))
 }
 
 fn sent_call(run: &ServiceRun) -> SentCall {
--- a/entry/tests/suite/main.rs
+++ b/entry/tests/suite/main.rs
@@ -14,5 +14,6 @@
 mod poison_request;
 mod roles_apart;
 mod server_drain;
+mod server_limits;
 mod settings_page;
 mod whole_path;
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -124,7 +124,7 @@
     fn limit_changed(&mut self, start: &ServerStart, told_by: &'static str, now: TimePoint) {
         let state = self.backends.get(start.server.as_str());
         let per_s = state.and_then(|state| state.limit_per_s());
-        self.limiter.set_server_limit(now, start, per_s);
+        self.limiter.set_server_limit(now, start, per_s, 1);
         self.uses_changed = true;
         event!(
             ServerLimitStated,
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -23,6 +23,7 @@
 use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
+use crate::statement::StatementFaults;
 use crate::tally::TallyEntry;
 
 /// Maximum size in bytes of the body of an order or of a call to `/standin/`.
@@ -111,6 +112,8 @@
         pub cut_next: u32,
         /// The age of load reports in milliseconds, if above the setting.
         pub report_lag_ms: u64,
+        /// What the engine states about itself in its answers to runs.
+        pub states: StatementFaults,
     }
 
     /// Fault of loads.
@@ -325,6 +328,16 @@
         endpoint_state.reports.push_back((Instant::now(), report));
     }
 
+    async fn handle_stating_run(
+        &self,
+        request: Request<Incoming>,
+        chat: bool,
+    ) -> Result<Reply, ConnectionCut> {
+        let mut answer = self.handle_run(request, chat).await?;
+        self.endpoint_state().faults.states.state(&mut answer);
+        Ok(answer)
+    }
+
     async fn handle_admin(
         &self,
         request: Request<Incoming>,
@@ -358,10 +371,10 @@
         let method = request.method().clone();
         let result = match (&method, &reply::segments(&path)[..]) {
             (&Method::POST, ["v1", "completions"]) => {
-                return engine.handle_run(request, false).await;
+                return engine.handle_stating_run(request, false).await;
             }
             (&Method::POST, ["v1", "chat", "completions"]) => {
-                return engine.handle_run(request, true).await;
+                return engine.handle_stating_run(request, true).await;
             }
             (&Method::POST, ["v1", "load_lora_adapter"]) => engine.handle_load(request).await,
             (&Method::POST, ["v1", "unload_lora_adapter"]) => engine.handle_unload(request).await,
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -32,6 +32,7 @@
 mod runs;
 mod server;
 mod service;
+mod statement;
 mod store;
 mod streams;
 mod tally;
@@ -50,6 +51,7 @@
 pub use service::{
     MadeTicket, ServiceCounters, ServiceFaults, ServiceHandle, ServiceServerSettings, start_service,
 };
+pub use statement::StatementFaults;
 pub use store::{StoreCounters, StoreFaults, StoreHandle, StoreServerSettings, start_store};
 pub use tally::TallyEntry;
 pub use vms::VmChange;
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -15,6 +15,7 @@
 use crate::metric::metrics;
 use crate::reply::{self, ConnectionCut, Refusal, Reply};
 use crate::server::{HttpServer, RequestHandler, ServerControl};
+use crate::statement::StatementFaults;
 use crate::tally::{BoundedTally, TallyEntry};
 
 /// Header whose value is used as the id of a ticket.
@@ -49,6 +50,8 @@
         pub cut_amid: u32,
         /// Whether all calls are refused with 503.
         pub refuse: bool,
+        /// What the service states about itself.
+        pub states: StatementFaults,
     }
 
     /// Counters since the start.
@@ -289,7 +292,11 @@
             }
             ["health"] => Ok(reply::ok(&"ok")),
             ["metrics"] => Ok(reply::into_reply(metrics("service", &self.counters()))),
-            _ => self.handle_call(request).await,
+            _ => {
+                let mut answer = self.handle_call(request).await?;
+                self.lock().faults.states.state(&mut answer);
+                Ok(answer)
+            }
         }
     }
 }
