Servers that leave or ask for rest are left alone at the product's own interface too

Change: entry keeps rest and leaving beside limits. A service's server that leaves is out of the rotation, for thirty seconds at a time as these servers are known by name and not by start; one that rests is closed, and a repeatable call that it refused goes to another one within the retry budget. Engines report to the owner of their group whether they leave, with the incarnation that their report names; the owner then treats them as drained and has their adapters loaded elsewhere. A VM sends no run to an engine that asked it for rest. Tried and dropped: a VM that refuses what the owner granted at a leaving engine; the owner loads no copy elsewhere then, and callers were refused for as long as the only copy was there.

--- a/decision/benches/route_cost.rs
+++ b/decision/benches/route_cost.rs
@@ -70,6 +70,7 @@
                 running: 0,
             });
             let report = EngineReport {
+                leaving: false,
                 incarnation: ServerIncarnation(1),
                 sequence: 1,
                 slots: slots.collect(),
--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -96,6 +96,8 @@
         let settle = self.settings.broken_settle_ms * MICROS_PER_MILLI;
         let engine = &mut self.engines[at];
         engine.sequence = report.sequence;
+        // Reports may be overtaken by others; an incarnation that leaves does not come back.
+        engine.leaving = report.leaving || (same_incarnation && engine.leaving);
         engine.waiting = report.waiting;
         engine.broken.retain(|run| now.since(run.at) < settle);
         for slot in &report.slots {
--- a/decision/src/report.rs
+++ b/decision/src/report.rs
@@ -18,6 +18,9 @@
         pub waiting: u32,
         /// The loaded slots, in any order.
         pub slots: Vec<SlotReport>,
+        /// Whether the engine leaves. Engines of earlier releases do not report it.
+        #[serde(default)]
+        pub leaving: bool,
     }
 
     /// State of a loaded slot.
--- a/decision/src/slot.rs
+++ b/decision/src/slot.rs
@@ -125,6 +125,8 @@
     pub(crate) listed: bool,
     pub(crate) draining: bool,
     pub(crate) draining_since: Option<TimePoint>,
+    /// Whether its present incarnation reported that it leaves.
+    pub(crate) leaving: bool,
     pub(crate) failed_reports: u32,
     pub(crate) down: bool,
     pub(crate) incarnation: Option<ServerIncarnation>,
@@ -153,6 +155,7 @@
             listed: true,
             draining: false,
             draining_since: None,
+            leaving: false,
             failed_reports: 0,
             down: false,
             incarnation: None,
@@ -172,7 +175,7 @@
 
     /// Returns whether new work may be sent to it.
     pub(crate) fn usable(&self) -> bool {
-        self.listed && !self.draining && !self.down && self.incarnation.is_some()
+        self.listed && !self.draining && !self.leaving && !self.down && self.incarnation.is_some()
     }
 
     /// Returns whether no earlier owner can evict `slot` unnoticed.
--- a/decision/src/stated_servers.rs
+++ b/decision/src/stated_servers.rs
@@ -7,6 +7,7 @@
 
 use crate::id::{ServerName, TimePoint};
 use crate::limit::FleetLimiter;
+use crate::rest::ServerRest;
 use crate::statement::{ServerStatement, StatedValue, StatementChange};
 use crate::subject::ServerStart;
 
@@ -22,6 +23,9 @@
 struct StatedServer {
     server: ServerName,
     limit_per_s: Option<f64>,
+    rest: ServerRest,
+    /// The rest that follows from its statement that it leaves.
+    leaving: ServerRest,
 }
 
 impl StatedServers {
@@ -44,8 +48,19 @@
             StatedValue::Absent | StatedValue::Unreadable => {}
         }
         let per_s = stated.limit_per_s;
+        let was_leaving = !stated.leaving.wait(now).is_zero();
+        let leaves = statement.leaving == StatedValue::Readable(true);
+        match statement.leaving {
+            StatedValue::Readable(true) => stated.leaving.ask(LEAVING_REST, now),
+            _ => stated.leaving.served(now),
+        }
+        match statement.rest {
+            _ if served => stated.rest.served(now),
+            StatedValue::Readable(rest) => stated.rest.ask(rest, now),
+            StatedValue::Absent | StatedValue::Unreadable => {}
+        }
         self.limiter.set_server_limit(now, &start(server), per_s, vms);
-        StatementChange { limit: before != per_s, ..StatementChange::default() }
+        StatementChange { limit: before != per_s, leaving: leaves && !was_leaving }
     }
 
     /// Returns how many requests per second a server takes from all VMs; `None` without a limit.
@@ -58,30 +73,50 @@
     fn stated(&mut self, server: &ServerName) -> &mut StatedServer {
         let found = self.servers.binary_search_by(|stated| stated.server.cmp(server));
         let at = found.unwrap_or_else(|at| {
-            self.servers.insert(at, StatedServer { server: server.clone(), limit_per_s: None });
+            let server = server.clone();
+            let (rest, leaving) = (ServerRest::default(), ServerRest::default());
+            self.servers.insert(at, StatedServer { server, limit_per_s: None, rest, leaving });
             at
         });
         &mut self.servers[at]
     }
 
-    /// Returns the time until a server may get a request from this VM; zero if it may get one now.
+    /// Returns whether a server stated that it leaves.
+    pub fn is_leaving(&mut self, server: &ServerName, now: TimePoint) -> bool {
+        !self.stated(server).leaving.wait(now).is_zero()
+    }
+
+    /// Returns the time until a server's rest and its limit allow a request from this VM; zero if
+    /// they do now.
     pub fn wait(&mut self, server: &ServerName, now: TimePoint) -> Duration {
-        self.limiter.server_wait(now, server.as_str(), INCARNATION)
+        let limit_wait = self.limiter.server_wait(now, server.as_str(), INCARNATION);
+        self.stated(server).rest.wait(now).max(limit_wait)
     }
 
-    /// Returns the servers that may get no request from this VM now.
+    /// Returns the servers that rest or are at their limits.
     pub fn closed(&mut self, now: TimePoint) -> Vec<ServerName> {
         let names: Vec<ServerName> =
             self.servers.iter().map(|stated| stated.server.clone()).collect();
-        names.into_iter().filter(|server| !self.wait(server, now).is_zero()).collect()
+        let wants_none =
+            |server: &ServerName| self.is_leaving(server, now) || !self.wait(server, now).is_zero();
+        names.into_iter().filter(wants_none).collect()
     }
 
-    /// Counts a request that is sent to a server. Returns false if it may not get one now.
+    /// Counts a request that is sent to a server. Returns false if it rests or is at its limit.
     pub fn take(&mut self, server: &ServerName, now: TimePoint) -> bool {
+        let StatedServer { rest, leaving, .. } = self.stated(server);
+        if !rest.wait(now).is_zero() {
+            return false;
+        }
+        rest.sent(now);
+        leaving.sent(now);
         self.limiter.admit_server(now, server.as_str(), INCARNATION)
     }
 }
 
+/// How long a server gets no request after it stated that it leaves. One that has restarted under its
+/// name meanwhile is then asked again, with one request at first.
+const LEAVING_REST: Duration = Duration::from_secs(30);
 /// Incarnation of all servers here: a restarted server states its limit anew, or none.
 const INCARNATION: u64 = 0;
 
--- a/decision/tests/suite/encoded_names.rs
+++ b/decision/tests/suite/encoded_names.rs
@@ -843,6 +843,7 @@
         ]],
     );
     let report = EngineReport {
+        leaving: false,
         incarnation: ServerIncarnation(1),
         sequence: 2,
         running: 3,
@@ -852,7 +853,7 @@
     same(
         &[report],
         expect![[
-            r#"{"incarnation":1,"sequence":2,"running":3,"waiting":4,"slots":[{"slot":"slot-1","running":5}]}"#
+            r#"{"incarnation":1,"sequence":2,"running":3,"waiting":4,"slots":[{"slot":"slot-1","running":5}],"leaving":false}"#
         ]],
     );
 }
--- a/decision/tests/suite/owner_rules.rs
+++ b/decision/tests/suite/owner_rules.rs
@@ -65,6 +65,7 @@
         self.sequence += 1;
         let slots = slots.iter().map(|slot| SlotReport { slot: (*slot).into(), running: 0 });
         let report = EngineReport {
+            leaving: false,
             incarnation: ServerIncarnation(incarnation),
             sequence: self.sequence,
             slots: slots.collect(),
--- a/decision/tests/suite/owner_world.rs
+++ b/decision/tests/suite/owner_world.rs
@@ -414,6 +414,7 @@
         engine.sequence += 1;
         let slots = engine.slots.iter();
         let report = EngineReport {
+            leaving: false,
             incarnation: ServerIncarnation(engine.incarnation),
             sequence: engine.sequence,
             running: engine.slots.iter().map(|slot| slot.1).sum(),
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -453,7 +453,7 @@
     if !stated::take(&core, &server) {
         hold.end(GrantEnd::NotRun, 0);
         // The owner avoids engines that want no request, so there is no other one.
-        let retry_ms = stated::retry_ms(stated::wait(&core, &server));
+        let retry_ms = stated::retry_ms(stated::wait(&core, &server), NOT_RUN_RETRY_MS);
         let detail = "the engines with the adapter want no request now";
         let problem = CallProblem::refused(RefusalReason::Overloaded, retry_ms, detail);
         return Err(FailedAttempt::new(CallStage::OwnerRefused, problem));
--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -141,8 +141,8 @@
         let server = match choose_server(&run, &avoid) {
             ServerChoice::Send(name, address) => (name, address),
             ServerChoice::Closed(wait) => {
-                let detail = "all backend servers of the service are at their limits";
-                let retry_ms = stated::retry_ms(wait);
+                let detail = "no backend server of the service wants a call now";
+                let retry_ms = stated::retry_ms(wait, RETRY_MS);
                 let problem = CallProblem::refused(RefusalReason::Overloaded, retry_ms, detail);
                 return Err(run.fail(problem));
             }
@@ -158,7 +158,21 @@
             Ok(answer) => {
                 let served = answer.status != StatusCode::SERVICE_UNAVAILABLE;
                 stated::record(&core, &server.0, &answer.headers, served);
-                return Ok(forward(run, answer));
+                // A repeatable call that a resting server refused goes to another one.
+                if served || !run.repeatable || stated::wait(&core, &server.0).is_zero() {
+                    return Ok(forward(run, answer));
+                }
+                let now = core.clock.now();
+                let next = core
+                    .limits
+                    .after_failure(|budget| attempt.fail(now, CallStage::ServerRefused, budget));
+                if let AttemptNext::End(_) = next {
+                    return Ok(forward(run, answer));
+                }
+                core.metrics.retried(CallStage::ServerRefused);
+                log_retry(&run, &server.0, CallStage::ServerRefused);
+                avoid.push(server.0);
+                continue;
             }
             Err(error) => error,
         };
@@ -169,18 +183,22 @@
             return Err(run.fail(CallProblem::ended(reason, outcome, error.to_string())));
         }
         core.metrics.retried(stage);
-        event!(
-            RequestRetried,
-            request_id = run.call.request_id,
-            tenant = run.call.tenant,
-            service = run.call.service,
-            server = server.0,
-            stage = stage.as_str()
-        );
+        log_retry(&run, &server.0, stage);
         avoid.push(server.0);
     }
 }
 
+fn log_retry(run: &ServiceRun, server: &ServerName, stage: CallStage) {
+    event!(
+        RequestRetried,
+        request_id = run.call.request_id,
+        tenant = run.call.tenant,
+        service = run.call.service,
+        server = server,
+        stage = stage.as_str()
+    );
+}
+
 /// Where a call goes next.
 enum ServerChoice {
     Send(ServerName, std::net::SocketAddr),
@@ -200,6 +218,7 @@
     let mut servers: Vec<_> = view
         .service_servers(run.call.service.as_str())
         .filter(|entry| !control.is_server_draining(entry.name.as_str()))
+        .filter(|entry| !stated::is_leaving(core, &entry.name))
         .collect();
     if servers.iter().any(|entry| entry.region.as_str() == region) {
         servers.retain(|entry| entry.region.as_str() == region);
--- a/entry/src/stated.rs
+++ b/entry/src/stated.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::id::{MICROS_PER_MILLI, ServerName};
+use coltsfoothook_decision::statement::StatedValue;
 use coltsfoothook_platform::read_statement;
 use coltsfoothook_telemetry::event;
 use http::HeaderMap;
@@ -26,25 +27,39 @@
     if change.limit {
         event!(ServerLimitStated, server = server, per_s? = per_s, told_by = "answer");
     }
+    if change.leaving {
+        event!(ServerLeavingStated, server = server, told_by = "answer");
+    }
+    if let StatedValue::Readable(rest) = statement.rest
+        && !served
+    {
+        event!(ServerRestStated, server = server, rest_ms = rest.as_millis());
+    }
+}
+
+/// Returns whether a server stated that it leaves.
+pub(crate) fn is_leaving(core: &EntryCore, server: &ServerName) -> bool {
+    lock(&core.stated).is_leaving(server, core.clock.now())
 }
 
-/// Returns the time until a server may get a request; zero if it may get one now.
+/// Returns the time until a server's rest and its limit allow a request; zero if they do now.
 pub(crate) fn wait(core: &EntryCore, server: &ServerName) -> Duration {
     lock(&core.stated).wait(server, core.clock.now())
 }
 
-/// Returns the servers that want no request now.
+/// Returns the servers that rest or are at their limits.
 pub(crate) fn closed(core: &EntryCore) -> Vec<ServerName> {
     lock(&core.stated).closed(core.clock.now())
 }
 
-/// Counts a request that is sent to a server now. Returns false if the server wants none.
+/// Counts a request that is sent to a server now. Returns false if it rests or is at its limit.
 pub(crate) fn take(core: &EntryCore, server: &ServerName) -> bool {
     lock(&core.stated).take(server, core.clock.now())
 }
 
-/// Returns a wait as the retry delay of a refusal, in whole milliseconds and at least one.
-pub(crate) fn retry_ms(wait: Duration) -> u64 {
+/// Returns a wait as the retry delay of a refusal, in whole milliseconds; `other` if nothing is
+/// known of when a server will take the request.
+pub(crate) fn retry_ms(wait: Duration, other: u64) -> u64 {
     let micros = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
-    micros.div_ceil(MICROS_PER_MILLI).max(1)
+    if micros == 0 { other } else { micros.div_ceil(MICROS_PER_MILLI) }
 }
--- a/entry/tests/suite/main.rs
+++ b/entry/tests/suite/main.rs
@@ -15,5 +15,6 @@
 mod roles_apart;
 mod server_drain;
 mod server_limits;
+mod server_statements;
 mod settings_page;
 mod whole_path;
--- a/entry/tests/suite/server_limits.rs
+++ b/entry/tests/suite/server_limits.rs
@@ -22,7 +22,7 @@
 }
 
 fn limit(text: &str) -> StatementFaults {
-    StatementFaults { limit: Some(text.to_owned()) }
+    StatementFaults { limit: Some(text.to_owned()), ..StatementFaults::default() }
 }
 
 /// Calls the plain service through one VM after another for `period`.
--- a/load/src/config.rs
+++ b/load/src/config.rs
@@ -137,6 +137,7 @@
         for (at, servers) in groups.iter().enumerate() {
             for server in servers {
                 let report = EngineReport {
+                    leaving: false,
                     incarnation: ServerIncarnation(1),
                     sequence: round,
                     running: 0,
--- a/load/src/fake.rs
+++ b/load/src/fake.rs
@@ -229,6 +229,7 @@
             .iter()
             .map(|slot| SlotReport { slot: slot.name.clone(), running: slot.runs.len() as u32 });
         EngineReport {
+            leaving: false,
             incarnation: self.incarnation,
             sequence: self.sequence,
             running: self.slots.iter().map(|slot| slot.runs.len() as u32).sum(),
--- a/load/src/fleet.rs
+++ b/load/src/fleet.rs
@@ -75,6 +75,7 @@
                 let (group, name) = (at, server.clone());
                 self.loaded.push(LoadedEngine { group, server: name, slots: slots.clone() });
                 let report = EngineReport {
+                    leaving: false,
                     incarnation: ServerIncarnation(1),
                     sequence: 1,
                     running: 0,
--- a/load/src/ours.rs
+++ b/load/src/ours.rs
@@ -128,6 +128,7 @@
         for engine in 0..self.slots.len() {
             let slots = self.slots[engine].iter();
             let report = EngineReport {
+                leaving: false,
                 incarnation: ServerIncarnation(u64::from(model.engines[engine].incarnation) + 1),
                 sequence: self.sequence,
                 running: model.running(engine) as u32,
--- a/standin/src/batch.rs
+++ b/standin/src/batch.rs
@@ -259,6 +259,7 @@
         self.sequence += 1;
         let loaded = self.slots.iter().filter(|slot| *slot.loaded.borrow() == Some(Ok(())));
         EngineReport {
+            leaving: false,
             incarnation: self.incarnation,
             sequence: self.sequence,
             running: self.running.len() as u32,
--- a/standin/src/count.rs
+++ b/standin/src/count.rs
@@ -8,6 +8,8 @@
     pub struct EngineCounters {
         /// Requests admitted to the batch.
         pub runs: u64,
+        /// Requests that were refused by a fault.
+        pub refused_runs: u64,
         /// Requests that were completed.
         pub done: u64,
         /// Requests that were cancelled, by request or because nobody read them.
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -11,7 +11,7 @@
 use coltsfoothook_engine::{EngineRole, KvExport};
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings};
 use coltsfoothook_settings::{FaultList, settings_struct};
-use http::{Method, Request};
+use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -112,6 +112,8 @@
         pub cut_next: u32,
         /// The age of load reports in milliseconds, if above the setting.
         pub report_lag_ms: u64,
+        /// Whether all runs are refused with 503.
+        pub refuse: bool,
         /// What the engine states about itself in its answers to runs.
         pub states: StatementFaults,
     }
@@ -333,7 +335,13 @@
         request: Request<Incoming>,
         chat: bool,
     ) -> Result<Reply, ConnectionCut> {
-        let mut answer = self.handle_run(request, chat).await?;
+        let mut answer = if self.endpoint_state().faults.refuse {
+            self.lock().counters.refused_runs += 1;
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            reply::refusal(status, "refused", "out of service").into()
+        } else {
+            self.handle_run(request, chat).await?
+        };
         self.endpoint_state().faults.states.state(&mut answer);
         Ok(answer)
     }
--- a/standin/src/orders.rs
+++ b/standin/src/orders.rs
@@ -184,10 +184,10 @@
     /// Answers with the newest report that is at least as old as the lag, or the oldest kept one;
     /// without a lag with the present state.
     pub(crate) fn handle_report(&self) -> Reply {
-        match self.lagging_report() {
-            Some(report) => reply::ok(&report),
-            None => reply::ok(&self.lock().report()),
-        }
+        let lagging = self.lagging_report();
+        let report = lagging.unwrap_or_else(|| self.lock().report());
+        let leaving = self.endpoint_state().faults.states.leaving;
+        reply::ok(&EngineReport { leaving, ..report })
     }
 
     fn lagging_report(&self) -> Option<EngineReport> {
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -59,6 +59,8 @@
     pub struct ServiceCounters {
         /// Calls that took effect.
         pub calls: u64,
+        /// Calls that were refused.
+        pub refused: u64,
         /// Tickets made.
         pub tickets: u64,
         /// Tickets whose id had been used before.
@@ -226,6 +228,7 @@
             return Err(ConnectionCut);
         }
         if self.lock().faults.refuse {
+            self.lock().counters.refused += 1;
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Ok(reply::refusal(status, "refused", "out of service").into());
         }
