--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -13,6 +13,9 @@
 use crate::server::ServerMode;
 use crate::world::{ServerKind, SoakWorld};
 
+/// The shortest time for which a server states a limit: until it binds, and one window.
+const LIMIT_TIME: Duration = Duration::from_secs(7);
+
 /// One fault, or one operation that operators plan.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum FaultKind {
@@ -30,6 +33,12 @@
     ServerCrash(usize),
     /// A server is replaced: the new one starts, then the old one drains.
     ServerReplaced(usize),
+    /// A server states how many requests it takes from all VMs.
+    ServerLimited(usize),
+    /// A server refuses everything and states for how long it wants no request from the VM.
+    ServerRests(usize),
+    /// A server is replaced and states only in its answers that it leaves, until its entry is removed.
+    ServerLeavesUnheard(usize),
     /// A gateway's process is suspended with SIGSTOP and resumed later.
     Pause(usize),
     /// A gateway's process is killed and restarted.
@@ -56,16 +65,20 @@
     /// Faults of the store and configurations only. No VM restarts, which would read the store and report to the
     /// others what they missed.
     Store,
+    /// Servers that state something about themselves, and faults of the store. No VM restarts: what a server gets
+    /// after its statement is judged without exceptions.
+    Statements,
 }
 
 impl FaultMix {
-    /// Returns the mix of a seed: its remainder modulo 4.
+    /// Returns the mix of a seed, by its remainder modulo 8.
     pub(crate) fn of(seed: u64) -> Self {
-        match seed % 4 {
-            0 => Self::Planned,
-            1 => Self::Some,
-            2 => Self::Many,
-            _ => Self::Store,
+        match seed % 8 {
+            0 | 4 => Self::Planned,
+            1 | 5 => Self::Some,
+            2 | 6 => Self::Many,
+            3 => Self::Store,
+            _ => Self::Statements,
         }
     }
 
@@ -73,7 +86,7 @@
     fn mean_interval_ms(self) -> u64 {
         match self {
             Self::Planned => 900,
-            Self::Some | Self::Store => 700,
+            Self::Some | Self::Store | Self::Statements => 700,
             Self::Many => 250,
         }
     }
@@ -123,6 +136,15 @@
             _ => FaultKind::Configure,
         };
     }
+    if mix == FaultMix::Statements {
+        return match random.random_range(0..7) {
+            0 | 1 => FaultKind::ServerLimited(server),
+            2 | 3 => FaultKind::ServerRests(server),
+            4 => FaultKind::ServerLeavesUnheard(server),
+            5 => FaultKind::StoreUnresponsive,
+            _ => FaultKind::Configure,
+        };
+    }
     let modes = [
         ServerMode::LosesAnswer,
         ServerMode::Fails,
@@ -179,6 +201,9 @@
             sleep(lasts).await;
             server.set_mode(ServerMode::Paced);
         }
+        FaultKind::ServerLimited(server) => world.limit(server, LIMIT_TIME + lasts).await,
+        FaultKind::ServerRests(server) => world.rest(server).await,
+        FaultKind::ServerLeavesUnheard(server) => world.leave_unheard(server).await,
         FaultKind::ServerCrash(server) => world.crash(server, lasts).await,
         FaultKind::ServerReplaced(server) => world.replace(server).await,
         FaultKind::Pause(gateway) => {
--- a/gateway/tests/soak/main.rs
+++ b/gateway/tests/soak/main.rs
@@ -37,7 +37,7 @@
 ///   being published was checked against that one.
 const REGRESSION_SEEDS: &[u64] = &[5010];
 /// Seeds that are always played: one for each mix of faults.
-const FIXED_SEEDS: &[u64] = &[1, 2, 4, 403];
+const FIXED_SEEDS: &[u64] = &[1, 2, 4, 7, 403];
 
 /// Plays seeds of the soak.
 #[derive(Bpaf, Clone, Debug)]
--- a/gateway/tests/soak/verdict.rs
+++ b/gateway/tests/soak/verdict.rs
@@ -5,11 +5,20 @@
 
 use crate::callers::{CallEnd, CallRecord};
 use crate::server::{EVENTS, RunRecord};
-use crate::world::SoakWorld;
+use crate::world::{LIMIT_PER_S, REST, SoakStatement, SoakWorld, StatementKind};
 
 /// How long a draining server may receive new requests. Operators allow two seconds; the store's answer and the
 /// transit add some tens of milliseconds.
 const DRAIN_TIME: Duration = Duration::from_millis(2_100);
+/// How long gateways have to keep a limit, the window in which a server counts its requests, and what it may get in it
+/// beyond one and a half times its limit.
+const LIMIT_NOTICE: Duration = Duration::from_secs(3);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_SLACK: f64 = 5.0;
+/// The time in which each gateway is refused once by a server that rests, and the most requests that one may send it
+/// afterwards.
+const REST_NOTICE: Duration = Duration::from_millis(1_500);
+const ALLOWED_IN_REST: usize = 2;
 /// The percentage of requests that must be served once all faults are over.
 const RECOVERED_PERCENT: usize = 90;
 
@@ -116,11 +125,43 @@
                 self.find(line);
             }
         }
+        for stated in world.statements() {
+            self.judge_statement(&stated, world.gateways.len());
+        }
         if world.only_planned {
             self.judge_planned(&calls, &runs, world);
         }
     }
 
+    /// Checks what a server got after it stated something about itself. Only seeds whose gateways neither restart nor
+    /// pause have such statements.
+    fn judge_statement(&self, stated: &SoakStatement, gateways: usize) {
+        let arrivals: Vec<Instant> = stated
+            .server
+            .arrivals_since(stated.from)
+            .into_iter()
+            .filter(|at| *at < stated.until)
+            .collect();
+        let Some(told) = arrivals.first().copied() else { return };
+        let (from, window, allowed) = match stated.kind {
+            StatementKind::Limit => {
+                let allowed = 1.5 * LIMIT_PER_S * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+                (told + LIMIT_NOTICE, LIMIT_WINDOW, allowed as usize)
+            }
+            StatementKind::Rest => (told + REST_NOTICE, REST, ALLOWED_IN_REST * gateways),
+            StatementKind::Leaving => (told + DRAIN_TIME, stated.until - stated.from, 0),
+        };
+        let within = |from: Instant| {
+            arrivals.iter().filter(|at| (from..from + window).contains(*at)).count()
+        };
+        let counted = arrivals.iter().filter(|at| **at >= from);
+        let most = counted.map(|at| within(*at)).max().unwrap_or(0);
+        if most > allowed {
+            let (name, kind) = (&stated.server.name, stated.kind);
+            self.find(format!("{name} got {most} requests after its {kind:?}, allowed {allowed}"));
+        }
+    }
+
     /// Checks that enough of the requests sent after `from`, when all faults are over, are served.
     fn judge_recovery(&self, calls: &[CallRecord], from: Instant) {
         let due =
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -82,6 +82,28 @@
     link: LinkProxy,
 }
 
+/// A server's statement about itself.
+#[derive(Clone)]
+pub(crate) struct SoakStatement {
+    pub(crate) server: StandinServer,
+    pub(crate) kind: StatementKind,
+    pub(crate) from: Instant,
+    pub(crate) until: Instant,
+}
+
+/// What a server stated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StatementKind {
+    Limit,
+    Rest,
+    Leaving,
+}
+
+/// The limit that servers state, in requests per second.
+pub(crate) const LIMIT_PER_S: f64 = 4.0;
+/// The rest that servers ask for.
+pub(crate) const REST: Duration = Duration::from_secs(4);
+
 /// The running site of one seed.
 pub(crate) struct SoakWorld {
     pub(crate) store: StandinStore,
@@ -94,6 +116,8 @@
     slots: Mutex<Vec<ServerSlot>>,
     /// All servers that were ever started, each with the time at which it began to drain.
     all_servers: Mutex<Vec<(StandinServer, Option<Instant>)>>,
+    /// What servers stated about themselves, and when.
+    statements: Mutex<Vec<SoakStatement>>,
     heartbeat: AtomicU64,
     published: AtomicU64,
     /// The last configuration that was published after all faults, and from when on no older one may be used.
@@ -173,6 +197,7 @@
             only_planned: mix == FaultMix::Planned,
             slots: Mutex::default(),
             all_servers: Mutex::default(),
+            statements: Mutex::default(),
             heartbeat: AtomicU64::new(0),
             published: AtomicU64::new(0),
             watched: Mutex::default(),
@@ -299,6 +324,77 @@
         old.server.end();
     }
 
+    /// Lets a server state a limit for some time.
+    pub(crate) async fn limit(&self, slot: usize, time: Duration) {
+        let server = self.server(slot);
+        if self.is_stating(&server) {
+            return;
+        }
+        let from = Instant::now();
+        server.state_limit(Some(&LIMIT_PER_S.to_string()));
+        self.record_statement(&server, StatementKind::Limit, from, time);
+        sleep(time).await;
+        server.state_limit(None);
+    }
+
+    /// Lets a server refuse everything and ask for [`REST`].
+    pub(crate) async fn rest(&self, slot: usize) {
+        let server = self.server(slot);
+        if self.is_stating(&server) {
+            return;
+        }
+        let from = Instant::now();
+        server.state_rest(&REST.as_secs().to_string());
+        server.set_mode(ServerMode::Full);
+        self.record_statement(&server, StatementKind::Rest, from, REST);
+        sleep(REST).await;
+        server.set_mode(ServerMode::Paced);
+    }
+
+    /// Replaces a server that states in its answers that it leaves. Its entry says so never, and is removed.
+    pub(crate) async fn leave_unheard(&self, slot: usize) {
+        if self.is_stating(&self.server(slot)) {
+            return;
+        }
+        let kind = self.slots.lock().unwrap()[slot].kind;
+        let new = self.new_server(kind).await;
+        let old = std::mem::replace(&mut self.slots.lock().unwrap()[slot], new);
+        self.register_all();
+        sleep(HEARTBEAT_INTERVAL).await;
+        let from = Instant::now();
+        old.server.state_leaving();
+        let time = LINGER + HEARTBEAT_INTERVAL;
+        self.record_statement(&old.server, StatementKind::Leaving, from, time);
+        sleep(LINGER).await;
+        self.store.write("keyed.servers", &old.server.name, None);
+        sleep(HEARTBEAT_INTERVAL).await;
+        old.server.end();
+    }
+
+    /// Returns whether a server's earlier statement may still be judged.
+    fn is_stating(&self, server: &StandinServer) -> bool {
+        let statements = self.statements.lock().unwrap();
+        let current = |stated: &SoakStatement| {
+            stated.server.name == server.name && stated.until + REST > Instant::now()
+        };
+        statements.iter().any(current)
+    }
+
+    fn record_statement(
+        &self,
+        server: &StandinServer,
+        kind: StatementKind,
+        from: Instant,
+        time: Duration,
+    ) {
+        let stated = SoakStatement { server: server.clone(), kind, from, until: from + time };
+        self.statements.lock().unwrap().push(stated);
+    }
+
+    pub(crate) fn statements(&self) -> Vec<SoakStatement> {
+        self.statements.lock().unwrap().clone()
+    }
+
     /// Records that a server began to drain, and ends faults of the server itself.
     fn record_draining(&self, name: &str) {
         let mut all_servers = self.all_servers.lock().unwrap();
