A failed answer without a limit does not lift it

A server's 500 may be made where its limit is not known, so that only a success tells that it states none any more; refusals were treated so already.

--- a/decision/src/stated_servers.rs
+++ b/decision/src/stated_servers.rs
@@ -30,7 +30,7 @@
 
 impl StatedServers {
     /// Records what a response of a server to this VM, one of `vms`, states about the server.
-    /// `served` is false for a refusal, which may leave out what answers state. Returns what
+    /// `served` is false for a refusal or failure, which may leave out what other answers state. Returns what
     /// changed.
     pub fn apply(
         &mut self,
--- a/decision/src/statement.rs
+++ b/decision/src/statement.rs
@@ -143,8 +143,8 @@
 
 impl BackendTable {
     /// Records what a response of a server to this VM states about the server. Responses of another
-    /// incarnation are ignored. `served` is false for a refusal, which may leave out what answers
-    /// state.
+    /// incarnation are ignored. `served` is false for a refusal or failure, which may leave
+    /// out what other answers state.
     pub fn apply_statement(
         &mut self,
         start: &ServerStart,
--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -156,10 +156,10 @@
         let sent = sent_call(&run);
         let error = match core.clients.services.call(server.1, sent).await {
             Ok(answer) => {
-                let served = answer.status != StatusCode::SERVICE_UNAVAILABLE;
-                stated::record(&core, &server.0, &answer.headers, served);
+                stated::record(&core, &server.0, &answer.headers, answer.status.is_success());
+                let refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
                 // A repeatable call that a resting server refused goes to another one.
-                if served || !run.repeatable || stated::wait(&core, &server.0).is_zero() {
+                if !refused || !run.repeatable || stated::wait(&core, &server.0).is_zero() {
                     return Ok(forward(run, answer));
                 }
                 let now = core.clock.now();
--- a/entry/src/stated.rs
+++ b/entry/src/stated.rs
@@ -11,7 +11,7 @@
 use crate::core::EntryCore;
 use crate::held::lock;
 
-/// Records the statements in a server's response. `served` is false for a refusal.
+/// Records the statements in a server's response. `served` is false for a refusal or failure.
 pub(crate) fn record(core: &EntryCore, server: &ServerName, headers: &HeaderMap, served: bool) {
     let decoded = read_statement(headers);
     for header in &decoded.unreadable {
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -133,9 +133,7 @@
 /// at its address.
 fn record_statement(run: &RequestRun, server: &ServerName, end: &SendEnd) {
     let (headers, served) = match end {
-        SendEnd::Answer(answer) => {
-            (&answer.headers, answer.status != StatusCode::SERVICE_UNAVAILABLE)
-        }
+        SendEnd::Answer(answer) => (&answer.headers, answer.status.is_success()),
         SendEnd::NotRun(answer, head)
             if head.id.is_some() && answer.status != StatusCode::MISDIRECTED_REQUEST =>
         {
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -13,7 +13,7 @@
 use crate::state::{Gateway, SystemView};
 
 /// Records the statements in a response of the given incarnation of a server. `served` is false for
-/// a refusal.
+/// a refusal or failure.
 pub(crate) fn record(gateway: &Gateway, start: &ServerStart, headers: &HeaderMap, served: bool) {
     let decoded = read_statement(headers);
     for header in &decoded.unreadable {
--- a/gateway/tests/suite/server_limits.rs
+++ b/gateway/tests/suite/server_limits.rs
@@ -62,7 +62,7 @@
 }
 
 /// Guards against a limit that outlives the start of the server that stated it, and against one that an unreadable
-/// value or a refusal lifts.
+/// value, a refusal or a failure lifts.
 #[tokio::test]
 async fn belongs_to_start() {
     let mut site = Site::start(0, 1).await;
@@ -81,6 +81,11 @@
     press(&gateways, "full", Duration::from_millis(25), Duration::from_secs(5)).await;
     let most = limited.most_arrivals(WINDOW, full);
     assert!(most <= allowed(2.0), "a refusal lifted the limit: {most} requests");
+    limited.set_mode(ServerMode::Fails);
+    let failing = Instant::now();
+    press(&gateways, "failing", Duration::from_millis(25), Duration::from_secs(5)).await;
+    let most = limited.most_arrivals(WINDOW, failing);
+    assert!(most <= allowed(2.0), "a failure lifted the limit: {most} requests");
     limited.set_mode(ServerMode::Normal);
     limited.restart();
     site.register_restarted(&limited, "plain");
