--- a/decision/src/stated_servers.rs
+++ b/decision/src/stated_servers.rs
@@ -11,6 +11,12 @@
 use crate::statement::{ServerStatement, StatedValue, StatementChange};
 use crate::subject::ServerStart;
 
+/// How long a server gets no request after it stated that it leaves. One that has restarted under its
+/// name meanwhile is then asked again, with one request at first.
+const LEAVING_REST: Duration = Duration::from_secs(30);
+/// Incarnation of all servers here: a restarted server states its limit anew, or none.
+const INCARNATION: u64 = 0;
+
 /// Statements of the servers of a VM, which are known by name only.
 #[derive(Debug, Default)]
 pub struct StatedServers {
@@ -30,8 +36,8 @@
 
 impl StatedServers {
     /// Records what a response of a server to this VM, one of `vms`, states about the server.
-    /// `served` is false for a refusal or failure, which may leave out what other answers state. Returns what
-    /// changed.
+    /// `served` is false for a refusal or failure, which may leave out what other answers state.
+    /// Returns what changed.
     pub fn apply(
         &mut self,
         server: &ServerName,
@@ -93,7 +99,7 @@
         self.stated(server).rest.wait(now).max(limit_wait)
     }
 
-    /// Returns the servers that rest or are at their limits.
+    /// Returns the servers that leave, rest or are at their limits.
     pub fn closed(&mut self, now: TimePoint) -> Vec<ServerName> {
         let names: Vec<ServerName> =
             self.servers.iter().map(|stated| stated.server.clone()).collect();
@@ -114,12 +120,6 @@
     }
 }
 
-/// How long a server gets no request after it stated that it leaves. One that has restarted under its
-/// name meanwhile is then asked again, with one request at first.
-const LEAVING_REST: Duration = Duration::from_secs(30);
-/// Incarnation of all servers here: a restarted server states its limit anew, or none.
-const INCARNATION: u64 = 0;
-
 fn start(server: &ServerName) -> ServerStart {
     ServerStart { server: server.clone(), incarnation: INCARNATION }
 }
--- a/entry/src/stated.rs
+++ b/entry/src/stated.rs
@@ -47,7 +47,7 @@
     lock(&core.stated).wait(server, core.clock.now())
 }
 
-/// Returns the servers that rest or are at their limits.
+/// Returns the servers that leave, rest or are at their limits.
 pub(crate) fn closed(core: &EntryCore) -> Vec<ServerName> {
     lock(&core.stated).closed(core.clock.now())
 }
