A call that one server may have run is not refused as "not run" when no other wants it

The end goes through the attempt's memory of earlier tries now, and a 503 of a plain service counts as a failure that may have run. Test: entry: server_statements::not_run_is_true, which failed before. The gateway counts what may have run and answers 502 or 504 then; looked at, and left.

--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -144,12 +144,12 @@
                 let detail = "no backend server of the service wants a call now";
                 let retry_ms = stated::retry_ms(wait, RETRY_MS);
                 let problem = CallProblem::refused(RefusalReason::Overloaded, retry_ms, detail);
-                return Err(run.fail(problem));
+                return Err(run.fail(no_further_server(&attempt, problem)));
             }
             ServerChoice::None => {
                 let detail = "no backend server offers the service";
                 let problem = CallProblem::refused(RefusalReason::NoServer, RETRY_MS, detail);
-                return Err(run.fail(problem));
+                return Err(run.fail(no_further_server(&attempt, problem)));
             }
         };
         run.server = Some(server.0.clone());
@@ -165,12 +165,12 @@
                 let now = core.clock.now();
                 let next = core
                     .limits
-                    .after_failure(|budget| attempt.fail(now, CallStage::ServerRefused, budget));
+                    .after_failure(|budget| attempt.fail(now, CallStage::ServerFailed, budget));
                 if let AttemptNext::End(_) = next {
                     return Ok(forward(run, answer));
                 }
-                core.metrics.retried(CallStage::ServerRefused);
-                log_retry(&run, &server.0, CallStage::ServerRefused);
+                core.metrics.retried(CallStage::ServerFailed);
+                log_retry(&run, &server.0, CallStage::ServerFailed);
                 avoid.push(server.0);
                 continue;
             }
@@ -188,6 +188,15 @@
     }
 }
 
+/// Returns the problem of a call that is sent to no further server: `refusal`, unless an earlier server
+/// may have run the call.
+fn no_further_server(attempt: &AttemptState, refusal: CallProblem) -> CallProblem {
+    match attempt.outcome(RequestOutcome::NotRun) {
+        RequestOutcome::NotRun => refusal,
+        outcome => CallProblem::ended(InterfaceReason::BackendFailed, outcome, refusal.detail),
+    }
+}
+
 fn log_retry(run: &ServiceRun, server: &ServerName, stage: CallStage) {
     event!(
         RequestRetried,
--- a/entry/tests/suite/server_statements.rs
+++ b/entry/tests/suite/server_statements.rs
@@ -91,3 +91,30 @@
     assert!(refused <= 6, "{refused} runs reached an engine that each VM had to leave alone");
     close(site).await;
 }
+
+/// Guards against "not run" for a call that one server ran, lost the answer of, and no other server wants.
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_is_true() {
+    let site = two_services().await;
+    let limit = StatementFaults { limit: Some("1".into()), ..StatementFaults::default() };
+    let limited = ServiceFaults { states: limit, ..ServiceFaults::default() };
+    site.services[0].set_faults(limited.clone());
+    let states = StatementFaults { retry_after: Some("60".into()), ..StatementFaults::default() };
+    site.services[1].set_faults(ServiceFaults { refuse: true, states, ..ServiceFaults::default() });
+    call_service(&site, 30).await;
+    site.services[0].set_faults(ServiceFaults { cut_after: 1_000, ..limited });
+    let path = format!("/v1/services/{SERVICE}/readings");
+    let mut ran_and_failed = 0;
+    for number in 0..200 {
+        let before = site.services[0].counters().calls;
+        let ended = client(&site, number % 3).json(Method::GET, &path, None).await;
+        let failure = ended.expect_err("no server answers");
+        if site.services[0].counters().calls > before {
+            assert_ne!(verdict(&failure).0, "not_run", "{failure}");
+            ran_and_failed += 1;
+        }
+        sleep(PAUSE).await;
+    }
+    assert!(ran_and_failed > 0, "no call ran");
+    close(site).await;
+}
