--- a/decision/src/limit.rs
+++ b/decision/src/limit.rs
@@ -10,50 +10,20 @@
 //! amount admitted above the limit is bounded by the age of the usage that VMs know of each other.
 //! docs/LIMITS.md has the bound.
 
-use std::time::Duration;
-
+use crate::bucket::{FleetView, LimitBucket};
 use crate::customer::{FleetLimit, LimitMeasure};
 use crate::digest::CustomerUsage;
 use crate::id::{CustomerName, MICROS_PER_MILLI, TimePoint, VmIncarnation, VmName};
 use crate::manifest::ServingManifest;
 use crate::member::{MAX_SPREAD_CUSTOMERS, MemberTable};
 use crate::routing::ModelNeed;
-use crate::subject::{LimitSubject, ServerStart};
-use crate::usage::{
-    DecayingRate, MICROS_PER_SECOND, SubjectTotal, UsageLedger, UsageReport, UsageTotal,
-};
+use crate::subject::LimitSubject;
+use crate::usage::{MICROS_PER_SECOND, SubjectTotal, UsageLedger, UsageReport, UsageTotal};
 use crate::value;
 
-/// Fraction of its share that a VM admits once the bucket is empty. The rest repays what was
-/// admitted above the limit before VMs received each other's reports.
-const SHARE_FRACTION: f64 = 0.95;
-/// Maximum unused share that a VM accumulates, in seconds of its share.
-const MAX_SAVED_SHARE_S: f64 = 0.1;
-/// Fraction of the allowed excess, or of the burst, that may be admitted at once; the rest of what
-/// a limit allows in a window is admitted evenly over it. If the whole burst were reserved for one
-/// moment, a customer that constantly requests somewhat more than its rate, but less than its limit
-/// in each window, would have requests refused all the time.
-const BURST_FRACTION: f64 = 0.35;
-/// Fraction of the burst that is admitted evenly over the window, less the part of it that the
-/// capacity of the bucket admits at once.
-const EVEN_FRACTION: f64 = 0.75;
-/// Fraction of the allowed excess by which the bucket may be overdrawn before nothing is admitted.
-/// Most of the excess covers what VMs admit before they receive each other's reports.
-const MAX_OVERDRAFT_FRACTION: f64 = 0.03;
 /// Initial overdraft of a bucket at a VM that starts, in seconds of its rate: when all VMs restart,
 /// what they admitted before is not known.
-const INITIAL_OVERDRAFT_S: f64 = 0.4;
-/// Multiple of its fraction of the bucket that a VM may spend between two reports, so that a burst
-/// that arrives at all VMs at once cannot empty the bucket many times over.
-const SPEND_FACTOR: f64 = 2.0;
-/// Multiple of an equal part of the bucket that any VM may spend between two reports, also without
-/// recent demand from the customer.
-const EQUAL_SPEND_FACTOR: f64 = 2.0;
-/// Fraction of an equal share that a VM admits while it does not know the demand at the others.
-const UNCONFIRMED_FRACTION: f64 = 0.6;
-/// Fraction of an equal share that a VM without previous demand from the customer admits once the
-/// bucket is empty.
-const INITIAL_SHARE_FRACTION: f64 = 0.2;
+pub(crate) const INITIAL_OVERDRAFT_S: f64 = 0.4;
 /// Interval between reports from which on the reported usage is deducted gradually instead of at
 /// once, in microseconds.
 const GRADUAL_DEBIT_US: u64 = 500_000;
@@ -78,17 +48,6 @@
 const FULL_RATE_FRACTION: f64 = 0.4;
 /// Fraction of its equal part that a smaller group, or a single VM, admits.
 const MINORITY_FRACTION: f64 = 0.2;
-/// What a server may get beyond the limit that it states, over all VMs.
-const SERVER_EXCESS: LimitExcess = LimitExcess { window_s: 4.0, part: 0.5, slack: 5.0 };
-/// Level of a server's bucket, as a fraction of its capacity, below which its room is scarce.
-const SCARCE_FRACTION: f64 = 0.5;
-/// Lowest rate that is kept for a server, in requests per second. A server that got none at all
-/// could not state that it takes requests again.
-const MIN_SERVER_RATE: f64 = 0.25;
-/// Shortest wait for a bucket that is empty, in seconds.
-const MIN_WAIT_S: f64 = 0.001;
-/// Maximum retry delay that a caller is given, in milliseconds.
-const MAX_RETRY_MS: f64 = 60_000.0;
 
 /// Refusal of a request that exceeds its customer's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -139,78 +98,20 @@
 impl LimitExcess {
     /// Returns how much more than its limit a customer may be admitted in a window, in the limit's
     /// unit.
-    fn of(&self, limit: &FleetLimit) -> f64 {
+    pub(crate) fn of(&self, limit: &FleetLimit) -> f64 {
         self.part * (limit.per_second * self.window_s + limit.burst) + self.slack
     }
 }
 
-/// What this VM knows about usage at the others, as used to admit one request.
-#[derive(Clone, Copy, Debug)]
-struct FleetView {
-    /// Fraction of the rates that this VM and those reachable from it admit.
-    fraction: f64,
-    /// Number of known VMs, this one included.
-    known: usize,
-    /// Interval between two reports, in microseconds.
-    report_interval_us: u64,
-    /// Whether the bucket estimate includes recent admissions of the other VMs.
-    level_valid: bool,
-    /// Whether the demand at other VMs has been known for long enough to be compared with this
-    /// VM's own.
-    demand_valid: bool,
-}
-
-#[derive(Clone, Debug)]
-struct LimitBucket {
-    subject: LimitSubject,
-    limit: FleetLimit,
-    excess: f64,
-    window_s: f64,
-    /// Estimated level of the fleet-wide bucket.
-    level: f64,
-    /// Usage of other VMs not yet deducted from the level, and the rate per second at which it is
-    /// deducted.
-    pending_debit: f64,
-    pending_debit_per_s: f64,
-    /// What this VM may admit from its share once the bucket is empty.
-    share: f64,
-    advanced_at: TimePoint,
-    own: UsageTotal,
-    /// The portion of `own` that was reported to the other VMs.
-    reported: UsageTotal,
-    /// Value of `own` when this VM began to aggregate the usage of others.
-    sums_base: UsageTotal,
-    own_demand: DecayingRate,
-    fleet_demand: DecayingRate,
-    /// Demand per second at this VM at the start of the previous report interval, which the known
-    /// fleet demand includes, and this VM's fraction of the fleet's demand based on it. With the
-    /// current demand instead, all VMs would take a larger fraction whenever demand jumps.
-    previous_demand: f64,
-    own_fraction: f64,
-    /// Amount admitted since `interval_start`, and the maximum until the interval ends.
-    spent: f64,
-    spend_limit: f64,
-    interval_start: Option<TimePoint>,
-}
-
-/// What a request is admitted from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AdmissionSource {
-    /// The bucket of the fleet.
-    Bucket,
-    /// This VM's share of the rate.
-    Share,
-}
-
 /// Admission control for customers and servers with a limit at this VM.
 #[derive(Clone, Debug)]
 pub struct FleetLimiter {
     /// Sorted by subject.
-    buckets: Vec<LimitBucket>,
+    pub(crate) buckets: Vec<LimitBucket>,
     excess: LimitExcess,
     report_interval_us: u64,
     /// Fraction of the rates that this VM and those reachable from it admit.
-    fraction: f64,
+    pub(crate) fraction: f64,
     /// Number of known VMs, this one included.
     known: usize,
     /// When another VM's usage was last received. `None` before that: the buckets are estimated
@@ -219,7 +120,7 @@
     /// Since when reports have been received without a gap of [`MAX_REPORT_GAP_US`].
     reports_since: TimePoint,
     /// When this VM began to count its usage.
-    started: Option<TimePoint>,
+    pub(crate) started: Option<TimePoint>,
     /// When it began to aggregate the usage of others.
     sums_since: TimePoint,
     /// Usage that VMs report of themselves.
@@ -312,7 +213,7 @@
         self.buckets[at].admit(now, cost, view)
     }
 
-    fn fleet_view(&self, now: TimePoint) -> FleetView {
+    pub(crate) fn fleet_view(&self, now: TimePoint) -> FleetView {
         let received_within = |us: u64| self.last_report_at.is_some_and(|at| now.since(at) < us);
         FleetView {
             fraction: self.fraction,
@@ -482,91 +383,6 @@
     }
 }
 
-/// Methods for the limits of servers, which count requests.
-impl FleetLimiter {
-    /// Sets the limit that an incarnation of a server states; `None` if it states none any more.
-    /// This VM keeps one of `parts` equal parts of it: 1 where VMs report their usage to each other.
-    pub fn set_server_limit(
-        &mut self,
-        now: TimePoint,
-        start: &ServerStart,
-        per_s: Option<f64>,
-        parts: usize,
-    ) {
-        self.started.get_or_insert(now);
-        let found = self.server_index(start.server.as_str(), start.incarnation);
-        let Some(per_s) = per_s else {
-            if let Ok(at) = found {
-                self.buckets.remove(at);
-            }
-            return;
-        };
-        let parts = parts.max(1) as f64;
-        let per_second = per_s.max(MIN_SERVER_RATE) / parts;
-        let limit = FleetLimit { per_second, burst: 0.0, measure: LimitMeasure::Requests };
-        let at = found.unwrap_or_else(|at| {
-            let subject = LimitSubject::Server(start.clone());
-            let overdraft = INITIAL_OVERDRAFT_S * per_second;
-            self.buckets.insert(at, LimitBucket::new(now, subject, limit, -overdraft));
-            at
-        });
-        let fraction = self.fraction;
-        let bucket = &mut self.buckets[at];
-        bucket.advance(now, fraction);
-        bucket.limit = limit;
-        let excess = LimitExcess { slack: SERVER_EXCESS.slack / parts, ..SERVER_EXCESS };
-        bucket.excess = excess.of(&limit);
-        bucket.window_s = SERVER_EXCESS.window_s;
-        bucket.level = bucket.level.min(bucket.capacity(fraction));
-    }
-
-    /// Drops the limits of servers for which `keeps` returns false.
-    pub fn retain_servers(&mut self, keeps: impl Fn(&ServerStart) -> bool) {
-        self.buckets.retain(|bucket| match &bucket.subject {
-            LimitSubject::Customer(_) => true,
-            LimitSubject::Server(start) => keeps(start),
-        });
-    }
-
-    /// Returns how long a server's limit keeps this VM from sending it a request; zero if it may
-    /// send one now.
-    pub fn server_wait(&mut self, now: TimePoint, server: &str, incarnation: u64) -> Duration {
-        let Ok(at) = self.server_index(server, incarnation) else { return Duration::ZERO };
-        let view = self.fleet_view(now);
-        self.buckets[at].wait(now, view)
-    }
-
-    /// Returns whether a server's limit leaves little room, which is then kept for requests that no
-    /// other server can take.
-    pub fn is_server_scarce(&mut self, now: TimePoint, server: &str, incarnation: u64) -> bool {
-        let Ok(at) = self.server_index(server, incarnation) else { return false };
-        let fraction = self.fraction;
-        let bucket = &mut self.buckets[at];
-        bucket.advance(now, fraction);
-        bucket.level < SCARCE_FRACTION * bucket.capacity(fraction)
-    }
-
-    /// Counts a request to a server. Returns false if its limit does not allow one now.
-    pub fn admit_server(&mut self, now: TimePoint, server: &str, incarnation: u64) -> bool {
-        let Ok(at) = self.server_index(server, incarnation) else { return true };
-        let view = self.fleet_view(now);
-        self.buckets[at].admit(now, 1.0, view).is_ok()
-    }
-
-    /// Takes back a request that certainly did not reach the server.
-    pub fn refund_server(&mut self, now: TimePoint, server: &str, incarnation: u64) {
-        let Ok(at) = self.server_index(server, incarnation) else { return };
-        let fraction = self.fraction;
-        let bucket = &mut self.buckets[at];
-        bucket.advance(now, fraction);
-        bucket.spend(-1.0);
-    }
-
-    fn server_index(&self, server: &str, incarnation: u64) -> Result<usize, usize> {
-        self.buckets.binary_search_by(|bucket| bucket.subject.cmp_server(server, incarnation))
-    }
-}
-
 /// Methods for VMs that exchange usage in membership digests.
 impl FleetLimiter {
     /// Applies the limits of a manifest.
@@ -623,164 +439,3 @@
         }
     }
 }
-
-impl LimitBucket {
-    fn new(now: TimePoint, subject: LimitSubject, limit: FleetLimit, level: f64) -> Self {
-        let rate = DecayingRate::new(now);
-        Self {
-            subject,
-            limit,
-            excess: 0.0,
-            window_s: f64::INFINITY,
-            level,
-            pending_debit: 0.0,
-            pending_debit_per_s: 0.0,
-            share: 0.0,
-            advanced_at: now,
-            own: UsageTotal::default(),
-            reported: UsageTotal::default(),
-            sums_base: UsageTotal::default(),
-            own_demand: rate,
-            fleet_demand: rate,
-            previous_demand: 0.0,
-            own_fraction: 0.0,
-            spent: 0.0,
-            spend_limit: 0.0,
-            interval_start: None,
-        }
-    }
-
-    /// Returns the maximum level of the bucket.
-    fn capacity(&self, fraction: f64) -> f64 {
-        fraction * (BURST_FRACTION * self.excess).max(BURST_FRACTION * self.limit.burst)
-    }
-
-    /// Returns the fill rate per second: the limit's rate plus the part of the burst that is
-    /// admitted evenly.
-    fn rate(&self, fraction: f64) -> f64 {
-        let at_once = self.capacity(1.0) - BURST_FRACTION * self.excess;
-        let even = EVEN_FRACTION * self.limit.burst - at_once;
-        fraction * (self.limit.per_second + even.max(0.0) / self.window_s)
-    }
-
-    fn advance(&mut self, now: TimePoint, fraction: f64) {
-        let age_s = now.since(self.advanced_at) as f64 / MICROS_PER_SECOND;
-        self.advanced_at = now;
-        let rate = self.rate(fraction);
-        let debited = (self.pending_debit_per_s * age_s).min(self.pending_debit);
-        self.pending_debit -= debited;
-        self.level = (self.level + rate * age_s - debited).min(self.capacity(fraction));
-        let share_rate = rate * SHARE_FRACTION * self.own_fraction;
-        self.share = (self.share + share_rate * age_s).min(share_rate * MAX_SAVED_SHARE_S);
-    }
-
-    fn spend(&mut self, cost: f64) {
-        self.level -= cost;
-        self.own.admitted += cost;
-        self.spent += cost;
-    }
-
-    fn admit(&mut self, now: TimePoint, cost: f64, view: FleetView) -> Result<(), LimitRefusal> {
-        let fraction = view.fraction;
-        self.own_demand.add(now, cost);
-        self.fleet_demand.add(now, cost);
-        self.own.demand += cost;
-        self.advance(now, fraction);
-        self.start_interval(now, view);
-        let excess_overdraft = self.excess_overdraft(fraction);
-        match self.source(view) {
-            Some(AdmissionSource::Bucket) => {
-                self.spend(cost);
-                return Ok(());
-            }
-            Some(AdmissionSource::Share) => {
-                self.share -= cost;
-                self.spend(cost);
-                return Ok(());
-            }
-            None => {}
-        }
-        let wait_s =
-            self.until_share(cost, excess_overdraft, fraction).min(self.until_level(now, fraction));
-        let retry_after_ms = (wait_s * 1_000.0).clamp(1.0, MAX_RETRY_MS) as u64;
-        Err(LimitRefusal {
-            retry_after_ms,
-            level: self.level,
-            demand_per_s: self.fleet_demand.get(now),
-            own_fraction: self.own_fraction,
-            fleet_fraction: fraction,
-        })
-    }
-
-    /// Returns what a request would be admitted from now; `None` if it would be refused.
-    fn source(&self, view: FleetView) -> Option<AdmissionSource> {
-        if view.level_valid && self.level > 0.0 && self.spent <= self.spend_limit {
-            return Some(AdmissionSource::Bucket);
-        }
-        let share = self.excess_overdraft(view.fraction) < 0.0 && self.share > 0.0;
-        share.then_some(AdmissionSource::Share)
-    }
-
-    /// Returns by how much the bucket is overdrawn beyond what shares may still be taken from.
-    fn excess_overdraft(&self, fraction: f64) -> f64 {
-        -self.level - MAX_OVERDRAFT_FRACTION * self.excess * fraction
-    }
-
-    /// Returns the time until a request of cost 1 would be admitted, unless others come first; zero
-    /// if it would be now.
-    fn wait(&mut self, now: TimePoint, view: FleetView) -> Duration {
-        self.advance(now, view.fraction);
-        self.start_interval(now, view);
-        if self.source(view).is_some() {
-            return Duration::ZERO;
-        }
-        if view.level_valid && self.level > 0.0 {
-            let spent_us = self.interval_start.map_or(0, |start| now.since(start));
-            return Duration::from_micros(view.report_interval_us.saturating_sub(spent_us).max(1));
-        }
-        let rate = self.rate(view.fraction).max(f64::MIN_POSITIVE);
-        let wait_s = if view.level_valid {
-            (self.pending_debit - self.level) / rate
-        } else {
-            self.until_share(0.0, self.excess_overdraft(view.fraction), view.fraction)
-        };
-        let most_s = MAX_RETRY_MS / 1_000.0;
-        Duration::from_secs_f64(wait_s.clamp(MIN_WAIT_S, most_s))
-    }
-
-    /// Returns the seconds until this VM's share covers a request and the bucket is no longer
-    /// overdrawn too far, by `excess_overdraft` now.
-    fn until_share(&self, cost: f64, excess_overdraft: f64, fraction: f64) -> f64 {
-        let rate = self.rate(fraction).max(f64::MIN_POSITIVE);
-        let share_rate = rate * SHARE_FRACTION * self.own_fraction;
-        (excess_overdraft / rate).max((cost - self.share) / share_rate.max(f64::MIN_POSITIVE))
-    }
-
-    /// Returns the seconds until the bucket is above zero if the demand stays below the fill rate,
-    /// infinity otherwise. A VM that has just started has a small share; without this estimate its
-    /// callers would be given delays far beyond the recovery of the bucket.
-    fn until_level(&mut self, now: TimePoint, fraction: f64) -> f64 {
-        let spare = self.rate(fraction) - self.fleet_demand.get(now);
-        if spare > 0.0 { (-self.level).max(0.0) / spare } else { f64::INFINITY }
-    }
-
-    /// Starts a new report interval if the previous one has ended: determines this VM's fraction of
-    /// the fleet's demand and the amount that it may spend in the interval.
-    fn start_interval(&mut self, now: TimePoint, view: FleetView) {
-        if self.interval_start.is_some_and(|start| now.since(start) < view.report_interval_us) {
-            return;
-        }
-        self.interval_start = Some(now);
-        self.spent = 0.0;
-        let equal = 1.0 / view.known as f64;
-        let previous = std::mem::replace(&mut self.previous_demand, self.own_demand.get(now));
-        let fleet = self.fleet_demand.get(now).max(previous);
-        self.own_fraction = match view.demand_valid {
-            false => UNCONFIRMED_FRACTION * equal,
-            true if previous > 0.0 => previous / fleet,
-            true => INITIAL_SHARE_FRACTION * equal,
-        };
-        let spendable = (SPEND_FACTOR * self.own_fraction).max(EQUAL_SPEND_FACTOR * equal).min(1.0);
-        self.spend_limit = self.level.max(0.0) * spendable;
-    }
-}
