No loads at servers with a limit while others have an owner

Once the adapter was there the server was closed, and it was loaded elsewhere again.

Change: a server with a limit takes no loads and no copies; if no other has an owner it is better than none.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -628,10 +628,11 @@
         Some(self.held.find(key)?.version)
     }
 
-    /// Returns whether its owner could have an adapter loaded there at its last report.
+    /// Returns whether its owner could have an adapter loaded there at its last report. A server
+    /// with a limit takes none: it would often be at its limit once the adapter is loaded.
     #[must_use]
     pub fn takes_loads(&self, now: TimePoint) -> bool {
-        self.active_owner(now).is_some_and(|owner| owner.free > 0)
+        self.limit_per_s().is_none() && self.active_owner(now).is_some_and(|owner| owner.free > 0)
     }
 
     pub(crate) fn active_owner(&self, now: TimePoint) -> Option<&ServerOwner> {
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -331,6 +331,7 @@
 
     /// Returns where to load an adapter: the cheapest server that recently held it and need not
     /// fetch it from the store, unless overloaded; else the cheapest of the first few by hash rank.
+    /// Servers with a limit are considered only if no other has an owner: they look idle.
     fn load_target<'a>(
         &self,
         all: &[&'a BackendState],
@@ -342,6 +343,9 @@
         let owned = |state: &&&BackendState| state.active_owner(now).is_some();
         let free = |state: &&&BackendState| state.takes_loads(now);
         let hash = key_hash(key);
+        let unlimited: Vec<&'a BackendState> =
+            all.iter().filter(|state| state.limit_per_s().is_none()).copied().collect();
+        let all = if unlimited.iter().any(|state| owned(&state)) { &unlimited } else { all };
         let any_free = all.iter().any(|state| free(&state));
         let mut ranked: Vec<(u64, &BackendState)> = all
             .iter()
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -8,6 +8,8 @@
 use coltsfoothook_decision::holding::AdapterHolding;
 use coltsfoothook_decision::id::{DomainName, ModelName, ServerName, ServiceName, TimePoint};
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, SharedPrompt};
+use coltsfoothook_decision::statement::{ServerStatement, StatedValue};
+use coltsfoothook_decision::subject::ServerStart;
 
 use crate::fixture::engine_entry;
 
@@ -333,3 +335,27 @@
     table.sent(&preferred, 4_000, now);
     assert_ne!(sent_to(&need.choose(&table, 1, now)), preferred);
 }
+
+/// Guards against loads at servers that look idle because they have a limit, and are at it when the load is done.
+#[test]
+fn no_load_at_limit() {
+    let now = TimePoint(SECOND);
+    let mut table = table(4, |_| vec!["a0"], now);
+    for number in 0..3 {
+        let start = ServerStart { server: format!("s{number}").into(), incarnation: 0 };
+        let limit_per_s = StatedValue::Readable(5.0);
+        let statement = ServerStatement { limit_per_s, ..ServerStatement::default() };
+        table.apply_statement(&start, &statement, true, now);
+    }
+    for _ in 0..40 {
+        table.sent("s3", 1_000, now);
+    }
+    for adapter in ["a1", "a2", "a3", "a4", "a5"] {
+        let choice = Need::new(adapter).choose(&table, 1, now);
+        assert_eq!(choice, ServerChoice::Load { server: "s3".into() }, "{adapter}");
+    }
+    // With no other server, one with a limit is better than none.
+    table.remove("s3", 9);
+    let choice = Need::new("a1").choose(&table, 1, now);
+    assert!(matches!(choice, ServerChoice::Load { .. }), "{choice:?}");
+}
