Calls to a plain service rotate over all its servers at the product's own interface

The rotation shared its counter with the numbers of requests, of which each call takes one too, so that a VM used every other server only. whole_path::service_rotation: 8 of 8 calls at one server before, 4 and 4 now.

--- a/entry/src/core.rs
+++ b/entry/src/core.rs
@@ -97,6 +97,9 @@
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) invariants: Mutex<InvariantLog>,
     pub(crate) request_numbers: std::sync::atomic::AtomicU64,
+    /// Counts calls to plain services, for the rotation over their servers. With the numbers of
+    /// requests, of which each call takes one too, a VM would use every other server only.
+    pub(crate) service_turns: std::sync::atomic::AtomicU64,
     pub(crate) closing: CancellationToken,
 }
 
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -318,6 +318,7 @@
         metrics,
         invariants: Mutex::default(),
         request_numbers: std::sync::atomic::AtomicU64::new(1),
+        service_turns: std::sync::atomic::AtomicU64::new(0),
         closing: CancellationToken::new(),
         me,
         settings,
--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -240,7 +240,7 @@
     if servers.is_empty() {
         return first_open.map_or(ServerChoice::None, ServerChoice::Closed);
     }
-    let rotation = core.request_numbers.fetch_add(1, Ordering::Relaxed) as usize;
+    let rotation = core.service_turns.fetch_add(1, Ordering::Relaxed) as usize;
     // Another call may take what is left of a server's limit in between.
     let mut turn = (0..servers.len()).map(|at| servers[(rotation + at) % servers.len()]);
     match turn.find(|entry| stated::take(core, &entry.name)) {
--- a/entry/tests/suite/whole_path.rs
+++ b/entry/tests/suite/whole_path.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use coltsfoothook_demo::{CompletionRequest, SERVICE};
+use coltsfoothook_demo::{CompletionRequest, LocalSite, SERVICE, SiteSettings};
 use http::Method;
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -73,6 +73,21 @@
     close(site).await;
 }
 
+/// Guards against a rotation over a plain service's servers that leaves some of them out.
+#[tokio::test(flavor = "multi_thread")]
+async fn service_rotation() {
+    let settings = SiteSettings { services: 2, ..SiteSettings::default() };
+    let site = LocalSite::start(settings).await.expect("the site comes up");
+    let path = format!("/v1/services/{SERVICE}/readings");
+    for _ in 0..8 {
+        client(&site, 0).service(Method::GET, &path, None, None).await.unwrap();
+    }
+    for service in &site.services {
+        assert_eq!(service.counters().calls, 4);
+    }
+    close(site).await;
+}
+
 /// Sixty concurrent streams through one VM lose no token.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_streams() {
