Servers that rest or leave, and requests that a closed server was held back from, are counted

An operator saw which servers have a limit, but not how many rest or leave, nor how many requests that touched.

--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfoothook_decision::backend::BackendState;
 use coltsfoothook_platform::{ADDRESSES_PATH, READY_PATH, addresses_body};
 use coltsfoothook_telemetry::event;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
@@ -123,9 +124,14 @@
         {
             let view = gateway.view();
             gateway.metrics.set("servers", view.backends.servers().len());
-            let limited =
-                view.backends.servers().iter().filter(|state| state.limit_per_s().is_some());
-            gateway.metrics.set("limited_servers", limited.count());
+            let count = |counts: &dyn Fn(&BackendState) -> bool| {
+                view.backends.servers().iter().filter(|state| counts(state)).count()
+            };
+            let limited = count(&|state| state.limit_per_s().is_some());
+            gateway.metrics.set("limited_servers", limited);
+            let resting = count(&|state| !state.rest_wait(now).is_zero());
+            gateway.metrics.set("resting_servers", resting);
+            gateway.metrics.set("leaving_servers", count(&|state| state.leaving));
             gateway.metrics.set("vms", view.vm_count(now));
             gateway.metrics.set("shares", view.lease.held());
             gateway.metrics.set("ordered_servers", view.order_trackers.servers().len());
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -49,6 +49,7 @@
     let max_hold = run.request.route.target.mul_f64(MAX_HOLD_FRACTION);
     let max_closed_wait = run.request.route.target.mul_f64(CLOSED_WAIT_FRACTION);
     let (held_before, mut unserved_from) = (run.held, None);
+    let mut counted_closed = false;
     // Counts the request among those that wait for its adapter until a server is found.
     let mut waiting = None;
     let found = loop {
@@ -61,6 +62,11 @@
             break Err("deadline");
         }
         let PreparedChoice { choice, load_request, closed } = choose(run, waited < max_hold, now);
+        if let Some(reason) = closed
+            && !std::mem::replace(&mut counted_closed, true)
+        {
+            gateway.metrics.closed(reason.name);
+        }
         if let Some((key, version, server)) = load_request {
             if matches!(choice, ServerChoice::Load { .. }) {
                 waiting.get_or_insert_with(|| WaitGuard::new(&gateway, &key, run.in_time_until()));
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -28,6 +28,7 @@
     store: IntCounterVec,
     servers: IntCounterVec,
     statements: IntCounterVec,
+    closed: IntCounterVec,
     ages: GaugeVec,
     peer_bytes: IntGaugeVec,
     gauges: IntGaugeVec,
@@ -140,6 +141,12 @@
                  `unreadable` are those that could not be decoded.",
                 &["what"],
             ),
+            closed: counter(
+                "coltsfoothook_gateway_closed_total",
+                "Requests for which a server of their service was closed, by the reason of the one \
+                 that opens first.",
+                &["reason"],
+            ),
             customers: counter(
                 "coltsfoothook_gateway_customer_requests_total",
                 "Requests of customers that ended, by outcome; `customer_limit` are refusals over a limit.",
@@ -205,6 +212,11 @@
         self.statements.with_label_values(&[what]).inc();
     }
 
+    /// Counts a request for which a server was closed.
+    pub(crate) fn closed(&self, reason: &str) {
+        self.closed.with_label_values(&[reason]).inc();
+    }
+
     /// Sets the time since the store last answered a kind of call.
     pub(crate) fn answer_age(&self, call: &str, age: Duration) {
         self.ages.with_label_values(&[call]).set(age.as_secs_f64());
