--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -136,8 +136,8 @@
     /// Latest known incarnation and heartbeat.
     incarnation: u64,
     heartbeat: u64,
-    /// Whether that incarnation was leaving. It then gets no work either if its entry returns.
-    leaving: bool,
+    /// The incarnation that was leaving, if one was. It gets no work either if its entry returns.
+    left: Option<u64>,
 }
 
 /// Maximum number of removed servers remembered. They prevent a stale read from adding a removed
@@ -221,7 +221,7 @@
         };
         let removed = &mut self.removed[at];
         let newer = (entry.incarnation, entry.heartbeat) > (removed.incarnation, removed.heartbeat);
-        let newer = newer && !(removed.leaving && entry.incarnation == removed.incarnation);
+        let newer = newer && removed.left != Some(entry.incarnation);
         if entry.position <= removed.position || !newer {
             (removed.incarnation, removed.heartbeat) =
                 (removed.incarnation, removed.heartbeat).max((entry.incarnation, entry.heartbeat));
@@ -234,25 +234,24 @@
     /// Drops a server whose entry was removed by the record at `position`.
     pub fn remove(&mut self, server: &str, position: u64) -> EntryChange {
         let found = self.servers.binary_search_by(|state| state.name().cmp(server));
-        let (mut last, mut leaving) = ((0, 0), None);
+        let (mut last, mut left) = ((0, 0), None);
         if let Ok(at) = found {
             if self.servers[at].entry.position > position {
                 return EntryChange::Unchanged;
             }
             let state = self.servers.remove(at);
             last = (state.entry.incarnation, state.entry.heartbeat);
-            leaving = Some(state.leaving);
+            left = state.leaving.then_some(state.entry.incarnation);
         }
         if let Some(at) = self.removed.iter().position(|removed| removed.server.as_str() == server)
         {
             let before = self.removed.remove(at);
             last = last.max((before.incarnation, before.heartbeat));
-            leaving.get_or_insert(before.leaving);
+            left = left.or(before.left);
         }
         let (incarnation, heartbeat) = last;
         let server = ServerName::from(server);
-        let leaving = leaving.unwrap_or_default();
-        self.removed.push(RemovedServer { server, position, incarnation, heartbeat, leaving });
+        self.removed.push(RemovedServer { server, position, incarnation, heartbeat, left });
         let excess = self.removed.len().saturating_sub(MAX_REMOVED);
         self.removed.drain(..excess);
         if found.is_ok() { EntryChange::Removed } else { EntryChange::Unchanged }
--- a/decision/tests/suite/server_statements.rs
+++ b/decision/tests/suite/server_statements.rs
@@ -102,6 +102,18 @@
     assert!(!table.get("s0").unwrap().leaving);
 }
 
+/// Guards against a restarted server that is left alone since its former start was leaving, where the new start's first
+/// entry is read after the removal that follows it.
+#[test]
+fn restart_read_late() {
+    let mut table = table();
+    table.apply_statement(&start(100), &LEAVING, true, NOW);
+    table.remove("s0", 50);
+    assert_eq!(table.apply_entry(entry(200, 1, 45), later(1)), EntryChange::Unchanged);
+    assert_eq!(table.apply_entry(entry(100, 9, 55), later(2)), EntryChange::Unchanged);
+    assert_eq!(table.apply_entry(entry(200, 2, 60), later(3)), EntryChange::Appeared);
+}
+
 /// Guards against statements that are told once only, or for ever, or by everyone.
 #[test]
 fn reports() {
