--- a/gateway/tests/suite/press.rs
+++ b/gateway/tests/suite/press.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 use tokio::time::sleep;
 
-use crate::site::{CallerAnswer, RunningGateway, Site, call, eventually};
+use crate::site::{CallerAnswer, RunningGateway, Site, call};
 
 /// A call's answer and how long it took.
 pub(crate) struct TimedAnswer {
@@ -42,7 +42,7 @@
         gateways.push(site.gateway(vm, &[&gateways[0]]).await);
     }
     for gateway in &gateways {
-        eventually("all know each other", async || gateway.addresses().await.len() == 3).await;
+        gateway.wait_ready().await;
     }
     gateways
 }
