What each VM sends to a server with a limit is logged each second

Operators saw that a server at its limit got too much, and could not see from whom: request_sent is one line per request, and what was held back had no line. server_limit_used says per VM, server and second what was sent and what found the server closed. At most 64 servers a second and VM.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod follow;
 mod forward;
 mod group;
+mod limit_use;
 mod link;
 mod load_request;
 mod message;
--- /dev/null
+++ b/gateway/src/limit_use.rs
@@ -0,0 +1,69 @@
+//! Counts what this VM sends to servers that state limits, for the log.
+
+use coltsfoothook_decision::id::TimePoint;
+use coltsfoothook_decision::subject::ServerStart;
+use coltsfoothook_telemetry::event;
+
+/// Interval between two log lines about a server, in microseconds.
+const LOG_INTERVAL_US: u64 = 1_000_000;
+/// Maximum number of servers that are counted until the next lines; further ones are left out.
+const MAX_COUNTED: usize = 64;
+
+/// Requests at servers with limits since the last log lines.
+#[derive(Debug, Default)]
+pub(crate) struct LimitUseList {
+    /// Sorted by server.
+    uses: Vec<LimitUse>,
+    logged_at: TimePoint,
+}
+
+#[derive(Debug)]
+struct LimitUse {
+    start: ServerStart,
+    sent: u32,
+    closed: u32,
+}
+
+impl LimitUseList {
+    /// Counts a request that is sent to a server.
+    pub(crate) fn count_sent(&mut self, start: &ServerStart) {
+        if let Some(found) = self.of(start) {
+            found.sent += 1;
+        }
+    }
+
+    /// Counts a request that found a server closed.
+    pub(crate) fn count_closed(&mut self, start: &ServerStart) {
+        if let Some(found) = self.of(start) {
+            found.closed += 1;
+        }
+    }
+
+    fn of(&mut self, start: &ServerStart) -> Option<&mut LimitUse> {
+        match self.uses.binary_search_by(|known| known.start.cmp(start)) {
+            Ok(at) => Some(&mut self.uses[at]),
+            Err(_) if self.uses.len() >= MAX_COUNTED => None,
+            Err(at) => {
+                self.uses.insert(at, LimitUse { start: start.clone(), sent: 0, closed: 0 });
+                Some(&mut self.uses[at])
+            }
+        }
+    }
+
+    /// Logs what was counted, at most once per [`LOG_INTERVAL_US`].
+    pub(crate) fn log(&mut self, now: TimePoint) {
+        if now.since(self.logged_at) < LOG_INTERVAL_US {
+            return;
+        }
+        self.logged_at = now;
+        for LimitUse { start, sent, closed } in self.uses.drain(..) {
+            event!(
+                ServerLimitUsed,
+                server = start.server,
+                born = start.incarnation,
+                sent = sent,
+                closed = closed,
+            );
+        }
+    }
+}
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -254,6 +254,7 @@
     view.roster.drop_expired(now);
     view.load_requests.drop_expired(now);
     view.drop_server_limits();
+    view.limit_uses.log(now);
     let (reachable, known) = view.reporting_counts(gateway, now);
     view.limiter.set_reachable(now, reachable, known);
     let mut to = view.roster.live(now);
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -71,11 +71,15 @@
         let version = key.and_then(|key| state.version(key));
         let (address, incarnation) = (state.entry.address, state.entry.incarnation);
         let (limit_per_s, rest) = (state.limit_per_s(), state.rest_wait(clock::now()));
+        let start = ServerStart { server: server.clone(), incarnation };
         if !rest.is_zero() || !view.limiter.admit_server(clock::now(), server.as_str(), incarnation)
         {
             gateway.metrics.sent("closed");
             return SendEnd::Closed;
         }
+        if limit_per_s.is_some() {
+            view.limit_uses.count_sent(&start);
+        }
         view.uses_changed |= limit_per_s.is_some();
         (address, incarnation, version, limit_per_s)
     };
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -22,6 +22,7 @@
 
 use crate::aggregate::DomainView;
 use crate::clock;
+use crate::limit_use::LimitUseList;
 use crate::link::AnswerTimes;
 use crate::load_request::LoadRequests;
 use crate::message::SharedVersion;
@@ -89,6 +90,8 @@
     /// When an unknown key last caused a poll of the store.
     pub(crate) unknown_key_queried_at: Option<TimePoint>,
     pub(crate) limiter: FleetLimiter,
+    /// Requests at servers with limits, for the log.
+    pub(crate) limit_uses: LimitUseList,
     /// Whether customers' use changed since this VM last reported it.
     pub(crate) uses_changed: bool,
     /// Named versions, sorted by adapter.
@@ -201,6 +204,7 @@
             wrong_keys: WrongKeys::default(),
             unknown_key_queried_at: None,
             limiter: FleetLimiter::new(promises.limit_excess(), UPDATE_INTERVAL_US),
+            limit_uses: LimitUseList::default(),
             uses_changed: false,
             versions: Vec::new(),
             backends: BackendTable::default(),
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -172,6 +172,8 @@
                 closed.close(server, ClosedReason { name: "server_rest", wait: rest });
             } else if !limit_wait.is_zero() {
                 closed.close(server, ClosedReason { name: "server_limit", wait: limit_wait });
+                let start = ServerStart { server: server.clone(), incarnation };
+                self.limit_uses.count_closed(&start);
             } else if self.limiter.is_server_scarce(now, name, incarnation) {
                 closed.scarce.push(server.clone());
             }
