--- a/gateway/tests/suite/press.rs
+++ b/gateway/tests/suite/press.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 use tokio::time::sleep;
 
-use crate::site::{CallerAnswer, RunningGateway, Site, call};
+use crate::site::{CallerAnswer, RunningGateway, Site, call, eventually};
 
 /// A call's answer and how long it took.
 pub(crate) struct TimedAnswer {
@@ -46,3 +46,16 @@
     }
     gateways
 }
+
+/// Starts `count` gateways and waits until each gives callers the addresses of all.
+pub(crate) async fn many_gateways(site: &Site, count: usize) -> Vec<RunningGateway> {
+    let mut gateways = vec![site.gateway("vm-1", &[]).await];
+    for number in 2..=count {
+        gateways.push(site.gateway(&format!("vm-{number}"), &[&gateways[0]]).await);
+    }
+    for gateway in &gateways {
+        let knows_all = async || gateway.addresses().await.len() == count;
+        eventually("the gateway knows all others", knows_all).await;
+    }
+    gateways
+}
--- a/gateway/tests/suite/server_limits.rs
+++ b/gateway/tests/suite/server_limits.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use crate::press::{TimedAnswer, press, three_gateways};
+use futures::future::join_all;
+use tokio::time::sleep;
+
+use crate::press::{TimedAnswer, many_gateways, press, three_gateways};
 use crate::server::{ServerMode, StandinServer};
 use crate::site::{Site, eventually};
 
@@ -96,3 +99,23 @@
     };
     eventually("the restarted server takes all requests", serves).await;
 }
+
+/// Guards against VMs of a large fleet that each send a request on the same last bit of a server's limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn jump_at_many_vms() {
+    let site = Site::start(0, 1).await;
+    let gateways = many_gateways(&site, 30).await;
+    let (limited, stated) = (&site.plain[0], Instant::now());
+    limited.state_limit(Some("2"));
+    press(&gateways, "told", Duration::from_millis(50), NOTICE).await;
+    for round in 0..3 {
+        sleep(Duration::from_secs(2)).await;
+        let at_once = gateways.iter().map(|gateway| gateway.call("/safe/x", "jump", &[]));
+        join_all(at_once).await;
+        let name = format!("after-{round}");
+        press(&gateways, &name, Duration::from_millis(10), Duration::from_secs(2)).await;
+    }
+    let most = limited.most_arrivals(WINDOW, stated + NOTICE);
+    assert!(most <= allowed(2.0), "{most} requests in {WINDOW:?}");
+    assert!(most >= 4, "half of what the server takes is not used: {most} requests");
+}
