--- a/decision/src/bucket.rs
+++ b/decision/src/bucket.rs
@@ -1,7 +1,5 @@
 //! Token bucket of one limit over the fleet, as one VM estimates it.
 
-use std::time::Duration;
-
 use crate::customer::FleetLimit;
 use crate::id::TimePoint;
 use crate::limit::LimitRefusal;
@@ -35,8 +33,6 @@
 /// Fraction of an equal share that a VM without previous demand from the customer admits once the
 /// bucket is empty.
 const INITIAL_SHARE_FRACTION: f64 = 0.2;
-/// Shortest wait for a bucket that is empty, in seconds.
-const MIN_WAIT_S: f64 = 0.001;
 /// Maximum retry delay that a caller is given, in milliseconds.
 const MAX_RETRY_MS: f64 = 60_000.0;
 
@@ -210,28 +206,6 @@
         -self.level - MAX_OVERDRAFT_FRACTION * self.excess * fraction
     }
 
-    /// Returns the time until a request of cost 1 would be admitted, unless others come first; zero
-    /// if it would be now.
-    pub(crate) fn wait(&mut self, now: TimePoint, view: FleetView) -> Duration {
-        self.advance(now, view.fraction);
-        self.start_interval(now, view);
-        if self.source(view).is_some() {
-            return Duration::ZERO;
-        }
-        if view.level_valid && self.level > 0.0 {
-            let spent_us = self.interval_start.map_or(0, |start| now.since(start));
-            return Duration::from_micros(view.report_interval_us.saturating_sub(spent_us).max(1));
-        }
-        let rate = self.rate(view.fraction).max(f64::MIN_POSITIVE);
-        let wait_s = if view.level_valid {
-            (self.pending_debit - self.level) / rate
-        } else {
-            self.until_share(0.0, self.excess_overdraft(view.fraction), view.fraction)
-        };
-        let most_s = MAX_RETRY_MS / 1_000.0;
-        Duration::from_secs_f64(wait_s.clamp(MIN_WAIT_S, most_s))
-    }
-
     /// Returns the seconds until this VM's share covers a request and the bucket is no longer
     /// overdrawn too far, by `excess_overdraft` now.
     fn until_share(&self, cost: f64, excess_overdraft: f64, fraction: f64) -> f64 {
--- /dev/null
+++ b/decision/src/issuer.rs
@@ -0,0 +1,117 @@
+//! Issues permits for requests to servers that state limits.
+//!
+//! All VMs find the issuer of a server by the same hash, so that hardly any message names it. While
+//! they disagree, two VMs may issue for a server: a new issuer starts with an overdrawn bucket, and
+//! a group of VMs that others are cut off from issues only its part.
+
+use std::time::Duration;
+
+use crate::id::{TimePoint, VmName, stable_hash};
+use crate::permit::{PermitQuestion, PermitReply};
+use crate::server_limit::{ServerBucket, capacity, kept_rate};
+use crate::subject::ServerStart;
+use crate::usage::MICROS_PER_SECOND;
+
+/// Initial overdraft of an issuer's bucket, in seconds of its rate: VMs that have not seen it yet
+/// may still get permits from another one.
+const HANDOVER_S: f64 = 1.0;
+/// Level, as a fraction of the capacity, that is kept for requests that no other server can take.
+const SPARE_FRACTION: f64 = 0.5;
+/// Maximum time for which VMs that were denied count as waiting, in seconds.
+const MAX_QUEUE_S: f64 = 2.0;
+/// Factor on the part of the known VMs that an issuer reaches. Groups that are cut off from each
+/// other issue this much of the limit together, and a few VMs that are down cost little.
+const REACHED_FACTOR: f64 = 1.1;
+/// When to ask again a VM that issues no permits for a server.
+const NOT_ISSUER_WAIT: Duration = Duration::from_millis(250);
+
+/// Returns the position of a VM among issuers, see [`issuer_rank`].
+#[must_use]
+pub fn vm_position(vm: &VmName) -> u64 {
+    stable_hash(&["issuer", vm.as_str()])
+}
+
+/// Returns the rank of a VM as the issuer of a server; the lowest issues. VMs with little processor
+/// or link come last.
+#[must_use]
+pub fn issuer_rank(start: &ServerStart, position: u64, eligible: bool) -> (bool, u64) {
+    let server = stable_hash(&["issued", start.server.as_str()]);
+    (!eligible, position.wrapping_sub(server))
+}
+
+/// The limits for which this VM issues permits.
+#[derive(Clone, Debug)]
+pub struct PermitIssuer {
+    /// Sorted by server.
+    limits: Vec<IssuedLimit>,
+    /// Part of the limits that this VM may issue.
+    part: f64,
+}
+
+#[derive(Clone, Debug)]
+struct IssuedLimit {
+    start: ServerStart,
+    bucket: ServerBucket,
+    /// Permits that VMs were denied and may ask for again.
+    queue: f64,
+    queue_at: TimePoint,
+}
+
+impl Default for PermitIssuer {
+    fn default() -> Self {
+        Self { limits: Vec::new(), part: 1.0 }
+    }
+}
+
+impl PermitIssuer {
+    /// Sets the limit of a server for which this VM is the issuer.
+    pub fn set_limit(&mut self, now: TimePoint, start: &ServerStart, per_s: f64) {
+        let (rate, capacity) = (kept_rate(per_s) * self.part, capacity(per_s) * self.part);
+        match self.limits.binary_search_by(|limit| limit.start.cmp(start)) {
+            Ok(at) => self.limits[at].bucket.set(now, rate, capacity),
+            Err(at) => {
+                let overdraft = HANDOVER_S * kept_rate(per_s);
+                let bucket = ServerBucket::new(now, rate, capacity, -overdraft);
+                let limit = IssuedLimit { start: start.clone(), bucket, queue: 0.0, queue_at: now };
+                self.limits.insert(at, limit);
+            }
+        }
+    }
+
+    /// Drops the servers for which `keeps` returns false.
+    pub fn retain(&mut self, keeps: impl Fn(&ServerStart) -> bool) {
+        self.limits.retain(|limit| keeps(&limit.start));
+    }
+
+    /// Sets the number of VMs that this one reaches and of those that are known, both including
+    /// this one. It applies to limits as they are set next.
+    pub fn set_reachable(&mut self, reachable: usize, known: usize) {
+        let part = reachable as f64 / known.max(reachable).max(1) as f64;
+        self.part = (REACHED_FACTOR * part).min(1.0);
+    }
+
+    /// Answers a VM's question.
+    pub fn issue(&mut self, now: TimePoint, question: &PermitQuestion) -> PermitReply {
+        let found = self.limits.binary_search_by(|limit| limit.start.cmp(&question.start));
+        let Ok(at) = found else { return PermitReply::denied(question, NOT_ISSUER_WAIT) };
+        let IssuedLimit { bucket, queue, queue_at, .. } = &mut self.limits[at];
+        bucket.advance(now);
+        let served = bucket.rate * now.since(*queue_at) as f64 / MICROS_PER_SECOND;
+        *queue = (*queue - served).max(0.0);
+        *queue_at = now;
+        let spare = SPARE_FRACTION * bucket.capacity;
+        let kept = if question.needed { 0.0 } else { spare };
+        let mut permits = 0;
+        while permits < question.count && bucket.level - kept >= 1.0 && bucket.take(now) {
+            permits += 1;
+        }
+        if permits > 0 {
+            return PermitReply::issued(question, permits, bucket.level >= spare);
+        }
+        let wait = bucket.wait(now, *queue + kept);
+        if question.needed {
+            *queue = (*queue + f64::from(question.count)).min(MAX_QUEUE_S * bucket.rate);
+        }
+        PermitReply::denied(question, wait)
+    }
+}
--- a/decision/src/limit.rs
+++ b/decision/src/limit.rs
@@ -1,6 +1,6 @@
-//! Limits over the whole fleet: of customers, and of servers that state how many requests they take.
+//! Customers' limits over the whole fleet.
 //!
-//! A VM admits a request without asking another VM. Each VM reports, per subject, its demand and
+//! A VM admits a request without asking another VM. Each VM reports, per customer, its demand and
 //! admissions as totals since its process started, and keeps an estimate of a fleet-wide token
 //! bucket that fills at the customer's rate and is drained by the admissions of all VMs. While the
 //! bucket is not empty, every VM admits requests. Once it is empty, each VM admits its share of the
@@ -23,7 +23,7 @@
 
 /// Initial overdraft of a bucket at a VM that starts, in seconds of its rate: when all VMs restart,
 /// what they admitted before is not known.
-pub(crate) const INITIAL_OVERDRAFT_S: f64 = 0.4;
+const INITIAL_OVERDRAFT_S: f64 = 0.4;
 /// Interval between reports from which on the reported usage is deducted gradually instead of at
 /// once, in microseconds.
 const GRADUAL_DEBIT_US: u64 = 500_000;
@@ -77,7 +77,7 @@
         pub slack: f64,
     }
 
-    /// Fleet-wide bucket state of a customer or server.
+    /// Fleet-wide bucket state of a customer.
     pub struct BucketState {
         /// What the limit applies to.
         pub subject: LimitSubject,
@@ -98,20 +98,20 @@
 impl LimitExcess {
     /// Returns how much more than its limit a customer may be admitted in a window, in the limit's
     /// unit.
-    pub(crate) fn of(&self, limit: &FleetLimit) -> f64 {
+    fn of(&self, limit: &FleetLimit) -> f64 {
         self.part * (limit.per_second * self.window_s + limit.burst) + self.slack
     }
 }
 
-/// Admission control for customers and servers with a limit at this VM.
+/// Admission control for customers with a limit at this VM.
 #[derive(Clone, Debug)]
 pub struct FleetLimiter {
     /// Sorted by subject.
-    pub(crate) buckets: Vec<LimitBucket>,
+    buckets: Vec<LimitBucket>,
     excess: LimitExcess,
     report_interval_us: u64,
     /// Fraction of the rates that this VM and those reachable from it admit.
-    pub(crate) fraction: f64,
+    fraction: f64,
     /// Number of known VMs, this one included.
     known: usize,
     /// When another VM's usage was last received. `None` before that: the buckets are estimated
@@ -120,7 +120,7 @@
     /// Since when reports have been received without a gap of [`MAX_REPORT_GAP_US`].
     reports_since: TimePoint,
     /// When this VM began to count its usage.
-    pub(crate) started: Option<TimePoint>,
+    started: Option<TimePoint>,
     /// When it began to aggregate the usage of others.
     sums_since: TimePoint,
     /// Usage that VMs report of themselves.
@@ -159,8 +159,7 @@
     /// Replaces the allowed excess of all customers.
     pub fn set_excess(&mut self, excess: LimitExcess) {
         self.excess = excess;
-        let of_customer = |bucket: &&mut LimitBucket| bucket.subject.customer().is_some();
-        for bucket in self.buckets.iter_mut().filter(of_customer) {
+        for bucket in &mut self.buckets {
             bucket.excess = excess.of(&bucket.limit);
             bucket.window_s = excess.window_s;
         }
@@ -171,8 +170,6 @@
     pub fn configure(&mut self, now: TimePoint, limits: Vec<(CustomerName, FleetLimit)>) {
         self.started.get_or_insert(now);
         let old = std::mem::take(&mut self.buckets);
-        let of_server = |bucket: &&LimitBucket| bucket.subject.customer().is_none();
-        self.buckets.extend(old.iter().filter(of_server).cloned());
         for (customer, limit) in limits {
             let subject = LimitSubject::Customer(customer);
             let kept = old.binary_search_by(|bucket| bucket.subject.cmp(&subject));
@@ -213,7 +210,7 @@
         self.buckets[at].admit(now, cost, view)
     }
 
-    pub(crate) fn fleet_view(&self, now: TimePoint) -> FleetView {
+    fn fleet_view(&self, now: TimePoint) -> FleetView {
         let received_within = |us: u64| self.last_report_at.is_some_and(|at| now.since(at) < us);
         FleetView {
             fraction: self.fraction,
--- a/decision/src/server_limit.rs
+++ b/decision/src/server_limit.rs
@@ -1,104 +1,124 @@
-//! Limits that servers state: how many requests a second they take from all VMs together.
+//! The bucket of a limit that a server states: how many requests a second it takes from all VMs
+//! together.
 //!
-//! They use the limiter of customers. docs/LIMITS.md, "Limits of servers", says why it fits.
+//! docs/LIMITS.md, "Limits of servers", has the bound.
 
 use std::time::Duration;
 
-use crate::bucket::LimitBucket;
-use crate::customer::{FleetLimit, LimitMeasure};
 use crate::id::TimePoint;
-use crate::limit::{FleetLimiter, INITIAL_OVERDRAFT_S, LimitExcess};
-use crate::subject::{LimitSubject, ServerStart};
+use crate::usage::MICROS_PER_SECOND;
 
-/// What a server may get beyond the limit that it states, over all VMs.
-const SERVER_EXCESS: LimitExcess = LimitExcess { window_s: 4.0, part: 0.5, slack: 5.0 };
-/// Level of a server's bucket, as a fraction of its capacity, below which its room is scarce.
-const SCARCE_FRACTION: f64 = 0.5;
+/// Window in which a server counts its requests, in seconds.
+const WINDOW_S: f64 = 4.0;
+/// What a server may get in a window beyond its limit, as a fraction of the limit.
+const EXCESS_FRACTION: f64 = 0.5;
+/// What it may get in a window beyond that, in requests.
+const EXCESS_REQUESTS: f64 = 5.0;
+/// Fraction of the excess that a bucket holds. The rest is for permits that are used late, and for
+/// VMs that disagree for a moment on who issues them.
+const BURST_FRACTION: f64 = 0.35;
+/// Fraction of the excess that all VMs together hold where each keeps a share by itself: nothing
+/// is issued late there.
+const SHARED_BURST_FRACTION: f64 = 0.8;
 /// Lowest rate that is kept for a server, in requests per second. A server that got none at all
 /// could not state that it takes requests again.
 const MIN_SERVER_RATE: f64 = 0.25;
+/// Longest wait that is told, in seconds.
+const MAX_WAIT_S: f64 = 60.0;
 
-/// Methods for the limits of servers, which count requests.
-impl FleetLimiter {
-    /// Sets the limit that an incarnation of a server states; `None` if it states none any more.
-    /// This VM keeps one of `parts` equal parts of it: 1 where VMs report their usage to each other.
-    pub fn set_server_limit(
-        &mut self,
-        now: TimePoint,
-        start: &ServerStart,
-        per_s: Option<f64>,
-        parts: usize,
-    ) {
-        self.started.get_or_insert(now);
-        let found = self.server_index(start.server.as_str(), start.incarnation);
-        let Some(per_s) = per_s else {
-            if let Ok(at) = found {
-                self.buckets.remove(at);
-            }
-            return;
-        };
-        let parts = parts.max(1) as f64;
-        let per_second = per_s.max(MIN_SERVER_RATE) / parts;
-        let limit = FleetLimit { per_second, burst: 0.0, measure: LimitMeasure::Requests };
-        let at = found.unwrap_or_else(|at| {
-            let subject = LimitSubject::Server(start.clone());
-            let overdraft = INITIAL_OVERDRAFT_S * per_second;
-            self.buckets.insert(at, LimitBucket::new(now, subject, limit, -overdraft));
-            at
-        });
-        let fraction = self.fraction;
-        let bucket = &mut self.buckets[at];
-        bucket.advance(now, fraction);
-        bucket.limit = limit;
-        let excess = LimitExcess { slack: SERVER_EXCESS.slack / parts, ..SERVER_EXCESS };
-        bucket.excess = excess.of(&limit);
-        bucket.window_s = SERVER_EXCESS.window_s;
-        bucket.level = bucket.level.min(bucket.capacity(fraction));
-    }
+/// Returns the requests per second that are sent to a server that states `per_s`.
+pub(crate) fn kept_rate(per_s: f64) -> f64 {
+    per_s.max(MIN_SERVER_RATE)
+}
+
+/// Returns what a bucket holds at most for a server that states `per_s`.
+pub(crate) fn capacity(per_s: f64) -> f64 {
+    BURST_FRACTION * excess(per_s)
+}
 
-    /// Drops the limits of servers for which `keeps` returns false.
-    pub fn retain_servers(&mut self, keeps: impl Fn(&ServerStart) -> bool) {
-        self.buckets.retain(|bucket| match &bucket.subject {
-            LimitSubject::Customer(_) => true,
-            LimitSubject::Server(start) => keeps(start),
-        });
+fn excess(per_s: f64) -> f64 {
+    EXCESS_FRACTION * WINDOW_S * kept_rate(per_s) + EXCESS_REQUESTS
+}
+
+/// Converts seconds to a wait that callers can be told.
+pub(crate) fn wait_of(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.clamp(0.001, MAX_WAIT_S))
+}
+
+/// Token bucket that gives whole requests only.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerBucket {
+    /// Requests per second.
+    pub(crate) rate: f64,
+    pub(crate) capacity: f64,
+    /// Negative while what was sent before is repaid.
+    pub(crate) level: f64,
+    advanced_at: TimePoint,
+}
+
+impl ServerBucket {
+    pub(crate) fn new(now: TimePoint, rate: f64, capacity: f64, level: f64) -> Self {
+        Self { rate, capacity, level, advanced_at: now }
     }
 
-    /// Returns how long a server's limit keeps this VM from sending it a request; zero if it may
-    /// send one now.
-    pub fn server_wait(&mut self, now: TimePoint, server: &str, incarnation: u64) -> Duration {
-        let Ok(at) = self.server_index(server, incarnation) else { return Duration::ZERO };
-        let view = self.fleet_view(now);
-        self.buckets[at].wait(now, view)
+    /// Changes the rate from now on.
+    pub(crate) fn set(&mut self, now: TimePoint, rate: f64, capacity: f64) {
+        self.advance(now);
+        self.rate = rate;
+        self.capacity = capacity;
+        self.level = self.level.min(capacity);
     }
 
-    /// Returns whether a server's limit leaves little room, which is then kept for requests that no
-    /// other server can take.
-    pub fn is_server_scarce(&mut self, now: TimePoint, server: &str, incarnation: u64) -> bool {
-        let Ok(at) = self.server_index(server, incarnation) else { return false };
-        let fraction = self.fraction;
-        let bucket = &mut self.buckets[at];
-        bucket.advance(now, fraction);
-        bucket.level < SCARCE_FRACTION * bucket.capacity(fraction)
+    pub(crate) fn advance(&mut self, now: TimePoint) {
+        let age_s = now.since(self.advanced_at) as f64 / MICROS_PER_SECOND;
+        self.advanced_at = now;
+        self.level = (self.level + self.rate * age_s).min(self.capacity);
     }
 
-    /// Counts a request to a server. Returns false if its limit does not allow one now.
-    pub fn admit_server(&mut self, now: TimePoint, server: &str, incarnation: u64) -> bool {
-        let Ok(at) = self.server_index(server, incarnation) else { return true };
-        let view = self.fleet_view(now);
-        self.buckets[at].admit(now, 1.0, view).is_ok()
+    /// Takes a request. Returns false if there is none now.
+    pub(crate) fn take(&mut self, now: TimePoint) -> bool {
+        self.advance(now);
+        let has_one = self.level >= 1.0;
+        if has_one {
+            self.level -= 1.0;
+        }
+        has_one
     }
 
-    /// Takes back a request that certainly did not reach the server.
-    pub fn refund_server(&mut self, now: TimePoint, server: &str, incarnation: u64) {
-        let Ok(at) = self.server_index(server, incarnation) else { return };
-        let fraction = self.fraction;
-        let bucket = &mut self.buckets[at];
-        bucket.advance(now, fraction);
-        bucket.spend(-1.0);
+    /// Returns the time until there is a request after `ahead` others; zero if there is one now.
+    pub(crate) fn wait(&mut self, now: TimePoint, ahead: f64) -> Duration {
+        self.advance(now);
+        let missing = 1.0 + ahead - self.level;
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        wait_of(missing / self.rate.max(f64::MIN_POSITIVE))
     }
+}
+
+/// Place of a VM among those that each keep a share of a server's limit by themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharePlace {
+    /// Rank of the VM by hash with the server, 0 for the first.
+    pub rank: usize,
+    /// Number of known VMs, this one included.
+    pub vms: usize,
+}
 
-    fn server_index(&self, server: &str, incarnation: u64) -> Result<usize, usize> {
-        self.buckets.binary_search_by(|bucket| bucket.subject.cmp_server(server, incarnation))
+impl SharePlace {
+    /// Returns this VM's share of a limit as it begins; `None` if it has none. There are no more
+    /// shares than the excess has requests: each VM with a share may send one at any moment.
+    ///
+    /// A new share begins with a part of a request that grows with the rank, so that the first
+    /// requests of the VMs are spread over time.
+    pub(crate) fn share(self, now: TimePoint, per_s: f64) -> Option<ServerBucket> {
+        let burst = SHARED_BURST_FRACTION * excess(per_s);
+        let shares = self.vms.clamp(1, burst as usize);
+        if self.rank >= shares {
+            return None;
+        }
+        let parts = shares as f64;
+        let (rate, capacity) = (kept_rate(per_s) / parts, (burst / parts).max(1.0));
+        Some(ServerBucket::new(now, rate, capacity, self.rank as f64 / parts))
     }
 }
--- a/decision/src/stated_servers.rs
+++ b/decision/src/stated_servers.rs
@@ -1,49 +1,47 @@
 //! What servers stated to one VM, for VMs that do not report statements to each other.
 //!
-//! Each VM keeps an equal part of a server's limit. docs/LIMITS.md, "Limits of servers", compares
-//! this with VMs that report their usage.
+//! A VM keeps a share of a server's limit by itself, or has none where there are more VMs than
+//! shares. docs/LIMITS.md, "Limits of servers", compares this with permits.
 
 use std::time::Duration;
 
 use crate::id::{ServerName, TimePoint};
-use crate::limit::FleetLimiter;
 use crate::rest::ServerRest;
+use crate::server_limit::{ServerBucket, SharePlace, kept_rate, wait_of};
 use crate::statement::{ServerStatement, StatedValue, StatementChange};
-use crate::subject::ServerStart;
 
 /// How long a server gets no request after it stated that it leaves. One that has restarted under its
 /// name meanwhile is then asked again, with one request at first.
 const LEAVING_REST: Duration = Duration::from_secs(30);
-/// Incarnation of all servers here: a restarted server states its limit anew, or none.
-const INCARNATION: u64 = 0;
 
 /// Statements of the servers of a VM, which are known by name only.
 #[derive(Debug, Default)]
 pub struct StatedServers {
     /// Sorted by server.
     servers: Vec<StatedServer>,
-    limiter: FleetLimiter,
 }
 
 #[derive(Debug)]
 struct StatedServer {
     server: ServerName,
     limit_per_s: Option<f64>,
+    /// This VM's share of the limit; `None` without a share.
+    share: Option<ServerBucket>,
     rest: ServerRest,
     /// The rest that follows from its statement that it leaves.
     leaving: ServerRest,
 }
 
 impl StatedServers {
-    /// Records what a response of a server to this VM, one of `vms`, states about the server.
-    /// `served` is false for a refusal or failure, which may leave out what other answers state.
+    /// Records what a response of a server to this VM, at `place` among all, states about the
+    /// server. `served` is false for a refusal or failure, which may leave out what other answers state.
     /// Returns what changed.
     pub fn apply(
         &mut self,
         server: &ServerName,
         statement: &ServerStatement,
         served: bool,
-        vms: usize,
+        place: SharePlace,
         now: TimePoint,
     ) -> StatementChange {
         let stated = self.stated(server);
@@ -53,6 +51,7 @@
             StatedValue::Absent if served => stated.limit_per_s = None,
             StatedValue::Absent | StatedValue::Unreadable => {}
         }
+        stated.set_share(place, now);
         let per_s = stated.limit_per_s;
         let was_leaving = !stated.leaving.wait(now).is_zero();
         let leaves = statement.leaving == StatedValue::Readable(true);
@@ -65,7 +64,6 @@
             StatedValue::Readable(rest) => stated.rest.ask(rest, now),
             StatedValue::Absent | StatedValue::Unreadable => {}
         }
-        self.limiter.set_server_limit(now, &start(server), per_s, vms);
         StatementChange { limit: before != per_s, leaving: leaves && !was_leaving }
     }
 
@@ -81,7 +79,8 @@
         let at = found.unwrap_or_else(|at| {
             let server = server.clone();
             let (rest, leaving) = (ServerRest::default(), ServerRest::default());
-            self.servers.insert(at, StatedServer { server, limit_per_s: None, rest, leaving });
+            let (limit_per_s, share) = (None, None);
+            self.servers.insert(at, StatedServer { server, limit_per_s, share, rest, leaving });
             at
         });
         &mut self.servers[at]
@@ -95,8 +94,8 @@
     /// Returns the time until a server's rest and its limit allow a request from this VM; zero if
     /// they do now.
     pub fn wait(&mut self, server: &ServerName, now: TimePoint) -> Duration {
-        let limit_wait = self.limiter.server_wait(now, server.as_str(), INCARNATION);
-        self.stated(server).rest.wait(now).max(limit_wait)
+        let stated = self.stated(server);
+        stated.rest.wait(now).max(stated.limit_wait(now))
     }
 
     /// Returns the servers that leave, rest or are at their limits.
@@ -110,16 +109,36 @@
 
     /// Counts a request that is sent to a server. Returns false if it rests or is at its limit.
     pub fn take(&mut self, server: &ServerName, now: TimePoint) -> bool {
-        let StatedServer { rest, leaving, .. } = self.stated(server);
-        if !rest.wait(now).is_zero() {
+        let stated = self.stated(server);
+        if !stated.rest.wait(now).is_zero() {
             return false;
         }
-        rest.sent(now);
-        leaving.sent(now);
-        self.limiter.admit_server(now, server.as_str(), INCARNATION)
+        stated.rest.sent(now);
+        stated.leaving.sent(now);
+        stated.limit_per_s.is_none() || stated.share.as_mut().is_some_and(|share| share.take(now))
     }
 }
 
-fn start(server: &ServerName) -> ServerStart {
-    ServerStart { server: server.clone(), incarnation: INCARNATION }
+impl StatedServer {
+    /// Sets this VM's share of the limit.
+    fn set_share(&mut self, place: SharePlace, now: TimePoint) {
+        let new = self.limit_per_s.and_then(|per_s| place.share(now, per_s));
+        self.share = match (self.share.take(), new) {
+            (Some(mut share), Some(new)) => {
+                share.set(now, new.rate, new.capacity);
+                Some(share)
+            }
+            (_, new) => new,
+        };
+    }
+
+    /// Returns the time until its limit allows a request from this VM. Without a share it is the
+    /// time between two requests to the server: a caller that comes back may meet another VM.
+    fn limit_wait(&mut self, now: TimePoint) -> Duration {
+        let Some(per_s) = self.limit_per_s else { return Duration::ZERO };
+        match &mut self.share {
+            Some(share) => share.wait(now, 0.0),
+            None => wait_of(1.0 / kept_rate(per_s)),
+        }
+    }
 }
--- a/decision/src/statement.rs
+++ b/decision/src/statement.rs
@@ -54,6 +54,15 @@
     pub at: TimePoint,
 }
 
+impl StatedLimit {
+    /// Returns the limit as it is reported at `now`.
+    fn reported(self, now: TimePoint) -> ReportedLimit {
+        let age_ms = now.since(self.at) / MICROS_PER_MILLI;
+        let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
+        ReportedLimit { per_s: self.per_s, age_ms }
+    }
+}
+
 value! {
     /// What a server stated, as reported to other VMs.
     pub struct ReportedStatement {
@@ -205,6 +214,13 @@
         !std::mem::replace(&mut self.leaving, true)
     }
 
+    /// Returns its limit as it is reported to one VM at `now`, without marking it as reported.
+    #[must_use]
+    pub fn limit_report(&self, now: TimePoint) -> ReportedStatement {
+        let limit = self.stated.limit.map(|limit| limit.reported(now));
+        ReportedStatement { start: self.start(), leaving: self.stated.own_leaving, limit }
+    }
+
     fn report(&mut self, all: bool, now: TimePoint) -> Option<ReportedStatement> {
         let stated = &mut self.stated;
         let limit = stated.limit_to_report(now).filter(|_| all || stated.own_limit);
@@ -217,14 +233,14 @@
         }
         let limit = limit.map(|limit| {
             stated.reported_limit = Some(limit);
-            let age_ms = now.since(limit.at) / MICROS_PER_MILLI;
-            let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
-            ReportedLimit { per_s: limit.per_s, age_ms }
+            limit.reported(now)
         });
         Some(ReportedStatement { start: self.start(), leaving, limit })
     }
 
-    fn start(&self) -> ServerStart {
+    /// Returns its present incarnation.
+    #[must_use]
+    pub fn start(&self) -> ServerStart {
         ServerStart { server: self.entry.server.clone(), incarnation: self.entry.incarnation }
     }
 }
--- a/decision/src/subject.rs
+++ b/decision/src/subject.rs
@@ -21,7 +21,8 @@
     pub enum LimitSubject {
         /// The requests of a customer to all servers.
         Customer(CustomerName),
-        /// The requests of all customers to a server.
+        /// The requests of all customers to a server, as an earlier release reports them. They are
+        /// ignored.
         Server(ServerStart),
     }
 }
@@ -35,16 +36,6 @@
         }
     }
 
-    /// Compares with the subject of a server's incarnation.
-    pub(crate) fn cmp_server(&self, server: &str, incarnation: u64) -> Ordering {
-        match self {
-            Self::Customer(_) => Ordering::Less,
-            Self::Server(start) => {
-                (start.server.as_str(), start.incarnation).cmp(&(server, incarnation))
-            }
-        }
-    }
-
     /// Returns the customer; `None` for a server.
     pub(crate) fn customer(&self) -> Option<&CustomerName> {
         match self {
--- a/decision/src/usage.rs
+++ b/decision/src/usage.rs
@@ -29,7 +29,7 @@
         pub admitted: f64,
     }
 
-    /// Total of one customer or server.
+    /// Total of one customer.
     pub struct SubjectTotal {
         /// What the total is of.
         pub subject: LimitSubject,
--- a/entry/src/stated.rs
+++ b/entry/src/stated.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use coltsfoothook_decision::id::{MICROS_PER_MILLI, ServerName};
+use coltsfoothook_decision::id::{MICROS_PER_MILLI, ServerName, stable_hash};
+use coltsfoothook_decision::server_limit::SharePlace;
 use coltsfoothook_decision::statement::StatedValue;
 use coltsfoothook_platform::read_statement;
 use coltsfoothook_telemetry::event;
@@ -18,10 +19,10 @@
         event!(StatementUnreadable, server = server, header = header);
     }
     let statement = decoded.statement;
-    let vms = lock(&core.members).live().count();
+    let place = place(core, server);
     let now = core.clock.now();
     let mut stated = lock(&core.stated);
-    let change = stated.apply(server, &statement, served, vms, now);
+    let change = stated.apply(server, &statement, served, place, now);
     let per_s = stated.limit_per_s(server);
     drop(stated);
     if change.limit {
@@ -37,6 +38,16 @@
     }
 }
 
+/// Returns the place of this VM among all known ones, by hash with the server. Unresponsive VMs
+/// count: they may be cut off from this one only.
+fn place(core: &EntryCore, server: &ServerName) -> SharePlace {
+    let members = lock(&core.members);
+    let hash = |vm: &str| stable_hash(&[server.as_str(), vm]);
+    let own = hash(members.own().name());
+    let rank = members.others().iter().filter(|row| hash(row.name()) < own).count();
+    SharePlace { rank, vms: members.others().len() + 1 }
+}
+
 /// Returns whether a server stated that it leaves.
 pub(crate) fn is_leaving(core: &EntryCore, server: &ServerName) -> bool {
     lock(&core.stated).is_leaving(server, core.clock.now())
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfoothook_decision::backend::BackendState;
 use coltsfoothook_decision::choice::{ServerChoice, ServerRequirements, max_wait};
 use coltsfoothook_decision::id::{ServerName, TimePoint};
+use coltsfoothook_decision::permit::REPLY_TIMEOUT_US;
 use coltsfoothook_decision::routing::{AdapterKey, ModelNeed};
 use coltsfoothook_telemetry::event;
 use tokio::sync::futures::Notified;
@@ -14,6 +16,7 @@
 use crate::load_request::RequestStep;
 use crate::message::{LoadRequest, PeerMessage};
 use crate::order;
+use crate::permit;
 use crate::run::RequestRun;
 use crate::state::{Gateway, SystemView};
 use crate::statement::ClosedReason;
@@ -61,7 +64,12 @@
         if run.left() < MIN_TIME_LEFT {
             break Err("deadline");
         }
-        let PreparedChoice { choice, load_request, closed } = choose(run, waited < max_hold, now);
+        let may_ask = waited < max_closed_wait;
+        let PreparedChoice { choice, load_request, closed, asks } =
+            choose(run, waited < max_hold, may_ask, now);
+        if asks {
+            permit::ask(&gateway);
+        }
         if let Some(reason) = closed
             && !std::mem::replace(&mut counted_closed, true)
         {
@@ -83,7 +91,7 @@
             ServerChoice::Load { .. } => RECHECK_INTERVAL,
             ServerChoice::Unavailable if let Some(reason) = closed => {
                 if waited + reason.wait > max_closed_wait {
-                    run.retry_after = Some(reason.wait);
+                    run.retry_after = Some(reason.retry_after);
                     break Err(reason.name);
                 }
                 reason.wait
@@ -162,17 +170,20 @@
     load_request: Option<(AdapterKey, u64, ServerName)>,
     /// Why the first server to open again of those that are closed is closed; `None` if none is.
     closed: Option<ClosedReason>,
+    /// Whether a permit is wanted for a server with a limit.
+    asks: bool,
 }
 
 /// Chooses a server for the request.
-fn choose(run: &RequestRun, may_hold: bool, now: TimePoint) -> PreparedChoice {
+fn choose(run: &RequestRun, may_hold: bool, may_ask: bool, now: TimePoint) -> PreparedChoice {
     let mut view = run.gateway.view();
     let draw = view.random();
     let need = run.request.head.need.as_ref();
     let key = need.and_then(|need| need.adapter.as_ref());
     let (oldest, newest) = key.map_or((0, 0), |key| view.usable_versions(run, key, now));
-    let closed = view.closed_servers(&run.request.service, &run.avoided, now);
-    let excluded = [run.avoided.as_slice(), closed.closed.as_slice()].concat();
+    let closed = view.closed_servers(&run.request.service, &run.avoided, may_ask, now);
+    let open = [run.avoided.as_slice(), closed.closed.as_slice()].concat();
+    let excluded = [open.as_slice(), closed.pending.as_slice()].concat();
     let sparing = [excluded.as_slice(), closed.scarce.as_slice()].concat();
     let domain = &run.gateway.settings.domain;
     let gap = view.table.as_ref().and_then(|table| table.min_gap(&run.request.service));
@@ -193,8 +204,22 @@
             choice = other;
         }
     }
+    let mut asks = false;
+    if !closed.pending.is_empty()
+        && let ServerChoice::Send { server, .. } =
+            view.backends.choose(&requirements(&open, oldest), draw, now)
+        && closed.pending.contains(&server)
+        && let Some(start) = view.backends.get(server.as_str()).map(BackendState::start)
+    {
+        let needed = !view.backends.sends_to_available(&choice, now);
+        view.permits.want(now, &start, needed);
+        asks = true;
+        if needed {
+            choice = ServerChoice::Wait { until: now.plus(REPLY_TIMEOUT_US) };
+        }
+    }
     let prepared =
-        |choice, load_request| PreparedChoice { choice, load_request, closed: closed.reason };
+        |choice, load_request| PreparedChoice { choice, load_request, closed: closed.reason, asks };
     let Some(key) = key else { return prepared(choice, None) };
     match &choice {
         ServerChoice::Send { copy: Some(server), .. }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod order;
 mod outcome;
 mod peer;
+mod permit;
 mod process;
 mod record_exchange;
 mod record_updates;
--- a/gateway/src/limit_use.rs
+++ b/gateway/src/limit_use.rs
@@ -22,6 +22,8 @@
     start: ServerStart,
     sent: u32,
     closed: u32,
+    issued: u32,
+    denied: u32,
 }
 
 impl LimitUseList {
@@ -39,12 +41,22 @@
         }
     }
 
+    /// Counts an answer of this VM as the issuer of a server.
+    pub(crate) fn count_reply(&mut self, start: &ServerStart, permits: u32) {
+        if let Some(found) = self.of(start) {
+            found.issued += permits;
+            found.denied += u32::from(permits == 0);
+        }
+    }
+
     fn of(&mut self, start: &ServerStart) -> Option<&mut LimitUse> {
         match self.uses.binary_search_by(|known| known.start.cmp(start)) {
             Ok(at) => Some(&mut self.uses[at]),
             Err(_) if self.uses.len() >= MAX_COUNTED => None,
             Err(at) => {
-                self.uses.insert(at, LimitUse { start: start.clone(), sent: 0, closed: 0 });
+                let start = start.clone();
+                let counted = LimitUse { start, sent: 0, closed: 0, issued: 0, denied: 0 };
+                self.uses.insert(at, counted);
                 Some(&mut self.uses[at])
             }
         }
@@ -56,13 +68,15 @@
             return;
         }
         self.logged_at = now;
-        for LimitUse { start, sent, closed } in self.uses.drain(..) {
+        for LimitUse { start, sent, closed, issued, denied } in self.uses.drain(..) {
             event!(
                 ServerLimitUsed,
                 server = start.server,
                 born = start.incarnation,
                 sent = sent,
                 closed = closed,
+                issued = issued,
+                denied = denied,
             );
         }
     }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -11,6 +11,7 @@
 use coltsfoothook_decision::domain_update::ListChange;
 use coltsfoothook_decision::id::{DomainName, ServerName, TimePoint, VmName};
 use coltsfoothook_decision::limit::BucketState;
+use coltsfoothook_decision::permit::{PermitQuestion, PermitReply};
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
 use coltsfoothook_decision::statement::ReportedStatement;
 use coltsfoothook_decision::usage::UsageReport;
@@ -106,7 +107,7 @@
         pub lists: ServerLists,
         /// What servers stated to any VM.
         pub statements: Vec<ReportedStatement>,
-        /// Bucket states of the customers and servers that have little left of their limits.
+        /// Bucket states of the customers that have little left of their limits.
         #[serde(rename = "standings")]
         pub bucket_states: Vec<BucketState>,
         /// How many VMs of all domains reported their customers' use recently.
@@ -243,13 +244,29 @@
         Question(ConfirmationQuestion),
         /// The answer to such a query.
         Answer(ConfirmationAnswer),
+        /// A question for permits, and what the asking VM knows of the server's limit.
+        PermitQuestion(PermitQuestion, ReportedStatement),
+        /// The answer to such a question.
+        PermitReply(PermitReply),
     }
 }
 
 impl PeerMessage {
     /// Names of the kinds of messages in metrics.
-    pub(crate) const KINDS: [&str; 10] =
-        ["state", "lists", "wish", "uses", "news", "loads", "domain", "sums", "question", "answer"];
+    pub(crate) const KINDS: [&str; 12] = [
+        "state",
+        "lists",
+        "wish",
+        "uses",
+        "news",
+        "loads",
+        "domain",
+        "sums",
+        "question",
+        "answer",
+        "permit_question",
+        "permit_reply",
+    ];
 
     /// Returns the index of the message's kind in [`Self::KINDS`].
     pub(crate) fn kind(&self) -> usize {
@@ -264,6 +281,8 @@
             Self::Sums(_) => 7,
             Self::Question(_) => 8,
             Self::Answer(_) => 9,
+            Self::PermitQuestion(..) => 10,
+            Self::PermitReply(_) => 11,
         }
     }
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     servers: IntCounterVec,
     statements: IntCounterVec,
     closed: IntCounterVec,
+    permits: IntCounterVec,
     ages: GaugeVec,
     peer_bytes: IntGaugeVec,
     gauges: IntGaugeVec,
@@ -141,6 +142,12 @@
                  `unreadable` are those that could not be decoded.",
                 &["what"],
             ),
+            permits: counter(
+                "coltsfoothook_gateway_permits_total",
+                "Permits for servers with limits: issued by this VM, questions that it denied, and \
+                 permits that arrived too late.",
+                &["result"],
+            ),
             closed: counter(
                 "coltsfoothook_gateway_closed_total",
                 "Requests for which a server of their service was closed, by the reason of the one \
@@ -212,6 +219,11 @@
         self.statements.with_label_values(&[what]).inc();
     }
 
+    /// Counts permits for servers with limits.
+    pub(crate) fn permits(&self, result: &str, count: u64) {
+        self.permits.with_label_values(&[result]).inc_by(count);
+    }
+
     /// Counts a request for which a server was closed.
     pub(crate) fn closed(&self, reason: &str) {
         self.closed.with_label_values(&[reason]).inc();
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -25,6 +25,7 @@
     encode,
 };
 use crate::order;
+use crate::permit;
 use crate::record_updates;
 use crate::roster::{PeerChange, SMALL_FLEET};
 use crate::state::{Gateway, SystemView};
@@ -257,6 +258,7 @@
     view.limit_uses.log(now);
     let (reachable, known) = view.reporting_counts(gateway, now);
     view.limiter.set_reachable(now, reachable, known);
+    view.update_issuer(gateway, (reachable, known), now);
     let mut to = view.roster.live(now);
     let others = sample(&to, SHARED_PEERS, &mut view.rng);
     let large = to.len() > SMALL_FLEET;
@@ -370,6 +372,10 @@
         PeerMessage::Sums(sums) => aggregate::apply_sums(gateway, &sums),
         PeerMessage::Question(question) => confirm::answer_question(gateway, question, from),
         PeerMessage::Answer(answer) => confirm::apply_answer(gateway, &answer),
+        PeerMessage::PermitQuestion(question, statement) => {
+            permit::answer_question(gateway, &question, statement, from);
+        }
+        PeerMessage::PermitReply(reply) => permit::apply_reply(gateway, &reply),
     }
 }
 
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use coltsfoothook_decision::id::{DomainName, TimePoint, VmName, stable_hash};
+use coltsfoothook_decision::issuer::{issuer_rank, vm_position};
 use coltsfoothook_decision::lease::StoreWitness;
+use coltsfoothook_decision::subject::ServerStart;
 
 use crate::message::VmState;
 use crate::peer::{ROTATION_INTERVAL_US, ROTATION_SIZE};
@@ -44,6 +46,8 @@
     domain: DomainName,
     eligible: bool,
     aggregates: bool,
+    /// Its position among the issuers of permits.
+    position: u64,
     last_seen: TimePoint,
 }
 
@@ -161,13 +165,34 @@
 
     /// Returns where other VMs that are ready take callers' requests.
     pub(crate) fn ready(&self, now: TimePoint) -> Vec<SocketAddr> {
-        let rotations = self.live_count(now).div_ceil(SMALL_FLEET).max(1) as u64;
-        let counts = |peer: &&PeerState| {
-            peer.ready && !peer.leaving && now.since(peer.last_seen) < READY_TTL_US * rotations
-        };
+        let ttl_us = self.ready_ttl_us(now);
+        let counts =
+            |peer: &&PeerState| peer.ready && !peer.leaving && now.since(peer.last_seen) < ttl_us;
         self.peers.iter().filter(counts).map(|peer| peer.requests).collect()
     }
 
+    /// Returns how long a VM counts as ready after its last message, in microseconds.
+    fn ready_ttl_us(&self, now: TimePoint) -> u64 {
+        READY_TTL_US * self.live_count(now).div_ceil(SMALL_FLEET).max(1) as u64
+    }
+
+    /// Returns the address of the VM that issues permits for a server: the first by rank of `vm`
+    /// and those that sent a message recently and do not leave. `None` if it is `vm`.
+    pub(crate) fn issuer(
+        &self,
+        vm: &VmName,
+        eligible: bool,
+        start: &ServerStart,
+        now: TimePoint,
+    ) -> Option<SocketAddr> {
+        let ttl_us = self.ready_ttl_us(now);
+        let counts = |peer: &&PeerState| !peer.leaving && now.since(peer.last_seen) < ttl_us;
+        let rank = |peer: &&PeerState| issuer_rank(start, peer.position, peer.eligible);
+        let first = self.peers.iter().filter(counts).min_by_key(rank)?;
+        let own = issuer_rank(start, vm_position(vm), eligible);
+        (rank(&first) < own).then_some(first.address)
+    }
+
     /// Returns the rank of `vm` by hash among the live VMs that do not leave, 0 for the first. In
     /// an order by name the first ones would be of one failure domain, and lost together.
     pub(crate) fn hash_rank(&self, vm: &VmName, now: TimePoint) -> usize {
@@ -344,6 +369,7 @@
             domain: state.domain.clone(),
             eligible: state.can_aggregate,
             aggregates: state.aggregates,
+            position: vm_position(&state.vm),
             last_seen: now,
         }
     }
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -72,20 +72,15 @@
         let (address, incarnation) = (state.entry.address, state.entry.incarnation);
         let (limit_per_s, rest) = (state.limit_per_s(), state.rest_wait(clock::now()));
         let start = ServerStart { server: server.clone(), incarnation };
-        if !rest.is_zero() || !view.limiter.admit_server(clock::now(), server.as_str(), incarnation)
-        {
+        if !rest.is_zero() || !view.permits.take(clock::now(), &start) {
             gateway.metrics.sent("closed");
             return SendEnd::Closed;
         }
         if limit_per_s.is_some() {
             view.limit_uses.count_sent(&start);
         }
-        view.uses_changed |= limit_per_s.is_some();
         (address, incarnation, version, limit_per_s)
     };
-    if limit_per_s.is_some() {
-        gateway.loads_changed.notify_one();
-    }
     let left = run.left();
     let marks = ForwardValues {
         server,
@@ -219,7 +214,8 @@
     let now = clock::now();
     let mut view = run.gateway.view();
     if matches!(end, SendEnd::Unsent(_)) {
-        view.limiter.refund_server(now, server.as_str(), run.incarnation);
+        let start = ServerStart { server: server.clone(), incarnation: run.incarnation };
+        view.permits.give_back(now, &start);
     }
     match end {
         SendEnd::Unsent(_) | SendEnd::Unknown(_)
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -10,9 +10,11 @@
 use coltsfoothook_decision::domain_update::UPDATE_INTERVAL_US;
 use coltsfoothook_decision::freshness::ConfigConfirmation;
 use coltsfoothook_decision::id::{ServerName, TimePoint, stable_hash};
+use coltsfoothook_decision::issuer::PermitIssuer;
 use coltsfoothook_decision::lease::{LeaseSettings, OrderLease, assess_outage};
 use coltsfoothook_decision::limit::FleetLimiter;
 use coltsfoothook_decision::loadtime::LoadTimes;
+use coltsfoothook_decision::permit::PermitHolder;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings};
 use coltsfoothook_platform::{HttpMetadata, HttpServers, MetadataStore, ServerCalls};
@@ -90,6 +92,9 @@
     /// When an unknown key last caused a poll of the store.
     pub(crate) unknown_key_queried_at: Option<TimePoint>,
     pub(crate) limiter: FleetLimiter,
+    /// Permits of this VM for servers with limits, and those that it issues.
+    pub(crate) permits: PermitHolder,
+    pub(crate) issuer: PermitIssuer,
     /// Requests at servers with limits, for the log.
     pub(crate) limit_uses: LimitUseList,
     /// Whether customers' use changed since this VM last reported it.
@@ -204,6 +209,8 @@
             wrong_keys: WrongKeys::default(),
             unknown_key_queried_at: None,
             limiter: FleetLimiter::new(promises.limit_excess(), UPDATE_INTERVAL_US),
+            permits: PermitHolder::default(),
+            issuer: PermitIssuer::default(),
             limit_uses: LimitUseList::default(),
             uses_changed: false,
             versions: Vec::new(),
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::id::{ServerName, ServiceName, TimePoint};
+use coltsfoothook_decision::permit::{PermitState, REPLY_TIMEOUT_US};
 use coltsfoothook_decision::statement::{ReportedStatement, StatedValue, StatementChange};
 use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_platform::read_statement;
@@ -47,7 +48,7 @@
     let now = clock::now();
     let mut view = gateway.view();
     let change = view.backends.apply_statement(start, &statement, served, now);
-    if view.statement_changed(start, change, "answer", now) {
+    if view.statement_changed(start, change, "answer") {
         drop(view);
         gateway.loads_changed.notify_one();
         gateway.changed.notify_waiters();
@@ -61,6 +62,8 @@
     pub(crate) name: &'static str,
     /// Time until it may get one.
     pub(crate) wait: Duration,
+    /// Time after which a caller that is refused should come back.
+    pub(crate) retry_after: Duration,
 }
 
 /// The servers of a service that want no request, or few.
@@ -68,7 +71,9 @@
 pub(crate) struct ClosedServers {
     /// Servers that get no request now, as they rest or are at their limit.
     pub(crate) closed: Vec<ServerName>,
-    /// Servers whose limit leaves little room.
+    /// Servers for which this VM has no permit and may ask for one.
+    pub(crate) pending: Vec<ServerName>,
+    /// Servers for which it has one that other servers' requests should not use.
     pub(crate) scarce: Vec<ServerName>,
     /// The reason of the closed server that opens first.
     pub(crate) reason: Option<ClosedReason>,
@@ -92,7 +97,7 @@
     ) {
         for report in reports {
             let change = self.backends.apply_report(report, now);
-            self.statement_changed(&report.start, change, "vm", now);
+            self.statement_changed(&report.start, change, "vm");
         }
     }
 
@@ -103,10 +108,9 @@
         start: &ServerStart,
         change: StatementChange,
         told_by: &'static str,
-        now: TimePoint,
     ) -> bool {
         if change.limit {
-            self.limit_changed(start, told_by, now);
+            self.limit_changed(start, told_by);
         }
         if change.leaving {
             // Tells the other VMs with the next report, which follows within milliseconds.
@@ -121,10 +125,10 @@
         change != StatementChange::default()
     }
 
-    fn limit_changed(&mut self, start: &ServerStart, told_by: &'static str, now: TimePoint) {
+    fn limit_changed(&mut self, start: &ServerStart, told_by: &'static str) {
         let state = self.backends.get(start.server.as_str());
         let per_s = state.and_then(|state| state.limit_per_s());
-        self.limiter.set_server_limit(now, start, per_s, 1);
+        self.permits.set_limit(start, per_s);
         self.uses_changed = true;
         event!(
             ServerLimitStated,
@@ -143,17 +147,18 @@
     /// Drops the limits of servers that were removed or have restarted.
     pub(crate) fn drop_server_limits(&mut self) {
         let backends = &self.backends;
-        self.limiter.retain_servers(|start| {
+        self.permits.retain(|start| {
             backends.is_current_incarnation(start.server.as_str(), start.incarnation)
         });
     }
 
     /// Returns the servers of a service that want no request, or few, now; without those in
-    /// `avoided`.
+    /// `avoided`. `may_ask` is false for a request that has waited for permits long enough.
     pub(crate) fn closed_servers(
         &mut self,
         service: &ServiceName,
         avoided: &[ServerName],
+        may_ask: bool,
         now: TimePoint,
     ) -> ClosedServers {
         let mut closed = ClosedServers::default();
@@ -166,17 +171,28 @@
             {
                 continue;
             }
-            let (name, incarnation) = (server.as_str(), state.entry.incarnation);
-            let limit_wait = self.limiter.server_wait(now, name, incarnation);
             if !rest.is_zero() {
-                closed.close(server, ClosedReason { name: "server_rest", wait: rest });
-            } else if !limit_wait.is_zero() {
-                closed.close(server, ClosedReason { name: "server_limit", wait: limit_wait });
-                let start = ServerStart { server: server.clone(), incarnation };
-                self.limit_uses.count_closed(&start);
-            } else if self.limiter.is_server_scarce(now, name, incarnation) {
-                closed.scarce.push(server.clone());
+                let reason = ClosedReason { name: "server_rest", wait: rest, retry_after: rest };
+                closed.close(server, reason);
+                continue;
             }
+            let start = state.start();
+            let wait = match self.permits.state(now, &start) {
+                PermitState::Unlimited | PermitState::Held { ample: true } => continue,
+                PermitState::Held { ample: false } => {
+                    closed.scarce.push(server.clone());
+                    continue;
+                }
+                PermitState::Pending if may_ask => {
+                    closed.pending.push(server.clone());
+                    continue;
+                }
+                PermitState::Pending => Duration::from_micros(REPLY_TIMEOUT_US),
+                PermitState::Denied { until } => Duration::from_micros(until.since(now)),
+            };
+            let retry_after = self.permits.retry_after(now, &start);
+            closed.close(server, ClosedReason { name: "server_limit", wait, retry_after });
+            self.limit_uses.count_closed(&start);
         }
         closed
     }
--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -159,6 +159,25 @@
     }
 }
 
+/// How many requests each gateway gets in a jump of demand.
+const JUMP_REQUESTS: usize = 4;
+
+/// Sends requests to all gateways at the same moment.
+pub(crate) async fn jump(world: &Arc<SoakWorld>) {
+    let number = world.next_jump();
+    let calls = world.gateways.iter().enumerate().flat_map(|(at, gateway)| {
+        let address = gateway.endpoints.requests;
+        (0..JUMP_REQUESTS).map(move |request| (address, format!("j{number}-{at}-{request}")))
+    });
+    let records = calls.map(async |(address, id)| {
+        let client = ExchangeClient::new(ExchangeSettings::default());
+        call(&client, address, CallKind::Safe, &id, "").await
+    });
+    for record in futures::future::join_all(records).await {
+        world.verdict.record(record);
+    }
+}
+
 /// Queries one gateway after another until one gives addresses. The first is drawn at random.
 async fn query_addresses(world: &SoakWorld, random: &mut Pcg64) -> Option<Vec<SocketAddr>> {
     let client = ExchangeClient::new(ExchangeSettings { connect_ms: 500, ..Default::default() });
--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::callers::jump;
 use crate::proxy::LinkState;
 use crate::server::ServerMode;
 use crate::world::{ServerKind, SoakWorld};
@@ -35,6 +36,8 @@
     ServerReplaced(usize),
     /// A server states how many requests it takes from all VMs.
     ServerLimited(usize),
+    /// All gateways get requests at the same moment.
+    Jump,
     /// A server refuses everything and states for how long it wants no request from the VM.
     ServerRests(usize),
     /// A server is replaced and states only in its answers that it leaves, until its entry is removed.
@@ -68,12 +71,15 @@
     /// Servers that state something about themselves, and faults of the store. No VM restarts: what a server gets
     /// after its statement is judged without exceptions.
     Statements,
+    /// Servers that state limits, and jumps of demand, without restarts.
+    Jumps,
 }
 
 impl FaultMix {
-    /// Returns the mix of a seed, by its remainder modulo 8.
+    /// Returns the mix of a seed, by its remainder modulo 8, and modulo 16 for the rarer mixes.
     pub(crate) fn of(seed: u64) -> Self {
         match seed % 8 {
+            7 if seed % 16 == 15 => Self::Jumps,
             0 | 4 => Self::Planned,
             1 | 5 => Self::Some,
             2 | 6 => Self::Many,
@@ -86,7 +92,7 @@
     fn mean_interval_ms(self) -> u64 {
         match self {
             Self::Planned => 900,
-            Self::Some | Self::Store | Self::Statements => 700,
+            Self::Some | Self::Store | Self::Statements | Self::Jumps => 700,
             Self::Many => 250,
         }
     }
@@ -145,6 +151,13 @@
             _ => FaultKind::Configure,
         };
     }
+    if mix == FaultMix::Jumps {
+        return match random.random_range(0..5) {
+            0 | 1 => FaultKind::ServerLimited(server),
+            2 | 3 => FaultKind::Jump,
+            _ => FaultKind::StoreUnresponsive,
+        };
+    }
     let modes = [
         ServerMode::LosesAnswer,
         ServerMode::Fails,
@@ -202,6 +215,7 @@
             server.set_mode(ServerMode::Paced);
         }
         FaultKind::ServerLimited(server) => world.limit(server, LIMIT_TIME + lasts).await,
+        FaultKind::Jump => jump(world).await,
         FaultKind::ServerRests(server) => world.rest(server).await,
         FaultKind::ServerLeavesUnheard(server) => world.leave_unheard(server).await,
         FaultKind::ServerCrash(server) => world.crash(server, lasts).await,
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -120,6 +120,7 @@
     statements: Mutex<Vec<SoakStatement>>,
     heartbeat: AtomicU64,
     published: AtomicU64,
+    jumps: AtomicU64,
     /// The last configuration that was published after all faults, and from when on no older one may be used.
     watched: Mutex<Option<(u64, Instant)>>,
     over: AtomicBool,
@@ -200,6 +201,7 @@
             statements: Mutex::default(),
             heartbeat: AtomicU64::new(0),
             published: AtomicU64::new(0),
+            jumps: AtomicU64::new(0),
             watched: Mutex::default(),
             over: AtomicBool::new(false),
             folder,
@@ -262,6 +264,11 @@
         (sent > from && version == self.published()).then_some(version)
     }
 
+    /// Returns the number of the next jump of demand.
+    pub(crate) fn next_jump(&self) -> u64 {
+        self.jumps.fetch_add(1, Ordering::SeqCst)
+    }
+
     pub(crate) fn published(&self) -> u64 {
         self.published.load(Ordering::SeqCst)
     }
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -25,6 +25,7 @@
     metrics.store_call("CALL", "RESULT");
     metrics.server_call("CALL", "RESULT");
     metrics.statement("WHAT");
+    metrics.permits("RESULT", 1);
     metrics.closed("REASON");
     metrics.answer_age("CALL", Duration::ZERO);
     metrics.set("WHAT", 1);
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -148,7 +148,7 @@
     ServerModels, "server_models", Info, "The base models of a backend server changed.";
     ServerGone, "server_gone", Warn, "A backend server's entry was removed.";
     ServerLimitStated, "server_limit_stated", Warn, "A backend server stated another limit on the requests that it takes from all VMs together; without `per_s` it states none any more. `told_by` says whether a response to this VM or another VM told it.";
-    ServerLimitUsed, "server_limit_used", Info, "What this VM did since the last such line, about a second ago, at a server that states a limit: requests `sent` to it, and requests that found it `closed`.";
+    ServerLimitUsed, "server_limit_used", Info, "What this VM did since the last such line, about a second ago, at a server that states a limit: requests `sent` to it, requests that found it `closed`, and as its issuer permits `issued` and questions `denied`.";
     ServerRestStated, "server_rest_stated", Warn, "A backend server refused a request and stated for how long it wants none from this VM.";
     ServerLeavingStated, "server_leaving_stated", Info, "A backend server stated in a response that it leaves; its entry may not say so yet.";
     StatementUnreadable, "statement_unreadable", Warn, "A backend server's response states something about the server that cannot be read; it is ignored.";
