The era of the store is decoded and logged, and entries that are ignored

Operators could not see from which copy of itself the store had answered a VM, nor that an entry was read and dropped as old: a leaving server that nobody noticed left no line. log_restored, entry_ignored; log_up has the era. Nothing decides by the era yet.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -58,7 +58,7 @@
         let sent_at = clock::now();
         let mut next = match gateway.store.newest(KeyedTopic::Operators).await {
             Ok(page) => {
-                link.record_answer(&gateway);
+                link.record_answer(&gateway, page.era);
                 apply_operators(&gateway, &page, sent_at)
             }
             Err(error) => {
@@ -76,7 +76,7 @@
             let sent_at = clock::now();
             match poll_operators(&gateway, next, long_poll, sent_at).await {
                 Ok((page, sent_at)) => {
-                    link.record_answer(&gateway);
+                    link.record_answer(&gateway, page.era);
                     schedule.answered();
                     next = apply_operators(&gateway, &page, sent_at);
                 }
@@ -223,7 +223,7 @@
         let sent_at = clock::now();
         let mut next = match gateway.store.newest(KeyedTopic::Servers).await {
             Ok(page) => {
-                let after_outage = link.record_answer(&gateway);
+                let after_outage = link.record_answer(&gateway, page.era);
                 apply_snapshot(&gateway, &page, after_outage);
                 gateway.view().record_entry_read(page.next, None);
                 page.next
@@ -248,7 +248,7 @@
             read_at = clock::now();
             match gateway.store.read(KeyedTopic::Servers, next, None).await {
                 Ok(page) => {
-                    let after_outage = link.record_answer(&gateway);
+                    let after_outage = link.record_answer(&gateway, page.era);
                     let changes = apply_servers(&gateway, &page.records, after_outage);
                     next = page.next;
                     // Each VM determines by its own reads which entries return after an outage.
@@ -399,7 +399,9 @@
 
     /// Applies an entry and returns whether it changes where requests can go.
     pub(crate) fn apply_entry(&mut self, entry: &BackendEntry, now: TimePoint) -> bool {
-        match self.backends.apply_entry(entry.clone(), now) {
+        let change = self.backends.apply_entry(entry.clone(), now);
+        self.log_ignored(entry);
+        match change {
             EntryChange::Appeared => {
                 event!(
                     ServerSeen,
@@ -430,6 +432,21 @@
         }
     }
 
+    /// Logs an entry that says that its server leaves and was ignored.
+    fn log_ignored(&self, entry: &BackendEntry) {
+        let Some(state) = self.backends.get(entry.server.as_str()) else { return };
+        if !entry.ready && !state.leaving {
+            event!(
+                EntryIgnored,
+                server = entry.server,
+                heartbeat = entry.heartbeat,
+                position = entry.position,
+                known_heartbeat = state.entry.heartbeat,
+                known_position = state.entry.position,
+            );
+        }
+    }
+
     /// Estimates the rate of the weight store from the number of known engines, until loads have
     /// shown it. Called on every VM, since the owners of most servers do not read the entries
     /// themselves.
--- a/gateway/src/group.rs
+++ b/gateway/src/group.rs
@@ -68,7 +68,7 @@
         };
         match gateway.store.join(&member).await {
             Ok(membership) => {
-                link.record_answer(&gateway);
+                link.record_answer(&gateway, membership.era);
                 renewed(&gateway, sent, membership, &since);
                 since = gained_later(&gateway);
             }
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -60,22 +60,28 @@
 pub(crate) struct StoreLink {
     call: StoreCall,
     down_since: Option<TimePoint>,
+    /// The era of the store in its last answer.
+    era: Option<u32>,
 }
 
 impl StoreLink {
     pub(crate) fn new(call: StoreCall) -> Self {
-        Self { call, down_since: None }
+        Self { call, down_since: None, era: None }
     }
 
-    /// Records an answer of the store. Returns whether the previous call had failed.
-    pub(crate) fn record_answer(&mut self, gateway: &Gateway) -> bool {
+    /// Records an answer of the store in an era. Returns whether the previous call had failed.
+    pub(crate) fn record_answer(&mut self, gateway: &Gateway, era: u32) -> bool {
         gateway.metrics.store_call(self.call.name(), "ok");
         let now = clock::now();
         let mut view = gateway.view();
         view.answers.answered(self.call, now);
         drop(view);
+        let before = self.era.replace(era);
+        if let Some(before) = before.filter(|before| *before != era) {
+            event!(LogRestored, topic = self.call.name(), era = era, before = before);
+        }
         let Some(since) = self.down_since.take() else { return false };
-        event!(LogUp, topic = self.call.name(), away_ms = now.since(since) / 1_000);
+        event!(LogUp, topic = self.call.name(), era = era, away_ms = now.since(since) / 1_000);
         true
     }
 
