Positions in the store's topics are ordered by the store's era first

What callers saw: after the store had come back from a copy, requests still reached a server two seconds and more after it had said that it leaves, until it ended with whatever it ran; or a new configuration was not in force.

Cause: offsets were compared across copies. Class: numbers that a store gives out, compared without knowing that it began to give them out anew.

Change: an offset is read and kept with the era that the answer names, the era in the upper bits, so that entries, removals, spans of reports and cursors are ordered as they were written, also several copies on. A read whose answer is of another era than its offset is not used; the newest records are read instead. In era 0 all numbers, messages and stored records are as before.

Why it holds: within an era offsets only grow, and a later era is always higher.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod delta;
 mod digest;
 pub mod domain_update;
+pub mod era;
 mod event;
 mod fleet;
 mod follow;
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -84,6 +84,7 @@
                     event!(LogGap, topic = "operators", first = first, next = next);
                     break;
                 }
+                Err(MetadataError::Restored { .. }) => break,
                 Err(error) => {
                     link.record_failure(&gateway, &error);
                     schedule.failed();
@@ -263,6 +264,7 @@
                     event!(LogGap, topic = "servers", first = first, next = next);
                     break;
                 }
+                Err(MetadataError::Restored { .. }) => break,
                 Err(error) => {
                     link.record_failure(&gateway, &error);
                     if !reads {
