A server that the store's copy lacks is kept until its entry is written again

What callers saw: 503 for a service whose servers all live, as soon as a VM read the copy, until the servers' next heartbeat.

Cause: the copy lacks servers that registered after it was made. VMs kept such servers for two seconds only if a call had failed before, and a store that is away for a moment fails none.

Before: refused at once; after: 10 of 10 served before, without and with the entry (gateway: store_copies::not_yet_written_again, off KNOWN-RED).

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -220,11 +220,14 @@
 /// Runs for ever, keeping the servers' entries up to date.
 pub(crate) async fn servers(gateway: Arc<Gateway>) {
     let mut link = StoreLink::new(StoreCall::Servers);
+    let mut known_era = None;
     loop {
         let sent_at = clock::now();
         let mut next = match gateway.store.newest(KeyedTopic::Servers).await {
             Ok(page) => {
-                let after_outage = link.record_answer(&gateway, page.era);
+                // A copy may lack the entries of servers that live; they are written again.
+                let restored = known_era.replace(page.era).is_some_and(|era| era != page.era);
+                let after_outage = link.record_answer(&gateway, page.era) || restored;
                 apply_snapshot(&gateway, &page, after_outage);
                 gateway.view().record_entry_read(page.next, None);
                 page.next
@@ -291,8 +294,10 @@
         .map(|state| state.name().to_owned())
         .filter(|name| !page.records.iter().any(|record| record.key == *name))
         .collect();
+    // The record at the next position is later than the snapshot.
+    let last = page.next.saturating_sub(1);
     for server in removed {
-        view.lapse(&server, page.next, after_outage, now);
+        view.lapse(&server, last, after_outage, now);
     }
     drop(view);
     remove_lapsed(gateway);
