Failing test: a removed key, and a store that came back from a copy

A VM that starts after the store came back from a copy reads the configuration before the removal from it, takes it for confirmed and runs the removed key on its first call.

--- a/gateway/tests/suite/customer_keys.rs
+++ b/gateway/tests/suite/customer_keys.rs
@@ -167,3 +167,32 @@
     let again = async || status(&gateway, "again", "k").await == 200;
     eventually("the customer is served again", again).await;
 }
+
+/// Guards against a removed key that runs again since the store came back from a copy with an older configuration.
+#[tokio::test]
+async fn removed_before_copy() {
+    let (site, first) = site_with(&["kept", "removed"]).await;
+    let copy = site.store.copy();
+    publish(&site, 2, &["kept"], json!({}));
+    eventually("the key is removed", async || status(&first, "r0", "removed").await == 401).await;
+    site.store.restore(copy);
+    let promises = PromiseSettings {
+        strict_key_removal: true,
+        key_removal_ms: REMOVAL_MS,
+        ..PromiseSettings::default()
+    };
+    let second = site.start_gateway_with("vm-2", &[&first], true, promises).await;
+    for call in 0..40 {
+        for (vm, gateway) in [(1, &first), (2, &second)] {
+            let status = status(gateway, &format!("r{vm}-{call}"), "removed").await;
+            assert_ne!(status, 200, "VM {vm}, call {call}");
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    publish(&site, 2, &["kept"], json!({}));
+    for gateway in [&first, &second] {
+        eventually("the other key is valid", async || status(gateway, "k", "kept").await == 200)
+            .await;
+        assert_eq!(status(gateway, "late", "removed").await, 401);
+    }
+}
