A configuration that the store's copy lacks is not taken back, nor a removed key

What callers saw: with a key that was removed seconds before the store came back from a copy, requests ran again at a VM that started then, until the operators' configuration was written again.

Cause: a VM took what the store has for the newest configuration. A copy lacks what was acknowledged since; a VM that starts reads the older one and takes it for confirmed, and a VM that reads the store asks no other VM for a newer one.

Change: the store confirms the configuration in force only if it has that one, no other VM is known to have a newer one, and, at a VM that starts, another VM was heard or a second is over. A VM that reads the store and is behind another VM for 0.4 s takes the configuration from it.

Before: the first call of VM 2 ran. What it costs: a VM of a site with keys that starts alone waits up to a second.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -46,6 +46,8 @@
 /// How long a VM that learns of a newer configuration from another VM waits for the answer to its
 /// pending poll before it polls again.
 const BEHIND_DELAY: Duration = Duration::from_millis(40);
+/// How long a VM that starts waits for another VM's configuration, in microseconds.
+const FIRST_HEARD_US: u64 = 1_000_000;
 /// How long after an outage of the store a server without an entry is kept, in microseconds.
 /// Entries lapse during the outage and are written again within two seconds.
 const LAPSE_GRACE_US: u64 = 2_000_000;
@@ -59,6 +61,7 @@
         let mut next = match gateway.store.newest(KeyedTopic::Operators).await {
             Ok(page) => {
                 link.record_answer(&gateway, page.era);
+                gateway.view().store_config = 0;
                 apply_operators(&gateway, &page, sent_at)
             }
             Err(error) => {
@@ -173,7 +176,12 @@
     for record in &page.records {
         let Some(value) = &record.value else { continue };
         match read_operator_record(&record.key, value) {
-            Ok(OperatorRecord::Configuration(table)) => apply_config(gateway, *table),
+            Ok(OperatorRecord::Configuration(table)) => {
+                let mut view = gateway.view();
+                view.store_config = view.store_config.max(table.version.0);
+                drop(view);
+                apply_config(gateway, *table);
+            }
             Ok(OperatorRecord::Adapter { key, version }) => {
                 named |= record_updates::record_version(gateway, key, version, reads);
             }
@@ -184,8 +192,13 @@
             }
         }
     }
-    if understood {
-        gateway.view().confirmation.confirmed(sent_at);
+    let mut view = gateway.view();
+    let confirms = understood && view.has_newest_config(gateway, clock::now());
+    if confirms {
+        view.confirmation.confirmed(sent_at);
+    }
+    drop(view);
+    if confirms {
         gateway.confirmed.notify_waiters();
     }
     let changed = gateway.view().table.as_ref().map(|table| table.version) != before;
@@ -393,6 +406,17 @@
 }
 
 impl SystemView {
+    /// Returns whether the configuration in force can be the newest, as far as this VM knows. A
+    /// store that came back from a copy may lack one that it acknowledged before, with which a key
+    /// was removed: another VM may have it in force, and this VM itself may.
+    fn has_newest_config(&self, gateway: &Gateway, now: TimePoint) -> bool {
+        let own = self.table.as_ref().map_or(0, |table| table.version.0);
+        let may_hear = self.roster.may_have_others(gateway.settings.listen.peers)
+            && self.roster.live_count(now) == 0
+            && now.since(gateway.started) < FIRST_HEARD_US;
+        !may_hear && self.store_config >= own && self.roster.with_newer_config(own, now).is_empty()
+    }
+
     /// Records that this VM itself read the entries up to an offset. `reported` are the changes to
     /// report if this VM reads for others, `None` if they are not to be reported.
     fn record_entry_read(&mut self, up_to: u64, reported: Option<EntryChanges>) {
--- a/gateway/src/record_exchange.rs
+++ b/gateway/src/record_exchange.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfoothook_decision::id::TimePoint;
 use coltsfoothook_exchange::ExchangeRequest;
 use coltsfoothook_telemetry::event;
 use rand::seq::IndexedRandom;
@@ -24,6 +25,8 @@
 /// How long the store must have been unreachable before another VM is queried, in microseconds. A
 /// VM that is only briefly behind reads the store itself.
 const MIN_OUTAGE_US: u64 = 700_000;
+/// How long a VM that reads the store may be behind before another VM is queried, in microseconds.
+const MAX_BEHIND_US: u64 = 400_000;
 /// Timeout of another VM's answer, for its head and for each part of its body.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum size of the answer, in bytes.
@@ -57,10 +60,11 @@
 /// Runs for ever, fetching records from other VMs while the store is unreachable and they have a
 /// newer configuration.
 pub(crate) async fn fetch_missing(gateway: Arc<Gateway>) {
+    let mut behind_since = None;
     loop {
         // A VM for which others read the store is notified at once of a newer configuration.
         let _ = timeout(CHECK_INTERVAL, gateway.config_behind.notified()).await;
-        let Some((from, path)) = newer_source(&gateway) else { continue };
+        let Some((from, path)) = newer_source(&gateway, &mut behind_since) else { continue };
         let mut request = ExchangeRequest::get(path);
         request.head_timeout = Some(ANSWER_TIMEOUT);
         request.chunk_timeout = Some(ANSWER_TIMEOUT);
@@ -79,21 +83,32 @@
 }
 
 /// Returns a VM to query and the path, if that VM has a newer configuration and this one cannot
-/// read the store or leaves reading to others. It is drawn from all VMs that have the newest one,
-/// which spreads the load.
-fn newer_source(gateway: &Gateway) -> Option<(SocketAddr, String)> {
+/// read the store, leaves reading to others, or has been behind for [`MAX_BEHIND_US`] although it
+/// reads: a store that came back from a copy may lack what it acknowledged. `behind_since` keeps
+/// since when. It is drawn from all VMs that have the newest one, which spreads the load.
+fn newer_source(
+    gateway: &Gateway,
+    behind_since: &mut Option<TimePoint>,
+) -> Option<(SocketAddr, String)> {
     let now = clock::now();
     let mut view = gateway.view();
     let is_down = now.since(view.answers.last().max(gateway.started)) >= MIN_OUTAGE_US;
-    let path = if follow::has_record_readers(&view, gateway, now) {
+    let own = view.table.as_ref().map_or(0, |table| table.version.0);
+    let sources = view.roster.with_newer_config(own, now);
+    if sources.is_empty() {
+        *behind_since = None;
+        return None;
+    }
+    let since = *behind_since.get_or_insert(now);
+    let has_entries = follow::has_record_readers(&view, gateway, now)
+        || !is_down && now.since(since) >= MAX_BEHIND_US;
+    let path = if has_entries {
         format!("{SHARED_PATH}?{TABLE_QUERY}")
     } else if is_down {
         SHARED_PATH.to_owned()
     } else {
         return None;
     };
-    let own = view.table.as_ref().map_or(0, |table| table.version.0);
-    let sources = view.roster.with_newer_config(own, now);
     let from = sources.choose(&mut view.rng).copied()?;
     Some((from, path))
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -86,6 +86,9 @@
 /// The VM's view of the system, on which its decisions are based.
 pub(crate) struct SystemView {
     pub(crate) table: Option<Arc<RouteTable>>,
+    /// Version of the newest configuration that the store has, as far as this VM read it since the
+    /// store's last return from a copy; 0 if it read none.
+    pub(crate) store_config: u64,
     /// Tracks when `table` was last confirmed to be the newest configuration.
     pub(crate) confirmation: ConfigConfirmation,
     pub(crate) wrong_keys: WrongKeys,
@@ -205,6 +208,7 @@
         });
         let view = SystemView {
             table: None,
+            store_config: 0,
             confirmation: ConfigConfirmation::new(promises.key_removal()),
             wrong_keys: WrongKeys::default(),
             unknown_key_queried_at: None,
