--- a/gateway/src/record_exchange.rs
+++ b/gateway/src/record_exchange.rs
@@ -100,11 +100,9 @@
         return None;
     }
     let since = *behind_since.get_or_insert(now);
-    let has_entries = follow::has_record_readers(&view, gateway, now)
-        || !is_down && now.since(since) >= MAX_BEHIND_US;
-    let path = if has_entries {
+    let path = if follow::has_record_readers(&view, gateway, now) {
         format!("{SHARED_PATH}?{TABLE_QUERY}")
-    } else if is_down {
+    } else if is_down || now.since(since) >= MAX_BEHIND_US {
         SHARED_PATH.to_owned()
     } else {
         return None;
