A VM that starts asks another one to confirm its configuration

Cause, by the times of the polls: a VM that started was confirmed when it first heard the other, up to an eighth of a second late, and so gave callers its address later; the loss then met the second poll of both instead of the first, whose confirmation counts from its sending and is too old by when the loss is noticed. Not load: the order of the polls alone decides.

Change: while nothing confirms it, a VM that starts asks the addresses that it knows, and is confirmed within one answer; it polls the store at once if it has heard another VM that did not confirm.

--- a/gateway/src/confirm.rs
+++ b/gateway/src/confirm.rs
@@ -21,6 +21,8 @@
 
 /// Interval of the check whether a confirmation is needed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of the queries of a VM that has just started.
+const START_QUERY_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of VMs that are queried in addition to the readers, once these have not answered.
 const URGENT_QUERIED: usize = 3;
 /// How long a request with an unknown key waits for the store's answer, which takes some
@@ -73,6 +75,31 @@
     gateway.peers.send(&PeerMessage::Question(question), &to);
 }
 
+/// Waits, at a VM with keys that has just started, until another VM confirms its configuration or
+/// was heard. The store alone does not: it may have come back from a copy that is older. Returns
+/// whether the store should be polled at once, since another VM was heard that did not confirm.
+pub(crate) async fn wait_at_start(gateway: &Gateway) -> bool {
+    let mut waited = false;
+    while let Some(to) = unheard_peers(gateway) {
+        waited = true;
+        let question =
+            ConfirmationQuestion { incarnation: gateway.incarnation, asked: clock::now() };
+        gateway.peers.send(&PeerMessage::Question(question), &to);
+        let _ = timeout(START_QUERY_INTERVAL, gateway.confirmed.notified()).await;
+    }
+    waited && !gateway.view().confirmation.is_valid(clock::now())
+}
+
+/// Returns the addresses to query; `None` if the VM need not wait for another one.
+fn unheard_peers(gateway: &Gateway) -> Option<Vec<SocketAddr>> {
+    let now = clock::now();
+    let view = gateway.view();
+    let waits = view.has_customers()
+        && !view.confirmation.is_valid(now)
+        && view.may_hear_first(gateway, now);
+    waits.then(|| view.roster.unresponsive(now))
+}
+
 /// Answers another VM's query with this VM's configuration version and the age of its confirmation;
 /// sends nothing if it was never confirmed.
 pub(crate) fn answer_question(gateway: &Gateway, question: ConfirmationQuestion, from: SocketAddr) {
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -16,6 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock;
+use crate::confirm;
 use crate::link::{StoreCall, StoreLink};
 use crate::message::RemovedServer;
 use crate::record_updates::{self, EntryChanges};
@@ -48,8 +49,6 @@
 const BEHIND_DELAY: Duration = Duration::from_millis(40);
 /// How long a VM that starts waits for another VM's configuration, in microseconds.
 const FIRST_HEARD_US: u64 = 1_000_000;
-/// Interval of the check whether it heard one.
-const HEARD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How long after an outage of the store a server without an entry is kept, in microseconds.
 /// Entries lapse during the outage and are written again within two seconds.
 const LAPSE_GRACE_US: u64 = 2_000_000;
@@ -72,13 +71,12 @@
                 continue;
             }
         };
-        let mut waited = wait_until_heard(&gateway).await;
+        let mut polls_at_once = confirm::wait_at_start(&gateway).await;
         loop {
             let long_poll = match wait_while_readers_poll(&gateway).await {
                 ReaderWait::Over => break,
                 ReaderWait::UnknownKey => None,
-                // Nothing was confirmed before another VM was heard.
-                ReaderWait::NoReaders if std::mem::take(&mut waited) => None,
+                ReaderWait::NoReaders if std::mem::take(&mut polls_at_once) => None,
                 ReaderWait::NoReaders => schedule.next(),
             };
             let sent_at = clock::now();
@@ -103,22 +101,6 @@
     }
 }
 
-/// Waits until another VM was heard, at a VM with keys that has just started. Returns whether it
-/// waited.
-async fn wait_until_heard(gateway: &Gateway) -> bool {
-    let mut waited = false;
-    while may_hear_first(gateway) {
-        waited = true;
-        sleep(HEARD_CHECK_INTERVAL).await;
-    }
-    waited
-}
-
-fn may_hear_first(gateway: &Gateway) -> bool {
-    let view = gateway.view();
-    view.has_customers() && view.may_hear_first(gateway, clock::now())
-}
-
 /// Returns the time within which an accepted configuration must be in force.
 fn config_limit(gateway: &Gateway) -> Duration {
     Duration::from_millis(gateway.settings.promises.config_ms)
@@ -438,7 +420,7 @@
     }
 
     /// Returns whether this VM has just started and may still hear another VM for the first time.
-    fn may_hear_first(&self, gateway: &Gateway, now: TimePoint) -> bool {
+    pub(crate) fn may_hear_first(&self, gateway: &Gateway, now: TimePoint) -> bool {
         self.roster.may_have_others(gateway.settings.listen.peers)
             && self.roster.live_count(now) == 0
             && now.since(gateway.started) < FIRST_HEARD_US
