--- a/entry/tests/suite/main.rs
+++ b/entry/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod engine_restart;
 mod graceful_stop;
 mod job_results;
+mod log_copies;
 mod log_outage;
 mod owner_dies;
 mod poison_request;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -24,6 +24,8 @@
 use crate::streams::{LogStreams, PageLimit, ReadResult, StreamLimits};
 use crate::vms::{VmChange, VmList};
 
+/// Header in which the log names its era.
+const ERA_HEADER: &str = "store-era";
 /// Maximum size in bytes of the body of a call to `/standin/`.
 const MAX_SMALL_BODY: usize = 64 * 1024;
 
@@ -121,6 +123,9 @@
     vms: Vec<ListedVm>,
 }
 
+/// A copy of the log, to come back from later.
+pub struct LogCopy(LogStreams);
+
 /// A running platform stand-in; dropping it stops the server.
 pub struct PlatformHandle {
     server: HttpServer,
@@ -137,6 +142,8 @@
 
 struct PlatformState {
     streams: LogStreams,
+    /// How often the log came back from a copy of itself.
+    era: u32,
     vms: VmList,
     faults: PlatformFaults,
     counters: PlatformCounters,
@@ -156,6 +163,7 @@
     };
     let state = PlatformState {
         streams: LogStreams::new(limits, Instant::now()),
+        era: 0,
         vms: VmList::new(),
         faults: PlatformFaults::default(),
         counters: PlatformCounters::default(),
@@ -211,6 +219,22 @@
         self.shared.lock().streams.forget_before(stream, offset.0);
     }
 
+    /// Returns a copy of the log.
+    #[must_use]
+    pub fn copy_log(&self) -> LogCopy {
+        LogCopy(self.shared.lock().streams.clone())
+    }
+
+    /// Lets the log come back from a copy: records appended since are gone, their offsets are given
+    /// out again, and the era in its answers rises.
+    pub fn restore_log(&self, copy: LogCopy) {
+        let mut state = self.shared.lock();
+        state.streams = copy.0;
+        state.era += 1;
+        drop(state);
+        self.shared.appended.send_modify(|count| *count += 1);
+    }
+
     /// Suspends the answering of requests for `time`, as if the process were paused.
     pub fn freeze(&self, time: Duration) {
         self.server.control().freeze(time);
@@ -450,7 +474,10 @@
         let path = request.uri().path().to_owned();
         match reply::segments(&path)[..] {
             ["v1", "streams", stream, "records"] => {
-                self.handle_log(request, stream.to_owned()).await
+                let mut reply = self.handle_log(request, stream.to_owned()).await?;
+                let era = self.lock().era;
+                reply.headers_mut().insert(ERA_HEADER, era.into());
+                Ok(reply)
             }
             ["v1", "vms"] if request.method() == Method::GET => self.handle_list().await,
             ["metrics"] => Ok(reply::into_reply(metrics("log", &self.counters()))),
--- a/standin/src/streams.rs
+++ b/standin/src/streams.rs
@@ -17,6 +17,7 @@
 }
 
 /// All streams of the log. Offsets start at 0 in each.
+#[derive(Clone)]
 pub(crate) struct LogStreams {
     limits: StreamLimits,
     /// Sorted by name.
@@ -27,12 +28,14 @@
     refilled: Instant,
 }
 
+#[derive(Clone)]
 struct NamedStream {
     name: String,
     first_kept: u64,
     records: VecDeque<KeptRecord>,
 }
 
+#[derive(Clone)]
 struct KeptRecord {
     at: Instant,
     data: String,
@@ -49,7 +52,8 @@
 /// Result of a read.
 pub(crate) enum ReadResult {
     Page(LogPage),
-    /// The record at the requested offset was dropped; contains the first kept offset.
+    /// The record at the requested offset was dropped, or the log does not have that offset;
+    /// contains the first kept offset.
     BehindRetention(LogOffset),
 }
 
@@ -100,7 +104,7 @@
         let stream = self.stream(name);
         stream.apply_retention(&limits, now);
         let first_kept = LogOffset(stream.first_kept);
-        if from < stream.first_kept {
+        if from < stream.first_kept || from > stream.next() {
             return ReadResult::BehindRetention(first_kept);
         }
         let skip = usize::try_from(from - stream.first_kept).unwrap_or(usize::MAX);
