--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -54,6 +54,8 @@
     Configure,
     /// The store compacts its history.
     Compact,
+    /// The store is away for a moment and comes back from a copy that is as old as given.
+    StoreCopy(Duration),
 }
 
 /// Which faults a seed plays.
@@ -73,6 +75,9 @@
     Statements,
     /// Servers that state limits, and jumps of demand, without restarts.
     Jumps,
+    /// A store that comes back from copies, replaced servers and configurations. No VM restarts: what they do is judged
+    /// as after planned operations.
+    Copies,
 }
 
 impl FaultMix {
@@ -80,6 +85,7 @@
     pub(crate) fn of(seed: u64) -> Self {
         match seed % 8 {
             7 if seed % 16 == 15 => Self::Jumps,
+            3 if seed % 16 == 11 => Self::Copies,
             0 | 4 => Self::Planned,
             1 | 5 => Self::Some,
             2 | 6 => Self::Many,
@@ -92,7 +98,7 @@
     fn mean_interval_ms(self) -> u64 {
         match self {
             Self::Planned => 900,
-            Self::Some | Self::Store | Self::Statements | Self::Jumps => 700,
+            Self::Some | Self::Store | Self::Statements | Self::Jumps | Self::Copies => 700,
             Self::Many => 250,
         }
     }
@@ -151,6 +157,14 @@
             _ => FaultKind::Configure,
         };
     }
+    if mix == FaultMix::Copies {
+        let age = Duration::from_millis(random.random_range(300..4_000));
+        return match random.random_range(0..6) {
+            0 | 1 => FaultKind::StoreCopy(age),
+            2 | 3 => FaultKind::ServerReplaced(server),
+            _ => FaultKind::Configure,
+        };
+    }
     if mix == FaultMix::Jumps {
         return match random.random_range(0..5) {
             0 | 1 => FaultKind::ServerLimited(server),
@@ -237,6 +251,7 @@
         }
         FaultKind::Configure => world.configure(),
         FaultKind::Compact => world.store.compact(),
+        FaultKind::StoreCopy(age) => world.restore_store(age, lasts / 4).await,
     }
 }
 
--- a/gateway/tests/soak/verdict.rs
+++ b/gateway/tests/soak/verdict.rs
@@ -129,7 +129,10 @@
             self.judge_statement(&stated, world.gateways.len());
         }
         if world.only_planned {
-            self.judge_planned(&calls, &runs, world);
+            self.judge_planned(&calls, &runs);
+        }
+        if world.judges_drains {
+            self.judge_drains(&runs, world);
         }
     }
 
@@ -179,9 +182,8 @@
         }
     }
 
-    /// Checks, for seeds with planned work only, that no request that a server ran is lost and that draining servers
-    /// receive no new requests.
-    fn judge_planned(&self, calls: &[CallRecord], runs: &[(String, RunRecord)], world: &SoakWorld) {
+    /// Checks, for seeds with planned work only, that no request that a server ran is lost.
+    fn judge_planned(&self, calls: &[CallRecord], runs: &[(String, RunRecord)]) {
         for record in calls {
             let cut = match &record.end {
                 CallEnd::Cut => true,
@@ -193,6 +195,10 @@
                 self.find(format!("cut by planned work: {}", record.describe()));
             }
         }
+    }
+
+    /// Checks that draining servers receive no new requests.
+    fn judge_drains(&self, runs: &[(String, RunRecord)], world: &SoakWorld) {
         for (server, draining_since) in world.drained_servers() {
             let late = |(name, run): &&(String, RunRecord)| {
                 *name == server && run.at.is_some_and(|at| at > draining_since + DRAIN_TIME)
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -76,6 +76,7 @@
 }
 
 /// A position in the site, which one server after another fills.
+#[derive(Clone)]
 struct ServerSlot {
     kind: ServerKind,
     server: StandinServer,
@@ -113,9 +114,13 @@
     pub(crate) verdict: SoakVerdict,
     /// Whether the seed plays planned work only, so that no request may be lost.
     pub(crate) only_planned: bool,
+    /// Whether servers drain while no gateway restarts or pauses, so that late requests are judged.
+    pub(crate) judges_drains: bool,
     slots: Mutex<Vec<ServerSlot>>,
     /// All servers that were ever started, each with the time at which it began to drain.
     all_servers: Mutex<Vec<(StandinServer, Option<Instant>)>>,
+    /// Servers that were replaced, and whether their entries were removed.
+    replaced: Mutex<Vec<(ServerSlot, bool)>>,
     /// What servers stated about themselves, and when.
     statements: Mutex<Vec<SoakStatement>>,
     heartbeat: AtomicU64,
@@ -196,8 +201,10 @@
             gateways: gateways.collect(),
             verdict: SoakVerdict::default(),
             only_planned: mix == FaultMix::Planned,
+            judges_drains: matches!(mix, FaultMix::Planned | FaultMix::Copies),
             slots: Mutex::default(),
             all_servers: Mutex::default(),
+            replaced: Mutex::default(),
             statements: Mutex::default(),
             heartbeat: AtomicU64::new(0),
             published: AtomicU64::new(0),
@@ -247,6 +254,10 @@
     /// Publishes the next configuration, which moves a route to the other of two services.
     pub(crate) fn configure(&self) {
         let version = self.published.fetch_add(1, Ordering::SeqCst) + 1;
+        self.publish(version);
+    }
+
+    fn publish(&self, version: u64) {
         let moved = if version.is_multiple_of(2) { "elsewhere" } else { "plain" };
         self.store.write("keyed.op", "config", Some(&configuration(version, moved)));
     }
@@ -325,12 +336,46 @@
         sleep(HEARTBEAT_INTERVAL).await;
         self.register(&old, "draining");
         self.record_draining(&old.server.name);
+        self.replaced.lock().unwrap().push((old.clone(), false));
         sleep(LINGER).await;
         self.store.write("keyed.servers", &old.server.name, None);
+        self.record_removal(&old.server.name);
         sleep(HEARTBEAT_INTERVAL).await;
         old.server.end();
     }
 
+    fn record_removal(&self, name: &str) {
+        let mut replaced = self.replaced.lock().unwrap();
+        for (_, removed) in replaced.iter_mut().filter(|(slot, _)| slot.server.name == name) {
+            *removed = true;
+        }
+    }
+
+    /// Lets the store go away for a moment and come back from a copy of some time ago. Operators and servers then write
+    /// again what they wrote.
+    pub(crate) async fn restore_store(&self, age: Duration, away: Duration) {
+        let copy = self.store.copy();
+        sleep(age).await;
+        self.store.set_down(true);
+        sleep(away).await;
+        self.store.restore(copy);
+        self.store.set_down(false);
+        self.write_again();
+    }
+
+    fn write_again(&self) {
+        self.publish(self.published());
+        self.register_all();
+        for (slot, removed) in self.replaced.lock().unwrap().clone() {
+            if removed {
+                self.store.write("keyed.servers", &slot.server.name, None);
+            } else {
+                self.register(&slot, "draining");
+                self.record_draining(&slot.server.name);
+            }
+        }
+    }
+
     /// Lets a server state a limit for some time.
     pub(crate) async fn limit(&self, slot: usize, time: Duration) {
         let server = self.server(slot);
