VMs append again what the product's own log lost when it came back from a copy

What callers saw: after the log had come back from an older copy, a VM that started made a second ticket for a key that had run before, and never had the configuration that the others served by.

Cause: the log was taken for the only place where records live. Its readers were the same as the gateway's in kind: a cursor beyond the end was refused for ever, in a loop without a pause, until the log had grown past it, and what was appended meanwhile was passed over. But here VMs are the writers, so that nobody appends again what is lost.

Change: a VM keeps the records that it read last. On another era, or where the log lacks its offset, it finds where the log differs, appends what is missing, and reads on from there; its state stays. What others appended on top meanwhile is repeated behind, so that a VM that starts later accepts it too.

Why it holds: folds already ignore a record that is appended twice, and versions, epochs and claims do not depend on offsets.

--- a/decision/src/claim.rs
+++ b/decision/src/claim.rs
@@ -169,6 +169,12 @@
         resolutions.collect()
     }
 
+    /// Goes back to `offset`, from which on the log has other records than those that were read. What
+    /// was folded stays.
+    pub fn rewind(&mut self, offset: u64) {
+        self.cursor.rewind(offset);
+    }
+
     /// Skips a record that cannot be decoded.
     pub fn skip(&mut self, offset: u64) {
         let _ = self.cursor.advance(offset);
@@ -380,6 +386,11 @@
         &self.fold
     }
 
+    /// Goes back to an offset; see [`ClaimFold::rewind`].
+    pub fn rewind(&mut self, offset: u64) {
+        self.fold.rewind(offset);
+    }
+
     /// Skips a record of the claim stream that cannot be decoded.
     pub fn skip(&mut self, offset: u64) {
         self.fold.skip(offset);
--- a/decision/src/config.rs
+++ b/decision/src/config.rs
@@ -146,6 +146,12 @@
         self.cursor.retained_from(first);
     }
 
+    /// Goes back to `offset`, from which on the log has other records than those that were read. What
+    /// was folded stays.
+    pub fn rewind(&mut self, offset: u64) {
+        self.cursor.rewind(offset);
+    }
+
     /// Skips a record that cannot be decoded because of its format. All readers of one release skip
     /// the same records.
     pub fn skip(&mut self, offset: u64) {
--- a/decision/src/control.rs
+++ b/decision/src/control.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Goes back to `offset`, from which on the log has other records than those that were read. What
+    /// was folded stays.
+    pub fn rewind(&mut self, offset: u64) {
+        self.cursor.rewind(offset);
+    }
+
     /// Skips a record that cannot be decoded.
     pub fn skip(&mut self, offset: u64) {
         let _ = self.cursor.advance(offset);
--- a/decision/src/follow.rs
+++ b/decision/src/follow.rs
@@ -51,6 +51,12 @@
         true
     }
 
+    /// Goes back to `offset`, from which on the log has other records than those that were read.
+    pub(crate) fn rewind(&mut self, offset: u64) {
+        self.next = self.next.min(offset);
+        self.buffered.retain(|(buffered, _)| *buffered < offset);
+    }
+
     /// Marks the records before `first` as dropped from the log.
     pub(crate) fn retained_from(&mut self, first: u64) {
         if first > self.next {
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -20,6 +20,7 @@
 use crate::core::{EntryCore, read, write};
 use crate::held::lock;
 use crate::own::{configuration_changed, drive_all, ownership_changed};
+use crate::restored::{RecentRecords, recover};
 use crate::view::ConfigView;
 
 /// How long the log holds a read open until a record arrives.
@@ -60,6 +61,16 @@
         }
     }
 
+    /// Goes back to an offset, from which on the log has other records than those that were read.
+    pub(crate) fn rewind(self, core: &EntryCore, offset: LogOffset) {
+        match self {
+            Self::Config => lock(&core.config).rewind(offset.0),
+            Self::Control => write(&core.control).rewind(offset.0),
+            Self::Claims => lock(&core.claims).rewind(offset.0),
+            Self::Jobs => core.jobs.rewind(offset.0),
+        }
+    }
+
     fn retained_from(self, core: &EntryCore, first: LogOffset) {
         match self {
             Self::Config => lock(&core.config).retained_from(first.0),
@@ -77,10 +88,28 @@
 
 /// Reads and folds a stream until the process ends.
 pub(crate) async fn follow_stream(core: Arc<EntryCore>, stream: FollowedStream) {
+    let (mut recent, mut era) = (RecentRecords::default(), None);
     while !core.closing.is_cancelled() {
         let from = LogOffset(stream.next(&core));
-        match core.clients.log.read(stream.name(), from, READ_RECORDS, READ_WAIT).await {
+        let answer = core.clients.log.read(stream.name(), from, READ_RECORDS, READ_WAIT).await;
+        let present_era = core.clients.log.era();
+        let lacks_offset = matches!(
+            answer, Err(LogError::BehindRetention { first_kept }) if first_kept <= from
+        );
+        if era.is_some_and(|known| known != present_era) || lacks_offset {
+            match recover(&core, stream, &mut recent).await {
+                Ok(()) => era = Some(present_era),
+                Err(error) => {
+                    log_failed(&core, stream, &error);
+                    sleep(RETRY_INTERVAL).await;
+                }
+            }
+            continue;
+        }
+        match answer {
             Ok(page) => {
+                era = Some(present_era);
+                page.records.iter().for_each(|record| recent.push(record.clone()));
                 log_answered(&core);
                 if page.first_kept > from {
                     stream.retained_from(&core, page.first_kept);
--- a/entry/src/jobs.rs
+++ b/entry/src/jobs.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Goes back to an offset; see [`JobFold::rewind`].
+    pub(crate) fn rewind(&self, offset: u64) {
+        lock(&self.fold).rewind(offset);
+    }
+
     pub(crate) fn skip(&self, offset: u64) {
         lock(&self.fold).skip(offset);
     }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod process;
 mod release;
 mod reserve;
+mod restored;
 mod roster;
 mod serve;
 mod services;
--- a/entry/tests/suite/log_copies.rs
+++ b/entry/tests/suite/log_copies.rs
@@ -85,3 +85,25 @@
     crate::bench::wait_until("the new VM has the configuration", in_force).await;
     close(site).await;
 }
+
+/// Guards against a change that is accepted on one that the log lost, at a VM that starts later and reads them in
+/// another order; several copies in a row.
+#[tokio::test(flavor = "multi_thread")]
+async fn built_on_what_was_lost() {
+    let mut site = small_site(true).await;
+    let mut manifest = site.manifest.clone();
+    for round in 0..3 {
+        let copy = site.platform.copy_log();
+        manifest.adapters[0].versions.push(version_entry(0, &format!("lost-{round}")));
+        site.publish(manifest.clone()).await.expect("it is accepted");
+        site.platform.restore_log(copy);
+        manifest.adapters[0].versions.push(version_entry(0, &format!("next-{round}")));
+        site.publish(manifest.clone()).await.expect("the next one is accepted");
+    }
+    let version = site.newest_version();
+    site.kill_vm(2).await;
+    site.start_vm(2).await.expect("the VM starts");
+    let in_force = || site.running().all(|vm| vm.config_version() == version);
+    crate::bench::wait_until("all VMs have the last configuration", in_force).await;
+    close(site).await;
+}
