A VM that leaves issues no permits, not to itself either

What a server would get: while a VM that issued its permits leaves, the others have another issuer, and the leaving one went on issuing to itself for the requests that it still accepts, up to the limit once more for some seconds.

Cause, seen in reading the change: a VM that leaves is left out by the others, but not by itself. Change: it has no rank of its own and asks the new issuer. gateway: permit_issuers::not_while_leaving; it had no such case before, as the rank was not optional. Only servers that state limits are concerned.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -68,6 +68,9 @@
 #[path = "../tests/unit/metrics_page.rs"]
 mod metrics_page;
 #[cfg(test)]
+#[path = "../tests/unit/permit_issuers.rs"]
+mod permit_issuers;
+#[cfg(test)]
 #[path = "../tests/unit/queued_datagrams.rs"]
 mod queued_datagrams;
 #[cfg(test)]
--- a/gateway/src/permit.rs
+++ b/gateway/src/permit.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use coltsfoothook_decision::id::TimePoint;
+use coltsfoothook_decision::issuer::{issuer_rank, vm_position};
 use coltsfoothook_decision::permit::{PermitQuestion, PermitReply};
 use coltsfoothook_decision::statement::ReportedStatement;
 use coltsfoothook_decision::subject::ServerStart;
@@ -73,7 +74,9 @@
         start: &ServerStart,
         now: TimePoint,
     ) -> Option<SocketAddr> {
-        self.roster.issuer(&gateway.settings.vm, self.domain.eligible, start, now)
+        let position = vm_position(&gateway.settings.vm);
+        let own = (!gateway.leaving()).then(|| issuer_rank(start, position, self.domain.eligible));
+        self.roster.issuer(own, start, now)
     }
 
     /// Answers a question as the issuer of its server.
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -176,12 +176,12 @@
         READY_TTL_US * self.live_count(now).div_ceil(SMALL_FLEET).max(1) as u64
     }
 
-    /// Returns the address of the VM that issues permits for a server: the first by rank of `vm`
-    /// and those that sent a message recently and do not leave. `None` if it is `vm`.
+    /// Returns the address of the VM that issues permits for a server: the first by rank of those
+    /// that sent a message recently and do not leave. `None` if that is this VM, whose rank is
+    /// `own`; it has none while it leaves.
     pub(crate) fn issuer(
         &self,
-        vm: &VmName,
-        eligible: bool,
+        own: Option<(bool, u64)>,
         start: &ServerStart,
         now: TimePoint,
     ) -> Option<SocketAddr> {
@@ -189,8 +189,7 @@
         let counts = |peer: &&PeerState| !peer.leaving && now.since(peer.last_seen) < ttl_us;
         let rank = |peer: &&PeerState| issuer_rank(start, peer.position, peer.eligible);
         let first = self.peers.iter().filter(counts).min_by_key(rank)?;
-        let own = issuer_rank(start, vm_position(vm), eligible);
-        (rank(&first) < own).then_some(first.address)
+        own.is_none_or(|own| rank(&first) < own).then_some(first.address)
     }
 
     /// Returns the rank of `vm` by hash among the live VMs that do not leave, 0 for the first. In
--- /dev/null
+++ b/gateway/tests/unit/permit_issuers.rs
@@ -0,0 +1,44 @@
+//! Which VM issues permits for a server.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use coltsfoothook_decision::id::{TimePoint, VmName};
+use coltsfoothook_decision::issuer::{issuer_rank, vm_position};
+use coltsfoothook_decision::subject::ServerStart;
+
+use crate::large_fleet::roster;
+
+const NOW: TimePoint = TimePoint(10_000_000);
+const COUNT: usize = 75;
+
+fn start(number: usize) -> ServerStart {
+    ServerStart { server: format!("e-{number}").into(), incarnation: 1 }
+}
+
+/// Returns the issuer of a server as VM `own` finds it; `None` if it is `own`.
+fn issuer(own: usize, leaves: bool, start: &ServerStart) -> Option<SocketAddr> {
+    let position = vm_position(&VmName::from(format!("vm-{own}")));
+    let rank = (!leaves).then(|| issuer_rank(start, position, true));
+    roster(COUNT, own, NOW, |_| (1, None)).issuer(rank, start, NOW)
+}
+
+/// Guards against two VMs that issue for one server, and against one that issues for most.
+#[test]
+fn one_for_each_server() {
+    let mut all = BTreeSet::new();
+    for server in 0..20 {
+        let found = |own: usize| issuer(own, false, &start(server));
+        let issuers: Vec<usize> = (0..COUNT).filter(|own| found(*own).is_none()).collect();
+        assert_eq!(issuers.len(), 1, "server {server}: {issuers:?}");
+        all.extend(issuers);
+    }
+    assert!(all.len() > 8, "{all:?}");
+}
+
+/// Guards against a VM that leaves and issues to itself, while the others have another issuer.
+#[test]
+fn not_while_leaving() {
+    let own = (0..COUNT).find(|own| issuer(*own, false, &start(0)).is_none()).unwrap();
+    assert!(issuer(own, true, &start(0)).is_some());
+}
