--- a/gateway/tests/soak/main.rs
+++ b/gateway/tests/soak/main.rs
@@ -39,7 +39,7 @@
 ///   before the store came back from a copy.
 const REGRESSION_SEEDS: &[u64] = &[5010, 43];
 /// Seeds that are always played: one for each mix of faults.
-const FIXED_SEEDS: &[u64] = &[1, 2, 4, 7, 403];
+const FIXED_SEEDS: &[u64] = &[1, 2, 4, 7, 15, 403];
 
 /// Plays seeds of the soak.
 #[derive(Bpaf, Clone, Debug)]
