A VM that starts is told what servers state

Cause: a statement is reported when it is new, and again each second only while the server repeats it in answers; a server at its limit gives few.

Change: when a VM appears or restarts, the others report all statements again with their next message; leaving likewise.

--- a/decision/src/statement.rs
+++ b/decision/src/statement.rs
@@ -200,6 +200,14 @@
         (state.entry.incarnation == start.incarnation).then_some(state)
     }
 
+    /// Lets all statements be reported again, for a VM that has just started and knows none.
+    pub fn report_again(&mut self) {
+        for state in self.servers_mut() {
+            state.stated.reported_limit = None;
+            state.stated.reported_leaving_at = None;
+        }
+    }
+
     /// Returns the statements to report to other VMs now, and marks them as reported: those to this
     /// VM, or all for an aggregator.
     pub fn statements_to_report(&mut self, all: bool, now: TimePoint) -> Vec<ReportedStatement> {
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -389,6 +389,9 @@
     for other in &state.others {
         view.roster.hint(*other);
     }
+    if matches!(change, PeerChange::Appeared | PeerChange::Restarted) {
+        view.backends.report_again();
+    }
     if let Some(loads) = &state.loads {
         // The VM has no requests at servers that the message does not name.
         view.backends.remove_peer(&state.vm);
--- a/gateway/tests/suite/server_limits.rs
+++ b/gateway/tests/suite/server_limits.rs
@@ -119,3 +119,26 @@
     assert!(most <= allowed(2.0), "{most} requests in {WINDOW:?}");
     assert!(most >= 4, "half of what the server takes is not used: {most} requests");
 }
+
+/// Guards against a VM that starts and knows no limit until it has sent to the server itself.
+#[tokio::test]
+async fn told_at_start() {
+    let site = Site::start(0, 1).await;
+    let gateways = three_gateways(&site).await;
+    let limited = &site.plain[0];
+    limited.state_limit(Some("2"));
+    press(&gateways, "told", Duration::from_millis(50), Duration::from_secs(2)).await;
+    sleep(Duration::from_secs(2)).await;
+    let started = site.gateway("vm-4", &[&gateways[0]]).await;
+    started.wait_ready().await;
+    sleep(Duration::from_millis(500)).await;
+    let from = Instant::now();
+    join_all((0..20).map(|call| {
+        let id = format!("first-{call}");
+        let started = &started;
+        async move { started.call("/safe/x", &id, &[]).await }
+    }))
+    .await;
+    let sent = limited.arrivals_since(from).len();
+    assert!(sent <= 5, "{sent} requests of a VM that has just started");
+}
