--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -204,6 +204,7 @@
             choice = other;
         }
     }
+    // A request that another server can take at once goes there; the permit is for a later one.
     let mut asks = false;
     if !closed.pending.is_empty()
         && let ServerChoice::Send { server, .. } =
