--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -94,7 +94,12 @@
 }
 
 /// Sends requests until the run is over.
-pub(crate) async fn run_caller(world: Arc<SoakWorld>, number: usize, mut random: Pcg64) {
+pub(crate) async fn run_caller(
+    world: Arc<SoakWorld>,
+    number: usize,
+    kinds: &[CallKind],
+    mut random: Pcg64,
+) {
     let client = ExchangeClient::new(ExchangeSettings { keep_ms: 9_000, ..Default::default() });
     let mut addresses: Vec<SocketAddr> = Vec::new();
     let mut query_at = Instant::now();
@@ -113,7 +118,6 @@
         let Some(address) = addresses.choose(&mut random).copied() else { continue };
         count += 1;
         let id = format!("c{number}-{count}");
-        let kinds = [CallKind::Safe, CallKind::Once, CallKind::Stream, CallKind::Resumed];
         let kind = *kinds.choose(&mut random).expect("there are kinds");
         let adapter =
             format!("a{}", random.random_range(0..ADAPTERS).min(random.random_range(0..ADAPTERS)));
--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -9,7 +9,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
-use crate::callers::jump;
+use crate::callers::{CallKind, jump};
 use crate::proxy::LinkState;
 use crate::server::ServerMode;
 use crate::world::{ServerKind, SoakWorld};
@@ -30,6 +30,8 @@
     ServerLink(usize, LinkState),
     /// A server fails its requests in some way.
     ServerMode(usize, ServerMode),
+    /// All servers of a service fail their requests in some way.
+    ServiceMode(ServerKind, ServerMode),
     /// A server crashes, and a new one without adapters replaces it.
     ServerCrash(usize),
     /// A server is replaced: the new one starts, then the old one drains.
@@ -78,6 +80,8 @@
     /// A store that comes back from copies, replaced servers and configurations. No VM restarts: what they do is judged
     /// as after planned operations.
     Copies,
+    /// Gateways that never hear each other, servers that fail, and gateways that restart and pause.
+    Apart,
 }
 
 impl FaultMix {
@@ -86,6 +90,7 @@
         match seed % 8 {
             7 if seed % 16 == 15 => Self::Jumps,
             3 if seed % 16 == 11 => Self::Copies,
+            5 if seed % 16 == 13 => Self::Apart,
             0 | 4 => Self::Planned,
             1 | 5 => Self::Some,
             2 | 6 => Self::Many,
@@ -94,11 +99,21 @@
         }
     }
 
+    /// Returns the kinds of requests that callers send. Gateways that are apart cannot ask each other for loads, so that
+    /// streams would wait in vain.
+    pub(crate) fn call_kinds(self) -> &'static [CallKind] {
+        match self {
+            Self::Apart => &[CallKind::Safe, CallKind::Once],
+            _ => &[CallKind::Safe, CallKind::Once, CallKind::Stream, CallKind::Resumed],
+        }
+    }
+
     /// Returns the mean time between the starts of two faults, in milliseconds.
     fn mean_interval_ms(self) -> u64 {
         match self {
             Self::Planned => 900,
             Self::Some | Self::Store | Self::Statements | Self::Jumps | Self::Copies => 700,
+            Self::Apart => 500,
             Self::Many => 250,
         }
     }
@@ -172,6 +187,17 @@
             _ => FaultKind::StoreUnresponsive,
         };
     }
+    if mix == FaultMix::Apart {
+        let modes = [ServerMode::Full, ServerMode::Fails, ServerMode::LosesAnswer];
+        let mode = *modes.choose(random).expect("there are modes");
+        return match random.random_range(0..9) {
+            0..5 => FaultKind::ServiceMode(ServerKind::Plain, mode),
+            5 => FaultKind::Jump,
+            6 => FaultKind::KillAll,
+            7 => FaultKind::Kill(gateway),
+            _ => FaultKind::Pause(gateway),
+        };
+    }
     let modes = [
         ServerMode::LosesAnswer,
         ServerMode::Fails,
@@ -228,6 +254,11 @@
             sleep(lasts).await;
             server.set_mode(ServerMode::Paced);
         }
+        FaultKind::ServiceMode(kind, mode) => {
+            world.set_service_mode(kind, mode);
+            sleep(2 * lasts).await;
+            world.set_service_mode(kind, ServerMode::Paced);
+        }
         FaultKind::ServerLimited(server) => world.limit(server, LIMIT_TIME + lasts).await,
         FaultKind::Jump => jump(world).await,
         FaultKind::ServerRests(server) => world.rest(server).await,
--- a/gateway/tests/soak/main.rs
+++ b/gateway/tests/soak/main.rs
@@ -17,6 +17,8 @@
 
 #[path = "../suite/configuration.rs"]
 mod configuration;
+#[path = "../suite/repeats.rs"]
+mod repeats;
 #[path = "../suite/server.rs"]
 #[allow(dead_code, reason = "the suite uses more of it")]
 mod server;
--- a/gateway/tests/soak/verdict.rs
+++ b/gateway/tests/soak/verdict.rs
@@ -3,9 +3,10 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use crate::callers::{CallEnd, CallRecord};
-use crate::server::{EVENTS, RunRecord};
-use crate::world::{LIMIT_PER_S, REST, SoakStatement, SoakWorld, StatementKind};
+use crate::callers::{CallEnd, CallKind, CallRecord};
+use crate::repeats::most_repeats;
+use crate::server::{EVENTS, RequestArrival, RunRecord};
+use crate::world::{LIMIT_PER_S, REST, ServerKind, SoakStatement, SoakWorld, StatementKind};
 
 /// How long a draining server may receive new requests. Operators allow two seconds; the store's answer and the
 /// transit add some tens of milliseconds.
@@ -117,6 +118,9 @@
             }
         }
         self.judge_recovery(&calls, steady_from);
+        for kind in [ServerKind::Engine, ServerKind::Plain, ServerKind::Elsewhere] {
+            self.judge_repeats(kind, &calls, &world.arrivals_at(kind));
+        }
         for violation in world.server_violations() {
             self.find(violation);
         }
@@ -165,6 +169,26 @@
         }
     }
 
+    /// Checks that a service gets no more repeats in any window than all gateways together may send. What a gateway
+    /// did to its processes or links excuses nothing.
+    fn judge_repeats(&self, kind: ServerKind, calls: &[CallRecord], arrivals: &[RequestArrival]) {
+        let arrived = |record: &&CallRecord| arrivals.iter().any(|known| known.id == record.id);
+        // Where the moved route led when a request was sent is not known, so it counts where it arrived.
+        let counts = |record: &&CallRecord| match record.kind {
+            CallKind::Safe | CallKind::Once => kind == ServerKind::Plain,
+            CallKind::Stream | CallKind::Resumed => kind == ServerKind::Engine,
+            CallKind::Moved => arrived(record),
+        };
+        let requests: Vec<Instant> =
+            calls.iter().filter(counts).map(|record| record.sent).collect();
+        let Some(worst) = most_repeats(&requests, arrivals) else { return };
+        let (repeats, allowed) = (worst.repeats, worst.allowed);
+        if repeats as f64 > allowed {
+            let service = kind.service();
+            self.find(format!("{service} got {repeats} repeats in a window, allowed {allowed:.1}"));
+        }
+    }
+
     /// Checks that enough of the requests sent after `from`, when all faults are over, are served.
     fn judge_recovery(&self, calls: &[CallRecord], from: Instant) {
         let due =
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -16,7 +16,7 @@
 use crate::faults::{FaultMix, SLOTS, inject_faults};
 use crate::fleet::{GatewayChild, GatewayEndpoints};
 use crate::proxy::LinkProxy;
-use crate::server::{RunRecord, ServerMode, StandinServer};
+use crate::server::{RequestArrival, RunRecord, ServerMode, StandinServer};
 use crate::store::StandinStore;
 use crate::verdict::SoakVerdict;
 
@@ -39,6 +39,13 @@
 /// The time between the end of a gateway process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// The least number of gateways that are cut off from each other, in the mix that has such.
+const APART: usize = 16;
+
+/// The number of callers in that mix. With fewer requests for each gateway, what the gateways may repeat for each
+/// request hides less of what they repeat beyond that.
+const APART_CALLERS: usize = 6;
+
 /// The parameters of one seed's run.
 #[derive(Clone, Debug)]
 pub(crate) struct SoakPlan {
@@ -57,7 +64,7 @@
 }
 
 impl ServerKind {
-    fn service(self) -> &'static str {
+    pub(crate) fn service(self) -> &'static str {
         match self {
             Self::Engine => "engines",
             Self::Plain => "plain",
@@ -119,6 +126,8 @@
     slots: Mutex<Vec<ServerSlot>>,
     /// All servers that were ever started, each with the time at which it began to drain.
     all_servers: Mutex<Vec<(StandinServer, Option<Instant>)>>,
+    /// The service of each of them, by name.
+    services: Mutex<Vec<(String, ServerKind)>>,
     /// Servers that were replaced, and whether their entries were removed.
     replaced: Mutex<Vec<(ServerSlot, bool)>>,
     /// What servers stated about themselves, and when.
@@ -136,6 +145,8 @@
 /// Plays one seed and returns the verdict. The logs are kept if there are findings.
 pub(crate) async fn play(plan: SoakPlan) -> SoakVerdict {
     let mix = FaultMix::of(plan.seed);
+    let gateways = if mix == FaultMix::Apart { plan.gateways.max(APART) } else { plan.gateways };
+    let plan = SoakPlan { gateways, ..plan };
     let world = Arc::new(SoakWorld::start(&plan, mix).await);
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(heartbeats(Arc::clone(&world)));
@@ -143,11 +154,14 @@
     if !world.wait_ready().await {
         world.verdict.find("not ready after the start".to_owned());
     }
-    for number in 0..CALLERS {
+    let callers = if mix == FaultMix::Apart { APART_CALLERS } else { CALLERS };
+    for number in 0..callers {
         let random = Pcg64::seed_from_u64(plan.seed * 1_000 + number as u64);
-        tasks.spawn(run_caller(Arc::clone(&world), number, random));
+        tasks.spawn(run_caller(Arc::clone(&world), number, mix.call_kinds(), random));
     }
-    for gateway in 0..plan.gateways {
+    // The probes' requests would raise what gateways that are apart may repeat.
+    let probes = if mix == FaultMix::Apart { 0 } else { plan.gateways };
+    for gateway in 0..probes {
         tasks.spawn(run_probe(Arc::clone(&world), gateway));
     }
     let random = Pcg64::seed_from_u64(plan.seed);
@@ -191,7 +205,7 @@
             store_links.push(LinkProxy::start(store.address).await);
         }
         let endpoints: Vec<GatewayEndpoints> = (0..plan.gateways)
-            .map(|number| endpoints_of(plan.seed, number, &store_links))
+            .map(|number| endpoints_of(plan.seed, number, &store_links, mix == FaultMix::Apart))
             .collect();
         let gateways =
             endpoints.into_iter().map(|endpoints| GatewayChild::new(endpoints, folder.clone()));
@@ -204,6 +218,7 @@
             judges_drains: matches!(mix, FaultMix::Planned | FaultMix::Copies),
             slots: Mutex::default(),
             all_servers: Mutex::default(),
+            services: Mutex::default(),
             replaced: Mutex::default(),
             statements: Mutex::default(),
             heartbeat: AtomicU64::new(0),
@@ -231,6 +246,7 @@
         server.set_mode(ServerMode::Paced);
         let link = LinkProxy::start(server.address).await;
         self.all_servers.lock().unwrap().push((server.clone(), None));
+        self.services.lock().unwrap().push((server.name.clone(), kind));
         ServerSlot { kind, server, link }
     }
 
@@ -480,6 +496,25 @@
         runs.collect()
     }
 
+    /// Returns all requests that reached servers of a service, in order, also those that were rejected.
+    pub(crate) fn arrivals_at(&self, kind: ServerKind) -> Vec<RequestArrival> {
+        let services = self.services.lock().unwrap();
+        let of_kind = |name: &str| services.iter().any(|(known, of)| known == name && *of == kind);
+        let all_servers = self.all_servers.lock().unwrap();
+        let servers = all_servers.iter().filter(|(server, _)| of_kind(&server.name));
+        let mut arrivals: Vec<RequestArrival> =
+            servers.flat_map(|(server, _)| server.all_arrivals()).collect();
+        arrivals.sort_by_key(|arrival| arrival.at);
+        arrivals
+    }
+
+    /// Sets how the servers of a service handle requests.
+    pub(crate) fn set_service_mode(&self, kind: ServerKind, mode: ServerMode) {
+        for slot in self.slots.lock().unwrap().iter().filter(|slot| slot.kind == kind) {
+            slot.server.set_mode(mode);
+        }
+    }
+
     /// Returns the servers that began to drain, and when.
     pub(crate) fn drained_servers(&self) -> Vec<(String, Instant)> {
         let all_servers = self.all_servers.lock().unwrap();
@@ -528,7 +563,14 @@
 }
 
 /// Returns the endpoints of a gateway. Each has its own loopback address, so that the fixed ports never conflict.
-fn endpoints_of(seed: u64, number: usize, store_links: &[LinkProxy]) -> GatewayEndpoints {
+/// Gateways that are `apart` use different ports between each other, so that no message arrives.
+fn endpoints_of(
+    seed: u64,
+    number: usize,
+    store_links: &[LinkProxy],
+    apart: bool,
+) -> GatewayEndpoints {
+    let peer_port = if apart { 7_010 + number as u16 } else { 7_004 };
     let ip = |number: usize| {
         let process = 1 + (std::process::id() % 200) as u8;
         [127, process, 1 + (seed % 250) as u8, 1 + number as u8]
@@ -539,8 +581,10 @@
         requests: address(7_001),
         ready: address(7_002),
         addresses: address(7_003),
-        peers: address(7_004),
+        peers: address(peer_port),
         store: store_links[number].address,
-        seeds: (0..store_links.len().min(3)).map(|n| SocketAddr::from((ip(n), 7_004))).collect(),
+        seeds: (0..store_links.len().min(3))
+            .map(|n| SocketAddr::from((ip(n), peer_port)))
+            .collect(),
     }
 }
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -10,6 +10,8 @@
 mod lost_queries;
 mod peer_records;
 mod press;
+mod repeat_budget;
+mod repeats;
 mod resting_servers;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -55,8 +55,10 @@
     /// Headers with what it states about itself, sent with all answers, and those sent with refusals only.
     stated: Vec<(&'static str, String)>,
     refusal_stated: Vec<(&'static str, String)>,
-    /// When requests of callers reached it, run or not.
-    arrivals: Vec<Instant>,
+    /// Requests of callers that reached it and were meant for it, run or not: when, and their ids.
+    arrivals: Vec<RequestArrival>,
+    /// Requests of callers that were meant for another server.
+    misdirected: Vec<RequestArrival>,
 }
 
 /// A request as the server received it.
@@ -79,6 +81,13 @@
     }
 }
 
+/// A request that reached a server.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestArrival {
+    pub(crate) at: Instant,
+    pub(crate) id: String,
+}
+
 /// The server. Clones share its state.
 #[derive(Clone)]
 pub(crate) struct StandinServer {
@@ -148,7 +157,9 @@
         let incarnation = state.incarnation + 5_000;
         let (mode, runs) = (state.mode, std::mem::take(&mut state.runs));
         let arrivals = std::mem::take(&mut state.arrivals);
-        *state = ServerState { incarnation, mode, runs, arrivals, ..ServerState::default() };
+        let misdirected = std::mem::take(&mut state.misdirected);
+        *state =
+            ServerState { incarnation, mode, runs, arrivals, misdirected, ..Default::default() };
         drop(state);
         self.starts.send_modify(|starts| *starts += 1);
     }
@@ -198,7 +209,15 @@
     /// Returns when requests of callers reached it after `since`.
     pub(crate) fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
         let state = self.state.lock().unwrap();
-        state.arrivals.iter().filter(|at| **at > since).copied().collect()
+        state.arrivals.iter().map(|arrival| arrival.at).filter(|at| *at > since).collect()
+    }
+
+    /// Returns all requests of callers that reached it, in order, also those that it rejected.
+    pub(crate) fn all_arrivals(&self) -> Vec<RequestArrival> {
+        let state = self.state.lock().unwrap();
+        let mut all = [state.arrivals.as_slice(), state.misdirected.as_slice()].concat();
+        all.sort_by_key(|arrival| arrival.at);
+        all
     }
 
     /// Returns the most requests of callers that reached it within `window` after `since`.
@@ -238,20 +257,26 @@
             id: record.header("coltsfoothook-request-id").unwrap_or_default().to_owned(),
             ..record
         };
+        let is_report = record.head.starts_with("GET /v1/report");
+        let is_order = record.head.starts_with("POST /v1/order");
+        let arrival = RequestArrival { at: Instant::now(), id: record.id.clone() };
         if record.header("coltsfoothook-expect-instance") != Some(&self.name) {
+            if !is_report && !is_order {
+                self.state.lock().unwrap().misdirected.push(arrival);
+            }
             return send(stream, 421, "", "").await;
         }
-        if record.head.starts_with("GET /v1/report") {
+        if is_report {
             let report = self.report().to_string();
             return send(stream, 200, "", &report).await;
         }
-        if record.head.starts_with("POST /v1/order") {
+        if is_order {
             let status = self.order(serde_json::from_str(&record.body).unwrap());
             return send(stream, status, "", "").await;
         }
         let (mode, stated, refusal_stated) = {
             let mut state = self.state.lock().unwrap();
-            state.arrivals.push(Instant::now());
+            state.arrivals.push(arrival);
             (state.mode, lines(&state.stated), lines(&state.refusal_stated))
         };
         let echo = format!("coltsfoothook-request-id: {}\r\n{stated}", record.id);
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -131,8 +131,25 @@
         first_start: bool,
         promises: PromiseSettings,
     ) -> RunningGateway {
-        let number: u8 = vm.trim_start_matches("vm-").parse().unwrap();
-        let listen = free_ports(SocketAddr::from(([127, 0, 0, number], self.peer_port)));
+        let peers = SocketAddr::from((loopback_of(vm), self.peer_port));
+        self.start_at(peers, vm, seeds, first_start, promises).await
+    }
+
+    /// Starts a gateway that no other one ever hears: its port for other VMs is its own.
+    pub(crate) async fn start_apart(&self, vm: &str) -> RunningGateway {
+        let peers = SocketAddr::from((loopback_of(vm), free_port("127.0.0.1").port()));
+        self.start_at(peers, vm, &[], false, PromiseSettings::default()).await
+    }
+
+    async fn start_at(
+        &self,
+        peers: SocketAddr,
+        vm: &str,
+        seeds: &[&RunningGateway],
+        first_start: bool,
+        promises: PromiseSettings,
+    ) -> RunningGateway {
+        let listen = free_ports(peers);
         let settings = GatewaySettings {
             vm: vm.into(),
             domain: "d1".into(),
@@ -245,6 +262,11 @@
     }
 }
 
+/// Returns the loopback address of `vm-N`, whose last number is N.
+fn loopback_of(vm: &str) -> [u8; 4] {
+    [127, 0, 0, vm.trim_start_matches("vm-").parse().expect("the name ends with a number")]
+}
+
 fn free_ports(peers: SocketAddr) -> ListenSettings {
     let free = || free_port("127.0.0.1");
     ListenSettings { requests: free(), ready: free(), addresses: free(), peers, metrics: free() }
