Each decision about a repeat is logged and counted

A budget that was overrun left no trace of who sent what again: request_sent said neither which service nor why, a refusal by the budget only its reason, and no metric counted either.

repeat_decided names request, service, send, how the last send ended, whether the budget allowed it, and among how many VMs the slack is divided; coltsfoothook_gateway_repeats_total counts by service and result. request_sent has the service. No decision changes.

--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -6,7 +6,7 @@
     GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
-/// Routes, and customers, with time series of their own. Further ones are counted together, so that
+/// Routes, services, and customers, with time series of their own. Further ones are counted together, so that
 /// a configuration with thousands of them does not create thousands of time series.
 const MAX_NAMES: usize = 64;
 /// The label under which further names are counted.
@@ -25,6 +25,7 @@
     pause: HistogramVec,
     late: IntCounterVec,
     sends: IntCounterVec,
+    repeats: IntCounterVec,
     store: IntCounterVec,
     servers: IntCounterVec,
     statements: IntCounterVec,
@@ -35,6 +36,7 @@
     gauges: IntGaugeVec,
     customers: IntCounterVec,
     route_names: NameList,
+    service_names: NameList,
     customer_names: NameList,
 }
 
@@ -126,6 +128,12 @@
                 "Requests sent to servers, by result.",
                 &["result"],
             ),
+            repeats: counter(
+                "coltsfoothook_gateway_repeats_total",
+                "Requests that were to be sent again, by service: sent, or denied because the budget \
+                 of repeats did not hold it.",
+                &["service", "result"],
+            ),
             store: counter(
                 "coltsfoothook_gateway_store_calls_total",
                 "Calls to the platform's store.",
@@ -164,6 +172,7 @@
             gauges,
             registry,
             route_names: NameList::default(),
+            service_names: NameList::default(),
             customer_names: NameList::default(),
         }
     }
@@ -204,6 +213,12 @@
         self.sends.with_label_values(&[result]).inc();
     }
 
+    /// Counts a request that is sent again, or that the budget of repeats does not allow to be.
+    pub(crate) fn repeat(&self, service: &str, result: &str) {
+        let service = self.service_names.label(service);
+        self.repeats.with_label_values(&[service.as_str(), result]).inc();
+    }
+
     /// Counts a call to the store.
     pub(crate) fn store_call(&self, call: &str, result: &str) {
         self.store.with_label_values(&[call, result]).inc();
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -182,6 +182,7 @@
         if run.ran >= run.request.route.max_servers || run.left() < MIN_RESUME_TIME {
             return false;
         }
+        run.last_end = "stream_broken";
         if !run.may_send() {
             return false;
         }
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -39,6 +39,8 @@
     pub(crate) sends: u32,
     /// How many servers may have begun to run it.
     pub(crate) ran: u32,
+    /// How the last send ended, as in [`SendEnd::name`](crate::send::SendEnd::name); empty before the first.
+    pub(crate) last_end: &'static str,
     /// How many times it waited because a server could not run it yet.
     retry_waits: u32,
     /// The server of the last send.
@@ -99,6 +101,7 @@
             avoided: Vec::new(),
             sends: 0,
             ran: 0,
+            last_end: "",
             retry_waits: 0,
             server: None,
             incarnation: 0,
@@ -168,10 +171,24 @@
         if self.sends == 0 {
             return true;
         }
+        let service = &self.request.service;
         let now = clock::now();
         let mut view = self.gateway.view();
         let vms = view.vm_count(now);
-        view.budget.try_repeat(&self.request.service, vms, now)
+        let allowed = view.budget.try_repeat(service, vms, now);
+        drop(view);
+        let result = if allowed { "sent" } else { "denied" };
+        self.gateway.metrics.repeat(service.as_str(), result);
+        event!(
+            RepeatDecided,
+            request_id = self.request.head.id,
+            service = service,
+            result = result,
+            send = self.sends + 1,
+            why = self.last_end,
+            vms = vms,
+        );
+        allowed
     }
 
     /// Returns whether a server may have begun to run it: one may have, or a send has no result yet.
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -44,6 +44,19 @@
     Unknown(String),
 }
 
+impl SendEnd {
+    /// Returns the name in logs and metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Answer(..) => "answer",
+            Self::NotRun(..) => "not_run",
+            Self::Closed => "closed",
+            Self::Unsent(_) => "unsent",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// Sends a request to a server and waits for the head of the answer.
 ///
 /// `last_event` is the id after which a stream is resumed; if `None`, the one that the caller gave.
@@ -104,6 +117,7 @@
     event!(
         RequestSent,
         request_id = run.request.head.id,
+        service = run.request.service,
         server = server,
         send = run.sends,
         version? = version,
@@ -123,6 +137,7 @@
         // budget of repeats while servers are down.
         run.sends -= 1;
     }
+    run.last_end = end.name();
     record_send(run, server, &end);
     record_statement(run, server, &end);
     end
@@ -203,12 +218,10 @@
 
 /// Records the result of a send in the metrics, the view of the server, the adapter's uses and the log.
 fn record_send(run: &RequestRun, server: &ServerName, end: &SendEnd) {
-    let (result, cause) = match end {
-        SendEnd::Answer(..) => ("answer", ""),
-        SendEnd::NotRun(..) => ("not_run", ""),
-        SendEnd::Closed => ("closed", ""),
-        SendEnd::Unsent(cause) => ("unsent", cause.as_str()),
-        SendEnd::Unknown(cause) => ("unknown", cause.as_str()),
+    let result = end.name();
+    let cause = match end {
+        SendEnd::Unsent(cause) | SendEnd::Unknown(cause) => cause.as_str(),
+        SendEnd::Answer(..) | SendEnd::NotRun(..) | SendEnd::Closed => "",
     };
     run.gateway.metrics.sent(result);
     let now = clock::now();
