Retries of the product's own interface are counted in a window, by service, and resumptions too

What callers saw: nothing. An engine that breaks its streams got one request for each of them again, whatever the budget held: 40 resumptions of 40 broken streams in the new test (entry: retry_budget::resumed_streams, with the charge taken out again), where 14 retries are allowed.

Cause: two budgets of retries, one for each interface. The product's own saved up to 20 retries for each process and start, without a window and over all services, and resuming a stream at its engine was not charged. Same class: what a process saved was what it remembered.

Change: RetryBudget keeps its counts in RepeatBudget, by plain service and by the engines of a base model: a tenth of the requests, and ten a window for each VM, which nothing divides. Resumptions are charged. Each decision is logged (repeat_decided). The engine stand-in counts resumptions.

Not mended: a job that runs again after its VM ended counts as a first attempt at the engines.

--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -15,7 +15,7 @@
 
 use crate::id::TimePoint;
 use crate::outcome::RequestOutcome;
-use crate::retry::{CallDeadline, RetryBudget};
+use crate::retry::{CallDeadline, RetrySettings};
 
 /// The stages at which a call can fail, in the order in which a call passes them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -238,22 +238,22 @@
         Self { repeatable, tries: 0, may_have_run: false, deadline }
     }
 
-    /// Records a try that failed at `stage` and decides what to do next. A retry is charged to
-    /// `budget`.
+    /// Records a try that failed at `stage` and decides what to do next. `take` takes a retry from
+    /// the budget and returns whether it held one; it is called only if nothing else forbids it.
     pub fn fail(
         &mut self,
         now: TimePoint,
         stage: CallStage,
-        budget: &mut RetryBudget,
+        settings: &RetrySettings,
+        take: impl FnOnce() -> bool,
     ) -> AttemptNext {
         self.tries += 1;
         let decision = stage_rule(stage).decision(self.repeatable);
         self.may_have_run |= decision.outcome != NotRun;
         let outcome = self.outcome(decision.outcome);
-        let min_left = budget.settings().min_left_ms;
-        let too_late = self.deadline.left_ms(now).is_some_and(|left| left < min_left);
-        let exhausted = self.tries >= budget.settings().max_attempts;
-        if decision.retry == RetryAdvice::Never || too_late || exhausted || !budget.take() {
+        let too_late = self.deadline.left_ms(now).is_some_and(|left| left < settings.min_left_ms);
+        let exhausted = self.tries >= settings.max_attempts;
+        if decision.retry == RetryAdvice::Never || too_late || exhausted || !take() {
             return AttemptNext::End(outcome);
         }
         match decision.retry {
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -1,15 +1,14 @@
 //! Retry budget, and deadlines of calls.
 
-use crate::id::{MICROS_PER_MILLI, TimePoint};
+use crate::budget::{RepeatBounds, RepeatBudget, RepeatDecision};
+use crate::id::{MICROS_PER_MILLI, ServiceName, TimePoint};
 
 /// Settings of the retry budget.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RetrySettings {
-    /// Retries per thousand first attempts. At 100, a fleet in which every request fails carries 10
-    /// % more load than one in which none fails.
-    pub per_mille: u64,
-    /// Maximum number of retries saved up while few are needed.
-    pub burst: u64,
+    /// Retries per first attempt, over all VMs, and the slack that each VM has for itself: nothing
+    /// divides a slack of the fleet among the VMs of this interface.
+    pub bounds: RepeatBounds,
     /// Maximum attempts per request, the first included.
     pub max_attempts: u32,
     /// Minimum milliseconds left until the deadline for a retry; with less the request ends
@@ -19,7 +18,8 @@
 
 impl Default for RetrySettings {
     fn default() -> Self {
-        Self { per_mille: 100, burst: 20, max_attempts: 4, min_left_ms: 20 }
+        let bounds = RepeatBounds { ratio: 0.1, slack: 10.0, ..RepeatBounds::default() };
+        Self { bounds, max_attempts: 4, min_left_ms: 20 }
     }
 }
 
@@ -27,18 +27,18 @@
 ///
 /// Without a budget, retries multiply the load by the number of attempts when everything fails,
 /// which is when capacity is lowest, and so prolong the overload.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct RetryBudget {
     settings: RetrySettings,
-    available_thousandths: u64,
+    repeats: RepeatBudget,
 }
 
 impl RetryBudget {
-    /// Creates a full budget.
+    /// Creates a budget of a VM without any counts.
     #[must_use]
     pub fn new(settings: RetrySettings) -> Self {
-        let available_thousandths = settings.burst * 1_000;
-        Self { settings, available_thousandths }
+        let repeats = RepeatBudget::new(settings.bounds);
+        Self { settings, repeats }
     }
 
     /// Returns the settings that the budget was created with.
@@ -47,20 +47,14 @@
         &self.settings
     }
 
-    /// Records a first attempt, which earns `per_mille` available_thousandths of a retry.
-    pub fn first_try(&mut self) {
-        let max = self.settings.burst * 1_000;
-        self.available_thousandths =
-            (self.available_thousandths + self.settings.per_mille).min(max);
+    /// Records a first attempt at `service`, which earns a fraction of a retry there.
+    pub fn first_try(&mut self, service: &ServiceName, now: TimePoint) {
+        self.repeats.record_first(service, now);
     }
 
-    /// Takes one retry from the budget. Returns `false` if there is none left.
-    pub fn take(&mut self) -> bool {
-        let enough = self.available_thousandths >= 1_000;
-        if enough {
-            self.available_thousandths -= 1_000;
-        }
-        enough
+    /// Takes one retry at `service` from the budget, if it holds one.
+    pub fn take(&mut self, service: &ServiceName, now: TimePoint) -> RepeatDecision {
+        self.repeats.try_repeat(service, 1.0, now)
     }
 }
 
--- a/decision/tests/suite/stage_table.rs
+++ b/decision/tests/suite/stage_table.rs
@@ -5,7 +5,7 @@
 use coltsfoothook_decision::attempt::{
     AttemptNext, AttemptState, CallStage, RetryAdvice, STAGE_RULES, stage_rule,
 };
-use coltsfoothook_decision::id::{MICROS_PER_MILLI, TimePoint};
+use coltsfoothook_decision::id::{MICROS_PER_MILLI, ServiceName, TimePoint};
 use coltsfoothook_decision::outcome::RequestOutcome;
 use coltsfoothook_decision::retry::{CallDeadline, RetryBudget, RetrySettings};
 
@@ -15,6 +15,21 @@
     RetryBudget::new(RetrySettings::default())
 }
 
+fn service() -> ServiceName {
+    ServiceName::from("engines")
+}
+
+/// Records a failure of `state` with the retries that `budget` holds.
+fn fail(
+    state: &mut AttemptState,
+    now: TimePoint,
+    stage: CallStage,
+    budget: &mut RetryBudget,
+) -> AttemptNext {
+    let settings = budget.settings().clone();
+    state.fail(now, stage, &settings, || budget.take(&service(), now).allowed)
+}
+
 fn no_deadline() -> CallDeadline {
     CallDeadline::after(NOW, None)
 }
@@ -52,9 +67,9 @@
 fn doubt_is_never_taken_back() {
     let mut state = AttemptState::new(true, no_deadline());
     let mut budget = budget();
-    let first = state.fail(NOW, CallStage::SentNoAnswer, &mut budget);
+    let first = fail(&mut state, NOW, CallStage::SentNoAnswer, &mut budget);
     assert_eq!(first, AttemptNext::Again);
-    let second = state.fail(NOW, CallStage::OwnerRefused, &mut budget);
+    let second = fail(&mut state, NOW, CallStage::OwnerRefused, &mut budget);
     assert_eq!(second, AttemptNext::End(RequestOutcome::Unknown));
 }
 
@@ -63,7 +78,7 @@
     let deadline = CallDeadline::after(NOW, Some(100));
     let mut state = AttemptState::new(true, deadline);
     let late = TimePoint(90 * MICROS_PER_MILLI);
-    let next = state.fail(late, CallStage::Connecting, &mut budget());
+    let next = fail(&mut state, late, CallStage::Connecting, &mut budget());
     assert_eq!(next, AttemptNext::End(RequestOutcome::NotRun));
     assert_eq!(deadline.left_ms(late), Some(10));
     assert!(deadline.passed(TimePoint(100 * MICROS_PER_MILLI)));
@@ -74,10 +89,10 @@
     let mut budget = budget();
     let mut tries = 0_u32;
     for _ in 0..10_000 {
-        budget.first_try();
+        budget.first_try(&service(), NOW);
         let mut state = AttemptState::new(true, no_deadline());
         tries += 1;
-        while state.fail(NOW, CallStage::SentNoAnswer, &mut budget) == AttemptNext::Again {
+        while fail(&mut state, NOW, CallStage::SentNoAnswer, &mut budget) == AttemptNext::Again {
             tries += 1;
         }
     }
--- a/entry/src/limits.rs
+++ b/entry/src/limits.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Mutex;
 
-use coltsfoothook_decision::id::TimePoint;
+use coltsfoothook_decision::id::{ModelName, RequestId, ServiceName, TimePoint};
 use coltsfoothook_decision::limit::{FleetLimiter, LimitRefusal};
 use coltsfoothook_decision::member::CustomerUsage;
 use coltsfoothook_decision::retry::{RetryBudget, RetrySettings};
+use coltsfoothook_telemetry::event;
 
 use crate::core::EntryCore;
 use crate::held::lock;
@@ -16,14 +17,17 @@
 /// The customer limiter and the retry budget, each with its own lock.
 pub(crate) struct RequestLimits {
     limiter: Mutex<FleetLimiter>,
+    retry_settings: RetrySettings,
     budget: Mutex<RetryBudget>,
 }
 
 impl RequestLimits {
     pub(crate) fn new() -> Self {
+        let retry_settings = RetrySettings::default();
         Self {
             limiter: Mutex::new(FleetLimiter::default()),
-            budget: Mutex::new(RetryBudget::new(RetrySettings::default())),
+            budget: Mutex::new(RetryBudget::new(retry_settings.clone())),
+            retry_settings,
         }
     }
 
@@ -49,13 +53,42 @@
         lock(&self.limiter).usage(now)
     }
 
-    /// Records a request's first attempt, which adds to the retry budget.
-    pub(crate) fn first_try(&self) {
-        lock(&self.budget).first_try();
+    /// Records a request's first attempt, which adds to the retry budget of `service`.
+    pub(crate) fn first_try(&self, service: &ServiceName, now: TimePoint) {
+        lock(&self.budget).first_try(service, now);
     }
 
-    /// Runs `decide`, the decision after a failed attempt, with the retry budget.
-    pub(crate) fn after_failure<T>(&self, decide: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        decide(&mut lock(&self.budget))
+    /// Returns the settings of the retry budget.
+    pub(crate) fn retry_settings(&self) -> &RetrySettings {
+        &self.retry_settings
     }
+
+    /// Takes a retry at `service` from the budget and returns whether it held one. `why` states what
+    /// failed.
+    pub(crate) fn take_retry(
+        &self,
+        request_id: &RequestId,
+        service: &ServiceName,
+        why: &str,
+        now: TimePoint,
+    ) -> bool {
+        let decision = lock(&self.budget).take(service, now);
+        event!(
+            RepeatDecided,
+            request_id = request_id,
+            service = service,
+            result = if decision.allowed { "sent" } else { "denied" },
+            why = why,
+            repeats = decision.repeats,
+            requests = decision.requests,
+            limit = format_args!("{:.1}", decision.limit),
+        );
+        decision.allowed
+    }
+}
+
+/// Returns the name under which retries at the engines of a base model are counted. A plain service
+/// may have the model's name.
+pub(crate) fn engines_of(model: &ModelName) -> ServiceName {
+    ServiceName::from(format!("engines/{model}").as_str())
 }
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -31,6 +31,7 @@
 use crate::core::EntryCore;
 use crate::gate::GatePass;
 use crate::hold::GrantHold;
+use crate::limits::engines_of;
 use crate::measure::{micro_seconds, seconds};
 use crate::reserve::{TimedGrant, reserve, usable};
 use crate::stated;
@@ -253,7 +254,8 @@
 ) -> Result<CompletionAnswer, CallProblem> {
     let core = Arc::clone(&run.core);
     let mut attempt = AttemptState::new(run.call.repeatable, run.deadline);
-    core.limits.first_try();
+    let service = engines_of(&spec.model);
+    core.limits.first_try(&service, core.clock.now());
     let mut retry_delay = INITIAL_RETRY_DELAY;
     loop {
         let mut failed = match attempt_once(&mut run, &spec).await {
@@ -261,8 +263,11 @@
             Err(failed) => failed,
         };
         let now = core.clock.now();
-        let next = core.limits.after_failure(|budget| attempt.fail(now, failed.stage, budget));
         let stage = failed.stage.as_str();
+        let id = &run.call.request_id;
+        let next = attempt.fail(now, failed.stage, core.limits.retry_settings(), || {
+            core.limits.take_retry(id, &service, stage, now)
+        });
         match next {
             AttemptNext::End(outcome) => {
                 let problem = CallProblem { outcome, ..failed.problem };
--- a/entry/src/services.rs
+++ b/entry/src/services.rs
@@ -6,7 +6,7 @@
 
 use coltsfoothook_caller::{AnswerBody, CallProblem, InterfaceReason, ServiceAnswer, ServiceCall};
 use coltsfoothook_decision::attempt::{AttemptNext, AttemptState, CallStage};
-use coltsfoothook_decision::id::{MICROS_PER_MILLI, ServerName};
+use coltsfoothook_decision::id::{MICROS_PER_MILLI, ServerName, TimePoint};
 use coltsfoothook_decision::message::StepKind;
 use coltsfoothook_decision::outcome::{RefusalReason, RequestOutcome};
 use coltsfoothook_decision::retry::CallDeadline;
@@ -28,7 +28,7 @@
 struct ServiceRun {
     core: Arc<EntryCore>,
     call: ServiceCall,
-    started_at: coltsfoothook_decision::id::TimePoint,
+    started_at: TimePoint,
     repeatable: bool,
     deadline: CallDeadline,
     key: Option<RunningKey>,
@@ -136,7 +136,7 @@
     let core = Arc::clone(&run.core);
     let mut attempt = AttemptState::new(run.repeatable, run.deadline);
     let mut avoid: Vec<ServerName> = Vec::new();
-    core.limits.first_try();
+    core.limits.first_try(&run.call.service, core.clock.now());
     loop {
         let server = match choose_server(&run, &avoid) {
             ServerChoice::Send(name, address) => (name, address),
@@ -163,14 +163,13 @@
                     return Ok(forward(run, answer));
                 }
                 let now = core.clock.now();
-                let next = core
-                    .limits
-                    .after_failure(|budget| attempt.fail(now, CallStage::ServerFailed, budget));
+                let stage = CallStage::ServerFailed;
+                let next = fail(&run, &mut attempt, stage, now);
                 if let AttemptNext::End(_) = next {
                     return Ok(forward(run, answer));
                 }
-                core.metrics.retried(CallStage::ServerFailed);
-                log_retry(&run, &server.0, CallStage::ServerFailed);
+                core.metrics.retried(stage);
+                log_retry(&run, &server.0, stage);
                 avoid.push(server.0);
                 continue;
             }
@@ -178,7 +177,7 @@
         };
         let (stage, reason) = stage_of(&error);
         let now = core.clock.now();
-        let next = core.limits.after_failure(|budget| attempt.fail(now, stage, budget));
+        let next = fail(&run, &mut attempt, stage, now);
         if let AttemptNext::End(outcome) = next {
             return Err(run.fail(CallProblem::ended(reason, outcome, error.to_string())));
         }
@@ -188,6 +187,19 @@
     }
 }
 
+/// Records a failed attempt, and takes a retry from the budget if one is allowed.
+fn fail(
+    run: &ServiceRun,
+    attempt: &mut AttemptState,
+    stage: CallStage,
+    now: TimePoint,
+) -> AttemptNext {
+    let (limits, call) = (&run.core.limits, &run.call);
+    attempt.fail(now, stage, limits.retry_settings(), || {
+        limits.take_retry(&call.request_id, &call.service, stage.as_str(), now)
+    })
+}
+
 /// Returns the problem of a call that is sent to no further server: `refusal`, unless an earlier server
 /// may have run the call.
 fn no_further_server(attempt: &AttemptState, refusal: CallProblem) -> CallProblem {
--- a/entry/src/stream.rs
+++ b/entry/src/stream.rs
@@ -20,6 +20,7 @@
 
 use crate::answer::AnswerFilter;
 use crate::hold::GrantHold;
+use crate::limits::engines_of;
 use crate::measure::micro_seconds;
 use crate::serve::{RELEASE_TIMEOUT, RequestRun, attempt_once, check_right_slot};
 
@@ -128,7 +129,7 @@
     /// identifies the run by its id and sends exactly the missing tokens, so the caller never
     /// receives parts of two generations. A restarted engine does not know the run.
     async fn resume(&mut self, error: &RunError) -> bool {
-        if self.resumes == MAX_RESUMES {
+        if self.resumes == MAX_RESUMES || !self.take_retry("stream_broken") {
             return false;
         }
         self.resumes += 1;
@@ -147,6 +148,13 @@
         }
     }
 
+    /// Returns whether the retry budget allows one more request to an engine, and takes it.
+    fn take_retry(&self, why: &str) -> bool {
+        let core = &self.run.core;
+        let service = engines_of(&self.spec.model);
+        core.limits.take_retry(&self.run.call.request_id, &service, why, core.clock.now())
+    }
+
     /// Runs the rest at another engine, which generates from the prompt and all text that the
     /// caller has received, so that the whole is one consistent text. Returns the first part, or
     /// `None` on failure. Only for repeatable requests with text prompts; a chat would need an
@@ -157,10 +165,9 @@
         }
         self.extend_prompt()?;
         let _ = timeout(RELEASE_TIMEOUT, self.hold.give_back()).await;
-        let core = Arc::clone(&self.run.core);
         while self.continuations < MAX_CONTINUATIONS {
             self.continuations += 1;
-            if !core.limits.after_failure(|budget| budget.take()) {
+            if !self.take_retry("engine_lost") {
                 return None;
             }
             self.run
--- a/entry/tests/suite/main.rs
+++ b/entry/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod log_outage;
 mod owner_dies;
 mod poison_request;
+mod retry_budget;
 mod roles_apart;
 mod server_drain;
 mod server_limits;
--- a/load/src/call.rs
+++ b/load/src/call.rs
@@ -8,7 +8,8 @@
     GrantEnd, GrantRefusal, ReleaseCall, RequestSpec, ReserveCall, SlotGrant,
 };
 use coltsfoothook_decision::id::{
-    AdapterVersion, GroupName, MICROS_PER_MILLI, RequestFingerprint, TimePoint, VmIdentity, VmName,
+    AdapterVersion, GroupName, MICROS_PER_MILLI, RequestFingerprint, ServiceName, TimePoint,
+    VmIdentity, VmName,
 };
 use coltsfoothook_decision::job::{JobAction, JobEnd};
 use coltsfoothook_decision::member::MemberEvent;
@@ -36,6 +37,11 @@
 /// The only base model of the soak.
 pub const MODEL: &str = "base";
 
+/// Returns the service under which retries are counted.
+fn retry_target() -> ServiceName {
+    ServiceName::from(MODEL)
+}
+
 /// The end of a run on an engine, as reported to the VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -92,7 +98,7 @@
     ) -> OpenCall {
         self.next_id += 1;
         let deadline = CallDeadline::after(now, Some(REQUEST_TIMEOUT_MS));
-        self.budget.first_try();
+        self.budget.first_try(&retry_target(), now);
         OpenCall {
             id: self.next_id,
             request,
@@ -278,7 +284,9 @@
         if stage == CallStage::WaitedTooLong {
             self.withdraw(&call);
         }
-        match call.attempt.fail(now, stage, &mut self.budget) {
+        let settings = self.budget.settings().clone();
+        let take = || self.budget.take(&retry_target(), now).allowed;
+        match call.attempt.fail(now, stage, &settings, take) {
             AttemptNext::Again | AttemptNext::Resume => self.reserve(now, call, rng, out),
             AttemptNext::End(outcome) => self.end_call(call, outcome, out),
         }
--- a/standin/src/count.rs
+++ b/standin/src/count.rs
@@ -14,6 +14,8 @@
         pub done: u64,
         /// Requests that were cancelled, by request or because nobody read them.
         pub cancelled: u64,
+        /// Requests to go on reading a run.
+        pub resumes: u64,
         /// Runs whose request id had run before.
         pub repeated_ids: u64,
         /// Runs whose idempotency key had run before.
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -294,7 +294,10 @@
         id: &str,
     ) -> Result<Reply, Refusal> {
         let from = reply::query_number(request, "from", 0)?;
-        let found = self.lock().stream(id);
+        let mut batch = self.lock();
+        batch.counters.resumes += 1;
+        let found = batch.stream(id);
+        drop(batch);
         let stream = found.ok_or_else(no_stream)?;
         let from = u32::try_from(from).unwrap_or(u32::MAX);
         let reader = stream.progress.subscribe();
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -137,7 +137,7 @@
     SettingsRefused, "settings_refused", Error, "The settings file cannot be used; the previous settings stay in force.";
     ConfigConfirmed, "config_confirmed", Warn, "The configuration in force became, or ceased to be, confirmed as the newest.";
     RequestRefused, "request_refused", Warn, "A request was refused before routing.";
-    RepeatDecided, "repeat_decided", Info, "A request is to be sent again. `why` states how the last send ended, `result` whether the budget of repeats allows it; `repeats`, this one included, of at most `limit` are counted in the time that decides, in which `requests` were received; `slack_share` is the fraction of the fleet's slack that is this VM's.";
+    RepeatDecided, "repeat_decided", Info, "A request is to be sent again. `why` states how the last send ended, `result` whether the budget of repeats allows it; `repeats`, this one included, of at most `limit` are counted in the time that decides, in which `requests` were received; `slack_share`, if the fleet's slack is divided, is the fraction that is this VM's.";
     RequestSent, "request_sent", Info, "A request is sent to a backend server; the line has the adapter's version at that server and the time left for the request.";
     RequestNotRun, "request_not_run", Warn, "A backend server states that it did not run a request; `usable_ms` states for how many milliseconds this VM had assumed that the adapter was usable there.";
     AdapterAsked, "adapter_asked", Info, "A request waits for an adapter; a load request for it goes to the VM that orders the server, which may be this one.";
