Base models are loaded at a rate that VMs apart from each other keep together

Found by looking for the same cause elsewhere, by reading; not reproduced. The weight store's rate is one for the fleet, and each VM that orders servers took it divided by the VMs that it had heard. VMs that hear no other would each use the whole rate for empty servers. In large fleets, where 24 of all VMs order servers, it was divided by all of them, and empty servers waited up to eight times too long.

A VM orders only the servers of its partitions, so it takes the fraction of the rate that its partitions are of all. order_lease::fractions_add_up and fraction_settles hold that fractions add up to one for VMs that know no other. A VM's first load after its start still waits for none: with 24 such VMs and as many empty servers at one moment the rate may be passed; listed in the postmortem.

--- a/decision/src/lease.rs
+++ b/decision/src/lease.rs
@@ -265,6 +265,12 @@
         settled as f64 / self.partition_count() as f64
     }
 
+    /// Returns the fraction of all partitions that this VM holds, active or not.
+    #[must_use]
+    pub fn held_fraction(&self) -> f64 {
+        self.held.len() as f64 / self.partition_count() as f64
+    }
+
     /// Returns the number of partitions held, active or not.
     #[must_use]
     pub fn held(&self) -> usize {
--- a/decision/tests/suite/order_lease.rs
+++ b/decision/tests/suite/order_lease.rs
@@ -145,3 +145,46 @@
     );
     assert_eq!(assess_outage(&[], now), StoreOutage::Unconfirmed);
 }
+
+/// Guards against rates over the fleet that are divided by the VMs that a VM knows: the parts of VMs that know no other
+/// add up to one.
+#[test]
+fn fractions_add_up() {
+    let settings = LeaseSettings { topics: 2, partitions: 4, ..LeaseSettings::default() };
+    let partitions =
+        |topic: u32| (0..4).map(|partition| FleetPartition { topic, partition }).collect();
+    let mut leases = [OrderLease::new(settings), OrderLease::new(settings)];
+    for second in 10..40 {
+        for (topic, lease) in leases.iter_mut().enumerate() {
+            lease.renewed(
+                at(second),
+                at(second),
+                1,
+                partitions(topic as u32),
+                &GainedSince::Unknown,
+            );
+        }
+        let held: f64 = leases.iter().map(OrderLease::held_fraction).sum();
+        assert!((held - 1.0).abs() < 1e-9, "{held}");
+    }
+    let settled =
+        |now| leases.iter().map(|lease| lease.settled_fraction(10 * SECOND, now)).sum::<f64>();
+    assert!((settled(at(39)) - 1.0).abs() < 1e-9);
+    assert!(settled(at(42)).abs() < 1e-9, "a lease that may be another VM's is still used");
+}
+
+/// Guards against a fraction that the previous holder may have used within the same window.
+#[test]
+fn fraction_settles() {
+    let mut lease = OrderLease::new(settings());
+    for second in 10..=23 {
+        renewed(&mut lease, at(second), 1, &GainedSince::Unknown);
+        let settled = lease.settled_fraction(10 * SECOND, at(second));
+        assert!(
+            (settled - f64::from(u8::from(second == 23))).abs() < 1e-9,
+            "{settled} at {second} s"
+        );
+    }
+    renewed(&mut lease, at(30), 1, &GainedSince::Unknown);
+    assert!(lease.settled_fraction(10 * SECOND, at(30)).abs() < 1e-9, "the lease had expired");
+}
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -25,8 +25,8 @@
 const LIST_REPEAT_INTERVAL_US: u64 = 500_000;
 /// The same interval in large fleets, where aggregators report each server once a second.
 const LARGE_LIST_REPEAT_INTERVAL_US: u64 = 1_500_000;
-/// Factor by which the rate of base model loads stays below what the weight store allows, since VMs
-/// do not know of each other's loads.
+/// Factor by which the rate of base model loads stays below what the weight store allows, since a
+/// VM's first load after its start waits for none.
 const MODEL_LOAD_MARGIN: f64 = 1.3;
 
 /// The order tracker of a server, and what was last reported from it to other VMs.
@@ -308,8 +308,10 @@
     /// fewest servers hold. `None` if none fits, or while the weight store's rate allows no load.
     fn model_to_load(&self, plan: &EnginePlan, now: TimePoint) -> Option<ModelName> {
         let rate = plan.loads_per_second.max(0.01);
-        let pause_s = MODEL_LOAD_MARGIN * self.vm_count(now) as f64 / rate;
-        let pause_us = (pause_s * 1e6) as u64;
+        // By the number of VMs known here, VMs that are cut off from each other would each use the
+        // whole rate.
+        let own_rate = rate * self.lease.held_fraction();
+        let pause_us = (MODEL_LOAD_MARGIN / own_rate * 1e6) as u64;
         if self.order_trackers.model_load_at.is_some_and(|at| now.since(at) < pause_us) {
             return None;
         }
