--- a/decision/tests/suite/repeat_fleet.rs
+++ b/decision/tests/suite/repeat_fleet.rs
@@ -16,6 +16,8 @@
 const RENEWAL_STEPS: usize = SECOND_STEPS;
 /// Time in steps for which a VM of a whole new system tells its partitions' first holder by the generation.
 const FIRST_START_STEPS: usize = 8 * SECOND_STEPS;
+/// The longest time in steps that a request or a repeat is on its way.
+const MAX_DELAY_STEPS: usize = SECOND_STEPS / 5;
 /// The most VMs that hold partitions.
 const HOLDERS: usize = 24;
 const PARTITIONS: usize = 48;
@@ -175,7 +177,8 @@
             let mut requests = expected as usize;
             requests += usize::from(random.random_bool(expected.fract()));
             for _ in 0..requests {
-                counts.requests[step] += 1;
+                // The caller sent it a little earlier, and repeats arrive a little later.
+                counts.requests[step.saturating_sub(random.random_range(0..=MAX_DELAY_STEPS))] += 1;
                 vm.budget.record_first(&service, now);
                 for _ in 0..MAX_REPEATS {
                     let share = vm.lease.settled_fraction(bounds.window_us, now);
@@ -183,7 +186,8 @@
                     if !fails || !vm.budget.try_repeat(&service, share, now).allowed {
                         break;
                     }
-                    counts.repeats[step] += 1;
+                    let arrives = step + random.random_range(0..=MAX_DELAY_STEPS);
+                    counts.repeats[arrives.min(STEPS - 1)] += 1;
                 }
             }
         }
@@ -194,14 +198,16 @@
 impl FleetCounts {
     /// Returns the largest excess over what is allowed in any window; negative if there is none.
     fn worst_excess(&self, scenario: &Scenario) -> f64 {
-        let requests = |from: Option<usize>| {
-            from.map_or(0, |from| self.requests[from..from + WINDOW_STEPS].iter().sum::<usize>())
+        // Nothing is sent before the first step.
+        let requests = |earlier: usize, from: usize| {
+            let counted =
+                from.saturating_sub(earlier)..(from + WINDOW_STEPS).saturating_sub(earlier);
+            self.requests[counted].iter().sum::<usize>()
         };
         let excess = |from: usize| {
             let repeats: usize = self.repeats[from..from + WINDOW_STEPS].iter().sum();
-            let half = from.checked_sub(WINDOW_STEPS / 2);
             let counted =
-                [requests(Some(from)), requests(half), requests(from.checked_sub(WINDOW_STEPS))];
+                [0, WINDOW_STEPS / 2, WINDOW_STEPS].map(|earlier| requests(earlier, from));
             let most = counted.into_iter().max().unwrap_or(0);
             repeats as f64 - RepeatBounds::default().ratio * most as f64 - scenario.slack
         };
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -22,6 +22,7 @@
     metrics.customer("CUSTOMER", "OUTCOME");
     metrics.sent_bytes("KIND", 1);
     metrics.sent("RESULT");
+    metrics.repeat("SERVICE", "RESULT");
     metrics.store_call("CALL", "RESULT");
     metrics.server_call("CALL", "RESULT");
     metrics.statement("WHAT");
@@ -50,7 +51,7 @@
     }
     let page = format!(
         "# Metrics of the gateway\n\nMade from the code by `metrics_page` in the tests of `gateway`. \
-         Durations are in seconds. Routes and customers\nbeyond the first 64 are counted as `other`.\n\n\
+         Durations are in seconds. Routes, services\nand customers beyond the first 64 are counted as `other`.\n\n\
          | metric | kind | labels | meaning |\n|---|---|---|---|\n{}\n",
         rows.join("\n"),
     );
