--- a/decision/src/lease.rs
+++ b/decision/src/lease.rs
@@ -253,8 +253,9 @@
     ///
     /// The fractions of all VMs never add up to more than one, whatever they know of each other: a
     /// previous holder stops within the lifetime of its last renewal, and this one counts a
-    /// partition only after that lifetime and `settled_us`, unless it is the first one of all. Unlike orders, this does not go on while
-    /// the store is away, since that is judged by what other VMs report.
+    /// partition only after that lifetime and `settled_us`, unless no VM has held it before. Unlike
+    /// orders, this does not go on while the store is away, since that is judged by what other VMs
+    /// report.
     #[must_use]
     pub fn settled_fraction(&self, settled_us: u64, now: TimePoint) -> f64 {
         if now >= self.valid_until {
