Requests' fingerprints are logged, so that attempts of one request are known

Two attempts of a caller have ids of their own, and no line said that they are the same request: request_sent and request_done now carry the fingerprint, a hash of customer, method, host, path with query, and body.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -90,12 +90,15 @@
         status => Refusal::new(status, "body_cut", config),
     })?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let (customer, headers) = (admitted.customer.as_ref(), &parts.headers);
+    let fingerprint = CallerRequest::fingerprint(customer, &parts.method, headers, &path, &body);
     let request = CallerRequest {
         head,
         method: parts.method,
         path,
         headers: parts.headers,
         body,
+        fingerprint,
         route: admitted.route,
         customer: admitted.customer,
         rank: admitted.rank,
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfoothook_decision::id::{CustomerName, ServerName, ServiceName, TimePoint};
+use coltsfoothook_decision::id::{
+    CustomerName, RequestFingerprint, ServerName, ServiceName, TimePoint, stable_hash,
+};
 use coltsfoothook_decision::routing::ServingRoute;
 use coltsfoothook_platform::RequestHead;
 use coltsfoothook_telemetry::event;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, Method, header};
 
 use crate::charge::LimitCharge;
 use crate::clock;
@@ -74,6 +76,8 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The same for each attempt of the caller at the same request.
+    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) route: ServingRoute,
     /// The customer that it runs for, if the configuration has customers.
     pub(crate) customer: Option<CustomerName>,
@@ -84,6 +88,22 @@
     pub(crate) started: TimePoint,
 }
 
+impl CallerRequest {
+    /// Returns the fingerprint of a request: of its customer, method, host, path with query, and body.
+    pub(crate) fn fingerprint(
+        customer: Option<&CustomerName>,
+        method: &Method,
+        headers: &HeaderMap,
+        path: &str,
+        body: &[u8],
+    ) -> RequestFingerprint {
+        let host = headers.get(header::HOST).map_or(&[][..], |host| host.as_bytes());
+        let (host, body) = (String::from_utf8_lossy(host), String::from_utf8_lossy(body));
+        let customer = customer.map_or("", |customer| customer.as_str());
+        RequestFingerprint(stable_hash(&[customer, method.as_str(), &host, path, &body]))
+    }
+}
+
 impl RequestRun {
     pub(crate) fn new(
         gateway: Arc<Gateway>,
@@ -265,6 +285,7 @@
             reason? = reason,
             server? = self.server,
             adapter? = adapter,
+            fingerprint = format_args!("{:016x}", self.request.fingerprint.0),
             sends = self.sends,
             stall_ms? = stall_ms,
             held_ms? = held_ms,
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -119,6 +119,7 @@
         request_id = run.request.head.id,
         service = run.request.service,
         server = server,
+        fingerprint = format_args!("{:016x}", run.request.fingerprint.0),
         send = run.sends,
         version? = version,
         left_ms = left.as_millis(),
