--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod caller_leaves;
 mod config_follow;
 mod configuration;
+mod crashing_requests;
 mod customer_keys;
 mod leaving_answers;
 mod lost_queries;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -72,6 +72,11 @@
 }
 
 impl RunRecord {
+    /// Returns the request's path.
+    pub(crate) fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or_default()
+    }
+
     /// Returns a header of the request, trimmed.
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         let found = |line: &&str| {
@@ -96,10 +101,19 @@
     state: Arc<Mutex<ServerState>>,
     /// Grows with each restart, which cuts the connections of the previous incarnation.
     starts: Arc<watch::Sender<u64>>,
+    /// Set while the server is down after a crash.
+    down: Arc<watch::Sender<bool>>,
     /// Set once the server has crashed or shut down.
     ended: Arc<watch::Sender<bool>>,
 }
 
+/// The last part of the path of requests that crash each server that runs them.
+pub(crate) const CRASHING: &str = "/crashing";
+/// How long such a request runs before its server crashes.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
+/// How long a server is down after a crash.
+const DOWN_TIME: Duration = Duration::from_millis(700);
+
 /// The number of events in each stream.
 pub(crate) const EVENTS: usize = 4;
 /// How many adapters a server can hold.
@@ -118,34 +132,61 @@
                 ..ServerState::default()
             })),
             starts: Arc::new(watch::Sender::new(0)),
+            down: Arc::new(watch::Sender::new(false)),
             ended: Arc::new(watch::Sender::new(false)),
         };
         let served = server.clone();
         tokio::spawn(async move {
             let mut ended = served.ended.subscribe();
-            let accept = async {
-                while let Ok((stream, _)) = listener.accept().await {
-                    let server = served.clone();
-                    tokio::spawn(async move {
-                        let mut ended = server.ended.subscribe();
-                        let mut starts = server.starts.subscribe();
-                        tokio::select! {
-                            () = server.connection(stream) => {}
-                            _ = starts.changed() => {}
-                            _ = ended.wait_for(|ended| *ended) => {}
-                        }
-                    });
-                }
-            };
             tokio::select! {
-                () = accept => {}
+                () = served.listen(listener) => {}
                 _ = ended.wait_for(|ended| *ended) => {}
             }
         });
         server
     }
 
-    /// Cuts all connections and accepts no more, as a crash does.
+    /// Runs for ever, accepting connections while the server is up.
+    async fn listen(&self, mut listener: TcpListener) {
+        let mut down = self.down.subscribe();
+        loop {
+            tokio::select! {
+                () = self.accept(&listener) => {}
+                _ = down.wait_for(|down| *down) => {}
+            }
+            drop(listener);
+            let _ = down.wait_for(|down| !*down).await;
+            listener = TcpListener::bind(self.address).await.unwrap();
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let server = self.clone();
+            tokio::spawn(async move {
+                let mut ended = server.ended.subscribe();
+                let mut starts = server.starts.subscribe();
+                tokio::select! {
+                    () = server.connection(stream) => {}
+                    _ = starts.changed() => {}
+                    _ = ended.wait_for(|ended| *ended) => {}
+                }
+            });
+        }
+    }
+
+    /// Cuts all connections and refuses new ones for [`DOWN_TIME`], then runs as a restarted server.
+    pub(crate) fn crash(&self) {
+        self.down.send_replace(true);
+        self.restart();
+        let server = self.clone();
+        tokio::spawn(async move {
+            sleep(DOWN_TIME).await;
+            server.down.send_replace(false);
+        });
+    }
+
+    /// Cuts all connections and accepts no more, as a crash for good does.
     pub(crate) fn end(&self) {
         self.ended.send_replace(true);
     }
@@ -292,6 +333,11 @@
         }
         self.state.lock().unwrap().runs.push(record.clone());
         let sealed = format!("{echo}coltsfoothook-server-seal: seal-{}\r\n", self.name);
+        if record.path().ends_with(CRASHING) {
+            sleep(CRASH_DELAY).await;
+            self.crash();
+            return false;
+        }
         match mode {
             ServerMode::LosesAnswer => return false,
             ServerMode::Fails => return send(stream, 500, &sealed, "failed").await,
