Failing tests: VMs that lost their links to the servers; a VM notices that

Connections to servers are opened by a trait, so that a test can cut the links of one gateway: silent, reset, or refusing new connections only. A VM whose connections fail checks some servers and logs links_lost and links_regained; nothing follows from that yet.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod job;
 pub mod lease;
 pub mod limit;
+pub mod links;
 mod load;
 pub mod loadtime;
 pub mod long_poll;
--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -24,6 +24,8 @@
     pub status: StatusCode,
     /// The headers as received.
     pub headers: HeaderMap,
+    /// Whether it came on a connection that was opened for the request.
+    pub fresh: bool,
     /// The body, to be read to its end for the connection to be reused.
     pub body: ResponseBody,
 }
--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -1,6 +1,7 @@
 //! The client: sends a request and waits for the response head.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 
 use crate::answer::{ExchangeResponse, ResponseBody};
 use crate::counted::{CountedStream, WrittenCount};
+use crate::dialer::{ServerDialer, TcpDialer};
 use crate::error::{ExchangeError, ExchangeStage};
 use crate::pool::{ConnectionPool, IdleTimeouts, OpenConnection};
 
@@ -126,19 +128,26 @@
 pub struct ExchangeClient {
     settings: ExchangeSettings,
     pool: ConnectionPool,
+    dialer: Arc<dyn ServerDialer>,
 }
 
 impl ExchangeClient {
     /// Creates a client; connections are opened on demand.
     #[must_use]
     pub fn new(settings: ExchangeSettings) -> Self {
+        Self::with_dialer(settings, Arc::new(TcpDialer))
+    }
+
+    /// Creates a client whose connections are opened by `dialer`.
+    #[must_use]
+    pub fn with_dialer(settings: ExchangeSettings, dialer: Arc<dyn ServerDialer>) -> Self {
         let timeouts = IdleTimeouts {
             unadvertised: Duration::from_millis(settings.keep_ms),
             max_advertised: Duration::from_millis(settings.most_keep_ms),
             newest_max_advertised: Duration::from_millis(settings.newest_keep_ms),
         };
         let pool = ConnectionPool::new(timeouts, settings.idle_connections);
-        Self { settings, pool }
+        Self { settings, pool, dialer }
     }
 
     /// Sends `request` at most once and waits for the response head.
@@ -187,10 +196,22 @@
         self.pool.forget(address);
     }
 
+    /// Opens a connection and closes it again, to see whether anything accepts it there.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system, or [`std::io::ErrorKind::TimedOut`] after
+    /// [`ExchangeSettings::connect_ms`].
+    pub async fn probe(&self, address: SocketAddr) -> std::io::Result<()> {
+        let limit = Duration::from_millis(self.settings.connect_ms);
+        let opened = timeout(limit, self.dialer.dial(address)).await;
+        opened.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?.map(drop)
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, ExchangeError> {
         let limit = Duration::from_millis(self.settings.connect_ms);
         let not_sent = |cause: String| ExchangeError::NotSent { cause };
-        let stream = timeout(limit, TcpStream::connect(address))
+        let stream = timeout(limit, self.dialer.dial(address))
             .await
             .map_err(|_| ExchangeError::TimedOut { stage: ExchangeStage::Connect })?
             .map_err(|error| not_sent(error.to_string()))?;
@@ -256,9 +277,10 @@
         chunk_timeout: Duration,
     ) -> ExchangeResponse {
         let (parts, body) = response.into_parts();
+        let fresh = !connection.reused;
         connection.idle_timeout = advertised_idle_timeout(&parts.headers);
         let body = ResponseBody::new(body, chunk_timeout, address, connection, self.pool.clone());
-        ExchangeResponse { status: parts.status, headers: parts.headers, body }
+        ExchangeResponse { status: parts.status, headers: parts.headers, fresh, body }
     }
 }
 
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -22,9 +22,11 @@
 mod answer;
 mod client;
 mod counted;
+mod dialer;
 mod error;
 mod pool;
 
 pub use answer::{ExchangeResponse, ResponseBody};
 pub use client::{ExchangeClient, ExchangeRequest, ExchangeSettings, path_segment};
+pub use dialer::{DialFuture, ServerDialer, TcpDialer};
 pub use error::{ExchangeError, ExchangeStage};
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod group;
 mod limit_use;
 mod link;
+mod links;
 mod load_request;
 mod message;
 mod metrics;
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coltsfoothook_exchange::{ServerDialer, TcpDialer};
 use coltsfoothook_settings::load_settings;
 use coltsfoothook_telemetry::event;
 use snafu::{ResultExt, Snafu};
@@ -62,8 +63,20 @@
     ///
     /// If a socket cannot be opened.
     pub async fn start(settings: GatewaySettings) -> Result<Self, GatewayError> {
+        Self::start_with(settings, Arc::new(TcpDialer)).await
+    }
+
+    /// Starts as [`Self::start`] does, with connections to backend servers that `dialer` opens.
+    ///
+    /// # Errors
+    ///
+    /// If a socket cannot be opened.
+    pub async fn start_with(
+        settings: GatewaySettings,
+        dialer: Arc<dyn ServerDialer>,
+    ) -> Result<Self, GatewayError> {
         let peers = PeerSocket::bind(settings.listen.peers).await.context(ListenSnafu)?;
-        let gateway = Arc::new(Gateway::new(settings, peers));
+        let gateway = Arc::new(Gateway::with_dialer(settings, peers, dialer));
         let listeners = InterfaceListeners::open(&gateway).context(ListenSnafu)?;
         hint_seeds(&gateway);
         event!(
--- a/gateway/src/record_exchange.rs
+++ b/gateway/src/record_exchange.rs
@@ -68,7 +68,7 @@
         let mut request = ExchangeRequest::get(path);
         request.head_timeout = Some(ANSWER_TIMEOUT);
         request.chunk_timeout = Some(ANSWER_TIMEOUT);
-        let answer = match gateway.client.send(from, request).await {
+        let answer = match gateway.peer_client.send(from, request).await {
             Ok(answer) => answer.body.collect(MAX_BYTES).await,
             Err(error) => Err(error),
         };
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -12,6 +12,7 @@
 use http::{StatusCode, header};
 
 use crate::clock;
+use crate::links;
 use crate::run::RequestRun;
 use crate::sent::SentCount;
 use crate::statement;
@@ -131,8 +132,11 @@
     run.count = Some(count);
     let sent_at = clock::now();
     let sent = gateway.client.send(address, request).await;
-    if let Err(ExchangeError::Sent { .. }) = &sent {
-        suspects::run_broken(run);
+    match &sent {
+        Ok(answer) if answer.fresh => gateway.view().links.record_connected(),
+        Ok(_) => {}
+        Err(ExchangeError::Sent { .. }) => suspects::run_broken(run),
+        Err(_) => links::server_failed(&gateway, server),
     }
     let end = classify(run, sent);
     if matches!(end, SendEnd::Answer(..)) {
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -14,10 +14,11 @@
 use coltsfoothook_decision::issuer::PermitIssuer;
 use coltsfoothook_decision::lease::{LeaseSettings, OrderLease, assess_outage};
 use coltsfoothook_decision::limit::FleetLimiter;
+use coltsfoothook_decision::links::ServerLinks;
 use coltsfoothook_decision::loadtime::LoadTimes;
 use coltsfoothook_decision::permit::PermitHolder;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
-use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings};
+use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings, ServerDialer};
 use coltsfoothook_platform::{HttpMetadata, HttpServers, MetadataStore, ServerCalls};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -111,6 +112,8 @@
     pub(crate) crashes: CrashLedger,
     /// Requests that broke at servers which may have crashed.
     pub(crate) broken: BrokenRuns,
+    /// Whether this VM reaches any server.
+    pub(crate) links: ServerLinks,
     pub(crate) budget: RepeatBudget,
     pub(crate) roster: PeerRoster,
     pub(crate) lease: OrderLease,
@@ -178,6 +181,8 @@
     /// Notified when this VM missed changes of servers' entries.
     pub(crate) entries_missed: Notify,
     pub(crate) client: ExchangeClient,
+    /// For calls to other VMs.
+    pub(crate) peer_client: ExchangeClient,
     pub(crate) servers: Box<dyn ServerCalls>,
     pub(crate) store: Box<dyn MetadataStore>,
     pub(crate) peers: Arc<PeerSocket>,
@@ -190,7 +195,16 @@
 }
 
 impl Gateway {
+    #[cfg(test)]
     pub(crate) fn new(settings: GatewaySettings, peers: PeerSocket) -> Self {
+        Self::with_dialer(settings, peers, Arc::new(coltsfoothook_exchange::TcpDialer))
+    }
+
+    pub(crate) fn with_dialer(
+        settings: GatewaySettings,
+        peers: PeerSocket,
+        dialer: Arc<dyn ServerDialer>,
+    ) -> Self {
         let incarnation = incarnation();
         let promises = &settings.promises;
         let lease = LeaseSettings {
@@ -199,14 +213,15 @@
             lifetime_us: settings.store.least_lifetime_ms * RENEWALS_PER_LIFETIME * 1_000,
             takeover_delay_us: promises.order_pause_ms * 1_000 + ORDER_PAUSE_MARGIN_US,
         };
-        let client = ExchangeClient::new(ExchangeSettings {
+        let exchange = ExchangeSettings {
             keep_ms: KEEP_MS,
             most_keep_ms: MAX_KEEP_MS,
             newest_keep_ms: NEWEST_KEEP_MS,
             idle_connections: IDLE_CONNECTIONS,
             connect_ms: 400,
             ..ExchangeSettings::default()
-        });
+        };
+        let client = ExchangeClient::with_dialer(exchange.clone(), dialer);
         let view = SystemView {
             table: None,
             store_config: 0,
@@ -222,6 +237,7 @@
             backends: BackendTable::default(),
             crashes: CrashLedger::default(),
             broken: BrokenRuns::default(),
+            links: ServerLinks::default(),
             budget: RepeatBudget::new(promises.repeats()),
             roster: PeerRoster::default(),
             lease: OrderLease::new(lease),
@@ -261,6 +277,7 @@
             servers: Box::new(HttpServers::new(client.clone())),
             store: Box::new(HttpMetadata::new(settings.store.address)),
             client,
+            peer_client: ExchangeClient::new(exchange),
             peers: Arc::new(peers),
             metrics: GatewayMetrics::new(),
             leaving: AtomicBool::new(false),
--- a/gateway/src/suspects.rs
+++ b/gateway/src/suspects.rs
@@ -11,8 +11,7 @@
 use coltsfoothook_decision::id::{RequestFingerprint, TimePoint};
 use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_telemetry::event;
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::clock;
 use crate::message::PeerMessage;
@@ -22,8 +21,6 @@
 /// How long after a run broke the server is checked: the other runs of a crashed server break within
 /// it.
 const CHECK_DELAY: Duration = Duration::from_millis(30);
-/// Timeout of the connection that shows whether a server accepts any.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long after a crash runs that break are counted with it, in microseconds. Answers that were on
 /// their way to a slow VM are read that late.
 const SAME_CRASH_US: u64 = 1_000_000;
@@ -94,9 +91,8 @@
 /// Checks whether a server at which a run broke refuses connections, and records the crash if so.
 async fn check(gateway: Arc<Gateway>, start: ServerStart, address: SocketAddr) {
     sleep(CHECK_DELAY).await;
-    let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
-    let refused =
-        matches!(&connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
+    let connected = gateway.client.probe(address).await;
+    let refused = matches!(&connected, Err(error) if error.kind() == ErrorKind::ConnectionRefused);
     let now = clock::now();
     let mut view = gateway.view();
     let Some(broken) = view.broken.find(&start) else { return };
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -7,6 +7,8 @@
 mod configuration;
 mod crashing_requests;
 mod customer_keys;
+mod cut_links;
+mod cuttable;
 mod leaving_answers;
 mod lost_queries;
 mod peer_records;
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -1,6 +1,7 @@
 //! A small site on loopback: a stand-in store, stand-in servers and gateways, and the calls to them.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::configuration::configuration;
+use crate::cuttable::CuttableLinks;
 use crate::server::{MODEL, StandinServer};
 use crate::store::StandinStore;
 
@@ -141,6 +143,20 @@
         self.start_at(peers, vm, &[], false, PromiseSettings::default()).await
     }
 
+    /// Starts a gateway whose links to the servers can be cut.
+    pub(crate) async fn start_cuttable(
+        &self,
+        vm: &str,
+        seeds: &[&RunningGateway],
+        links: &CuttableLinks,
+    ) -> RunningGateway {
+        let peers = SocketAddr::from((loopback_of(vm), self.peer_port));
+        let (settings, listen) = self.settings(peers, vm, seeds, true, PromiseSettings::default());
+        let dialer = Arc::new(links.clone());
+        let process = GatewayProcess::start_with(settings, dialer).await.unwrap();
+        RunningGateway { process, listen }
+    }
+
     async fn start_at(
         &self,
         peers: SocketAddr,
@@ -149,6 +165,19 @@
         first_start: bool,
         promises: PromiseSettings,
     ) -> RunningGateway {
+        let (settings, listen) = self.settings(peers, vm, seeds, first_start, promises);
+        let process = GatewayProcess::start(settings).await.unwrap();
+        RunningGateway { process, listen }
+    }
+
+    fn settings(
+        &self,
+        peers: SocketAddr,
+        vm: &str,
+        seeds: &[&RunningGateway],
+        first_start: bool,
+        promises: PromiseSettings,
+    ) -> (GatewaySettings, ListenSettings) {
         let listen = free_ports(peers);
         let settings = GatewaySettings {
             vm: vm.into(),
@@ -160,8 +189,7 @@
             promises: PromiseSettings { grace_s: 3, servers_check_fences: true, ..promises },
             ..GatewaySettings::default()
         };
-        let process = GatewayProcess::start(settings).await.unwrap();
-        RunningGateway { process, listen }
+        (settings, listen)
     }
 }
 
