A VM that reaches no server hands its requests over to other VMs

Cause: a VM took the loss of its own links for the loss of all servers, and had no other way to them. The class: what one VM sees taken for what the fleet sees. Ruled out as the main cause: requests lost on silent kept connections (only those of the first second); callers who keep coming (they may for six seconds, and a VM without links can serve).

Change: two failures without a new connection in between make the VM try four servers; if none accepts, its requests go over HTTP to other VMs' ports for VMs (hand_over), until a server accepts again. The other VM sends the request as its own, within the same deadline, customer, rank, servers tried and budget; the first VM counts and charges it once. A request that may run once is handed to a further VM only if the one before said that it did not run, or no byte was sent.

Failed try: two different servers that fail instead of two failures.

--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod member_probes;
 mod order_lease;
 mod order_tracker;
+mod own_links;
 mod owner_faults;
 mod owner_rules;
 mod owner_world;
--- a/gateway/src/charge.rs
+++ b/gateway/src/charge.rs
@@ -57,6 +57,17 @@
         Err(Refusal { retry_s, ..refused }.with_grounds(grounds))
     }
 
+    /// Returns the charge for each further run of a request whose first run another VM has charged.
+    pub(crate) fn of(
+        gateway: &Gateway,
+        customer: Option<&CustomerName>,
+        need: Option<&ModelNeed>,
+    ) -> Option<Self> {
+        let customer = customer.cloned()?;
+        let cost = gateway.view().limiter.cost(customer.as_str(), need)?;
+        Some(Self { customer, cost })
+    }
+
     /// Charges the request again, for a further run.
     pub(crate) fn charge_again(&self, gateway: &Gateway) {
         let mut view = gateway.view();
--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -22,6 +22,7 @@
 use crate::answer::{AnswerStream, own_answer, whole_answer};
 use crate::clock;
 use crate::forward;
+use crate::hand_over;
 use crate::link::StoreCall;
 use crate::record_exchange::{SHARED_PATH, TABLE_QUERY, shared_body};
 use crate::state::Gateway;
@@ -152,12 +153,15 @@
     }
 }
 
-/// Answers other VMs with the state that VMs share.
+/// Answers other VMs: with the state that VMs share, and requests that they hand over.
 #[derive(Clone)]
 struct PeerInterface(Arc<Gateway>);
 
 impl InterfaceService for PeerInterface {
     async fn answer(&self, request: Request<Incoming>) -> Response<AnswerStream> {
+        if hand_over::is_handed_over(request.headers()) {
+            return forward::serve_handed_over(&self.0, request).await;
+        }
         if request.uri().path() != SHARED_PATH {
             return own_answer(StatusCode::NOT_FOUND, "", None);
         }
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -34,6 +34,8 @@
 /// request, and all VMs that hold one are notified at about the same time. The delay lets the load
 /// report of the first VM that sends arrive at the others, which takes one or two milliseconds.
 const HOLD_JITTER_US: u64 = 10_000;
+/// The reason of requests that find no server as this VM reaches none.
+pub(crate) const NO_LINKS: &str = "no_links";
 /// How long a request waits while no server of its service accepts it. Readers poll the servers'
 /// entries every 600 ms, so that a newly registered server is known within this time.
 const NO_SERVER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -64,6 +66,9 @@
         if run.left() < MIN_TIME_LEFT {
             break Err("deadline");
         }
+        if gateway.view().links.are_cut() {
+            break Err(NO_LINKS);
+        }
         let may_ask = waited < max_closed_wait;
         let PreparedChoice { choice, load_request, closed, asks } =
             choose(run, waited < max_hold, may_ask, now);
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -4,19 +4,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfoothook_decision::id::TimePoint;
+use coltsfoothook_decision::id::{ServiceName, TimePoint};
 use coltsfoothook_decision::routing::{RouteTable, ServingRoute};
-use coltsfoothook_platform::{HeadFault, read_head, take_key};
+use coltsfoothook_platform::{HeadFault, RequestHead, read_head, take_key};
+use http::request::Parts;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::admit::{admit, read_key};
+use crate::admit::{AdmittedRequest, admit, read_key};
 use crate::answer::{AnswerStream, own_answer};
 use crate::charge::LimitCharge;
 use crate::clock;
-use crate::find::find_server;
+use crate::find::{NO_LINKS, find_server};
+use crate::hand_over::{self, HandedOver, no_links_answer, take_handed_over};
 use crate::outcome::{
     AfterAnswer, NextStep, give_up, handle_answer, handle_not_run, handle_unknown,
 };
@@ -48,6 +50,51 @@
     mark_closing(&gateway, answer)
 }
 
+/// Answers a request that another VM has admitted and hands over, as it reaches no server. What this
+/// VM cannot send is refused, so that the other one tries a further VM.
+pub(crate) async fn serve_handed_over(
+    gateway: &Arc<Gateway>,
+    mut request: Request<Incoming>,
+) -> Response<AnswerStream> {
+    let handed = take_handed_over(request.headers_mut());
+    let head = read_head(request.headers());
+    let (Some(handed), Ok(head)) = (handed, head) else {
+        return own_answer(StatusCode::BAD_REQUEST, "", None);
+    };
+    let id = head.id.clone();
+    if gateway.view().links.are_cut() {
+        return no_links_answer(&id);
+    }
+    match read_handed_over(gateway, request, head, handed).await {
+        Some(run) => drive(run).await,
+        None => own_answer(StatusCode::SERVICE_UNAVAILABLE, &id, Some(STARTUP_RETRY_S)),
+    }
+}
+
+/// Reads a request that is handed over; `None` if it cannot be read or this VM has no route for it.
+async fn read_handed_over(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    head: RequestHead,
+    handed: HandedOver,
+) -> Option<RequestRun> {
+    let started = clock::now();
+    let table = gateway.view().table.clone()?;
+    let route = find_route(&table, &request)?.clone();
+    let service = route.service_for(&head.id)?.clone();
+    let (parts, body) = request.into_parts();
+    let body = read_body(body, &table).await.ok()?;
+    let admitted = AdmittedRequest {
+        route,
+        customer: handed.customer,
+        rank: handed.rank,
+        config: table.version.0,
+        keyed: false,
+    };
+    let request = caller_request(parts, body, head, admitted, service, started);
+    Some(RequestRun::handed_over(Arc::clone(gateway), request, handed.ran))
+}
+
 /// Adds `Connection: close` to the answer while the VM shuts down, so that callers reconnect to another VM.
 fn mark_closing(gateway: &Gateway, mut answer: Response<AnswerStream>) -> Response<AnswerStream> {
     if gateway.leaving() {
@@ -90,10 +137,25 @@
         StatusCode::REQUEST_TIMEOUT => Refusal::new(status, "body_too_slow", config),
         status => Refusal::new(status, "body_cut", config),
     })?;
+    let request = caller_request(parts, body, head, admitted, service, started);
+    let (customer, need) = (request.customer.as_ref(), request.head.need.as_ref());
+    let charge = LimitCharge::take(gateway, customer, need, config)?;
+    Ok(RequestRun::new(Arc::clone(gateway), request, charge))
+}
+
+/// Returns an admitted request with its body.
+fn caller_request(
+    parts: Parts,
+    body: Bytes,
+    head: RequestHead,
+    admitted: AdmittedRequest,
+    service: ServiceName,
+    started: TimePoint,
+) -> CallerRequest {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let (customer, headers) = (admitted.customer.as_ref(), &parts.headers);
     let fingerprint = CallerRequest::fingerprint(customer, &parts.method, headers, &path, &body);
-    let request = CallerRequest {
+    CallerRequest {
         head,
         method: parts.method,
         path,
@@ -104,12 +166,9 @@
         customer: admitted.customer,
         rank: admitted.rank,
         service,
-        config,
+        config: admitted.config,
         started,
-    };
-    let (customer, need) = (request.customer.as_ref(), request.head.need.as_ref());
-    let charge = LimitCharge::take(gateway, customer, need, config)?;
-    Ok(RequestRun::new(Arc::clone(gateway), request, charge))
+    }
 }
 
 /// Returns the route for the request's host, without its port, and path.
@@ -138,8 +197,12 @@
         return give_up(run, "condemned");
     }
     loop {
+        if hand_over::is_needed(&run) {
+            return hand_over::hand_over(run).await;
+        }
         let server = match find_server(&mut run).await {
             Ok(server) => server,
+            Err(NO_LINKS) if hand_over::is_needed(&run) => continue,
             Err(reason) => return give_up(run, reason),
         };
         if suspects::held(&mut run) {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod follow;
 mod forward;
 mod group;
+mod hand_over;
 mod limit_use;
 mod link;
 mod links;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -32,6 +32,7 @@
     closed: IntCounterVec,
     permits: IntCounterVec,
     crash_checks: IntCounterVec,
+    handed_over: IntCounterVec,
     ages: GaugeVec,
     peer_bytes: IntGaugeVec,
     gauges: IntGaugeVec,
@@ -162,6 +163,11 @@
                 "Servers at which runs broke, by whether they had crashed.",
                 &["result"],
             ),
+            handed_over: counter(
+                "coltsfoothook_gateway_handed_over_total",
+                "Requests that were handed over to another VM, by result.",
+                &["result"],
+            ),
             closed: counter(
                 "coltsfoothook_gateway_closed_total",
                 "Requests for which a server of their service was closed, by the reason of the one \
@@ -194,6 +200,11 @@
         self.crash_checks.with_label_values(&[if crashed { "crashed" } else { "up" }]).inc();
     }
 
+    /// Counts a request that was handed over to another VM.
+    pub(crate) fn handed_over(&self, result: &str) {
+        self.handed_over.with_label_values(&[result]).inc();
+    }
+
     /// Counts a request that ended.
     pub(crate) fn request(&self, route: &str, outcome: &str, timing: &RequestTiming) {
         let route = self.route_names.label(route);
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -7,6 +7,9 @@
 use coltsfoothook_decision::lease::StoreWitness;
 use coltsfoothook_decision::subject::ServerStart;
 
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64;
+
 use crate::message::VmState;
 use crate::peer::{ROTATION_INTERVAL_US, ROTATION_SIZE};
 
@@ -27,6 +30,8 @@
 /// How long a VM counts after its last message among the witnesses that an outage is judged by, in
 /// microseconds.
 const WITNESS_US: u64 = 10_000_000;
+/// How long no requests are handed over to a VM that said that it reaches no server, in microseconds.
+const NO_LINKS_US: u64 = 1_000_000;
 /// How long an unresponsive VM is kept, in microseconds.
 const RETENTION_US: u64 = 60_000_000;
 
@@ -49,6 +54,8 @@
     /// Its position among the issuers of permits.
     position: u64,
     last_seen: TimePoint,
+    /// When it said that it reaches no server either.
+    no_links_at: Option<TimePoint>,
 }
 
 /// Effect of a state message.
@@ -98,7 +105,8 @@
         let unresponsive = !peer.is_live(ttl_us, now);
         let restarted = state.incarnation != peer.incarnation;
         let leaves = state.leaving && !peer.leaving;
-        *peer = PeerState::new(state, address, now);
+        let no_links_at = peer.no_links_at;
+        *peer = PeerState { no_links_at, ..PeerState::new(state, address, now) };
         match (restarted, leaves, unresponsive) {
             (true, _, _) => PeerChange::Restarted,
             (_, true, _) => PeerChange::Leaving,
@@ -203,6 +211,39 @@
         self.peers.iter().filter(ahead).count()
     }
 
+    /// Returns the VMs to hand requests over to, in order: a random one of `domain`, then one of each
+    /// other domain, then the rest.
+    pub(crate) fn hand_over_order(
+        &self,
+        domain: &DomainName,
+        random: &mut Pcg64,
+        now: TimePoint,
+    ) -> Vec<SocketAddr> {
+        let ttl_us = self.ready_ttl_us(now);
+        let counts = |peer: &&PeerState| {
+            let linked = peer.no_links_at.is_none_or(|at| now.since(at) >= NO_LINKS_US);
+            peer.ready && !peer.leaving && linked && now.since(peer.last_seen) < ttl_us
+        };
+        let mut peers: Vec<&PeerState> = self.peers.iter().filter(counts).collect();
+        peers.shuffle(random);
+        let mut seen: Vec<&DomainName> = Vec::new();
+        peers.sort_by_cached_key(|peer| {
+            let is_first = !seen.contains(&&peer.domain);
+            if is_first {
+                seen.push(&peer.domain);
+            }
+            (!is_first, peer.domain != *domain)
+        });
+        peers.iter().map(|peer| peer.address).collect()
+    }
+
+    /// Records whether the VM at an address reaches no server either.
+    pub(crate) fn set_no_links(&mut self, address: SocketAddr, no_links: bool, now: TimePoint) {
+        if let Some(peer) = self.peers.iter_mut().find(|peer| peer.address == address) {
+            peer.no_links_at = no_links.then_some(now);
+        }
+    }
+
     /// Returns the rank of `vm` among the live VMs that do not leave, in an order that differs between
     /// requests: 0 for the first.
     pub(crate) fn trial_rank(
@@ -386,6 +427,7 @@
             aggregates: state.aggregates,
             position: vm_position(&state.vm),
             last_seen: now,
+            no_links_at: None,
         }
     }
 
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -45,6 +45,8 @@
     pub(crate) last_end: &'static str,
     /// Whether this is the one attempt that a condemned request is given to show that it is innocent.
     pub(crate) on_trial: bool,
+    /// Whether another VM handed it over.
+    pub(crate) handed_over: bool,
     /// How many times it waited because a server could not run it yet.
     retry_waits: u32,
     /// The server of the last send.
@@ -112,10 +114,25 @@
         request: CallerRequest,
         charge: Option<LimitCharge>,
     ) -> Self {
+        gateway.view().budget.record_first(&request.service, clock::now());
+        Self::started(gateway, request, charge)
+    }
+
+    /// Returns a request that another VM hands over, where `ran` servers may have begun to run it. That VM
+    /// has counted it, and has charged its customer for the first run.
+    pub(crate) fn handed_over(gateway: Arc<Gateway>, request: CallerRequest, ran: u32) -> Self {
+        let (customer, need) = (request.customer.as_ref(), request.head.need.as_ref());
+        let charge = LimitCharge::of(&gateway, customer, need);
+        let mut run = Self::started(gateway, request, charge);
+        run.ran = ran;
+        run.handed_over = true;
+        run
+    }
+
+    fn started(gateway: Arc<Gateway>, request: CallerRequest, charge: Option<LimitCharge>) -> Self {
         let limit = request.head.deadline.unwrap_or(Duration::MAX).min(request.route.timeout);
         let due = request.started.plus(limit.as_micros().try_into().unwrap_or(u64::MAX));
         gateway.open.fetch_add(1, Ordering::Relaxed);
-        gateway.view().budget.record_first(&request.service, clock::now());
         Self {
             gateway,
             request,
@@ -125,6 +142,7 @@
             ran: 0,
             last_end: "",
             on_trial: false,
+            handed_over: false,
             retry_waits: 0,
             server: None,
             incarnation: 0,
@@ -257,7 +275,8 @@
 
 impl Drop for RequestRun {
     fn drop(&mut self) {
-        if let Some(charge) = self.charge.take().filter(|_| !self.may_have_run()) {
+        let refunds = !self.handed_over && !self.may_have_run();
+        if let Some(charge) = self.charge.take().filter(|_| refunds) {
             charge.refund(&self.gateway);
         }
         self.gateway.open.fetch_sub(1, Ordering::Relaxed);
@@ -290,6 +309,7 @@
             adapter? = adapter,
             fingerprint = format_args!("{:016x}", self.request.fingerprint.0),
             sends = self.sends,
+            handed_over? = self.handed_over.then_some(true),
             stall_ms? = stall_ms,
             held_ms? = held_ms,
             late? = late,
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -29,6 +29,7 @@
     metrics.permits("RESULT", 1);
     metrics.closed("REASON");
     metrics.crash_check(true);
+    metrics.handed_over("RESULT");
     metrics.answer_age("CALL", Duration::ZERO);
     metrics.set("WHAT", 1);
     let mut rows = Vec::new();
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -91,8 +91,9 @@
     RequestRetried, "request_retried", Warn, "An attempt failed and the request is retried.";
     StreamResumed, "stream_resumed", Warn, "A broken stream is resumed at its engine or at another one.";
     RequestCondemned, "request_condemned", Error, "Backend servers crashed under a request, and it is refused from now on.";
-    LinksLost, "links_lost", Error, "This VM reaches none of the backend servers that it tried.";
+    LinksLost, "links_lost", Error, "This VM reaches none of the backend servers that it tried; its requests go through other VMs.";
     LinksRegained, "links_regained", Warn, "This VM reaches backend servers again.";
+    RequestHandedOver, "request_handed_over", Info, "A request was handed over to another VM, as this one reaches no backend server.";
     ServerChecked, "server_checked", Warn, "Runs broke at a server, and a connection to it was tried: `crashed` if it was refused.";
     SuspectTried, "suspect_tried", Warn, "A condemned request is sent once more, to see whether it still crashes its server.";
     SuspicionCleared, "suspicion_cleared", Info, "A suspect request completed, or an operator lifted its condemnation.";
