--- a/engine/src/http_engine.rs
+++ b/engine/src/http_engine.rs
@@ -246,7 +246,7 @@
         return Err(run_error(answer).await);
     }
     let content_type = content_type(&answer.headers);
-    let ExchangeResponse { status, headers, body } = answer;
+    let ExchangeResponse { status, headers, body, .. } = answer;
     Ok(RunAnswer { status, content_type, headers, body })
 }
 
