Servers that bear few refusals are not turned over

What callers saw: servers that say that they are brittle (Server-Brittle) fell over when many requests met them full, and took what they ran with them. Cause: the statement was nobody's input; VMs avoided a full server for 120 ms each and sent without regard to its places.

Change: the statement is read like the others; a server that bears few refusals gets nothing while its places are taken, and after a refusal rests at that VM for so long that all VMs together cause at most 0.4 of what it bears.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -556,6 +556,18 @@
         self.rest.wait(now)
     }
 
+    /// Returns whether it bears few refusals.
+    #[must_use]
+    pub fn is_brittle(&self) -> bool {
+        self.stated.refusals_per_s.is_some()
+    }
+
+    /// Returns whether it bears few refusals and all its places are taken.
+    #[must_use]
+    pub fn lacks_room(&self, now: TimePoint) -> bool {
+        self.is_brittle() && self.load(now).running >= self.entry.slots
+    }
+
     /// Returns how many requests per second it takes from all VMs together; `None` if it stated no
     /// limit.
     #[must_use]
--- a/decision/src/statement.rs
+++ b/decision/src/statement.rs
@@ -19,6 +19,11 @@
 /// How long the end of a limit is reported to other VMs. One that misses it sends the server few
 /// requests, and learns of it from the answers.
 const REPORT_END_US: u64 = 5_000_000;
+/// Fraction of the refusals that a server bears which all VMs together use. Requests that are on their
+/// way when a server becomes full need the rest.
+const USED_REFUSALS: f64 = 0.4;
+/// The longest rest after a refusal: servers' queues are shorter by then.
+const MAX_REFUSAL_REST: Duration = Duration::from_secs(3);
 /// Maximum number of statements in one report.
 const MAX_REPORTED: usize = 16;
 
@@ -39,6 +44,8 @@
 pub struct ServerStatement {
     /// Requests per second that the server takes from all VMs together.
     pub limit_per_s: StatedValue<f64>,
+    /// Refusals per second for want of room that the server bears; with more it fails.
+    pub refusals_per_s: StatedValue<f64>,
     /// Whether the server leaves. It ends some seconds later, whatever it runs.
     pub leaving: StatedValue<bool>,
     /// How long the server wants no request from the VM to which it sent the response, a refusal.
@@ -93,6 +100,8 @@
     limit_changed_at: TimePoint,
     /// The limit as this VM last reported it.
     reported_limit: Option<StatedLimit>,
+    /// Refusals per second that it bears, as stated to this VM; `None` if it bears as many as come.
+    pub(crate) refusals_per_s: Option<f64>,
     /// Whether the limit was stated to this VM.
     own_limit: bool,
     /// Whether the server stated to this VM that it leaves.
@@ -170,6 +179,11 @@
             StatedValue::Absent | StatedValue::Unreadable => None,
         };
         let limit = per_s.map(|per_s| StatedLimit { per_s, at: now });
+        match statement.refusals_per_s {
+            StatedValue::Readable(per_s) => state.stated.refusals_per_s = Some(per_s),
+            StatedValue::Absent if served => state.stated.refusals_per_s = None,
+            StatedValue::Absent | StatedValue::Unreadable => {}
+        }
         match statement.rest {
             _ if served => state.rest.served(now),
             StatedValue::Readable(rest) => state.rest.ask(rest, now),
@@ -195,6 +209,22 @@
         }
     }
 
+    /// Lets a server that bears few refusals rest after one, so that `vms` VMs together do not exceed
+    /// them. Returns the rest, if the server bears only so many.
+    pub fn rest_after_refusal(
+        &mut self,
+        start: &ServerStart,
+        vms: usize,
+        now: TimePoint,
+    ) -> Option<Duration> {
+        let state = self.of_start(start)?;
+        let per_s = state.stated.refusals_per_s? * USED_REFUSALS;
+        let rest = Duration::try_from_secs_f64(vms as f64 / per_s).unwrap_or(MAX_REFUSAL_REST);
+        let rest = rest.min(MAX_REFUSAL_REST);
+        state.rest.ask(rest, now);
+        Some(rest)
+    }
+
     fn of_start(&mut self, start: &ServerStart) -> Option<&mut BackendState> {
         let state = self.get_mut(start.server.as_str())?;
         (state.entry.incarnation == start.incarnation).then_some(state)
--- a/decision/tests/suite/server_statements.rs
+++ b/decision/tests/suite/server_statements.rs
@@ -38,6 +38,7 @@
 
 const LEAVING: ServerStatement = ServerStatement {
     limit_per_s: StatedValue::Absent,
+    refusals_per_s: StatedValue::Absent,
     leaving: StatedValue::Readable(true),
     rest: StatedValue::Absent,
 };
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -15,7 +15,7 @@
 use crate::links;
 use crate::run::RequestRun;
 use crate::sent::SentCount;
-use crate::statement;
+use crate::statement::{self, AnswerEnd};
 use crate::suspects;
 
 /// Time in microseconds. A refusal within it after an adapter became usable is attributed to a load that took
@@ -85,9 +85,11 @@
         let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
         let version = key.and_then(|key| state.version(key));
         let (address, incarnation) = (state.entry.address, state.entry.incarnation);
-        let (limit_per_s, rest) = (state.limit_per_s(), state.rest_wait(clock::now()));
+        let now = clock::now();
+        let (limit_per_s, rest) = (state.limit_per_s(), state.rest_wait(now));
+        let lacks_room = state.lacks_room(now);
         let start = ServerStart { server: server.clone(), incarnation };
-        if !rest.is_zero() || !view.permits.take(clock::now(), &start) {
+        if !rest.is_zero() || lacks_room || !view.permits.take(now, &start) {
             gateway.metrics.sent("closed");
             return SendEnd::Closed;
         }
@@ -159,17 +161,20 @@
 /// Records what the server states about itself, if the answer certainly is its own: a 421 may come from another server
 /// at its address.
 fn record_statement(run: &RequestRun, server: &ServerName, end: &SendEnd) {
-    let (headers, served) = match end {
-        SendEnd::Answer(answer) => (&answer.headers, answer.status.is_success()),
+    let (headers, answer_end) = match end {
+        SendEnd::Answer(answer) if answer.status.is_success() => {
+            (&answer.headers, AnswerEnd::Served)
+        }
+        SendEnd::Answer(answer) => (&answer.headers, AnswerEnd::Failed),
         SendEnd::NotRun(answer, head)
             if head.id.is_some() && answer.status != StatusCode::MISDIRECTED_REQUEST =>
         {
-            (&answer.headers, false)
+            (&answer.headers, AnswerEnd::Refused)
         }
         _ => return,
     };
     let start = ServerStart { server: server.clone(), incarnation: run.incarnation };
-    statement::record(&run.gateway, &start, headers, served);
+    statement::record(&run.gateway, &start, headers, answer_end);
 }
 
 /// Returns how long to wait for the head: where another server may run the request, only as long as a healthy one
--- a/gateway/src/sent.rs
+++ b/gateway/src/sent.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use coltsfoothook_decision::backend::BackendState;
 use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::routing::AdapterKey;
 
@@ -37,12 +38,14 @@
         let mut view = gateway.view();
         let now = clock::now();
         let ahead = view.backends.sent(server.as_str(), pending_prompt_tokens, now);
-        if pending_prompt_tokens > 0 {
+        let brittle = view.backends.get(server.as_str()).is_some_and(BackendState::is_brittle);
+        let reported = pending_prompt_tokens > 0 || brittle;
+        if reported {
             view.load_changed(server);
         }
         let first = adapter.as_ref().filter(|key| view.uses.begin(server, incarnation, key));
         drop(view);
-        if pending_prompt_tokens > 0 {
+        if reported {
             peer::report_loads_now(&gateway);
         }
         if let Some(key) = first {
@@ -84,12 +87,16 @@
     fn drop(&mut self) {
         let mut view = self.gateway.view();
         view.backends.ended(self.server.as_str(), self.pending_prompt_tokens);
-        if self.pending_prompt_tokens > 0 {
+        let brittle = view.backends.get(self.server.as_str()).is_some_and(BackendState::is_brittle);
+        if self.pending_prompt_tokens > 0 || brittle {
             view.load_changed(&self.server);
         }
         let last =
             self.adapter.as_ref().filter(|key| view.uses.end(&self.server, self.incarnation, key));
         drop(view);
+        if brittle {
+            self.gateway.loads_changed.notify_one();
+        }
         if let Some(key) = last {
             peer::report_use(&self.gateway, &self.server, self.incarnation, key);
         }
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -13,9 +13,25 @@
 use crate::clock;
 use crate::state::{Gateway, SystemView};
 
-/// Records the statements in a response of the given incarnation of a server. `served` is false for
-/// a refusal or failure.
-pub(crate) fn record(gateway: &Gateway, start: &ServerStart, headers: &HeaderMap, served: bool) {
+/// How soon a place may be free at a server that bears few refusals.
+const ROOM_RECHECK: Duration = Duration::from_millis(20);
+/// Time after which a caller that found no place at any server should come back.
+const ROOM_RETRY: Duration = Duration::from_millis(300);
+
+/// What an answer is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerEnd {
+    /// The server served the request.
+    Served,
+    /// It failed to.
+    Failed,
+    /// It did not run it.
+    Refused,
+}
+
+/// Records the statements in a response of the given incarnation of a server.
+pub(crate) fn record(gateway: &Gateway, start: &ServerStart, headers: &HeaderMap, end: AnswerEnd) {
+    let (served, refused) = (end == AnswerEnd::Served, end == AnswerEnd::Refused);
     let decoded = read_statement(headers);
     for header in &decoded.unreadable {
         gateway.metrics.statement("unreadable");
@@ -27,6 +43,9 @@
         );
     }
     let statement = decoded.statement;
+    if let StatedValue::Readable(_) = statement.refusals_per_s {
+        gateway.metrics.statement("brittle");
+    }
     if let StatedValue::Readable(_) = statement.limit_per_s {
         gateway.metrics.statement("limit");
     }
@@ -48,6 +67,17 @@
     let now = clock::now();
     let mut view = gateway.view();
     let change = view.backends.apply_statement(start, &statement, served, now);
+    let vms = view.vm_count(now);
+    let rest = if refused { view.backends.rest_after_refusal(start, vms, now) } else { None };
+    if let Some(rest) = rest {
+        event!(
+            BrittleServerRests,
+            server = start.server,
+            born = start.incarnation,
+            vms = vms,
+            rest_ms = rest.as_millis(),
+        );
+    }
     if view.statement_changed(start, change, "answer") {
         drop(view);
         gateway.loads_changed.notify_one();
@@ -165,7 +195,8 @@
         for state in self.backends.servers() {
             let server = &state.entry.server;
             let rest = state.rest_wait(now);
-            if (state.limit_per_s().is_none() && rest.is_zero())
+            let lacks_room = state.lacks_room(now);
+            if (state.limit_per_s().is_none() && rest.is_zero() && !lacks_room)
                 || state.entry.service != *service
                 || avoided.contains(server)
             {
@@ -176,6 +207,11 @@
                 closed.close(server, reason);
                 continue;
             }
+            if lacks_room {
+                let (wait, retry_after) = (ROOM_RECHECK, ROOM_RETRY);
+                closed.close(server, ClosedReason { name: "no_room", wait, retry_after });
+                continue;
+            }
             let start = state.start();
             let wait = match self.permits.state(now, &start) {
                 PermitState::Unlimited | PermitState::Held { ample: true } => continue,
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -57,6 +57,13 @@
     refusal_stated: Vec<(&'static str, String)>,
     /// Requests of callers that reached it and were meant for it, run or not: when, and their ids.
     arrivals: Vec<RequestArrival>,
+    /// How it turns requests away for want of room, if it does.
+    room: Option<BrittleRoom>,
+    /// When it turned requests away lately.
+    turned_away: Vec<Instant>,
+    running: usize,
+    /// When it fell over.
+    falls: Vec<Instant>,
     /// Requests of callers that were meant for another server.
     misdirected: Vec<RequestArrival>,
 }
@@ -107,6 +114,17 @@
     ended: Arc<watch::Sender<bool>>,
 }
 
+/// How a server that has little room behaves.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BrittleRoom {
+    /// How many requests it runs at once; it turns others away.
+    pub(crate) places: usize,
+    /// How long it runs each.
+    pub(crate) run_time: Duration,
+    /// It falls over when it turns away more than so many in a second, and says so in all answers.
+    pub(crate) breaks_beyond: usize,
+}
+
 /// The last part of the path of requests that crash each server that runs them.
 pub(crate) const CRASHING: &str = "/crashing";
 /// How long such a request runs before its server crashes.
@@ -175,6 +193,11 @@
         }
     }
 
+    /// Returns whether it is down after a crash, and changes of that.
+    pub(crate) fn down_state(&self) -> watch::Receiver<bool> {
+        self.down.subscribe()
+    }
+
     /// Cuts all connections and refuses new ones for [`DOWN_TIME`], then runs as a restarted server.
     pub(crate) fn crash(&self) {
         self.down.send_replace(true);
@@ -199,8 +222,20 @@
         let (mode, runs) = (state.mode, std::mem::take(&mut state.runs));
         let arrivals = std::mem::take(&mut state.arrivals);
         let misdirected = std::mem::take(&mut state.misdirected);
-        *state =
-            ServerState { incarnation, mode, runs, arrivals, misdirected, ..Default::default() };
+        let (room, falls) = (state.room, std::mem::take(&mut state.falls));
+        let mut stated = std::mem::take(&mut state.stated);
+        stated.retain(|(name, _)| *name == "server-brittle");
+        *state = ServerState {
+            incarnation,
+            mode,
+            runs,
+            arrivals,
+            misdirected,
+            room,
+            falls,
+            stated,
+            ..Default::default()
+        };
         drop(state);
         self.starts.send_modify(|starts| *starts += 1);
     }
@@ -247,6 +282,47 @@
         self.state.lock().unwrap().refusal_stated = vec![("retry-after", seconds.to_owned())];
     }
 
+    /// Has little room from now on, and states that it is brittle.
+    pub(crate) fn state_brittle(&self, room: BrittleRoom) {
+        let mut state = self.state.lock().unwrap();
+        state.room = Some(room);
+        state.stated.push(("server-brittle", room.breaks_beyond.to_string()));
+    }
+
+    /// Returns when it fell over.
+    pub(crate) fn falls(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().falls.clone()
+    }
+
+    /// Runs a request if there is room, else turns it away. Returns whether it ran.
+    async fn run_in_room(&self, room: BrittleRoom) -> bool {
+        if !self.enter_room(room) {
+            return false;
+        }
+        sleep(room.run_time).await;
+        let mut state = self.state.lock().unwrap();
+        state.running = state.running.saturating_sub(1);
+        true
+    }
+
+    /// Takes a place if one is free. Else counts a request that is turned away, and falls over if those are too many.
+    fn enter_room(&self, room: BrittleRoom) -> bool {
+        let now = Instant::now();
+        let mut state = self.state.lock().unwrap();
+        if state.running < room.places {
+            state.running += 1;
+            return true;
+        }
+        state.turned_away.retain(|at| now - *at < Duration::from_secs(1));
+        state.turned_away.push(now);
+        if state.turned_away.len() > room.breaks_beyond {
+            state.falls.push(now);
+            drop(state);
+            self.crash();
+        }
+        false
+    }
+
     /// Returns when requests of callers reached it after `since`.
     pub(crate) fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
         let state = self.state.lock().unwrap();
@@ -321,7 +397,12 @@
             (state.mode, lines(&state.stated), lines(&state.refusal_stated))
         };
         let echo = format!("coltsfoothook-request-id: {}\r\n{stated}", record.id);
-        if mode == ServerMode::Full {
+        let room = self.state.lock().unwrap().room;
+        let has_room = match room {
+            Some(room) => self.run_in_room(room).await,
+            None => true,
+        };
+        if mode == ServerMode::Full || !has_room {
             let head = format!("{echo}{refusal_stated}coltsfoothook-not-run: 1\r\n");
             return send(stream, 503, &head, "").await;
         }
