Fingerprints are of bytes, and verdicts cost nothing for requests that are not condemned

Bodies that are no text were hashed after their invalid bytes had been replaced, so that two bodies of one length could be taken for one request. Found by reading. The rank among all VMs, a hash of each, was worked out for each request, though only condemned ones need it; so was the number of VMs for each answer of a server that is not brittle.

--- a/decision/src/id.rs
+++ b/decision/src/id.rs
@@ -100,10 +100,20 @@
 /// Owners and groups are selected by it, so its value must never differ between VMs.
 #[must_use]
 pub fn stable_hash(parts: &[&str]) -> u64 {
+    hash_parts(parts.iter().map(|part| part.as_bytes()))
+}
+
+/// Returns the same hash as [`stable_hash`], of parts that need not be text.
+#[must_use]
+pub fn stable_hash_bytes(parts: &[&[u8]]) -> u64 {
+    hash_parts(parts.iter().copied())
+}
+
+fn hash_parts<'a>(parts: impl Iterator<Item = &'a [u8]>) -> u64 {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
     for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part.as_bytes());
+        hasher.update(part);
     }
     hasher.digest()
 }
--- a/decision/tests/suite/crash_rules.rs
+++ b/decision/tests/suite/crash_rules.rs
@@ -1,7 +1,7 @@
 //! Which ends of runs count as crashes, and what they are attributed to.
 
 use coltsfoothook_decision::crash::CrashLedger;
-use coltsfoothook_decision::id::{RequestFingerprint, TimePoint};
+use coltsfoothook_decision::id::{RequestFingerprint, TimePoint, stable_hash, stable_hash_bytes};
 use coltsfoothook_decision::subject::ServerStart;
 
 const NOW: TimePoint = TimePoint(500_000_000);
@@ -96,3 +96,10 @@
     }
     assert_eq!(turns, [(6_000, 0), (11_000, 2)]);
 }
+
+/// Guards against requests that are taken for the same since their bodies are no text.
+#[test]
+fn bodies_of_bytes() {
+    assert_ne!(stable_hash_bytes(&[&[0xff]]), stable_hash_bytes(&[&[0xfe]]));
+    assert_eq!(stable_hash_bytes(&[b"path", b"text"]), stable_hash(&["path", "text"]));
+}
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use coltsfoothook_decision::id::{
-    CustomerName, RequestFingerprint, ServerName, ServiceName, TimePoint, stable_hash,
+    CustomerName, RequestFingerprint, ServerName, ServiceName, TimePoint, stable_hash_bytes,
 };
 use coltsfoothook_decision::routing::ServingRoute;
 use coltsfoothook_platform::RequestHead;
@@ -102,9 +102,9 @@
         body: &[u8],
     ) -> RequestFingerprint {
         let host = headers.get(header::HOST).map_or(&[][..], |host| host.as_bytes());
-        let (host, body) = (String::from_utf8_lossy(host), String::from_utf8_lossy(body));
         let customer = customer.map_or("", |customer| customer.as_str());
-        RequestFingerprint(stable_hash(&[customer, method.as_str(), &host, path, &body]))
+        let (customer, method) = (customer.as_bytes(), method.as_str().as_bytes());
+        RequestFingerprint(stable_hash_bytes(&[customer, method, host, path.as_bytes(), body]))
     }
 }
 
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -67,16 +67,8 @@
     let now = clock::now();
     let mut view = gateway.view();
     let change = view.backends.apply_statement(start, &statement, served, now);
-    let vms = view.vm_count(now);
-    let rest = if refused { view.backends.rest_after_refusal(start, vms, now) } else { None };
-    if let Some(rest) = rest {
-        event!(
-            BrittleServerRests,
-            server = start.server,
-            born = start.incarnation,
-            vms = vms,
-            rest_ms = rest.as_millis(),
-        );
+    if refused {
+        view.rest_after_refusal(start, now);
     }
     if view.statement_changed(start, change, "answer") {
         drop(view);
@@ -131,6 +123,19 @@
         }
     }
 
+    /// Lets a server that bears few refusals rest after one.
+    fn rest_after_refusal(&mut self, start: &ServerStart, now: TimePoint) {
+        let vms = self.vm_count(now);
+        let Some(rest) = self.backends.rest_after_refusal(start, vms, now) else { return };
+        event!(
+            BrittleServerRests,
+            server = start.server,
+            born = start.incarnation,
+            vms = vms,
+            rest_ms = rest.as_millis(),
+        );
+    }
+
     /// Follows a change of what a server stated. Returns whether there was one. `told_by` says
     /// whether an answer or another VM told it.
     fn statement_changed(
--- a/gateway/src/suspects.rs
+++ b/gateway/src/suspects.rs
@@ -142,8 +142,10 @@
     let fingerprint = run.request.fingerprint;
     let now = clock::now();
     let mut view = gateway.view();
+    if !view.crashes.is_condemned(fingerprint) {
+        return false;
+    }
     let rank = view.roster.trial_rank(&gateway.settings.vm, fingerprint, now);
-    let condemned = view.crashes.is_condemned(fingerprint);
     let vms = view.vm_count(now);
     let until = view.crashes.admit(fingerprint, rank, vms, now);
     drop(view);
@@ -151,15 +153,13 @@
         run.retry_after = Some(Duration::from_micros(until.since(now)));
         return true;
     }
-    if condemned {
-        run.on_trial = true;
-        event!(
-            SuspectTried,
-            request_id = run.request.head.id,
-            fingerprint = format_args!("{:016x}", fingerprint.0),
-            rank = rank,
-        );
-    }
+    run.on_trial = true;
+    event!(
+        SuspectTried,
+        request_id = run.request.head.id,
+        fingerprint = format_args!("{:016x}", fingerprint.0),
+        rank = rank,
+    );
     false
 }
 
