The soak plays servers that crash, and requests that crash each server that runs them

Seeds of the new mix (9 modulo 16) have servers that crash and come back under their name, callers that send a request again and again that crashes each server that runs it, and links of all VMs that are silent or reset. The verdict counts attempts that reach servers later than three seconds after the third crash; what all callers repeat beside it must be served after all faults, as in each mix. Proxies refuse connections while their server is down.

Cuts of one VM's links alone are in the suite (cut_links) and not in the soak: its proxies cannot tell VMs apart.

--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -10,11 +10,11 @@
 use futures::StreamExt;
 use http::{HeaderName, HeaderValue, Method};
 use rand::seq::IndexedRandom;
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tokio::time::{sleep, timeout};
 
-use crate::server::MODEL;
+use crate::server::{CRASHING, MODEL};
 use crate::world::SoakWorld;
 
 /// The deadline of each request, in milliseconds.
@@ -182,6 +182,24 @@
     }
 }
 
+/// How many times a request that crashes servers is sent in one series.
+const CRASHING_ATTEMPTS: usize = 12;
+
+/// Sends a request that crashes each server that runs it through random gateways, again and again.
+pub(crate) async fn crash_series(world: &Arc<SoakWorld>, lasts: Duration) {
+    let number = world.next_jump();
+    let client = ExchangeClient::new(ExchangeSettings::default());
+    let mut random = Pcg64::seed_from_u64(number);
+    for attempt in 0..CRASHING_ATTEMPTS {
+        let gateway = world.gateways.choose(&mut random).expect("there are gateways");
+        let (address, id) = (gateway.endpoints.requests, format!("k{number}-{attempt}"));
+        let path = format!("/safe/{number}{CRASHING}");
+        let record = call_path(&client, address, CallKind::Safe, path, &id, "").await;
+        world.verdict.record(record);
+        sleep(random.random_range(Duration::ZERO..lasts / 2)).await;
+    }
+}
+
 /// Queries one gateway after another until one gives addresses. The first is drawn at random.
 async fn query_addresses(world: &SoakWorld, random: &mut Pcg64) -> Option<Vec<SocketAddr>> {
     let client = ExchangeClient::new(ExchangeSettings { connect_ms: 500, ..Default::default() });
@@ -208,9 +226,20 @@
     kind: CallKind,
     id: &str,
     adapter: &str,
+) -> CallRecord {
+    call_path(client, address, kind, format!("/{}/x", kind.route()), id, adapter).await
+}
+
+async fn call_path(
+    client: &ExchangeClient,
+    address: SocketAddr,
+    kind: CallKind,
+    path: String,
+    id: &str,
+    adapter: &str,
 ) -> CallRecord {
     let method = if kind == CallKind::Safe { Method::GET } else { Method::POST };
-    let mut request = ExchangeRequest::new(method, format!("/{}/x", kind.route()));
+    let mut request = ExchangeRequest::new(method, path);
     let mut set = |name: &'static str, value: &str| {
         let value = HeaderValue::from_str(value).expect("it is a header's value");
         request.headers.insert(HeaderName::from_static(name), value);
--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -9,7 +9,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
-use crate::callers::{CallKind, jump};
+use crate::callers::{CallKind, crash_series, jump};
 use crate::proxy::LinkState;
 use crate::server::ServerMode;
 use crate::world::{ServerKind, SoakWorld};
@@ -26,6 +26,12 @@
     StoreUnresponsive,
     /// The link of one gateway to the store is impaired.
     StoreLink(usize, LinkState),
+    /// The links of all gateways to all servers are impaired.
+    AllServerLinks(LinkState),
+    /// A caller sends a request again and again that crashes each server that runs it.
+    CrashSeries,
+    /// A server crashes and comes back under its name.
+    ServerDown(usize),
     /// The link of all gateways to one server is impaired.
     ServerLink(usize, LinkState),
     /// A server fails its requests in some way.
@@ -82,6 +88,9 @@
     Copies,
     /// Gateways that never hear each other, servers that fail, and gateways that restart and pause.
     Apart,
+    /// Servers that crash, by themselves and under requests that crash each server, and links of all VMs that are cut.
+    /// No VM restarts, so that all attempts of such a request are judged.
+    Crashes,
 }
 
 impl FaultMix {
@@ -91,6 +100,7 @@
             7 if seed % 16 == 15 => Self::Jumps,
             3 if seed % 16 == 11 => Self::Copies,
             5 if seed % 16 == 13 => Self::Apart,
+            1 if seed % 16 == 9 => Self::Crashes,
             0 | 4 => Self::Planned,
             1 | 5 => Self::Some,
             2 | 6 => Self::Many,
@@ -103,7 +113,7 @@
     /// streams would wait in vain.
     pub(crate) fn call_kinds(self) -> &'static [CallKind] {
         match self {
-            Self::Apart => &[CallKind::Safe, CallKind::Once],
+            Self::Apart | Self::Crashes => &[CallKind::Safe, CallKind::Once],
             _ => &[CallKind::Safe, CallKind::Once, CallKind::Stream, CallKind::Resumed],
         }
     }
@@ -113,6 +123,7 @@
         match self {
             Self::Planned => 900,
             Self::Some | Self::Store | Self::Statements | Self::Jumps | Self::Copies => 700,
+            Self::Crashes => 800,
             Self::Apart => 500,
             Self::Many => 250,
         }
@@ -187,6 +198,16 @@
             _ => FaultKind::StoreUnresponsive,
         };
     }
+    if mix == FaultMix::Crashes {
+        let cut = *[LinkState::Stalled, LinkState::Reset].choose(random).expect("there are links");
+        return match random.random_range(0..8) {
+            0..3 => FaultKind::CrashSeries,
+            3..5 => FaultKind::ServerDown(server),
+            5 => FaultKind::AllServerLinks(cut),
+            6 => FaultKind::StoreUnresponsive,
+            _ => FaultKind::Configure,
+        };
+    }
     if mix == FaultMix::Apart {
         let modes = [ServerMode::Full, ServerMode::Fails, ServerMode::LosesAnswer];
         let mode = *modes.choose(random).expect("there are modes");
@@ -248,6 +269,13 @@
             sleep(lasts).await;
             proxy.set(LinkState::Good);
         }
+        FaultKind::AllServerLinks(link) => {
+            world.set_all_links(link);
+            sleep(lasts).await;
+            world.set_all_links(LinkState::Good);
+        }
+        FaultKind::CrashSeries => crash_series(world, lasts).await,
+        FaultKind::ServerDown(server) => world.server(server).crash(),
         FaultKind::ServerMode(server, mode) => {
             let server = world.server(server);
             server.set_mode(mode);
--- a/gateway/tests/soak/proxy.rs
+++ b/gateway/tests/soak/proxy.rs
@@ -35,20 +35,46 @@
 impl LinkProxy {
     /// Starts a proxy that forwards connections to `target`.
     pub(crate) async fn start(target: SocketAddr) -> Self {
+        Self::start_while_up(target, watch::Sender::new(false).subscribe()).await
+    }
+
+    /// Starts a proxy that refuses connections while `target` is `down`.
+    pub(crate) async fn start_while_up(
+        target: SocketAddr,
+        mut down: watch::Receiver<bool>,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("it has an address");
         let state = Arc::new(watch::Sender::new(LinkState::Good));
         let proxy = Self { address, state };
         let served = proxy.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let state = served.state.subscribe();
-                tokio::spawn(forward(stream, target, state));
+            let mut listener = listener;
+            loop {
+                let went_down = async {
+                    if down.wait_for(|down| *down).await.is_err() {
+                        std::future::pending::<()>().await;
+                    }
+                };
+                tokio::select! {
+                    () = served.accept(&listener, target) => return,
+                    () = went_down => {}
+                }
+                drop(listener);
+                let _ = down.wait_for(|down| !*down).await;
+                listener = TcpListener::bind(address).await.expect("the port is still free");
             }
         });
         proxy
     }
 
+    async fn accept(&self, listener: &TcpListener, target: SocketAddr) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let state = self.state.subscribe();
+            tokio::spawn(forward(stream, target, state));
+        }
+    }
+
     pub(crate) fn set(&self, state: LinkState) {
         self.state.send_replace(state);
     }
--- a/gateway/tests/soak/verdict.rs
+++ b/gateway/tests/soak/verdict.rs
@@ -5,7 +5,7 @@
 
 use crate::callers::{CallEnd, CallKind, CallRecord};
 use crate::repeats::most_repeats;
-use crate::server::{EVENTS, RequestArrival, RunRecord};
+use crate::server::{CRASHING, EVENTS, RequestArrival, RunRecord};
 use crate::world::{LIMIT_PER_S, REST, ServerKind, SoakStatement, SoakWorld, StatementKind};
 
 /// How long a draining server may receive new requests. Operators allow two seconds; the store's answer and the
@@ -20,6 +20,9 @@
 /// afterwards.
 const REST_NOTICE: Duration = Duration::from_millis(1_500);
 const ALLOWED_IN_REST: usize = 2;
+/// The time after the third crash of a request, and the most attempts of it that may reach servers afterwards.
+const CRASH_NOTICE: Duration = Duration::from_secs(3);
+const ALLOWED_AFTER_CRASHES: usize = 3;
 /// The percentage of requests that must be served once all faults are over.
 const RECOVERED_PERCENT: usize = 90;
 
@@ -121,6 +124,7 @@
         for kind in [ServerKind::Engine, ServerKind::Plain, ServerKind::Elsewhere] {
             self.judge_repeats(kind, &calls, &world.arrivals_at(kind));
         }
+        self.judge_crashes(&runs);
         for violation in world.server_violations() {
             self.find(violation);
         }
@@ -140,6 +144,23 @@
         }
     }
 
+    /// Checks that a request that crashes servers is stopped. Only seeds whose gateways neither restart nor pause have
+    /// such requests.
+    fn judge_crashes(&self, runs: &[(String, RunRecord)]) {
+        let mut crashes: Vec<&RunRecord> =
+            runs.iter().map(|(_, run)| run).filter(|run| run.path().ends_with(CRASHING)).collect();
+        crashes.sort_by(|a, b| (a.path(), a.at).cmp(&(b.path(), b.at)));
+        for same in crashes.chunk_by(|a, b| a.path() == b.path()) {
+            let Some(third) = same.get(2).and_then(|run| run.at) else { continue };
+            let late = same.iter().filter(|run| run.at > Some(third + CRASH_NOTICE));
+            let mut attempts: Vec<&str> = late.map(|run| run.id.as_str()).collect();
+            attempts.dedup();
+            if attempts.len() > ALLOWED_AFTER_CRASHES {
+                self.find(format!("{} reached servers in {attempts:?} later", same[0].path()));
+            }
+        }
+    }
+
     /// Checks what a server got after it stated something about itself. Only seeds whose gateways neither restart nor
     /// pause have such statements.
     fn judge_statement(&self, stated: &SoakStatement, gateways: usize) {
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -15,7 +15,7 @@
 use crate::configuration::configuration;
 use crate::faults::{FaultMix, SLOTS, inject_faults};
 use crate::fleet::{GatewayChild, GatewayEndpoints};
-use crate::proxy::LinkProxy;
+use crate::proxy::{LinkProxy, LinkState};
 use crate::server::{RequestArrival, RunRecord, ServerMode, StandinServer};
 use crate::store::StandinStore;
 use crate::verdict::SoakVerdict;
@@ -244,7 +244,7 @@
         let number = self.all_servers.lock().unwrap().len();
         let server = StandinServer::start(&format!("{}-{number}", kind.name_prefix())).await;
         server.set_mode(ServerMode::Paced);
-        let link = LinkProxy::start(server.address).await;
+        let link = LinkProxy::start_while_up(server.address, server.down_state()).await;
         self.all_servers.lock().unwrap().push((server.clone(), None));
         self.services.lock().unwrap().push((server.name.clone(), kind));
         ServerSlot { kind, server, link }
@@ -487,6 +487,13 @@
         }
     }
 
+    /// Impairs the links of all gateways to all servers.
+    pub(crate) fn set_all_links(&self, state: LinkState) {
+        for slot in self.slots.lock().unwrap().iter() {
+            slot.link.set(state);
+        }
+    }
+
     /// Returns all requests that servers ran, each with the server's name.
     pub(crate) fn runs(&self) -> Vec<(String, RunRecord)> {
         let all_servers = self.all_servers.lock().unwrap();
