--- a/decision/src/crash.rs
+++ b/decision/src/crash.rs
@@ -88,7 +88,7 @@
     at: TimePoint,
     suspects: Vec<RequestFingerprint>,
     refuted: bool,
-    news: NewsState,
+    report_state: ReportState,
 }
 
 /// A completed suspect as this VM knows it.
@@ -96,19 +96,19 @@
 struct KnownCompletion {
     fingerprint: RequestFingerprint,
     at: TimePoint,
-    news: NewsState,
+    report_state: ReportState,
 }
 
 /// When a record was reported, and whose it is.
 #[derive(Clone, Copy, Debug, Default)]
-struct NewsState {
+struct ReportState {
     /// Whether this VM saw it.
     own: bool,
     /// When this VM reported it last; `None` if it changed since.
     reported_at: Option<TimePoint>,
 }
 
-impl NewsState {
+impl ReportState {
     /// Returns whether it is reported now: often while it is new, by the VM that saw it or by one that
     /// reports `all`, and now and then by each VM if it is `kept`.
     fn is_due(self, at: TimePoint, kept: bool, all: bool, now: TimePoint) -> bool {
@@ -237,7 +237,7 @@
             return CrashChange::default();
         }
         crash.refuted = true;
-        crash.news = NewsState { own: true, reported_at: None };
+        crash.report_state = ReportState { own: true, reported_at: None };
         self.changed(true, now)
     }
 
@@ -325,11 +325,11 @@
         let mut report = CrashReport::default();
         for crash in &mut self.crashes {
             let kept = !crash.refuted && crash.suspects.iter().any(matters);
-            let due = crash.news.is_due(crash.at, kept, all, now);
+            let due = crash.report_state.is_due(crash.at, kept, all, now);
             if !due || report.crashes.len() >= MAX_REPORTED {
                 continue;
             }
-            crash.news.reported_at = Some(now);
+            crash.report_state.reported_at = Some(now);
             let is_new = now.since(crash.at) < NEW_US;
             let suspects = crash.suspects.iter().filter(|suspect| is_new || matters(suspect));
             report.crashes.push(ReportedCrash {
@@ -340,11 +340,11 @@
             });
         }
         for completion in &mut self.completions {
-            let due = completion.news.is_due(completion.at, false, all, now);
+            let due = completion.report_state.is_due(completion.at, false, all, now);
             if !due || report.completions.len() >= MAX_REPORTED {
                 continue;
             }
-            completion.news.reported_at = Some(now);
+            completion.report_state.reported_at = Some(now);
             let age_ms = now.since(completion.at) / MICROS_PER_MILLI;
             let fingerprint = completion.fingerprint;
             report.completions.push(ReportedCompletion { fingerprint, age_ms });
@@ -355,8 +355,8 @@
     /// Lets everything that is kept be reported again, for a VM that knows none of it.
     pub fn report_again(&mut self) {
         for crash in &mut self.crashes {
-            crash.news.reported_at = None;
-            crash.news.own = true;
+            crash.report_state.reported_at = None;
+            crash.report_state.own = true;
         }
     }
 
@@ -390,13 +390,13 @@
             Ok(position) => position,
             Err(position) => {
                 let reported_at = if own { None } else { Some(now) };
-                let news = NewsState { own, reported_at };
+                let report_state = ReportState { own, reported_at };
                 let crash = KnownCrash {
                     start: start.clone(),
                     at,
                     suspects: Vec::new(),
                     refuted: false,
-                    news,
+                    report_state,
                 };
                 self.crashes.insert(position, crash);
                 position
@@ -415,8 +415,8 @@
         }
         let changed = before != (crash.suspects.len(), crash.refuted);
         if changed {
-            crash.news.own |= own || (seen_alive && !refuted);
-            crash.news.reported_at = None;
+            crash.report_state.own |= own || (seen_alive && !refuted);
+            crash.report_state.reported_at = None;
             self.clear_recent(position, now);
         }
         changed
@@ -439,7 +439,7 @@
         at: TimePoint,
         own: bool,
     ) -> bool {
-        let news = NewsState { own, reported_at: None };
+        let report_state = ReportState { own, reported_at: None };
         let found = self.completions.binary_search_by_key(&fingerprint, |known| known.fingerprint);
         match found {
             Ok(position) => {
@@ -448,10 +448,11 @@
                 if at <= known.at.plus(REFUTATION_MARGIN_US) {
                     return false;
                 }
-                *known = KnownCompletion { fingerprint, at, news };
+                *known = KnownCompletion { fingerprint, at, report_state };
             }
             Err(position) => {
-                self.completions.insert(position, KnownCompletion { fingerprint, at, news });
+                self.completions
+                    .insert(position, KnownCompletion { fingerprint, at, report_state });
             }
         }
         true
