--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyStream;
 use hyper::body::Incoming;
 use tokio::time::{Instant, Sleep};
@@ -17,6 +17,44 @@
 use crate::error::{ExchangeError, ExchangeStage};
 use crate::pool::{ConnectionPool, OpenConnection};
 
+/// How a response states where its body ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By its length, in advance. A response that cannot have a body counts here.
+    #[default]
+    Length,
+    /// By an empty last chunk.
+    Chunks,
+    /// Not at all: the body ends with its connection. A sender that ended early closes it alike, so that
+    /// only the content can show whether the body is complete.
+    Connection,
+}
+
+impl BodyFraming {
+    /// Returns the framing of a response with this status and these headers.
+    pub(crate) fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        let bodiless = status.is_informational()
+            || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if bodiless || headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Returns the name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// A response head with its body, which is still to be read.
 #[derive(Debug)]
 pub struct ExchangeResponse {
@@ -26,6 +64,8 @@
     pub headers: HeaderMap,
     /// Whether it came on a connection that was opened for the request.
     pub fresh: bool,
+    /// How it states where its body ends.
+    pub framing: BodyFraming,
     /// The body, to be read to its end for the connection to be reused.
     pub body: ResponseBody,
 }
--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::answer::{ExchangeResponse, ResponseBody};
+use crate::answer::{BodyFraming, ExchangeResponse, ResponseBody};
 use crate::counted::{CountedStream, WrittenCount};
 use crate::dialer::{ServerDialer, TcpDialer};
 use crate::error::{ExchangeError, ExchangeStage};
@@ -280,7 +280,8 @@
         let fresh = !connection.reused;
         connection.idle_timeout = advertised_idle_timeout(&parts.headers);
         let body = ResponseBody::new(body, chunk_timeout, address, connection, self.pool.clone());
-        ExchangeResponse { status: parts.status, headers: parts.headers, fresh, body }
+        let framing = BodyFraming::of(parts.status, &parts.headers);
+        ExchangeResponse { status: parts.status, headers: parts.headers, fresh, framing, body }
     }
 }
 
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -26,7 +26,7 @@
 mod error;
 mod pool;
 
-pub use answer::{ExchangeResponse, ResponseBody};
+pub use answer::{BodyFraming, ExchangeResponse, ResponseBody};
 pub use client::{ExchangeClient, ExchangeRequest, ExchangeSettings, path_segment};
 pub use dialer::{DialFuture, ServerDialer, TcpDialer};
 pub use error::{ExchangeError, ExchangeStage};
--- a/gateway/src/event_scan.rs
+++ b/gateway/src/event_scan.rs
@@ -35,6 +35,11 @@
         !self.partial.is_empty()
     }
 
+    /// Returns how many bytes of an incomplete event are buffered.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Drops the incomplete event after its server failed.
     pub(crate) fn drop_partial(&mut self) {
         self.partial.clear();
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     permits: IntCounterVec,
     crash_checks: IntCounterVec,
     handed_over: IntCounterVec,
+    broken_streams: IntCounterVec,
     ages: GaugeVec,
     peer_bytes: IntGaugeVec,
     gauges: IntGaugeVec,
@@ -168,6 +169,11 @@
                 "Requests that were handed over to another VM, by result.",
                 &["result"],
             ),
+            broken_streams: counter(
+                "coltsfoothook_gateway_broken_streams_total",
+                "Streams that servers broke off, by how their answer states where it ends.",
+                &["framing"],
+            ),
             closed: counter(
                 "coltsfoothook_gateway_closed_total",
                 "Requests for which a server of their service was closed, by the reason of the one \
@@ -205,6 +211,11 @@
         self.handed_over.with_label_values(&[result]).inc();
     }
 
+    /// Counts a stream that a server broke off.
+    pub(crate) fn broken_stream(&self, framing: &str) {
+        self.broken_streams.with_label_values(&[framing]).inc();
+    }
+
     /// Counts a request that ended.
     pub(crate) fn request(&self, route: &str, outcome: &str, timing: &RequestTiming) {
         let route = self.route_names.label(route);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -108,6 +108,7 @@
                 }
             };
             self.record_answer(false, None);
+            self.log_broken(&cause);
             if !self.resume(&cause).await {
                 self.run.end("failed", cause);
                 return Err(BrokenAnswer);
@@ -175,6 +176,19 @@
         }
     }
 
+    fn log_broken(&self, cause: &str) {
+        let framing = self.run.framing.as_str();
+        self.run.gateway.metrics.broken_stream(framing);
+        event!(
+            StreamBroken,
+            request_id = self.run.request.head.id,
+            server = self.server,
+            framing = framing,
+            partial = self.scan.as_ref().map_or(0, EventScan::partial_len),
+            cause = cause,
+        );
+    }
+
     /// Resumes the stream at another server after the last event that was forwarded. Returns false if it cannot be
     /// resumed.
     async fn resume(&mut self, cause: &str) -> bool {
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -9,6 +9,7 @@
     CustomerName, RequestFingerprint, ServerName, ServiceName, TimePoint, stable_hash_bytes,
 };
 use coltsfoothook_decision::routing::ServingRoute;
+use coltsfoothook_exchange::BodyFraming;
 use coltsfoothook_platform::RequestHead;
 use coltsfoothook_telemetry::event;
 use http::{HeaderMap, Method, header};
@@ -61,6 +62,8 @@
     pub(crate) held: Duration,
     /// The longest pause between two forwarded events.
     pub(crate) pause: Duration,
+    /// How the last answer of a server states where it ends.
+    pub(crate) framing: BodyFraming,
     /// The status of the answer to the caller; 0 before there is one.
     pub(crate) status: u16,
     /// Added to the usual `Retry-After`, if it is known from when on a retry can succeed.
@@ -150,6 +153,7 @@
             stall: Duration::ZERO,
             held: Duration::ZERO,
             pause: Duration::ZERO,
+            framing: BodyFraming::default(),
             status: 0,
             retry_after: None,
             count: None,
@@ -295,6 +299,8 @@
         let stall_ms = (!self.stall.is_zero()).then_some(self.stall.as_millis());
         let held_ms = (!self.held.is_zero()).then_some(self.held.as_millis());
         let pause_ms = (!self.pause.is_zero()).then_some(self.pause.as_millis());
+        let framing = Some(self.framing).filter(|framing| *framing == BodyFraming::Connection);
+        let framing = framing.map(BodyFraming::as_str);
         let reason = (!self.reason.is_empty()).then_some(self.reason.as_str());
         event!(
             RequestDone,
@@ -309,6 +315,7 @@
             adapter? = adapter,
             fingerprint = format_args!("{:016x}", self.request.fingerprint.0),
             sends = self.sends,
+            framing? = framing,
             handed_over? = self.handed_over.then_some(true),
             stall_ms? = stall_ms,
             held_ms? = held_ms,
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -30,6 +30,7 @@
     metrics.closed("REASON");
     metrics.crash_check(true);
     metrics.handed_over("RESULT");
+    metrics.broken_stream("FRAMING");
     metrics.answer_age("CALL", Duration::ZERO);
     metrics.set("WHAT", 1);
     let mut rows = Vec::new();
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -89,6 +89,7 @@
     RequestDone, "request_done", Info, "A request ended; `outcome` and `reason` state the result, `gone` that the caller disconnected before the end.";
     RequestHeld, "request_held", Info, "A request waits for a server with capacity for its prompt.";
     RequestRetried, "request_retried", Warn, "An attempt failed and the request is retried.";
+    StreamBroken, "stream_broken", Warn, "A server broke off a stream; `framing` tells how the answer states where it ends, `partial` how many bytes of an incomplete event had come.";
     StreamResumed, "stream_resumed", Warn, "A broken stream is resumed at its engine or at another one.";
     RequestCondemned, "request_condemned", Error, "Backend servers crashed under a request, and it is refused from now on.";
     LinksLost, "links_lost", Error, "This VM reaches none of the backend servers that it tried; its requests go through other VMs.";
