Failing tests: streams that end inside an event, with their connections

Callers saw a stream whose server had crashed as a complete answer. The stand-in server can now end its answers with their connections, close a stream after its head or within its first event, and state the end of a body inside an event.

--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -25,6 +25,7 @@
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod store;
 mod store_copies;
+mod unframed_answers;
 mod unreported_changes;
 mod vm_leaves;
 mod wire_names;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -22,6 +22,12 @@
     Fails,
     /// It closes a stream in the middle of its second event.
     CutsStream,
+    /// It closes a stream in the middle of the first event that it sends.
+    CutsFirst,
+    /// It closes a stream after its head.
+    CutsHead,
+    /// It states the end of a stream's body in the middle of its second event.
+    EndsInEvent,
     /// It sends an answer with another request's id before its own.
     AnswersTwice,
     /// It answers 503 with the statement that it did not run the request.
@@ -40,6 +46,8 @@
 #[derive(Default)]
 struct ServerState {
     mode: ServerMode,
+    /// Whether its answers have neither a length nor chunks and end with their connections.
+    unframed: bool,
     adapters: Vec<String>,
     orders: Vec<Value>,
     /// Requests that ran, in order.
@@ -223,11 +231,13 @@
         let arrivals = std::mem::take(&mut state.arrivals);
         let misdirected = std::mem::take(&mut state.misdirected);
         let (room, falls) = (state.room, std::mem::take(&mut state.falls));
+        let unframed = state.unframed;
         let mut stated = std::mem::take(&mut state.stated);
         stated.retain(|(name, _)| *name == "server-brittle");
         *state = ServerState {
             incarnation,
             mode,
+            unframed,
             runs,
             arrivals,
             misdirected,
@@ -265,6 +275,11 @@
         self.state.lock().unwrap().mode = mode;
     }
 
+    /// Ends the successful answers from now on with their connections, or frames them again.
+    pub(crate) fn set_unframed(&self, unframed: bool) {
+        self.state.lock().unwrap().unframed = unframed;
+    }
+
     /// States a limit in all answers from now on, or none.
     pub(crate) fn state_limit(&self, limit: Option<&str>) {
         let mut state = self.state.lock().unwrap();
@@ -415,6 +430,9 @@
         self.state.lock().unwrap().runs.push(record.clone());
         let sealed = format!("{echo}coltsfoothook-server-seal: seal-{}\r\n", self.name);
         if record.path().ends_with(CRASHING) {
+            if record.header("coltsfoothook-model").is_some() {
+                self.stream(stream, &record, &sealed, ServerMode::CutsFirst).await;
+            }
             sleep(CRASH_DELAY).await;
             self.crash();
             return false;
@@ -430,7 +448,13 @@
             _ => {}
         }
         if record.header("coltsfoothook-model").is_none() {
-            return send(stream, 200, &sealed, &format!("ran {}", record.id)).await;
+            let body = format!("ran {}", record.id);
+            if self.state.lock().unwrap().unframed {
+                let text = format!("HTTP/1.1 200 X\r\n{sealed}\r\n{body}");
+                let _ = stream.write_all(text.as_bytes()).await;
+                return false;
+            }
+            return send(stream, 200, &sealed, &body).await;
         }
         self.stream(stream, &record, &sealed, mode).await
     }
@@ -442,23 +466,33 @@
         sealed: &str,
         mode: ServerMode,
     ) -> bool {
-        let head = format!(
-            "HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n\
-             transfer-encoding: chunked\r\n\r\n"
-        );
+        let unframed = self.state.lock().unwrap().unframed;
+        let framing = if unframed { "" } else { "transfer-encoding: chunked\r\n" };
+        let head =
+            format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n{framing}\r\n");
         let last = record.header("last-event-id").map_or(0, |id| id.parse::<usize>().unwrap());
-        if stream.write_all(head.as_bytes()).await.is_err() {
+        if stream.write_all(head.as_bytes()).await.is_err() || mode == ServerMode::CutsHead {
             return false;
         }
         for number in last + 1..=EVENTS {
             let event = format!("id: {number}\ndata: {} {number}\n\n", record.id);
-            let cut = mode == ServerMode::CutsStream && number == 2;
+            let cut = match mode {
+                ServerMode::CutsStream | ServerMode::EndsInEvent => number == 2,
+                ServerMode::CutsFirst => number == last + 1,
+                _ => false,
+            };
             let event = if cut { &event[..event.len() / 2] } else { &event };
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let chunk = match unframed {
+                true => event.to_owned(),
+                false => format!("{:x}\r\n{event}\r\n", event.len()),
+            };
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 self.state.lock().unwrap().disconnects += 1;
                 return false;
             }
+            if cut && mode == ServerMode::EndsInEvent {
+                break;
+            }
             if cut {
                 return false;
             }
@@ -470,7 +504,7 @@
             };
             sleep(Duration::from_millis(pause)).await;
         }
-        stream.write_all(b"0\r\n\r\n").await.is_ok()
+        !unframed && stream.write_all(b"0\r\n\r\n").await.is_ok()
     }
 
     fn report(&self) -> Value {
--- /dev/null
+++ b/gateway/tests/suite/unframed_answers.rs
@@ -0,0 +1,163 @@
+//! Answers with neither a length nor chunks, which end with their connections.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::cuttable::{CuttableLinks, LinkState};
+use crate::press::three_gateways;
+use crate::server::{CRASHING, EVENTS, MODEL, ServerMode, StandinServer};
+use crate::site::{CallerAnswer, RunningGateway, Site, eventually};
+
+/// The routes of streams that may run once and that may be resumed.
+const ROUTES: [&str; 2] = ["stream", "resumed"];
+/// The most attempts at a request that crashes servers that may reach one after the third crash.
+const ALLOWED: usize = 3;
+
+/// A site whose servers end their answers with the connections, and a gateway of it.
+struct UnframedSite {
+    site: Site,
+    gateway: RunningGateway,
+}
+
+impl UnframedSite {
+    async fn start(engines: usize, plain: usize) -> Self {
+        let site = Site::start(engines, plain).await;
+        let gateway = site.gateway("vm-1", &[]).await;
+        gateway.wait_ready().await;
+        if engines > 0 {
+            assert_eq!(gateway.request("stream", "loaded", "a1").await.status, 200);
+        }
+        for server in site.engines.iter().chain(&site.plain) {
+            server.set_unframed(true);
+        }
+        Self { site, gateway }
+    }
+
+    /// Returns the engine that holds the adapter, and the other one.
+    fn holder_and_other(&self) -> (&StandinServer, &StandinServer) {
+        let (first, second) = (&self.site.engines[0], &self.site.engines[1]);
+        if first.runs().is_empty() { (second, first) } else { (first, second) }
+    }
+}
+
+/// Asserts that an answer is whole and has each event once.
+fn assert_whole(answer: &CallerAnswer, id: &str) {
+    assert!(answer.status == 200 && answer.whole, "{answer:?}");
+    let events = (1..=EVENTS).map(|number| format!("id: {number}\ndata: {id} {number}\n\n"));
+    assert_eq!(answer.body, events.collect::<String>());
+}
+
+/// Guards against whole answers that are taken for broken ones, since only their connections end them.
+#[tokio::test]
+async fn whole_ones() {
+    let unframed = UnframedSite::start(1, 1).await;
+    for route in ROUTES {
+        let answer = unframed.gateway.request(route, route, "a1").await;
+        assert_whole(&answer, route);
+    }
+    for path in ["/safe/x", "/once/x"] {
+        let answer = unframed.gateway.call(path, "plain", &[]).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "ran plain"));
+    }
+}
+
+/// Guards against a stream that ends inside an event and reaches its caller as a complete one.
+#[tokio::test]
+async fn cut_in_event() {
+    let unframed = UnframedSite::start(1, 0).await;
+    unframed.site.engines[0].set_mode(ServerMode::CutsStream);
+    for route in ROUTES {
+        let answer = unframed.gateway.request(route, route, "a1").await;
+        assert!(!answer.whole, "{route}: {answer:?}");
+    }
+}
+
+/// The same before the first event is complete, where the caller has received nothing of it.
+#[tokio::test]
+async fn cut_in_first_event() {
+    let unframed = UnframedSite::start(1, 0).await;
+    for mode in [ServerMode::CutsFirst, ServerMode::CutsHead] {
+        unframed.site.engines[0].set_mode(mode);
+        for route in ROUTES {
+            let answer = unframed.gateway.request(route, route, "a1").await;
+            assert!(answer.status != 200 || !answer.whole, "{mode:?} {route}: {answer:?}");
+        }
+    }
+}
+
+/// Guards against a framed stream that states its end behind a part of an event.
+#[tokio::test]
+async fn cut_in_event_framed() {
+    let unframed = UnframedSite::start(1, 0).await;
+    unframed.site.engines[0].set_unframed(false);
+    unframed.site.engines[0].set_mode(ServerMode::EndsInEvent);
+    for route in ROUTES {
+        let answer = unframed.gateway.request(route, route, "a1").await;
+        assert!(!answer.whole, "{route}: {answer:?}");
+    }
+}
+
+/// Guards against a resumed stream whose second run ends with its connection, whole or inside an event.
+#[tokio::test]
+async fn second_run() {
+    let unframed = UnframedSite::start(2, 0).await;
+    let (first, second) = unframed.holder_and_other();
+    first.set_mode(ServerMode::CutsStream);
+    assert_whole(&unframed.gateway.request("resumed", "whole", "a1").await, "whole");
+    for mode in [ServerMode::CutsFirst, ServerMode::CutsHead] {
+        second.set_mode(mode);
+        let id = format!("cut-{mode:?}");
+        let answer = unframed.gateway.request("resumed", &id, "a1").await;
+        assert!(!answer.whole, "{mode:?}: {answer:?}");
+    }
+}
+
+/// Guards against a stream that ends inside an event at another VM, which sends it for a VM without links.
+#[tokio::test(flavor = "multi_thread")]
+async fn through_other_vm() {
+    let site = Site::start(1, 0).await;
+    let links = CuttableLinks::default();
+    let cut = site.start_cuttable("vm-1", &[], &links).await;
+    let other = site.gateway("vm-2", &[&cut]).await;
+    for gateway in [&cut, &other] {
+        let knows_all = async || gateway.addresses().await.len() == 2;
+        eventually("the gateways know each other", knows_all).await;
+    }
+    assert_eq!(other.request("stream", "loaded", "a1").await.status, 200);
+    links.set(LinkState::Silent);
+    let served = async || cut.request("stream", "first", "a1").await.status == 200;
+    eventually("the cut VM serves streams", served).await;
+    site.engines[0].set_unframed(true);
+    for route in ROUTES {
+        assert_whole(&cut.request(route, route, "a1").await, route);
+    }
+    site.engines[0].set_mode(ServerMode::CutsStream);
+    for route in ROUTES {
+        let answer = cut.request(route, &format!("{route}-cut"), "a1").await;
+        assert!(!answer.whole, "{route}: {answer:?}");
+    }
+}
+
+/// Guards against a request that goes on crashing servers, since its broken streams look complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_is_noticed() {
+    let mut site = Site::start(4, 0).await;
+    let gateways = three_gateways(&site).await;
+    for server in &site.engines {
+        server.set_unframed(true);
+    }
+    let path = format!("/stream{CRASHING}");
+    let model = format!("{MODEL}/a1");
+    let headers = [("coltsfoothook-model", &*model), ("coltsfoothook-token-count", "100,8")];
+    for number in 0..32 {
+        let gateway = &gateways[number % gateways.len()];
+        let answer = gateway.call(&path, &format!("again-{number}"), &headers).await;
+        assert!(answer.status != 200 || !answer.whole, "{answer:?}");
+        sleep(Duration::from_millis(250)).await;
+        site.register("ready");
+    }
+    let runs = site.engines.iter().flat_map(|server| server.runs());
+    let crashes = runs.filter(|run| run.path().ends_with(CRASHING)).count();
+    assert!(crashes <= 3 + ALLOWED, "{crashes} servers crashed");
+}
