Streams that end inside an event are broken off, on each route and in any run

What callers saw: a stream whose server had crashed arrived as a complete answer, short and with the server's seal.

Cause: an answer may have neither a length nor chunks and end with its connection; the HTTP library then takes the end of the connection for the end of the body. On routes that may not be resumed bytes were passed on unseen, so that nothing could tell that the last event was cut; on resumable ones only what came before the first event was missed. The class: what the framing says was taken for what the content says.

Ruled out: a rest that is lost on the way of resuming (cut_in_event fails with one server), and an error that does not reach the caller (broken_answers::cut_stream).

Change: events of every stream are looked at, and only whole ones are forwarded. An end inside an event breaks the stream off, whatever the framing; so does an answer that ends with its connection before any event, in the first run or a later one. Such an end is a broken run for the suspects. An event of more than 1 MiB breaks it off too, since events are buffered now. An answer on such a route that is of another type is passed on as before.

Why it holds: a server that crashes inside an event has not sent the empty line that ends it, so no framing can hide the cut. A crash exactly between two events of an answer without framing cannot be seen by anybody.

--- a/gateway/src/event_scan.rs
+++ b/gateway/src/event_scan.rs
@@ -2,15 +2,21 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of one event, in bytes. A server that sends a longer one breaks its stream off: the event is buffered
+/// until it is complete.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Buffers a stream until events are complete and records the id of the last complete one.
 ///
-/// A resumed stream continues after the last complete event. If part of the next event had been forwarded
-/// already, the caller would receive its beginning twice, once from each server.
+/// Only complete events are forwarded. If part of the next event had been forwarded already, the caller would receive
+/// its beginning twice once another server resumes the stream, and could take a stream that was cut inside an event
+/// for one that ended.
 #[derive(Debug, Default)]
 pub(crate) struct EventScan {
     /// Bytes after the last complete event.
     partial: BytesMut,
     last_id: Option<String>,
+    has_events: bool,
 }
 
 impl EventScan {
@@ -19,6 +25,7 @@
         self.partial.extend_from_slice(&bytes);
         let Some(end) = last_end(&self.partial) else { return Bytes::new() };
         let complete = self.partial.split_to(end).freeze();
+        self.has_events = true;
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
@@ -30,19 +37,32 @@
         self.last_id.as_deref()
     }
 
-    /// Returns whether an incomplete event is buffered.
-    pub(crate) fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
-    }
-
     /// Returns how many bytes of an incomplete event are buffered.
     pub(crate) fn partial_len(&self) -> usize {
         self.partial.len()
     }
 
-    /// Drops the incomplete event after its server failed.
-    pub(crate) fn drop_partial(&mut self) {
+    /// Returns whether an event is longer than any server's.
+    pub(crate) fn is_overlong(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
+    /// Begins with the answer of another server, and drops the incomplete event of the one that failed.
+    pub(crate) fn start_run(&mut self) {
         self.partial.clear();
+        self.has_events = false;
+    }
+
+    /// Returns why the present server's stream, which has ended, was broken off, if it was.
+    ///
+    /// An answer that states its end by closing the connection ends alike when its server crashes. One that has not
+    /// even one event then cannot be told from a server that crashed before its first.
+    pub(crate) fn break_cause(&self, ends_with_connection: bool) -> Option<&'static str> {
+        if !self.partial.is_empty() {
+            return Some("the stream ended within an event");
+        }
+        (ends_with_connection && !self.has_events)
+            .then_some("the stream ended with its connection before an event")
     }
 }
 
--- a/gateway/src/hand_over.rs
+++ b/gateway/src/hand_over.rs
@@ -17,7 +17,7 @@
 use crate::answer::{AnswerStream, own_answer};
 use crate::clock;
 use crate::find::MIN_TIME_LEFT;
-use crate::outcome::{AfterAnswer, give_up, handle_answer};
+use crate::outcome::{AfterAnswer, failed_answer, give_up, handle_answer};
 use crate::run::RequestRun;
 use crate::send::ANSWER_SLACK;
 
@@ -167,9 +167,6 @@
 }
 
 fn failed(mut run: RequestRun, cause: String) -> Response<AnswerStream> {
-    let late = run.left() < MIN_TIME_LEFT;
-    let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-    run.status = status.as_u16();
     run.end("failed", cause);
-    own_answer(status, &run.request.head.id, None)
+    failed_answer(&mut run)
 }
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -60,7 +60,7 @@
     let may_retry = failed && status != StatusCode::GATEWAY_TIMEOUT && run.may_run_elsewhere();
     let stream = run.request.route.repeat.is_stream() && status.is_success();
     if stream {
-        return AfterAnswer::finished(StreamRelay::answer(run, server, answer));
+        return AfterAnswer::finished(StreamRelay::answer(run, server, answer).await);
     }
     let (headers, latency) = (answer.headers.clone(), run.elapsed());
     let body = timeout(run.left() + ANSWER_SLACK, answer.body.collect(MAX_BUFFERED_BYTES)).await;
@@ -188,14 +188,16 @@
     if run.may_run_elsewhere() {
         return NextStep::Retry(Duration::ZERO);
     }
-    let status = if run.left() < MIN_TIME_LEFT {
-        StatusCode::GATEWAY_TIMEOUT
-    } else {
-        StatusCode::BAD_GATEWAY
-    };
-    run.status = status.as_u16();
     run.end("failed", cause);
-    NextStep::Finished(Box::new(own_answer(status, &run.request.head.id, None)))
+    NextStep::Finished(Box::new(failed_answer(run)))
+}
+
+/// Returns the answer to a request that may have run, and that no server has answered completely.
+pub(crate) fn failed_answer(run: &mut RequestRun) -> Response<AnswerStream> {
+    let late = run.left() < MIN_TIME_LEFT;
+    let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+    run.status = status.as_u16();
+    own_answer(status, &run.request.head.id, None)
 }
 
 /// Returns the final answer of a request that is sent to no further server.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use coltsfoothook_decision::id::ServerName;
 use coltsfoothook_decision::routing::RetryRule;
-use coltsfoothook_exchange::{ExchangeError, ExchangeResponse, ResponseBody};
+use coltsfoothook_exchange::{BodyFraming, ExchangeError, ExchangeResponse, ResponseBody};
 use coltsfoothook_platform::end_to_end_headers;
 use coltsfoothook_telemetry::event;
 use futures::StreamExt;
@@ -16,6 +16,7 @@
 use crate::answer::{AnswerStream, BrokenAnswer, streamed_answer};
 use crate::event_scan::EventScan;
 use crate::find::find_server;
+use crate::outcome::failed_answer;
 use crate::run::RequestRun;
 use crate::send::{SendEnd, send};
 use crate::suspects;
@@ -25,6 +26,8 @@
 /// A stream with less time left than this is not resumed.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(150);
 
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Returns the headers of a stream's answer for the caller. The length may change when the stream is resumed.
 fn stream_headers(from: &HeaderMap) -> HeaderMap {
     let mut headers = end_to_end_headers(from);
@@ -32,13 +35,19 @@
     headers
 }
 
+/// Returns whether an answer on a route for streams is one of events. One without a type counts as such.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let stated = headers.get(header::CONTENT_TYPE).map(|value| value.as_bytes());
+    stated.is_none_or(|stated| stated.to_ascii_lowercase().starts_with(EVENT_STREAM))
+}
+
 /// A stream that is being forwarded.
 pub(crate) struct StreamRelay {
     run: RequestRun,
     server: ServerName,
     /// `None` while no server runs the stream.
     body: Option<ResponseBody>,
-    /// `None` if the route does not allow to resume the stream at another server.
+    /// `None` if the answer is not a stream of events.
     scan: Option<EventScan>,
     due: std::pin::Pin<Box<Sleep>>,
     last_piece: Instant,
@@ -54,24 +63,25 @@
 }
 
 impl StreamRelay {
-    /// Returns the answer to the caller, whose body forwards the stream.
-    pub(crate) fn answer(
+    /// Returns the answer to the caller, whose body forwards the stream, once the first event has come. A stream that
+    /// breaks before is answered with a failure, as its caller could not tell an answer without events from a whole one.
+    pub(crate) async fn answer(
         run: RequestRun,
         server: ServerName,
         answer: ExchangeResponse,
     ) -> Response<AnswerStream> {
         let (status, headers) = (answer.status, stream_headers(&answer.headers));
-        let resumable = run.request.route.repeat == RetryRule::StreamResumable;
+        let scan = is_event_stream(&answer.headers).then(EventScan::default);
         let due = Box::pin(tokio::time::sleep(run.left() + DUE_SLACK));
-        let relay = Self {
-            server,
-            body: Some(answer.body),
-            scan: resumable.then(EventScan::default),
-            due,
-            last_piece: Instant::now(),
-            run,
+        let mut relay =
+            Self { server, body: Some(answer.body), scan, due, last_piece: Instant::now(), run };
+        let first = match relay.next().await {
+            Ok(first) => first,
+            Err(BrokenAnswer) => return failed_answer(&mut relay.run),
         };
-        let pieces = futures::stream::unfold(Some(relay), |relay| async {
+        let rest = first.is_some().then_some(relay);
+        let first = futures::stream::iter(first.map(|events| Ok(Frame::data(events))));
+        let rest = futures::stream::unfold(rest, |relay| async {
             let mut relay = relay?;
             match relay.next().await {
                 Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(relay))),
@@ -79,7 +89,7 @@
                 Err(broken) => Some((Err(broken), None)),
             }
         });
-        let mut answer = streamed_answer(status, headers, pieces);
+        let mut answer = streamed_answer(status, headers, first.chain(rest));
         answer.headers_mut().remove(http::header::CONNECTION);
         answer
     }
@@ -126,23 +136,35 @@
             () = &mut self.due => return RelayPiece::Overdue,
         };
         match piece {
-            Some(Ok(bytes)) => match &mut self.scan {
-                Some(scan) => RelayPiece::Events(scan.push(bytes)),
-                None => RelayPiece::Events(bytes),
-            },
+            Some(Ok(bytes)) => self.events(bytes),
             Some(Err(error)) => {
                 if matches!(error, ExchangeError::BodyFailed { .. }) {
                     suspects::run_broken(&self.run);
                 }
                 RelayPiece::Broken(error.to_string())
             }
-            None if self.scan.as_ref().is_some_and(EventScan::has_partial) => {
-                RelayPiece::Broken("the stream ended within an event".to_owned())
-            }
-            None => RelayPiece::End,
+            None => self.ended(),
         }
     }
 
+    fn events(&mut self, bytes: Bytes) -> RelayPiece {
+        let Some(scan) = &mut self.scan else { return RelayPiece::Events(bytes) };
+        let events = scan.push(bytes);
+        if scan.is_overlong() {
+            return RelayPiece::Broken("an event is too long".to_owned());
+        }
+        RelayPiece::Events(events)
+    }
+
+    /// Judges the end of the present server's answer, which is complete by its framing.
+    fn ended(&self) -> RelayPiece {
+        let ends_with_connection = self.run.framing == BodyFraming::Connection;
+        let cause = self.scan.as_ref().and_then(|scan| scan.break_cause(ends_with_connection));
+        let Some(cause) = cause else { return RelayPiece::End };
+        suspects::run_broken(&self.run);
+        RelayPiece::Broken(cause.to_owned())
+    }
+
     /// Records that an event goes to the caller: the time to the first one, and the pause before each later one.
     fn record_forwarded(&mut self) {
         let now = Instant::now();
@@ -192,8 +214,11 @@
     /// Resumes the stream at another server after the last event that was forwarded. Returns false if it cannot be
     /// resumed.
     async fn resume(&mut self, cause: &str) -> bool {
+        if self.run.request.route.repeat != RetryRule::StreamResumable {
+            return false;
+        }
         let Some(scan) = &mut self.scan else { return false };
-        scan.drop_partial();
+        scan.start_run();
         let last = scan.last_id().map(str::to_owned);
         let run = &mut self.run;
         run.avoided.push(self.server.clone());
