Software versions of servers are known and logged, and streams that callers take up

A server's entry carries its software version from the platform's record to all VMs. Between VMs it travels behind the message with the entries, so that the release before reads the message as ever (an added field would have been an error for it: LengthMismatch, tried), and messages without it are read too (software_versions). A start that only another VM reported has no known version until its entry is read; a server that states no start time and changes its version counts as restarted.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -182,7 +182,17 @@
             }
         };
         let state = &mut self.servers[at];
-        if entry.incarnation > state.entry.incarnation {
+        let is_later = entry.position > state.entry.position;
+        let is_upgraded = is_later
+            && entry.incarnation == state.entry.incarnation
+            && entry.software.is_some()
+            && state
+                .entry
+                .software
+                .as_ref()
+                .is_some_and(|old| Some(old) != entry.software.as_ref());
+        // A server that states no start time shows by its software that it restarted under its name.
+        if entry.incarnation > state.entry.incarnation || is_upgraded {
             state.restart(entry, now);
             return EntryChange::Restarted;
         }
@@ -279,7 +289,13 @@
         }
         // Its entry is read with its next heartbeat.
         let models = models.to_vec();
-        let entry = BackendEntry { incarnation, heartbeat: 0, models, ..state.entry.clone() };
+        let entry = BackendEntry {
+            incarnation,
+            heartbeat: 0,
+            models,
+            software: None,
+            ..state.entry.clone()
+        };
         state.restart(entry, now);
         true
     }
--- a/decision/src/id.rs
+++ b/decision/src/id.rs
@@ -13,6 +13,8 @@
     pub struct ModelName;
     /// Backend server: a model engine or a plain service.
     pub struct ServerName;
+    /// Version of the software that a backend server runs; opaque text, compared only for equality.
+    pub struct SoftwareVersion;
     /// Service that one or more backend servers offer.
     pub struct ServiceName;
     /// Entry VM, across all its incarnations.
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -391,6 +391,10 @@
         pub position: u64,
         /// Base models and adapters that it held when it wrote the entry.
         pub models: Vec<HeldModel>,
+        /// Version of its software; `None` if it states none, or if only other VMs reported this
+        /// incarnation so far. Messages carry it apart from the entry, which older releases read.
+        #[serde(skip)]
+        pub software: Option<crate::id::SoftwareVersion>,
     }
 
     /// Base model that a server holds, and its adapters.
--- a/decision/tests/suite/encoded_names.rs
+++ b/decision/tests/suite/encoded_names.rs
@@ -822,6 +822,7 @@
         heartbeat: 3,
         position: 4,
         models: vec![held_model()],
+        software: None,
     };
     same(
         &[entry],
--- a/decision/tests/suite/fixture.rs
+++ b/decision/tests/suite/fixture.rs
@@ -15,5 +15,6 @@
         heartbeat: 1,
         position: 1,
         models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
+        software: Some("v1".into()),
     }
 }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -7,6 +7,7 @@
 use coltsfoothook_decision::id::{ServiceName, TimePoint};
 use coltsfoothook_decision::routing::{RouteTable, ServingRoute};
 use coltsfoothook_platform::{HeadFault, RequestHead, read_head, take_key};
+use coltsfoothook_telemetry::event;
 use http::request::Parts;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -193,6 +194,10 @@
 
 /// Sends a request to one server after another until it has its final answer.
 async fn drive(mut run: RequestRun) -> Response<AnswerStream> {
+    let head = &run.request.head;
+    if let Some(last) = &head.last_event {
+        event!(StreamTakenUp, request_id = head.id, resumes? = head.resumes, last_event = last);
+    }
     if suspects::held(&mut run) {
         return give_up(run, "condemned");
     }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -10,7 +10,7 @@
 use coltsfoothook_decision::coverage::ReportedSpan;
 use coltsfoothook_decision::crash::CrashReport;
 use coltsfoothook_decision::domain_update::ListChange;
-use coltsfoothook_decision::id::{DomainName, ServerName, TimePoint, VmName};
+use coltsfoothook_decision::id::{DomainName, ServerName, SoftwareVersion, TimePoint, VmName};
 use coltsfoothook_decision::limit::BucketState;
 use coltsfoothook_decision::permit::{PermitQuestion, PermitReply};
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
@@ -332,18 +332,60 @@
     }
 }
 
-/// Encodes a message as a datagram.
+/// Encodes a message as a datagram. The versions of servers' software follow the message itself: releases that do not
+/// know them read only the message.
 pub(crate) fn encode(message: &PeerMessage) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let mut bytes = vec![FORMAT];
     rmp_serde::encode::write(&mut bytes, message)?;
+    if let PeerMessage::News(update) = message {
+        write_software(&mut bytes, &update.entries)?;
+    }
     Ok(bytes)
 }
 
 /// Decodes a datagram; `None` if it has another format or cannot be parsed.
 pub(crate) fn decode(bytes: &[u8]) -> Option<PeerMessage> {
-    let (format, rest) = bytes.split_first()?;
+    let (format, mut rest) = bytes.split_first()?;
     if *format != FORMAT {
         return None;
     }
-    rmp_serde::from_slice(rest).ok()
+    let mut message = rmp_serde::from_read(&mut rest).ok()?;
+    if let PeerMessage::News(update) = &mut message {
+        read_software(rest, &mut update.entries);
+    }
+    Some(message)
+}
+
+impl SharedState {
+    /// Encodes the records, with the versions of servers' software behind them as in [`encode`].
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        let mut bytes = rmp_serde::to_vec(self)?;
+        write_software(&mut bytes, &self.entries)?;
+        Ok(bytes)
+    }
+
+    /// Decodes the records.
+    pub(crate) fn decode(mut bytes: &[u8]) -> Result<Self, rmp_serde::decode::Error> {
+        let mut state: Self = rmp_serde::from_read(&mut bytes)?;
+        read_software(bytes, &mut state.entries);
+        Ok(state)
+    }
+}
+
+/// Appends the versions of the servers' software, in the order of their entries.
+fn write_software(
+    bytes: &mut Vec<u8>,
+    entries: &[BackendEntry],
+) -> Result<(), rmp_serde::encode::Error> {
+    let versions: Vec<Option<&str>> =
+        entries.iter().map(|entry| entry.software.as_ref().map(SoftwareVersion::as_str)).collect();
+    rmp_serde::encode::write(bytes, &versions)
+}
+
+/// Sets the versions of the servers' software. They stay unknown in messages of releases that do not send them.
+fn read_software(bytes: &[u8], entries: &mut [BackendEntry]) {
+    let versions: Vec<Option<SoftwareVersion>> = rmp_serde::from_slice(bytes).unwrap_or_default();
+    for (entry, version) in entries.iter_mut().zip(versions) {
+        entry.software = version;
+    }
 }
--- a/gateway/src/record_exchange.rs
+++ b/gateway/src/record_exchange.rs
@@ -41,7 +41,7 @@
     if table_only {
         let table = view.table.as_deref().cloned();
         let state = SharedState { table, versions: Vec::new(), entries: Vec::new() };
-        return rmp_serde::to_vec(&state).unwrap_or_default();
+        return state.encode().unwrap_or_default();
     }
     let version = |named: &crate::state::NamedVersion| SharedVersion {
         key: named.key.clone(),
@@ -54,7 +54,7 @@
         entries: entries.collect(),
     };
     // Encoding fails only for types without a MessagePack form, and these have one.
-    rmp_serde::to_vec(&state).unwrap_or_default()
+    state.encode().unwrap_or_default()
 }
 
 /// Runs for ever, fetching records from other VMs while the store is unreachable and they have a
@@ -73,7 +73,7 @@
             Err(error) => Err(error),
         };
         match answer {
-            Ok(body) => match rmp_serde::from_slice::<SharedState>(&body) {
+            Ok(body) => match SharedState::decode(&body) {
                 Ok(state) => apply(&gateway, from, state),
                 Err(error) => event!(CatchUpFailed, address = from, cause = error),
             },
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -243,6 +243,7 @@
                 from = self.server,
                 server = server,
                 last_event? = last,
+                began_at? = run.software,
                 cause = cause,
             );
             match send(run, &server, last.as_deref()).await {
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use coltsfoothook_decision::id::{
-    CustomerName, RequestFingerprint, ServerName, ServiceName, TimePoint, stable_hash_bytes,
+    CustomerName, RequestFingerprint, ServerName, ServiceName, SoftwareVersion, TimePoint,
+    stable_hash_bytes,
 };
 use coltsfoothook_decision::routing::ServingRoute;
 use coltsfoothook_exchange::BodyFraming;
@@ -54,6 +55,8 @@
     pub(crate) server: Option<ServerName>,
     /// The start time of that server when the request was sent, as in its entry; 0 before the first send.
     pub(crate) incarnation: u64,
+    /// The version of that server's software, if known.
+    pub(crate) software: Option<SoftwareVersion>,
     /// From the request's start to the first event, or to the whole answer if it is no stream.
     pub(crate) first: Option<Duration>,
     /// The time spent on finding a server, without `held`: mostly waits for an adapter.
@@ -149,6 +152,7 @@
             retry_waits: 0,
             server: None,
             incarnation: 0,
+            software: None,
             first: None,
             stall: Duration::ZERO,
             held: Duration::ZERO,
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -76,7 +76,7 @@
         );
         return SendEnd::Unsent("an earlier send may have run it".to_owned());
     }
-    let (address, incarnation, version, limit_per_s) = {
+    let (address, incarnation, software, version, limit_per_s) = {
         let mut view = gateway.view();
         let state = view.backends.get(server.as_str()).filter(|state| !state.leaving);
         let Some(state) = state else {
@@ -85,6 +85,7 @@
         let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
         let version = key.and_then(|key| state.version(key));
         let (address, incarnation) = (state.entry.address, state.entry.incarnation);
+        let software = state.entry.software.clone();
         let now = clock::now();
         let (limit_per_s, rest) = (state.limit_per_s(), state.rest_wait(now));
         let lacks_room = state.lacks_room(now);
@@ -96,7 +97,7 @@
         if limit_per_s.is_some() {
             view.limit_uses.count_sent(&start);
         }
-        (address, incarnation, version, limit_per_s)
+        (address, incarnation, software, version, limit_per_s)
     };
     let left = run.left();
     let marks = ForwardValues {
@@ -116,6 +117,7 @@
     run.charge_send();
     run.server = Some(server.clone());
     run.incarnation = incarnation;
+    run.software = software;
     let key = run.request.head.need.as_ref().and_then(|need| need.adapter.clone());
     let count = SentCount::new(&gateway, server, incarnation, key, run.prompt_tokens());
     event!(
@@ -123,6 +125,7 @@
         request_id = run.request.head.id,
         service = run.request.service,
         server = server,
+        software? = run.software,
         fingerprint = format_args!("{:016x}", run.request.fingerprint.0),
         send = run.sends,
         version? = version,
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -95,6 +95,7 @@
         heartbeat: 34,
         position: 35,
         models: vec![HeldModel { model: "base".into(), adapters }],
+        software: None,
     }
 }
 
@@ -313,3 +314,32 @@
     let value: Value = rmp_serde::from_slice(&rmp_serde::to_vec(&state).unwrap()).unwrap();
     expect![[r#"[[5,[1,2,[3,0],[4,500000000]],[],[],[],[[],[[]]],[]],[[["base","swahili"],41]],[["s-1",32,"speech",{"V4":[[10,0,0,2],80]},"d1",33,true,34,35,[["base",[["swahili",31]]]]]]]"#]].assert_eq(&value.to_string());
 }
+
+/// Guards against a release that cannot read the entries of another one, which knows the servers' software or does not.
+#[test]
+fn software_versions() {
+    let known = BackendEntry { software: Some("v2".into()), ..entry() };
+    let update = RecordUpdate {
+        vm: "vm-1".into(),
+        config: 1,
+        operators_age_ms: 2,
+        servers_age_ms: 3,
+        span: ReportedSpan { since: 4, up_to: 5 },
+        versions: versions(),
+        entries: vec![known.clone(), entry()],
+        gone: Vec::new(),
+    };
+    let message = PeerMessage::News(update);
+    let bytes = encode(&message).unwrap();
+    assert_eq!(decode(&bytes), Some(message.clone()));
+    let Some((format, rest)) = bytes.split_first() else { unreachable!("it has a format") };
+    let earlier: PeerMessage = rmp_serde::from_slice(rest).unwrap();
+    let PeerMessage::News(without) = &earlier else { unreachable!("it is the same message") };
+    assert_eq!(without.entries, [entry(), entry()]);
+    let sent_by_earlier = [&[*format], rmp_serde::to_vec(&earlier).unwrap().as_slice()].concat();
+    assert_eq!(decode(&sent_by_earlier), Some(earlier));
+    let state = SharedState { table: None, versions: versions(), entries: vec![known, entry()] };
+    assert_eq!(SharedState::decode(&state.encode().unwrap()).unwrap(), state);
+    let without = rmp_serde::to_vec(&state).unwrap();
+    assert_eq!(SharedState::decode(&without).unwrap().entries, [entry(), entry()]);
+}
