Failing tests: streams that go on at another software version

Six tests of a service with two engines of each of two versions: a stream is resumed within its answer at another version, its caller takes it up at another or a new VM that sends it to another, an unknown or ambiguous stream is guessed, and one whose version is gone goes on elsewhere.

--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -22,6 +22,7 @@
 mod server_limits;
 mod server_lives;
 mod site;
+mod software_versions;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod store;
 mod store_copies;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -48,6 +48,8 @@
     mode: ServerMode,
     /// Whether its answers have neither a length nor chunks and end with their connections.
     unframed: bool,
+    /// The version of its software; `v1` if empty.
+    software: &'static str,
     adapters: Vec<String>,
     orders: Vec<Value>,
     /// Requests that ran, in order.
@@ -231,13 +233,14 @@
         let arrivals = std::mem::take(&mut state.arrivals);
         let misdirected = std::mem::take(&mut state.misdirected);
         let (room, falls) = (state.room, std::mem::take(&mut state.falls));
-        let unframed = state.unframed;
+        let (unframed, software) = (state.unframed, state.software);
         let mut stated = std::mem::take(&mut state.stated);
         stated.retain(|(name, _)| *name == "server-brittle");
         *state = ServerState {
             incarnation,
             mode,
             unframed,
+            software,
             runs,
             arrivals,
             misdirected,
@@ -264,8 +267,9 @@
     pub(crate) fn entry(&self, service: &str, heartbeat: u64, state: &str) -> Value {
         let held = self.state.lock().unwrap();
         let adapters: Vec<String> = held.adapters.iter().map(|name| format!("{name}@1")).collect();
+        let software = if held.software.is_empty() { "v1" } else { held.software };
         json!({
-            "service": service, "address": self.address, "zone": "d1", "version": "v1",
+            "service": service, "address": self.address, "zone": "d1", "version": software,
             "slots": 8, "state": state, "seq": heartbeat, "born": held.incarnation,
             "models": [{ "name": MODEL, "version": 1, "adapters": adapters }],
         })
@@ -275,6 +279,22 @@
         self.state.lock().unwrap().mode = mode;
     }
 
+    /// Runs this version of its software from now on, as its next entry says.
+    pub(crate) fn set_software(&self, version: &'static str) {
+        self.state.lock().unwrap().software = version;
+    }
+
+    /// Returns the version of its software.
+    pub(crate) fn software(&self) -> &'static str {
+        let software = self.state.lock().unwrap().software;
+        if software.is_empty() { "v1" } else { software }
+    }
+
+    /// Holds an adapter without an order.
+    pub(crate) fn hold(&self, adapter: &str) {
+        self.state.lock().unwrap().adapters.push(adapter.to_owned());
+    }
+
     /// Ends the successful answers from now on with their connections, or frames them again.
     pub(crate) fn set_unframed(&self, unframed: bool) {
         self.state.lock().unwrap().unframed = unframed;
--- /dev/null
+++ b/gateway/tests/suite/software_versions.rs
@@ -0,0 +1,189 @@
+//! Streams of a service whose servers have several software versions: they go on only at the version that began them.
+
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use crate::press::three_gateways;
+use crate::server::{EVENTS, MODEL, RunRecord, ServerMode, StandinServer};
+use crate::site::{CallerAnswer, RunningGateway, Site};
+
+/// How many streams each test begins.
+const STREAMS: usize = 8;
+/// Time in which VMs tell each other of a stream that began.
+const NOTICE: Duration = Duration::from_millis(100);
+/// Time in which a request is refused that cannot be served.
+const AT_ONCE: Duration = Duration::from_millis(400);
+
+/// A site with two engines of each of two versions, which all hold the adapter `a1`.
+struct MixedSite {
+    site: Site,
+    gateways: Vec<RunningGateway>,
+}
+
+impl MixedSite {
+    async fn start() -> Self {
+        let mut site = Site::start(4, 0).await;
+        for (number, engine) in site.engines.iter().enumerate() {
+            engine.hold("a1");
+            if number % 2 == 1 {
+                engine.set_software("v2");
+            }
+        }
+        site.register("ready");
+        let gateways = three_gateways(&site).await;
+        sleep(Duration::from_secs(1)).await;
+        Self { site, gateways }
+    }
+
+    fn set_mode(&self, mode: ServerMode) {
+        self.site.engines.iter().for_each(|engine| engine.set_mode(mode));
+    }
+
+    /// Returns the runs of an attempt, each with its server, in order.
+    fn runs(&self, id: &str) -> Vec<(&StandinServer, RunRecord)> {
+        let mut runs: Vec<(&StandinServer, RunRecord)> = Vec::new();
+        for engine in &self.site.engines {
+            let own = engine.runs().into_iter().filter(|run| run.id == id);
+            runs.extend(own.map(|run| (engine, run)));
+        }
+        runs.sort_by_key(|(_, run)| run.at);
+        runs
+    }
+
+    /// Begins a stream at a gateway that breaks after its first event. Returns the version that began it.
+    async fn begin(&self, at: usize, id: &str) -> &'static str {
+        self.set_mode(ServerMode::CutsStream);
+        let answer = self.gateways[at].request("resumed", id, "a1").await;
+        assert!(!answer.whole && answer.body.contains("id: 1"), "{answer:?}");
+        self.set_mode(ServerMode::Normal);
+        self.runs(id)[0].0.software()
+    }
+}
+
+/// Takes a stream up after its first event, as a new attempt `id` of the one that `began`.
+async fn take_up(gateway: &RunningGateway, began: Option<&str>, id: &str) -> CallerAnswer {
+    let model = format!("{MODEL}/a1");
+    let mut headers = vec![
+        ("coltsfoothook-model", &*model),
+        ("coltsfoothook-token-count", "100,8"),
+        ("last-event-id", "1"),
+    ];
+    headers.extend(began.map(|began| ("resumes", began)));
+    gateway.call("/resumed/x", id, &headers).await
+}
+
+/// Returns whether the rest of a stream came whole.
+fn went_on(answer: &CallerAnswer) -> bool {
+    answer.status == 200 && answer.whole && answer.body.contains(&format!("id: {EVENTS}\n"))
+}
+
+/// Guards against a stream that is resumed within its answer at another version.
+#[tokio::test(flavor = "multi_thread")]
+async fn within_answer() {
+    let mixed = MixedSite::start().await;
+    mixed.set_mode(ServerMode::CutsStream);
+    let mut resumed = 0;
+    for number in 0..STREAMS {
+        let id = format!("s-{number}");
+        mixed.gateways[number % 3].request("resumed", &id, "a1").await;
+        let runs = mixed.runs(&id);
+        let versions: Vec<&str> = runs.iter().map(|(server, _)| server.software()).collect();
+        assert!(versions.iter().all(|version| *version == versions[0]), "{id}: {versions:?}");
+        resumed += usize::from(runs.len() > 1);
+    }
+    assert!(resumed * 2 >= STREAMS, "{resumed} of {STREAMS} were resumed");
+}
+
+/// Guards against a stream that its caller takes up at another VM, which sends it to another version.
+#[tokio::test(flavor = "multi_thread")]
+async fn at_other_vm() {
+    let mixed = MixedSite::start().await;
+    let mut gone_on = 0;
+    for number in 0..STREAMS {
+        let (began, id) = (format!("s-{number}"), format!("t-{number}"));
+        let version = mixed.begin(number % 3, &began).await;
+        sleep(NOTICE).await;
+        let resumes = (number % 4 > 0).then_some(began.as_str());
+        let answer = take_up(&mixed.gateways[(number + 1) % 3], resumes, &id).await;
+        for (server, _) in mixed.runs(&id) {
+            assert_eq!(server.software(), version, "{id}: {answer:?}");
+        }
+        gone_on += usize::from(went_on(&answer));
+    }
+    assert!(gone_on * 4 >= STREAMS * 3, "{gone_on} of {STREAMS} went on");
+}
+
+/// Guards against a VM that starts after the stream began, and against the loss of the VM that began it.
+#[tokio::test(flavor = "multi_thread")]
+async fn at_new_vm() {
+    let mut mixed = MixedSite::start().await;
+    let mut began = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("s-{number}");
+        let version = mixed.begin(0, &id).await;
+        began.push((id, version));
+    }
+    sleep(NOTICE).await;
+    let first = mixed.gateways.remove(0);
+    first.process.stop().await;
+    let new = mixed.site.start_gateway("vm-9", &[&mixed.gateways[0]], false).await;
+    new.wait_ready().await;
+    sleep(Duration::from_millis(500)).await;
+    let mut gone_on = 0;
+    for (id, version) in &began {
+        let answer = take_up(&new, Some(id), &format!("{id}-up")).await;
+        for (server, _) in mixed.runs(&format!("{id}-up")) {
+            assert_eq!(server.software(), *version, "{id}: {answer:?}");
+        }
+        gone_on += usize::from(went_on(&answer));
+    }
+    assert!(gone_on * 4 >= STREAMS * 3, "{gone_on} of {STREAMS} went on");
+}
+
+/// Guards against a VM that guesses the version of a stream that nobody knows of.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_stream() {
+    let mixed = MixedSite::start().await;
+    let sent = Instant::now();
+    let answer = take_up(&mixed.gateways[0], Some("never-sent"), "unknown").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.retry_after.is_some() && sent.elapsed() < AT_ONCE, "{:?}", sent.elapsed());
+    assert!(mixed.runs("unknown").is_empty());
+}
+
+/// Guards against an id that two streams of different versions had: no VM knows which one is meant.
+#[tokio::test(flavor = "multi_thread")]
+async fn id_used_twice() {
+    let mixed = MixedSite::start().await;
+    let mut versions = Vec::new();
+    while versions.len() < 12 && !(versions.contains(&"v1") && versions.contains(&"v2")) {
+        mixed.begin(versions.len() % 3, "twice").await;
+        versions = mixed.runs("twice").iter().map(|(server, _)| server.software()).collect();
+    }
+    assert!(versions.contains(&"v1") && versions.contains(&"v2"), "{versions:?}");
+    sleep(NOTICE).await;
+    for gateway in &mixed.gateways {
+        assert_eq!(take_up(gateway, Some("twice"), "ambiguous").await.status, 503);
+    }
+    assert!(mixed.runs("ambiguous").is_empty());
+}
+
+/// Guards against a stream that waits for servers of a version that none has any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_gone() {
+    let mut mixed = MixedSite::start().await;
+    let version = mixed.begin(0, "s").await;
+    sleep(NOTICE).await;
+    let gone: Vec<StandinServer> =
+        mixed.site.engines.iter().filter(|e| e.software() == version).cloned().collect();
+    for server in &gone {
+        mixed.site.drain(server, "engines");
+    }
+    sleep(Duration::from_secs(2)).await;
+    let sent = Instant::now();
+    let answer = take_up(&mixed.gateways[1], Some("s"), "late").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(sent.elapsed() < AT_ONCE, "{:?}", sent.elapsed());
+    assert!(mixed.runs("late").is_empty());
+}
