Streams go on only at the software version that began them

Cause: a VM knew no software version of a server, and the VM that a caller takes a stream up at knows nothing of its first run. The class: what the first run decides, and a later one, at another server or VM, forgets.

A stream goes on only where its version is known for certain, else 503 at once; send asserts it. Requests to load an adapter are kept apart by version, as a load at another server would not help.

Why it holds: what is recorded is true of one start of a server for ever, so that a VM that is cut off or thaws cannot be misled by its age; unknown and ambiguous are refused.

--- a/decision/benches/fleet_cost.rs
+++ b/decision/benches/fleet_cost.rs
@@ -60,6 +60,7 @@
                 service: &service,
                 model: Some(&model),
                 adapter: Some((&wanted, 1)),
+                software: None,
                 excluded: &[],
                 domain: &domain,
                 shared: SharedPrompt::default(),
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use crate::backend::{BackendState, BackendTable};
-use crate::id::{DomainName, ModelName, ServerName, ServiceName, TimePoint, stable_hash};
+use crate::id::{
+    DomainName, ModelName, ServerName, ServiceName, SoftwareVersion, TimePoint, stable_hash,
+};
 use crate::routing::{AdapterKey, SharedPrompt};
 
 /// Cost of one running request, in prompt tokens. A batch step slows down by less than 0.5 % for
@@ -57,6 +59,8 @@
     pub model: Option<&'a ModelName>,
     /// Adapter and the lowest version of it that may be used.
     pub adapter: Option<(&'a AdapterKey, u64)>,
+    /// Version of the servers' software, if the request goes on with a stream.
+    pub software: Option<&'a SoftwareVersion>,
     /// Servers that this request was already sent to, or that rejected it.
     pub excluded: &'a [ServerName],
     /// Failure domain of this VM.
@@ -71,10 +75,12 @@
 }
 
 impl ServerRequirements<'_> {
-    /// Returns whether a server has the service and the model, is not leaving, and is not excluded.
+    /// Returns whether a server has the service, the software and the model, is not leaving, and is not
+    /// excluded.
     fn takes(&self, state: &BackendState) -> bool {
         state.entry.service == *self.service
             && !state.leaving
+            && self.software.is_none_or(|version| state.entry.software.as_ref() == Some(version))
             && !self.excluded.contains(&state.entry.server)
             && self.model.is_none_or(|model| state.holds_model(model))
     }
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod message;
 mod order;
 pub mod order_tracker;
+pub mod origin;
 pub mod outcome;
 pub mod owner;
 pub mod permit;
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -33,6 +33,7 @@
 mod server_lives;
 mod server_statements;
 mod stage_table;
+mod stream_origins;
 mod takeover_rank;
 mod tenant_limits;
 mod topic_coverage;
--- a/decision/tests/suite/prefill_rate.rs
+++ b/decision/tests/suite/prefill_rate.rs
@@ -64,6 +64,7 @@
         service: &service,
         model: Some(&model),
         adapter: Some((&key, 1)),
+        software: None,
         excluded: &[],
         domain: &domain,
         shared: SharedPrompt::default(),
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -73,6 +73,7 @@
 
     fn choose(&self, table: &BackendTable, draw: u64, now: TimePoint) -> ServerChoice {
         let need = ServerRequirements {
+            software: None,
             service: &self.service,
             model: Some(&self.model),
             adapter: Some((&self.key, 1)),
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock;
-use crate::load_request::RequestStep;
+use crate::load_request::{LoadSubject, RequestStep};
 use crate::message::{LoadRequest, PeerMessage};
 use crate::order;
 use crate::permit;
@@ -84,7 +84,7 @@
             if matches!(choice, ServerChoice::Load { .. }) {
                 waiting.get_or_insert_with(|| WaitGuard::new(&gateway, &key, run.in_time_until()));
             }
-            request_load(&gateway, &key, version, &server, now);
+            request_load(&gateway, &load_subject(run, &key), version, &server, now);
         }
         let delay = match choice {
             ServerChoice::Send { server, .. } => break Ok(server),
@@ -196,6 +196,7 @@
         service: &run.request.service,
         model: need.map(|need| &need.model),
         adapter: key.map(|key| (key, version)),
+        software: run.origin.as_ref().map(|origin| &origin.software),
         excluded,
         domain,
         shared: need.map(ModelNeed::shared).unwrap_or_default(),
@@ -248,7 +249,7 @@
             // While the weight store is saturated, a load waits for the store whichever server it
             // is for, so that no other server is tried.
             if !view.forecast(now).is_saturated()
-                && let Some(slow) = view.load_requests.overdue(key, now)
+                && let Some(slow) = view.load_requests.overdue(&load_subject(run, key), now)
             {
                 let excluded = [excluded.as_slice(), std::slice::from_ref(&slow)].concat();
                 let other = view.backends.choose(&requirements(&excluded, oldest), draw, now);
@@ -277,17 +278,24 @@
     }
 }
 
+/// Returns what is to be loaded for a request: an adapter, at any server that the request may run at.
+fn load_subject(run: &RequestRun, key: &AdapterKey) -> LoadSubject {
+    let software = run.origin.as_ref().map(|origin| origin.software.clone());
+    LoadSubject { key: key.clone(), software }
+}
+
 /// Sends a load request for an adapter to the server's owner, unless one was sent shortly before.
 /// If this VM is the owner, the request goes to its own order tracker.
 fn request_load(
     gateway: &Arc<Gateway>,
-    key: &AdapterKey,
+    subject: &LoadSubject,
     version: u64,
     server: &ServerName,
     now: TimePoint,
 ) {
+    let key = &subject.key;
     let mut view = gateway.view();
-    let step = view.load_requests.request(key, server, now);
+    let step = view.load_requests.request(subject, server, now);
     let RequestStep::Send(server) = step else { return };
     let Some(owner) = view.backends.owner(server.as_str(), now).cloned() else { return };
     let own = owner.vm == gateway.settings.vm;
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -7,7 +7,6 @@
 use coltsfoothook_decision::id::{ServiceName, TimePoint};
 use coltsfoothook_decision::routing::{RouteTable, ServingRoute};
 use coltsfoothook_platform::{HeadFault, RequestHead, read_head, take_key};
-use coltsfoothook_telemetry::event;
 use http::request::Parts;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -20,6 +19,7 @@
 use crate::clock;
 use crate::find::{NO_LINKS, find_server};
 use crate::hand_over::{self, HandedOver, no_links_answer, take_handed_over};
+use crate::origins;
 use crate::outcome::{
     AfterAnswer, NextStep, give_up, handle_answer, handle_not_run, handle_unknown,
 };
@@ -194,10 +194,6 @@
 
 /// Sends a request to one server after another until it has its final answer.
 async fn drive(mut run: RequestRun) -> Response<AnswerStream> {
-    let head = &run.request.head;
-    if let Some(last) = &head.last_event {
-        event!(StreamTakenUp, request_id = head.id, resumes? = head.resumes, last_event = last);
-    }
     if suspects::held(&mut run) {
         return give_up(run, "condemned");
     }
@@ -205,6 +201,9 @@
         if hand_over::is_needed(&run) {
             return hand_over::hand_over(run).await;
         }
+        if let Err(reason) = origins::find(&mut run).await {
+            return give_up(run, reason);
+        }
         let server = match find_server(&mut run).await {
             Ok(server) => server,
             Err(NO_LINKS) if hand_over::is_needed(&run) => continue,
--- a/gateway/src/hand_over.rs
+++ b/gateway/src/hand_over.rs
@@ -160,6 +160,8 @@
     }
     run.sends += 1;
     run.ran = run.request.route.max_servers;
+    // The other VM knows the server, and records where the stream began.
+    run.software = None;
     match handle_answer(run, "vm".into(), answer).await {
         AfterAnswer::Finished(answer) => *answer,
         AfterAnswer::Retry(run) => failed(*run, "another VM's answer was cut".to_owned()),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod message;
 mod metrics;
 mod order;
+mod origins;
 mod outcome;
 mod peer;
 mod permit;
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -12,6 +12,7 @@
 use coltsfoothook_decision::domain_update::ListChange;
 use coltsfoothook_decision::id::{DomainName, ServerName, SoftwareVersion, TimePoint, VmName};
 use coltsfoothook_decision::limit::BucketState;
+use coltsfoothook_decision::origin::{ReportedStream, StreamMark};
 use coltsfoothook_decision::permit::{PermitQuestion, PermitReply};
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
 use coltsfoothook_decision::statement::ReportedStatement;
@@ -249,6 +250,10 @@
         PermitQuestion(PermitQuestion, ReportedStatement),
         /// The answer to such a question.
         PermitReply(PermitReply),
+        /// Where streams began: reported by the VM they began at, or the answer to a question.
+        Origins(Vec<ReportedStream>),
+        /// A question where a stream began.
+        OriginQuestion(StreamMark),
         /// Crashes of servers, and which requests they are attributed to.
         Crashes(CrashReport),
     }
@@ -256,7 +261,7 @@
 
 impl PeerMessage {
     /// Names of the kinds of messages in metrics.
-    pub(crate) const KINDS: [&str; 13] = [
+    pub(crate) const KINDS: [&str; 15] = [
         "state",
         "lists",
         "wish",
@@ -270,6 +275,8 @@
         "permit_question",
         "permit_reply",
         "crashes",
+        "origins",
+        "origin_question",
     ];
 
     /// Returns the index of the message's kind in [`Self::KINDS`].
@@ -288,6 +295,8 @@
             Self::PermitQuestion(..) => 10,
             Self::PermitReply(_) => 11,
             Self::Crashes(_) => 12,
+            Self::Origins(_) => 13,
+            Self::OriginQuestion(_) => 14,
         }
     }
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     crash_checks: IntCounterVec,
     handed_over: IntCounterVec,
     broken_streams: IntCounterVec,
+    taken_up: IntCounterVec,
     ages: GaugeVec,
     peer_bytes: IntGaugeVec,
     gauges: IntGaugeVec,
@@ -174,6 +175,11 @@
                 "Streams that servers broke off, by how their answer states where it ends.",
                 &["framing"],
             ),
+            taken_up: counter(
+                "coltsfoothook_gateway_streams_taken_up_total",
+                "Streams that callers go on with, by whether the software version that began them is known.",
+                &["result"],
+            ),
             closed: counter(
                 "coltsfoothook_gateway_closed_total",
                 "Requests for which a server of their service was closed, by the reason of the one \
@@ -216,6 +222,11 @@
         self.broken_streams.with_label_values(&[framing]).inc();
     }
 
+    /// Counts a stream that a caller goes on with.
+    pub(crate) fn taken_up(&self, result: &str) {
+        self.taken_up.with_label_values(&[result]).inc();
+    }
+
     /// Counts a request that ended.
     pub(crate) fn request(&self, route: &str, outcome: &str, timing: &RequestTiming) {
         let route = self.route_names.label(route);
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -25,6 +25,7 @@
     encode,
 };
 use crate::order;
+use crate::origins;
 use crate::permit;
 use crate::record_updates;
 use crate::roster::{PeerChange, SMALL_FLEET};
@@ -377,6 +378,8 @@
             permit::answer_question(gateway, &question, statement, from);
         }
         PeerMessage::PermitReply(reply) => permit::apply_reply(gateway, &reply),
+        PeerMessage::Origins(streams) => origins::learn(gateway, &streams),
+        PeerMessage::OriginQuestion(mark) => origins::answer_question(gateway, mark, from),
         PeerMessage::Crashes(report) => suspects::apply_report(gateway, &report),
     }
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::answer::{AnswerStream, BrokenAnswer, streamed_answer};
 use crate::event_scan::EventScan;
 use crate::find::find_server;
+use crate::origins;
 use crate::outcome::failed_answer;
 use crate::run::RequestRun;
 use crate::send::{SendEnd, send};
@@ -170,6 +171,7 @@
         let now = Instant::now();
         self.run.record_prompt_read();
         if self.run.first.is_none() {
+            origins::begin(&mut self.run);
             self.run.first = Some(self.run.elapsed());
             self.last_piece = now;
             return;
@@ -221,6 +223,10 @@
         scan.start_run();
         let last = scan.last_id().map(str::to_owned);
         let run = &mut self.run;
+        if run.first.is_some() && run.origin.is_none() {
+            // Another server may have another version of the software.
+            return false;
+        }
         run.avoided.push(self.server.clone());
         // The first server must stop before another one resumes; dropping the body closes its connection, which
         // ends the stream there.
@@ -243,7 +249,7 @@
                 from = self.server,
                 server = server,
                 last_event? = last,
-                began_at? = run.software,
+                began_at? = run.origin.as_ref().map(|origin| &origin.software),
                 cause = cause,
             );
             match send(run, &server, last.as_deref()).await {
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use coltsfoothook_decision::id::{DomainName, RequestFingerprint, TimePoint, VmName, stable_hash};
+use coltsfoothook_decision::id::{
+    DomainName, RequestFingerprint, TimePoint, VmName, stable_hash, stable_hash_bytes,
+};
 use coltsfoothook_decision::issuer::{issuer_rank, vm_position};
 use coltsfoothook_decision::lease::StoreWitness;
 use coltsfoothook_decision::subject::ServerStart;
@@ -260,7 +262,28 @@
         self.peers.iter().filter(ahead).count()
     }
 
-    /// Returns the addresses of the first `count` in that order.
+    /// Returns the first `count` of the live VMs in an order that differs between requests, and is the same at all VMs.
+    /// Those that leave are left out unless `with_leaving`.
+    pub(crate) fn origin_holders(
+        &self,
+        fingerprint: RequestFingerprint,
+        count: usize,
+        with_leaving: bool,
+        now: TimePoint,
+    ) -> Vec<SocketAddr> {
+        let ttl_us = self.live_ttl_us();
+        let holds =
+            |peer: &&PeerState| (with_leaving || !peer.leaving) && peer.is_live(ttl_us, now);
+        let rank = |peer: &PeerState| {
+            stable_hash_bytes(&[&peer.position.to_le_bytes(), &fingerprint.0.to_le_bytes()])
+        };
+        let mut ranked: Vec<(u64, SocketAddr)> =
+            self.peers.iter().filter(holds).map(|peer| (rank(peer), peer.address)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
+    /// Returns the addresses of the first `count` of those that read the store for others.
     pub(crate) fn readers(&self, count: usize, now: TimePoint) -> Vec<SocketAddr> {
         let ttl_us = self.live_ttl_us();
         let counts = |peer: &&PeerState| !peer.leaving && peer.is_live(ttl_us, now);
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -9,6 +9,7 @@
     CustomerName, RequestFingerprint, ServerName, ServiceName, SoftwareVersion, TimePoint,
     stable_hash_bytes,
 };
+use coltsfoothook_decision::origin::StreamOrigin;
 use coltsfoothook_decision::routing::ServingRoute;
 use coltsfoothook_exchange::BodyFraming;
 use coltsfoothook_platform::RequestHead;
@@ -57,6 +58,9 @@
     pub(crate) incarnation: u64,
     /// The version of that server's software, if known.
     pub(crate) software: Option<SoftwareVersion>,
+    /// Where the stream that it goes on with began; `None` for a new stream before its first event, and while that is
+    /// not known.
+    pub(crate) origin: Option<StreamOrigin>,
     /// From the request's start to the first event, or to the whole answer if it is no stream.
     pub(crate) first: Option<Duration>,
     /// The time spent on finding a server, without `held`: mostly waits for an adapter.
@@ -153,6 +157,7 @@
             server: None,
             incarnation: 0,
             software: None,
+            origin: None,
             first: None,
             stall: Duration::ZERO,
             held: Duration::ZERO,
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -86,6 +86,15 @@
         let version = key.and_then(|key| state.version(key));
         let (address, incarnation) = (state.entry.address, state.entry.incarnation);
         let software = state.entry.software.clone();
+        let origin = run.origin.as_ref();
+        if origin.is_some_and(|origin| software.as_ref() != Some(&origin.software)) {
+            event!(
+                InvariantBroken,
+                request_id = run.request.head.id,
+                invariant = "a stream goes on at the software version that began it",
+            );
+            return SendEnd::Unsent("the server has another software version".to_owned());
+        }
         let now = clock::now();
         let (limit_per_s, rest) = (state.limit_per_s(), state.rest_wait(now));
         let lacks_room = state.lacks_room(now);
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use coltsfoothook_decision::limit::FleetLimiter;
 use coltsfoothook_decision::links::ServerLinks;
 use coltsfoothook_decision::loadtime::LoadTimes;
+use coltsfoothook_decision::origin::OriginTable;
 use coltsfoothook_decision::permit::PermitHolder;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings, ServerDialer};
@@ -114,6 +115,8 @@
     pub(crate) broken: BrokenRuns,
     /// Whether this VM reaches any server.
     pub(crate) links: ServerLinks,
+    /// Software versions that streams began at.
+    pub(crate) origins: OriginTable,
     pub(crate) budget: RepeatBudget,
     pub(crate) roster: PeerRoster,
     pub(crate) lease: OrderLease,
@@ -176,6 +179,10 @@
     pub(crate) config_behind: Notify,
     /// Notified when a request has a key that the configuration in force does not know.
     pub(crate) unknown_key_seen: Notify,
+    /// Notified when streams began that other VMs are to be told of.
+    pub(crate) streams_began: Notify,
+    /// Notified when another VM told where streams began.
+    pub(crate) origins_told: Notify,
     /// Notified when the configuration was confirmed to be the newest.
     pub(crate) confirmed: Notify,
     /// Notified when this VM missed changes of servers' entries.
@@ -238,6 +245,7 @@
             crashes: CrashLedger::default(),
             broken: BrokenRuns::default(),
             links: ServerLinks::default(),
+            origins: OriginTable::default(),
             budget: RepeatBudget::new(promises.repeats()),
             roster: PeerRoster::default(),
             lease: OrderLease::new(lease),
@@ -272,6 +280,8 @@
             loads_changed: Notify::new(),
             config_behind: Notify::new(),
             unknown_key_seen: Notify::new(),
+            streams_began: Notify::new(),
+            origins_told: Notify::new(),
             confirmed: Notify::new(),
             entries_missed: Notify::new(),
             servers: Box::new(HttpServers::new(client.clone())),
--- a/gateway/tests/suite/software_versions.rs
+++ b/gateway/tests/suite/software_versions.rs
@@ -10,6 +10,8 @@
 
 /// How many streams each test begins.
 const STREAMS: usize = 8;
+/// How many requests come before, so that the budget of repeats has room for each stream.
+const FIRST_TRIES: usize = 60;
 /// Time in which VMs tell each other of a stream that began.
 const NOTICE: Duration = Duration::from_millis(100);
 /// Time in which a request is refused that cannot be served.
@@ -82,6 +84,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn within_answer() {
     let mixed = MixedSite::start().await;
+    for number in 0..FIRST_TRIES {
+        let id = format!("f-{number}");
+        let answer = mixed.gateways[number % 3].request("resumed", &id, "a1").await;
+        assert_eq!(answer.status, 200);
+    }
     mixed.set_mode(ServerMode::CutsStream);
     let mut resumed = 0;
     for number in 0..STREAMS {
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -7,6 +7,7 @@
 use coltsfoothook_decision::domain_update::{ListChange, ListedHolding};
 use coltsfoothook_decision::id::{ConfigVersion, TimePoint};
 use coltsfoothook_decision::limit::BucketState;
+use coltsfoothook_decision::origin::{ReportedStream, StreamMark, StreamOrigin};
 use coltsfoothook_decision::routing::{
     AdapterKey, BackendEntry, CallerLimits, HeldAdapter, HeldModel, RouteTable,
 };
@@ -315,6 +316,28 @@
     expect![[r#"[[5,[1,2,[3,0],[4,500000000]],[],[],[],[[],[[]]],[]],[[["base","swahili"],41]],[["s-1",32,"speech",{"V4":[[10,0,0,2],80]},"d1",33,true,34,35,[["base",[["swahili",31]]]]]]]"#]].assert_eq(&value.to_string());
 }
 
+#[test]
+fn stream_origins() {
+    let origin = StreamOrigin { service: "llm".into(), software: "v1".into() };
+    let stream = ReportedStream {
+        origin: Some(origin),
+        marks: vec![StreamMark(1), StreamMark(2)],
+        left_ms: 3,
+    };
+    same_message(
+        PeerMessage::Origins(vec![stream]),
+        expect![[
+            r#"{"origins":[{"origin":{"service":"llm","software":"v1"},"marks":[1,2],"left_ms":3}]}"#
+        ]],
+        expect![[r#"7 {"origins":[[["llm","v1"],[1,2],3]]}"#]],
+    );
+    same_message(
+        PeerMessage::OriginQuestion(StreamMark(1)),
+        expect![[r#"{"origin_question":1}"#]],
+        expect![[r#"7 {"origin_question":1}"#]],
+    );
+}
+
 /// Guards against a release that cannot read the entries of another one, which knows the servers' software or does not.
 #[test]
 fn software_versions() {
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -31,6 +31,7 @@
     metrics.crash_check(true);
     metrics.handed_over("RESULT");
     metrics.broken_stream("FRAMING");
+    metrics.taken_up("RESULT");
     metrics.answer_age("CALL", Duration::ZERO);
     metrics.set("WHAT", 1);
     let mut rows = Vec::new();
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -91,7 +91,7 @@
     RequestRetried, "request_retried", Warn, "An attempt failed and the request is retried.";
     StreamBroken, "stream_broken", Warn, "A server broke off a stream; `framing` tells how the answer states where it ends, `partial` how many bytes of an incomplete event had come.";
     StreamResumed, "stream_resumed", Warn, "A broken stream is resumed at its engine or at another one.";
-    StreamTakenUp, "stream_taken_up", Info, "A caller goes on with a stream after `last_event`; `resumes` is the attempt that brought its first event.";
+    StreamTakenUp, "stream_taken_up", Info, "A caller goes on with a stream after `last_event`; `resumes` is the attempt that brought its first event, `began_at` the software version that it goes on at, `result` why it does not.";
     RequestCondemned, "request_condemned", Error, "Backend servers crashed under a request, and it is refused from now on.";
     LinksLost, "links_lost", Error, "This VM reaches none of the backend servers that it tried; its requests go through other VMs.";
     LinksRegained, "links_regained", Warn, "This VM reaches backend servers again.";
