A stream goes on only after an event with an id, and only with events

Found in the id after which another server goes on:

* events without ids: the stream was resumed from its beginning, and its caller got the first events twice (unnumbered_events failed);
* an event with bytes that are no text: ids of all events that came with it were not read, so that it was resumed too early (events_not_text failed);
* a later answer that is not one of events was passed on as such; rest_of_other_type guards it.
The first version of that test passed on the code as it was, since it did not ask whether the second server ran; not checked by itself afterwards.

Change: ids are read from the bytes of each event; a stream whose last event has no id is broken off instead of resumed; a later answer must be a stream of events too.

--- a/gateway/src/event_scan.rs
+++ b/gateway/src/event_scan.rs
@@ -16,6 +16,8 @@
     /// Bytes after the last complete event.
     partial: BytesMut,
     last_id: Option<String>,
+    /// Whether an event without an id came after the last one that had one.
+    is_unnumbered: bool,
     has_events: bool,
 }
 
@@ -26,8 +28,14 @@
         let Some(end) = last_end(&self.partial) else { return Bytes::new() };
         let complete = self.partial.split_to(end).freeze();
         self.has_events = true;
-        if let Some(id) = last_id(&complete) {
-            self.last_id = Some(id);
+        for event in events(&complete) {
+            match id_of(event) {
+                Some(id) => {
+                    self.last_id = Some(id);
+                    self.is_unnumbered = false;
+                }
+                None => self.is_unnumbered |= has_data(event),
+            }
         }
         complete
     }
@@ -37,6 +45,11 @@
         self.last_id.as_deref()
     }
 
+    /// Returns whether the id of the last event tells another server where to go on.
+    pub(crate) fn is_resumable(&self) -> bool {
+        !self.is_unnumbered
+    }
+
     /// Returns how many bytes of an incomplete event are buffered.
     pub(crate) fn partial_len(&self) -> usize {
         self.partial.len()
@@ -73,8 +86,30 @@
     unix.max(dos)
 }
 
-fn last_id(bytes: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(bytes).ok()?;
-    let id = text.lines().rev().find_map(|line| line.strip_prefix("id:"))?;
-    Some(id.trim().to_owned())
+/// Splits complete events.
+fn events(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = bytes;
+    std::iter::from_fn(move || {
+        let end = first_end(rest)?;
+        let (event, later) = rest.split_at(end);
+        rest = later;
+        Some(event)
+    })
+}
+
+/// Returns the offset behind the first complete event.
+fn first_end(bytes: &[u8]) -> Option<usize> {
+    let unix = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let dos = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    unix.into_iter().chain(dos).min()
+}
+
+fn id_of(event: &[u8]) -> Option<String> {
+    let line =
+        event.split(|byte| *byte == b'\n').rev().find_map(|line| line.strip_prefix(b"id:"))?;
+    String::from_utf8(line.trim_ascii().to_vec()).ok()
+}
+
+fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -219,7 +219,9 @@
         if self.run.request.route.repeat != RetryRule::StreamResumable {
             return false;
         }
-        let Some(scan) = &mut self.scan else { return false };
+        let Some(scan) = self.scan.as_mut().filter(|scan| scan.is_resumable()) else {
+            return false;
+        };
         scan.start_run();
         let last = scan.last_id().map(str::to_owned);
         let run = &mut self.run;
@@ -259,7 +261,9 @@
         };
         run.ran += 1;
         match sent {
-            SendEnd::Answer(answer) if answer.status.is_success() => {
+            SendEnd::Answer(answer)
+                if answer.status.is_success() && is_event_stream(&answer.headers) =>
+            {
                 self.body = Some(answer.body);
                 self.server = server;
                 true
--- a/gateway/tests/suite/broken_answers.rs
+++ b/gateway/tests/suite/broken_answers.rs
@@ -1,7 +1,7 @@
 //! Servers that lose, cut or mix up answers, and what callers receive.
 
-use crate::server::{EVENTS, ServerMode};
-use crate::site::Site;
+use crate::server::{EVENTS, RunRecord, ServerMode};
+use crate::site::{CallerAnswer, Site};
 
 async fn plain_site(mode: ServerMode) -> (Site, crate::site::RunningGateway) {
     let site = Site::start(0, 1).await;
@@ -140,3 +140,43 @@
     assert!(answer.whole, "{answer:?}");
     assert_eq!(answer.body.matches("data:").count(), EVENTS);
 }
+
+/// Returns the answer to a stream whose first server breaks it off as `first` and whose second one answers as `second`, and
+/// the runs of it at the second.
+async fn resumed_after(first: ServerMode, second: ServerMode) -> (CallerAnswer, Vec<RunRecord>) {
+    let site = Site::start(2, 0).await;
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    assert_eq!(gateway.request("resumed", "r0", "a1").await.status, 200);
+    let holder = site.engines.iter().find(|engine| !engine.runs().is_empty()).unwrap();
+    let other = site.engines.iter().find(|engine| engine.name != holder.name).unwrap();
+    holder.set_mode(first);
+    other.set_mode(second);
+    let answer = gateway.request("resumed", "r1", "a1").await;
+    let runs = other.runs().into_iter().filter(|run| run.id == "r1").collect();
+    (answer, runs)
+}
+
+/// Guards against a stream that is resumed from its beginning, since its events have no ids to go on after.
+#[tokio::test]
+async fn unnumbered_events() {
+    let (answer, runs) = resumed_after(ServerMode::Unnumbered, ServerMode::Normal).await;
+    assert!(!answer.whole, "{answer:?}");
+    assert!(runs.is_empty(), "{runs:?}");
+}
+
+/// Guards against an event that comes twice, since its id was not read beside bytes that are no text.
+#[tokio::test]
+async fn events_not_text() {
+    let (answer, runs) = resumed_after(ServerMode::NotText, ServerMode::Normal).await;
+    assert_eq!(runs[0].header("last-event-id"), Some("1"));
+    assert!(answer.whole && answer.body.matches("id: 1").count() == 1, "{answer:?}");
+}
+
+/// Guards against an answer of another type whose bytes are passed on as the rest of a stream.
+#[tokio::test]
+async fn rest_of_other_type() {
+    let (answer, runs) = resumed_after(ServerMode::CutsStream, ServerMode::OtherType).await;
+    assert_eq!(runs.len(), 1);
+    assert!(!answer.whole && !answer.body.contains("<p>"), "{answer:?}");
+}
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -26,6 +26,12 @@
     CutsFirst,
     /// It closes a stream after its head.
     CutsHead,
+    /// Its events have no ids, and it closes a stream in the middle of its second event.
+    Unnumbered,
+    /// Its first event has bytes that are no text, and it closes a stream in the middle of its second event.
+    NotText,
+    /// It answers a stream that goes on with a page of another type.
+    OtherType,
     /// It states the end of a stream's body in the middle of its second event.
     EndsInEvent,
     /// It sends an answer with another request's id before its own.
@@ -486,6 +492,10 @@
         sealed: &str,
         mode: ServerMode,
     ) -> bool {
+        if mode == ServerMode::OtherType {
+            let head = format!("{sealed}content-type: text/html\r\n");
+            return send(stream, 200, &head, "<p>go on\n\n</p>").await;
+        }
         let unframed = self.state.lock().unwrap().unframed;
         let framing = if unframed { "" } else { "transfer-encoding: chunked\r\n" };
         let head =
@@ -495,9 +505,15 @@
             return false;
         }
         for number in last + 1..=EVENTS {
-            let event = format!("id: {number}\ndata: {} {number}\n\n", record.id);
+            let event = match mode {
+                ServerMode::Unnumbered => format!("data: {} {number}\n\n", record.id),
+                _ => format!("id: {number}\ndata: {} {number}\n\n", record.id),
+            };
             let cut = match mode {
-                ServerMode::CutsStream | ServerMode::EndsInEvent => number == 2,
+                ServerMode::CutsStream
+                | ServerMode::EndsInEvent
+                | ServerMode::Unnumbered
+                | ServerMode::NotText => number == 2,
                 ServerMode::CutsFirst => number == last + 1,
                 _ => false,
             };
@@ -506,7 +522,13 @@
                 true => event.to_owned(),
                 false => format!("{:x}\r\n{event}\r\n", event.len()),
             };
-            if stream.write_all(chunk.as_bytes()).await.is_err() {
+            let mut chunk = chunk.into_bytes();
+            if mode == ServerMode::NotText && number == 1 {
+                chunk.iter_mut().filter(|byte| **byte == b' ').for_each(|byte| *byte = 0xFF);
+                let id = chunk.iter().position(|byte| *byte == 0xFF).expect("it has an id");
+                chunk[id] = b' ';
+            }
+            if stream.write_all(&chunk).await.is_err() {
                 self.state.lock().unwrap().disconnects += 1;
                 return false;
             }
