The soak plays servers of two software versions, answers without framing, callers that go on

One server in three has a newer version; servers end their answers with their connections, half of the time cutting streams inside an event; callers of streams that broke go on at any gateway with Last-Event-Id and Resumes. The verdict checks that each run that goes on is at a version that began the stream, at any gateway and whatever was done to it, and that the rest comes whole and once.

--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -65,6 +65,17 @@
     pub(crate) sent: Instant,
     pub(crate) took: Duration,
     pub(crate) end: CallEnd,
+    /// The stream that it goes on with, if it does.
+    pub(crate) goes_on: Option<BrokenStream>,
+}
+
+/// A stream that broke after some events.
+#[derive(Clone, Debug)]
+pub(crate) struct BrokenStream {
+    /// The attempt that brought its first event.
+    pub(crate) attempt: String,
+    /// How many events had come.
+    pub(crate) events: usize,
 }
 
 /// How a request ended for its caller.
@@ -87,6 +98,17 @@
         format!("{id}, {kind:?} to {at}, after {took:?}: {end:?}")
     }
 
+    /// Returns the stream that its caller goes on with, if it broke after some events.
+    fn broken_stream(&self) -> Option<BrokenStream> {
+        let CallEnd::Answered { status: 200, body, whole: false, .. } = &self.end else {
+            return None;
+        };
+        let before = self.goes_on.as_ref().map_or(0, |stream| stream.events);
+        let events = before + body.matches("\n\n").count();
+        let attempt = self.goes_on.as_ref().map_or(&self.id, |stream| &stream.attempt).clone();
+        (self.kind == CallKind::Resumed && events > 0).then_some(BrokenStream { attempt, events })
+    }
+
     /// Returns whether it was answered with 200 and a whole body.
     pub(crate) fn served(&self) -> bool {
         matches!(self.end, CallEnd::Answered { status: 200, whole: true, .. })
@@ -132,6 +154,7 @@
                 sent,
                 took: abandon_after,
                 end: CallEnd::Abandoned,
+                goes_on: None,
             };
             timeout(abandon_after, called).await.unwrap_or(abandoned)
         } else {
@@ -140,10 +163,30 @@
         if matches!(record.end, CallEnd::Unsent) {
             addresses.retain(|other| *other != address);
         }
+        let broken = record.broken_stream();
         world.verdict.record(record);
+        if let Some(stream) = broken
+            && let Some(address) = addresses.choose(&mut random).copied()
+        {
+            let id = format!("{id}-on");
+            world.verdict.record(go_on(&client, address, stream, &id, &adapter).await);
+        }
     }
 }
 
+/// Goes on with a stream that broke, as a new attempt `id`.
+async fn go_on(
+    client: &ExchangeClient,
+    address: SocketAddr,
+    stream: BrokenStream,
+    id: &str,
+    adapter: &str,
+) -> CallRecord {
+    let kind = CallKind::Resumed;
+    let path = format!("/{}/x", kind.route());
+    call_path(client, address, kind, path, id, adapter, Some(stream)).await
+}
+
 /// Sends requests to one gateway, every 90 ms or more, on the route whose service changes with each configuration.
 pub(crate) async fn run_probe(world: Arc<SoakWorld>, gateway: usize) {
     let client = ExchangeClient::new(ExchangeSettings::default());
@@ -194,7 +237,7 @@
         let gateway = world.gateways.choose(&mut random).expect("there are gateways");
         let (address, id) = (gateway.endpoints.requests, format!("k{number}-{attempt}"));
         let path = format!("/safe/{number}{CRASHING}");
-        let record = call_path(&client, address, CallKind::Safe, path, &id, "").await;
+        let record = call_path(&client, address, CallKind::Safe, path, &id, "", None).await;
         world.verdict.record(record);
         sleep(random.random_range(Duration::ZERO..lasts / 2)).await;
     }
@@ -227,7 +270,7 @@
     id: &str,
     adapter: &str,
 ) -> CallRecord {
-    call_path(client, address, kind, format!("/{}/x", kind.route()), id, adapter).await
+    call_path(client, address, kind, format!("/{}/x", kind.route()), id, adapter, None).await
 }
 
 async fn call_path(
@@ -237,6 +280,7 @@
     path: String,
     id: &str,
     adapter: &str,
+    goes_on: Option<BrokenStream>,
 ) -> CallRecord {
     let method = if kind == CallKind::Safe { Method::GET } else { Method::POST };
     let mut request = ExchangeRequest::new(method, path);
@@ -251,6 +295,10 @@
         set("coltsfoothook-model", &format!("{MODEL}/{adapter}"));
         set("coltsfoothook-token-count", "100,8");
     }
+    if let Some(stream) = &goes_on {
+        set("last-event-id", &stream.events.to_string());
+        set("resumes", &stream.attempt);
+    }
     request.head_timeout = Some(Duration::from_millis(DEADLINE_MS + 1_000));
     request.chunk_timeout = Some(Duration::from_millis(DEADLINE_MS + 1_000));
     let sent = Instant::now();
@@ -260,7 +308,7 @@
         Err(ExchangeError::NotSent { .. }) => CallEnd::Unsent,
         Err(_) => CallEnd::Cut,
     };
-    CallRecord { id: id.to_owned(), kind, at: address, sent, took: sent.elapsed(), end }
+    CallRecord { id: id.to_owned(), kind, at: address, sent, took: sent.elapsed(), end, goes_on }
 }
 
 async fn read(mut answer: ExchangeResponse) -> CallEnd {
--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -36,6 +36,8 @@
     ServerLink(usize, LinkState),
     /// A server fails its requests in some way.
     ServerMode(usize, ServerMode),
+    /// A server ends its answers with their connections.
+    ServerUnframed(usize),
     /// All servers of a service fail their requests in some way.
     ServiceMode(ServerKind, ServerMode),
     /// A server crashes, and a new one without adapters replaces it.
@@ -223,13 +225,15 @@
         ServerMode::LosesAnswer,
         ServerMode::Fails,
         ServerMode::CutsStream,
+        ServerMode::CutsFirst,
         ServerMode::AnswersTwice,
         ServerMode::Full,
         ServerMode::Paced,
     ];
     let mode = *modes.choose(random).expect("there are modes");
-    match random.random_range(0..17) {
+    match random.random_range(0..20) {
         0 => FaultKind::StoreDown,
+        17..20 => FaultKind::ServerUnframed(server),
         1 | 2 => FaultKind::StoreLink(gateway, link),
         3 | 4 => FaultKind::ServerLink(server, link),
         5 | 6 => FaultKind::ServerMode(server, mode),
@@ -282,6 +286,16 @@
             sleep(lasts).await;
             server.set_mode(ServerMode::Paced);
         }
+        FaultKind::ServerUnframed(server) => {
+            let server = world.server(server);
+            server.set_unframed(true);
+            if lasts.as_millis().is_multiple_of(2) {
+                server.set_mode(ServerMode::CutsStream);
+            }
+            sleep(lasts).await;
+            server.set_mode(ServerMode::Paced);
+            server.set_unframed(false);
+        }
         FaultKind::ServiceMode(kind, mode) => {
             world.set_service_mode(kind, mode);
             sleep(2 * lasts).await;
--- a/gateway/tests/soak/verdict.rs
+++ b/gateway/tests/soak/verdict.rs
@@ -125,6 +125,7 @@
             self.judge_repeats(kind, &calls, &world.arrivals_at(kind));
         }
         self.judge_crashes(&runs);
+        self.judge_versions(&runs, world);
         for violation in world.server_violations() {
             self.find(violation);
         }
@@ -144,6 +145,21 @@
         }
     }
 
+    /// Checks that streams go on only at the software version that began them, at any gateway and whatever was done to it.
+    fn judge_versions(&self, runs: &[(String, RunRecord)], world: &SoakWorld) {
+        let goes_on = |(_, run): &&(String, RunRecord)| run.header("last-event-id").is_some();
+        for (server, run) in runs.iter().filter(goes_on) {
+            let began_by = run.header("resumes").unwrap_or(&run.id);
+            let first = runs.iter().filter(|first| first.1.id == began_by && !goes_on(first));
+            let began_at: Vec<&str> = first.map(|(server, _)| world.software(server)).collect();
+            let version = world.software(server);
+            if !began_at.contains(&version) {
+                let id = &run.id;
+                self.find(format!("{id} went on at {version}, {began_by} began at {began_at:?}"));
+            }
+        }
+    }
+
     /// Checks that a request that crashes servers is stopped. Only seeds whose gateways neither restart nor pause have
     /// such requests.
     fn judge_crashes(&self, runs: &[(String, RunRecord)]) {
@@ -271,7 +287,8 @@
         return (*whole && !right).then(|| format!("{}: got {body:?}", record.id));
     }
     let mut expected = String::new();
-    for number in 1..=EVENTS {
+    let before = record.goes_on.as_ref().map_or(0, |stream| stream.events);
+    for number in before + 1..=EVENTS {
         expected.push_str(&format!("id: {number}\ndata: {} {number}\n\n", record.id));
     }
     let right = if *whole { *body == expected } else { expected.starts_with(body.as_str()) };
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -46,6 +46,9 @@
 /// request hides less of what they repeat beyond that.
 const APART_CALLERS: usize = 6;
 
+/// One in so many servers has a newer version of the software.
+const NEW_VERSION_ONE_IN: usize = 3;
+
 /// The parameters of one seed's run.
 #[derive(Clone, Debug)]
 pub(crate) struct SoakPlan {
@@ -244,6 +247,9 @@
         let number = self.all_servers.lock().unwrap().len();
         let server = StandinServer::start(&format!("{}-{number}", kind.name_prefix())).await;
         server.set_mode(ServerMode::Paced);
+        if number % NEW_VERSION_ONE_IN == NEW_VERSION_ONE_IN - 1 {
+            server.set_software("v2");
+        }
         let link = LinkProxy::start_while_up(server.address, server.down_state()).await;
         self.all_servers.lock().unwrap().push((server.clone(), None));
         self.services.lock().unwrap().push((server.name.clone(), kind));
@@ -503,6 +509,13 @@
         runs.collect()
     }
 
+    /// Returns the software version of a server.
+    pub(crate) fn software(&self, server: &str) -> &'static str {
+        let all_servers = self.all_servers.lock().unwrap();
+        let found = all_servers.iter().find(|(known, _)| known.name == server);
+        found.map_or("", |(known, _)| known.software())
+    }
+
     /// Returns all requests that reached servers of a service, in order, also those that were rejected.
     pub(crate) fn arrivals_at(&self, kind: ServerKind) -> Vec<RequestArrival> {
         let services = self.services.lock().unwrap();
