A server that crashed and listens again at once counts as crashed

What callers saw: a request that crashes each server that runs it reached servers without end where these were back within 30 ms: the check found a server that accepts connections.

Cause: a crash was decided by one look at the address. The class: what is decided first, and what comes later is not asked. The new start shows it, in the entry or in what other VMs report.

Change: servers that accept connections after runs broke there are remembered for 3 s, 64 at most, with these runs; a start in their place (later start under the name, or another name at the address) records the crash. Not where the server was leaving; an answer of the former start to a later request takes it back as before.

Before (the same code with the new start not looked up): crashing_requests::back_at_once: 22 attempts reached servers 3 s after the third crash, allowed 3.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -442,6 +442,9 @@
     pub(crate) fn apply_entry(&mut self, entry: &BackendEntry, now: TimePoint) -> bool {
         let change = self.backends.apply_entry(entry.clone(), now);
         self.log_ignored(entry);
+        if matches!(change, EntryChange::Appeared | EntryChange::Restarted) {
+            self.server_started(entry, now);
+        }
         match change {
             EntryChange::Appeared => {
                 event!(
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -429,6 +429,7 @@
                     born = report.incarnation,
                     told_by = "report"
                 );
+                view.server_restarted(server, now);
             }
             // A report of another incarnation says nothing about the one that the tracker is for.
             if let Some(tracker) = view.order_trackers.of_incarnation(server, call.incarnation) {
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -433,6 +433,7 @@
         let (server, incarnation) = (change.server.clone(), change.incarnation);
         if view.backends.start_incarnation(server.as_str(), incarnation, &[], now) {
             event!(ServerRestarted, server = server, born = incarnation, told_by = "vm");
+            view.server_restarted(&server, now);
         }
         if view.backends.change(change, now) {
             changed = true;
--- a/gateway/src/suspects.rs
+++ b/gateway/src/suspects.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::crash::{CrashChange, CrashReport};
-use coltsfoothook_decision::id::{RequestFingerprint, TimePoint};
+use coltsfoothook_decision::id::{RequestFingerprint, ServerName, TimePoint};
+use coltsfoothook_decision::routing::BackendEntry;
 use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_telemetry::event;
 use tokio::time::sleep;
@@ -16,7 +17,7 @@
 use crate::clock;
 use crate::message::PeerMessage;
 use crate::run::RequestRun;
-use crate::state::Gateway;
+use crate::state::{Gateway, SystemView};
 
 /// How long after a run broke the server is checked: the other runs of a crashed server break within
 /// it.
@@ -24,12 +25,30 @@
 /// How long after a crash runs that break are counted with it, in microseconds. Answers that were on
 /// their way to a slow VM are read that late.
 const SAME_CRASH_US: u64 = 1_000_000;
+/// How long after a run broke at a server that accepts connections a new start of it shows that it crashed, in
+/// microseconds: until the entry of the new start is read.
+const SUCCESSOR_US: u64 = 3_000_000;
+/// Maximum number of such servers.
+const MAX_LISTENING: usize = 64;
 /// Interval at which crashes are reported to other VMs, if there is anything to report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Runs that broke at servers which may have crashed, by server incarnation.
 #[derive(Debug, Default)]
-pub(crate) struct BrokenRuns(Vec<BrokenServer>);
+pub(crate) struct BrokenRuns {
+    servers: Vec<BrokenServer>,
+    /// Servers that accepted a connection after runs broke there.
+    listening: Vec<ListeningServer>,
+}
+
+/// A server at which runs broke and whose address accepts connections: it may have been restarted since.
+#[derive(Debug)]
+struct ListeningServer {
+    start: ServerStart,
+    address: SocketAddr,
+    at: TimePoint,
+    runs: Vec<RequestFingerprint>,
+}
 
 /// A server at which runs broke.
 #[derive(Debug)]
@@ -51,18 +70,44 @@
         run: RequestFingerprint,
         now: TimePoint,
     ) -> Option<&mut BrokenServer> {
-        self.0.retain(|broken| now.since(broken.at) < SAME_CRASH_US);
-        if let Some(at) = self.0.iter().position(|broken| broken.start == start) {
-            let broken = &mut self.0[at];
+        self.servers.retain(|broken| now.since(broken.at) < SAME_CRASH_US);
+        if let Some(at) = self.servers.iter().position(|broken| broken.start == start) {
+            let broken = &mut self.servers[at];
             broken.runs.push(run);
             return (broken.crashed == Some(true)).then_some(broken);
         }
-        self.0.push(BrokenServer { start, at: now, runs: vec![run], crashed: None });
-        self.0.last_mut()
+        self.servers.push(BrokenServer { start, at: now, runs: vec![run], crashed: None });
+        self.servers.last_mut()
+    }
+
+    fn add_listening(&mut self, server: ListeningServer, now: TimePoint) {
+        self.listening.retain(|known| now.since(known.at) < SUCCESSOR_US);
+        if self.listening.len() < MAX_LISTENING {
+            self.listening.push(server);
+        }
+    }
+
+    /// Returns the server whose runs broke before this one started in its place, if there is one.
+    fn take_predecessor(
+        &mut self,
+        entry: &BackendEntry,
+        now: TimePoint,
+    ) -> Option<ListeningServer> {
+        let (server, incarnation) = (&entry.server, entry.incarnation);
+        let at = self.listening.iter().position(|known| {
+            let same_name = known.start.server == *server;
+            now.since(known.at) < SUCCESSOR_US
+                && if same_name {
+                    known.start.incarnation < incarnation
+                } else {
+                    known.address == entry.address
+                }
+        })?;
+        Some(self.listening.swap_remove(at))
     }
 
     fn find(&mut self, start: &ServerStart) -> Option<&mut BrokenServer> {
-        self.0.iter_mut().find(|broken| broken.start == *start)
+        self.servers.iter_mut().find(|broken| broken.start == *start)
     }
 }
 
@@ -98,11 +143,16 @@
     let Some(broken) = view.broken.find(&start) else { return };
     broken.crashed = Some(refused);
     let (at, runs) = (broken.at, broken.runs.clone());
+    let leaves = view.backends.get(start.server.as_str()).is_some_and(|state| state.leaving);
     let change = if refused {
         view.crashes.record_crash(&start, at, &runs, now)
     } else {
         CrashChange::default()
     };
+    if connected.is_ok() && !leaves {
+        let runs = runs.clone();
+        view.broken.add_listening(ListeningServer { start: start.clone(), address, at, runs }, now);
+    }
     drop(view);
     event!(
         ServerChecked,
@@ -117,6 +167,32 @@
     report(&gateway);
 }
 
+impl SystemView {
+    /// Records that a server restarted under its name, as another VM or the server itself reported.
+    pub(crate) fn server_restarted(&mut self, server: &ServerName, now: TimePoint) {
+        let entry = self.backends.get(server.as_str()).map(|state| state.entry.clone());
+        if let Some(entry) = entry {
+            self.server_started(&entry, now);
+        }
+    }
+
+    /// Records that a server started, in the place of one at which runs broke: that one crashed, although its address
+    /// accepted connections again before it was checked.
+    pub(crate) fn server_started(&mut self, entry: &BackendEntry, now: TimePoint) {
+        let Some(former) = self.broken.take_predecessor(entry, now) else { return };
+        let change = self.crashes.record_crash(&former.start, former.at, &former.runs, now);
+        event!(
+            ServerChecked,
+            server = former.start.server,
+            born = former.start.incarnation,
+            crashed = true,
+            broken = former.runs.len(),
+            after_ms = now.since(former.at) / 1_000,
+        );
+        log_verdicts(&change);
+    }
+}
+
 /// Records that the server answered a request that was sent at `sent`.
 pub(crate) fn server_answered(run: &RequestRun, sent: TimePoint) {
     let Some(server) = &run.server else { return };
@@ -207,6 +283,15 @@
 }
 
 fn log_change(gateway: &Gateway, change: &CrashChange) {
+    log_verdicts(change);
+    if change.changed {
+        let (suspects, condemned) = gateway.view().crashes.counts();
+        gateway.metrics.set("suspects", suspects);
+        gateway.metrics.set("condemned_requests", condemned);
+    }
+}
+
+fn log_verdicts(change: &CrashChange) {
     for entry in &change.condemned {
         let fingerprint = format!("{:016x}", entry.fingerprint.0);
         let (crashes, alone) = (entry.crashes, entry.alone);
@@ -215,9 +300,4 @@
     for fingerprint in &change.cleared {
         event!(SuspicionCleared, fingerprint = format!("{:016x}", fingerprint.0));
     }
-    if change.changed {
-        let (suspects, condemned) = gateway.view().crashes.counts();
-        gateway.metrics.set("suspects", suspects);
-        gateway.metrics.set("condemned_requests", condemned);
-    }
 }
--- a/gateway/tests/suite/crashing_requests.rs
+++ b/gateway/tests/suite/crashing_requests.rs
@@ -5,7 +5,7 @@
 use tokio::time::sleep;
 
 use crate::press::three_gateways;
-use crate::server::{CRASHING, RunRecord};
+use crate::server::{CRASHING, RunRecord, ServerMode};
 use crate::site::{RunningGateway, Site, eventually};
 
 /// How long after the third crash further attempts may still reach servers.
@@ -54,6 +54,16 @@
     assert_stopped(&site);
 }
 
+/// Guards against crashes that are not seen, as each server listens again at once, and only its new start shows.
+#[tokio::test(flavor = "multi_thread")]
+async fn back_at_once() {
+    let mut site = Site::start(0, 4).await;
+    let gateways = three_gateways(&site).await;
+    site.plain.iter().for_each(|server| server.set_mode(ServerMode::BackAtOnce));
+    crash_servers(&mut site, &gateways, "again", Duration::from_secs(10)).await;
+    assert_stopped(&site);
+}
+
 /// Guards against a VM that starts later and does not know what the others have seen.
 #[tokio::test(flavor = "multi_thread")]
 async fn told_to_new_vm() {
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -30,6 +30,8 @@
     Unnumbered,
     /// Its first event has bytes that are no text, and it closes a stream in the middle of its second event.
     NotText,
+    /// After a crash it listens again at once, as a restarted server.
+    BackAtOnce,
     /// It answers a stream that goes on with a page of another type.
     OtherType,
     /// It states the end of a stream's body in the middle of its second event.
@@ -460,7 +462,10 @@
                 self.stream(stream, &record, &sealed, ServerMode::CutsFirst).await;
             }
             sleep(CRASH_DELAY).await;
-            self.crash();
+            match mode {
+                ServerMode::BackAtOnce => self.restart(),
+                _ => self.crash(),
+            }
             return false;
         }
         match mode {
