Lost configurations are appended ahead of what builds on them, also beside a publication

What was seen: log_copies::built_on_what_was_lost failed now and then: a VM that started after the log came back from copies stayed at an old configuration for ever.

Cause: each VM appends again what the log lost, and behind it what others appended meanwhile. A publication that arrived between a VM's read and its append stood ahead of the lost change that it builds on, and nobody looked again; and a VM that found the lost change anywhere in the log took it for recovered. A VM that folds the log from its beginning refused the publication, as its base was not in force. Which versions the VMs had showed it (6 or 2 where the others had 7: next ahead of lost).

Ruled out: the order alone.

Change: the order counts, not the presence, and it is checked again behind each append, four times at most.

--- a/entry/src/restored.rs
+++ b/entry/src/restored.rs
@@ -20,6 +20,8 @@
 const MAX_BYTES: usize = 4 << 20;
 /// Number of records in one read and in one append.
 const BATCH_RECORDS: usize = 256;
+/// Maximum number of times that records are appended in one recovery.
+const MAX_ROUNDS: usize = 4;
 
 /// The records of a stream that were read last, in order of offset.
 #[derive(Debug, Default)]
@@ -80,26 +82,23 @@
         return Ok(());
     };
     let at = recent.records.partition_point(|record| record.offset < from);
-    let later: Vec<&str> = present
-        .iter()
-        .filter(|record| record.offset >= from)
-        .map(|record| record.data.as_str())
-        .collect();
-    let lost = recent.records.iter().skip(at).map(|record| record.data.as_str());
-    let mut again: Vec<String> = lost
-        .filter(|data| !later.contains(data) && !is_snapshot(stream, data))
-        .map(str::to_owned)
-        .collect();
-    let appended = again.len();
-    if appended > 0 {
-        // What others appended meanwhile may build on what was lost; a VM that starts now would
-        // have refused it, and reads it again behind.
-        again.extend(
-            later.iter().filter(|data| !is_snapshot(stream, data)).map(|data| (*data).to_owned()),
-        );
-    }
-    for batch in again.chunks(BATCH_RECORDS) {
-        core.clients.log.append(stream.name(), batch).await?;
+    let lost: Vec<&str> =
+        recent.records.iter().skip(at).map(|record| record.data.as_str()).collect();
+    let mut appended = 0;
+    // What others append between the read and the append comes ahead of what was lost, so that the order is checked
+    // again behind each append.
+    let mut present = present;
+    for _ in 0..MAX_ROUNDS {
+        let again =
+            missing_records(&kept(stream, &lost), &kept(stream, &data_from(&present, from)));
+        if again.is_empty() {
+            break;
+        }
+        for batch in again.chunks(BATCH_RECORDS) {
+            core.clients.log.append(stream.name(), batch).await?;
+        }
+        appended += again.len();
+        present = read_from(core, stream, from).await?;
     }
     recent.split_off(from);
     stream.rewind(core, from);
@@ -113,6 +112,39 @@
     Ok(())
 }
 
+/// Returns the data of the records from an offset on.
+fn data_from(records: &[LoggedRecord], from: LogOffset) -> Vec<&str> {
+    let later = records.iter().filter(|record| record.offset >= from);
+    later.map(|record| record.data.as_str()).collect()
+}
+
+/// Returns the records that are no snapshots.
+fn kept<'a>(stream: FollowedStream, records: &[&'a str]) -> Vec<&'a str> {
+    records.iter().copied().filter(|data| !is_snapshot(stream, data)).collect()
+}
+
+/// Returns what must be appended so that a VM that reads the log from its beginning folds what was lost first, and then what
+/// others appended meanwhile; nothing if `later`, what the log has now, is in that order already.
+///
+/// Others may have appended a change that builds on a lost one before a VM appended the lost one again. It does not help
+/// then that the log has both: a reader refuses the change, as its base is not in force yet.
+fn missing_records(lost: &[&str], later: &[&str]) -> Vec<String> {
+    if lost.is_empty() {
+        return Vec::new();
+    }
+    let mut ordered: Vec<&str> = Vec::new();
+    for data in lost.iter().chain(later) {
+        if !ordered.contains(data) {
+            ordered.push(data);
+        }
+    }
+    let mut present = later.iter();
+    if ordered.iter().all(|data| present.any(|other| other == data)) {
+        return Vec::new();
+    }
+    ordered.into_iter().map(str::to_owned).collect()
+}
+
 /// Reads a stream from an offset on, or from its beginning if the log ends before that.
 async fn read_from(
     core: &EntryCore,
