Events end at an empty line however lines end, and none is lost beside a long one

Cause: an event's end was looked for as one of two byte strings, twice, and what was left at the end counted as an event whatever it was; complete events were dropped when the rest was too long.

Change: one pass over lines in place of two searches; what has no field but comments is no event, and is passed on at the end; complete events go out before a long one breaks the stream off. The scan no longer begins anew in a buffered event.

Evidence: event_scan (gateway, unit): forms in pieces of any size, a cut at any byte, an event of 2 MiB. Not run on the code before, whose scan had another interface.

--- a/gateway/src/event_scan.rs
+++ b/gateway/src/event_scan.rs
@@ -15,29 +15,55 @@
 pub(crate) struct EventScan {
     /// Bytes after the last complete event.
     partial: BytesMut,
+    /// Where the first line that is not complete begins in `partial`.
+    line_start: usize,
+    /// The fields of the event that `partial` holds the beginning of.
+    fields: EventFields,
     last_id: Option<String>,
     /// Whether an event without an id came after the last one that had one.
     is_unnumbered: bool,
     has_events: bool,
 }
 
+/// What the lines of an event say so far.
+#[derive(Debug, Default)]
+struct EventFields {
+    /// Whether there is any line but comments.
+    any: bool,
+    data: bool,
+    id: Option<String>,
+}
+
 impl EventScan {
     /// Appends bytes and returns the events that are complete now; empty if none is.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
         self.partial.extend_from_slice(&bytes);
-        let Some(end) = last_end(&self.partial) else { return Bytes::new() };
-        let complete = self.partial.split_to(end).freeze();
-        self.has_events = true;
-        for event in events(&complete) {
-            match id_of(event) {
-                Some(id) => {
-                    self.last_id = Some(id);
-                    self.is_unnumbered = false;
-                }
-                None => self.is_unnumbered |= has_data(event),
+        let mut complete = 0;
+        while let Some((length, next)) = line_at(&self.partial, self.line_start) {
+            let line = &self.partial[self.line_start..self.line_start + length];
+            self.line_start = next;
+            if line.is_empty() {
+                self.end_event();
+                complete = next;
+            } else {
+                self.fields.read(line);
+            }
+        }
+        self.line_start -= complete;
+        self.partial.split_to(complete).freeze()
+    }
+
+    /// Applies the fields of a complete event.
+    fn end_event(&mut self) {
+        let fields = std::mem::take(&mut self.fields);
+        self.has_events |= fields.any;
+        match fields.id {
+            Some(id) => {
+                self.last_id = Some(id);
+                self.is_unnumbered = false;
             }
+            None => self.is_unnumbered |= fields.data,
         }
-        complete
     }
 
     /// Returns the id of the last complete event that had one.
@@ -55,7 +81,7 @@
         self.partial.len()
     }
 
-    /// Returns whether an event is longer than any server's.
+    /// Returns whether an event is too long to be buffered.
     pub(crate) fn is_overlong(&self) -> bool {
         self.partial.len() > MAX_EVENT_BYTES
     }
@@ -63,53 +89,56 @@
     /// Begins with the answer of another server, and drops the incomplete event of the one that failed.
     pub(crate) fn start_run(&mut self) {
         self.partial.clear();
+        self.line_start = 0;
+        self.fields = EventFields::default();
         self.has_events = false;
     }
 
-    /// Returns why the present server's stream, which has ended, was broken off, if it was.
+    /// Judges the end of the present server's stream: returns what follows its last event, which is comments if anything,
+    /// or why the stream was broken off.
     ///
     /// An answer that states its end by closing the connection ends alike when its server crashes. One that has not
     /// even one event then cannot be told from a server that crashed before its first.
-    pub(crate) fn break_cause(&self, ends_with_connection: bool) -> Option<&'static str> {
-        if !self.partial.is_empty() {
-            return Some("the stream ended within an event");
+    pub(crate) fn end(&mut self, ends_with_connection: bool) -> Result<Bytes, &'static str> {
+        // A carriage return at the end ends its line, as no line feed follows.
+        if self.partial[self.line_start..] == *b"\r" {
+            self.end_event();
+            self.line_start += 1;
+        }
+        let line = &self.partial[self.line_start..];
+        if self.fields.any || !(line.is_empty() || line.starts_with(b":")) {
+            return Err("the stream ended within an event");
         }
-        (ends_with_connection && !self.has_events)
-            .then_some("the stream ended with its connection before an event")
+        if ends_with_connection && !self.has_events {
+            return Err("the stream ended with its connection before an event");
+        }
+        self.line_start = 0;
+        Ok(self.partial.split().freeze())
     }
 }
 
-/// Returns the offset behind the last complete event. An empty line ends an event.
-fn last_end(bytes: &[u8]) -> Option<usize> {
-    let unix = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let dos = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    unix.max(dos)
-}
-
-/// Splits complete events.
-fn events(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
-    let mut rest = bytes;
-    std::iter::from_fn(move || {
-        let end = first_end(rest)?;
-        let (event, later) = rest.split_at(end);
-        rest = later;
-        Some(event)
-    })
-}
-
-/// Returns the offset behind the first complete event.
-fn first_end(bytes: &[u8]) -> Option<usize> {
-    let unix = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-    let dos = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    unix.into_iter().chain(dos).min()
-}
-
-fn id_of(event: &[u8]) -> Option<String> {
-    let line =
-        event.split(|byte| *byte == b'\n').rev().find_map(|line| line.strip_prefix(b"id:"))?;
-    String::from_utf8(line.trim_ascii().to_vec()).ok()
+impl EventFields {
+    fn read(&mut self, line: &[u8]) {
+        if line.starts_with(b":") {
+            return;
+        }
+        self.any = true;
+        self.data |= line == b"data" || line.starts_with(b"data:");
+        if let Some(id) = line.strip_prefix(b"id:") {
+            self.id = String::from_utf8(id.trim_ascii().to_vec()).ok();
+        }
+    }
 }
 
-fn has_data(event: &[u8]) -> bool {
-    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+/// Returns the length of the line that begins at `start` and where the next one begins, if it is complete. Lines end with
+/// a line feed, a carriage return or both; a carriage return at the end may be the first half of both.
+fn line_at(bytes: &[u8], start: usize) -> Option<(usize, usize)> {
+    let length = bytes[start..].iter().position(|byte| matches!(byte, b'\n' | b'\r'))?;
+    let end = start + length;
+    match (bytes[end], bytes.get(end + 1)) {
+        (b'\n', _) => Some((length, end + 1)),
+        (_, Some(b'\n')) => Some((length, end + 2)),
+        (_, Some(_)) => Some((length, end + 1)),
+        (_, None) => None,
+    }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -63,6 +63,9 @@
 #[path = "../tests/unit/encoded_names.rs"]
 mod encoded_names;
 #[cfg(test)]
+#[path = "../tests/unit/event_scan.rs"]
+mod event_scan_forms;
+#[cfg(test)]
 #[path = "../tests/unit/large_fleet.rs"]
 mod large_fleet;
 #[cfg(test)]
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -151,19 +151,24 @@
     fn events(&mut self, bytes: Bytes) -> RelayPiece {
         let Some(scan) = &mut self.scan else { return RelayPiece::Events(bytes) };
         let events = scan.push(bytes);
-        if scan.is_overlong() {
+        // Complete events go out first: a server that resumes the stream begins after them.
+        if events.is_empty() && scan.is_overlong() {
             return RelayPiece::Broken("an event is too long".to_owned());
         }
         RelayPiece::Events(events)
     }
 
     /// Judges the end of the present server's answer, which is complete by its framing.
-    fn ended(&self) -> RelayPiece {
-        let ends_with_connection = self.run.framing == BodyFraming::Connection;
-        let cause = self.scan.as_ref().and_then(|scan| scan.break_cause(ends_with_connection));
-        let Some(cause) = cause else { return RelayPiece::End };
-        suspects::run_broken(&self.run);
-        RelayPiece::Broken(cause.to_owned())
+    fn ended(&mut self) -> RelayPiece {
+        let Some(scan) = &mut self.scan else { return RelayPiece::End };
+        match scan.end(self.run.framing == BodyFraming::Connection) {
+            Ok(rest) if rest.is_empty() => RelayPiece::End,
+            Ok(rest) => RelayPiece::Events(rest),
+            Err(cause) => {
+                suspects::run_broken(&self.run);
+                RelayPiece::Broken(cause.to_owned())
+            }
+        }
     }
 
     /// Records that an event goes to the caller: the time to the first one, and the pause before each later one.
