The framing of an answer is taken from the answer, also of one that another VM hands back

Found on reading the change of streams that end inside an event. send noted how an answer is framed, but an answer that another VM hands back does not come through send, so that a stream without any event could be judged by the framing of an earlier send of the same request. The framing is now noted where an answer is handled, and where a stream goes on with a later one. No caller reported it; an empty stream through another VM after an earlier answer without framing, nothing else, was concerned.

--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -55,6 +55,7 @@
     answer: ExchangeResponse,
 ) -> AfterAnswer {
     run.ran += 1;
+    run.framing = answer.framing;
     let status = answer.status;
     let failed = status.is_server_error();
     let may_retry = failed && status != StatusCode::GATEWAY_TIMEOUT && run.may_run_elsewhere();
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -269,6 +269,7 @@
             SendEnd::Answer(answer)
                 if answer.status.is_success() && is_event_stream(&answer.headers) =>
             {
+                run.framing = answer.framing;
                 self.body = Some(answer.body);
                 self.server = server;
                 true
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -147,12 +147,8 @@
     let sent_at = clock::now();
     let sent = gateway.client.send(address, request).await;
     match &sent {
-        Ok(answer) => {
-            run.framing = answer.framing;
-            if answer.fresh {
-                gateway.view().links.record_connected();
-            }
-        }
+        Ok(answer) if answer.fresh => gateway.view().links.record_connected(),
+        Ok(_) => {}
         Err(ExchangeError::Sent { .. }) => suspects::run_broken(run),
         Err(_) => links::server_failed(&gateway, server),
     }
