--- a/entry/tests/suite/main.rs
+++ b/entry/tests/suite/main.rs
@@ -19,4 +19,5 @@
 mod server_limits;
 mod server_statements;
 mod settings_page;
+mod unframed_engines;
 mod whole_path;
