A VM that has known many software versions still knows further ones

Found on reading the change of streams at several software versions.

Callers would have seen, at a VM that runs for long: streams that never go on any more. Cause: each pair of service and version that a VM ever learnt took one of 1,024 places for good, and streams of further ones counted as ambiguous.

--- a/decision/src/origin.rs
+++ b/decision/src/origin.rs
@@ -5,6 +5,7 @@
 //! software versions", weighs how the VMs learn it.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use crate::id::{
     MICROS_PER_MILLI, RequestFingerprint, ServiceName, SoftwareVersion, TimePoint, stable_hash,
@@ -15,8 +16,6 @@
 const MAX_MARKS: usize = 40_000;
 /// Interval at which expired marks are dropped, in microseconds.
 const EXPIRY_INTERVAL_US: u64 = 1_000_000;
-/// Maximum number of origins. Streams of further ones do not go on.
-const MAX_ORIGINS: usize = 1_024;
 /// Maximum number of streams that wait to be reported. More begin only where reports are not sent.
 const MAX_UNREPORTED: usize = 4_096;
 
@@ -75,8 +74,8 @@
 #[derive(Clone, Debug)]
 struct MarkedStream {
     mark: StreamMark,
-    /// Index of its origin; `None` if several streams with different origins have the mark.
-    origin: Option<u32>,
+    /// `None` if several streams with different origins have the mark.
+    origin: Option<Arc<StreamOrigin>>,
     /// Until when its caller may go on with it.
     until: TimePoint,
 }
@@ -96,8 +95,8 @@
     marks: Vec<MarkedStream>,
     /// The marks in order of their arrival.
     arrivals: VecDeque<StreamMark>,
-    /// Each origin once. Few, as a service has few versions.
-    origins: Vec<StreamOrigin>,
+    /// The origins of the marks, each once. Few, as a service has few versions.
+    origins: Vec<Arc<StreamOrigin>>,
     /// Streams that began here and were not reported yet.
     unreported: Vec<UnreportedStream>,
     expired_at: TimePoint,
@@ -124,25 +123,26 @@
     /// Records a stream that another VM reported.
     pub fn learn(&mut self, stream: &ReportedStream, now: TimePoint) {
         self.drop_expired(now);
-        let origin = stream.origin.as_ref().and_then(|origin| self.intern(origin));
+        let origin = stream.origin.as_ref().map(|origin| self.intern(origin));
         let until = now.plus(u64::from(stream.left_ms) * MICROS_PER_MILLI);
         for mark in &stream.marks {
-            self.record(*mark, origin, until, now);
+            self.record(MarkedStream { mark: *mark, origin: origin.clone(), until }, now);
         }
     }
 
-    fn record(&mut self, mark: StreamMark, origin: Option<u32>, until: TimePoint, now: TimePoint) {
-        let marked = MarkedStream { mark, origin, until };
-        match self.marks.binary_search_by_key(&mark, |known| known.mark) {
+    fn record(&mut self, marked: MarkedStream, now: TimePoint) {
+        match self.marks.binary_search_by_key(&marked.mark, |known| known.mark) {
             Ok(at) if self.marks[at].until <= now => self.marks[at] = marked,
             Ok(at) => {
                 let known = &mut self.marks[at];
-                known.origin = known.origin.filter(|known| Some(*known) == origin);
-                known.until = known.until.max(until);
+                known.until = known.until.max(marked.until);
+                if known.origin != marked.origin {
+                    known.origin = None;
+                }
             }
             Err(at) => {
+                self.arrivals.push_back(marked.mark);
                 self.marks.insert(at, marked);
-                self.arrivals.push_back(mark);
             }
         }
         while self.marks.len() > MAX_MARKS {
@@ -153,26 +153,28 @@
         }
     }
 
+    fn marked(&self, mark: StreamMark, now: TimePoint) -> Option<&MarkedStream> {
+        let at = self.marks.binary_search_by_key(&mark, |known| known.mark).ok()?;
+        self.marks.get(at).filter(|marked| marked.until > now)
+    }
+
     /// Returns what is known of a stream.
     #[must_use]
     pub fn find(&self, mark: StreamMark, now: TimePoint) -> OriginVerdict<'_> {
-        let found = self.marks.binary_search_by_key(&mark, |known| known.mark);
-        let marked = found.ok().map(|at| &self.marks[at]).filter(|marked| marked.until > now);
-        match marked.map(|marked| marked.origin) {
+        match self.marked(mark, now).map(|marked| marked.origin.as_deref()) {
             None => OriginVerdict::Unknown,
             Some(None) => OriginVerdict::Ambiguous,
-            Some(Some(origin)) => OriginVerdict::Known(&self.origins[origin as usize]),
+            Some(Some(origin)) => OriginVerdict::Known(origin),
         }
     }
 
     /// Returns what another VM that asks for a mark is told; `None` if nothing is known.
     #[must_use]
     pub fn report(&self, mark: StreamMark, now: TimePoint) -> Option<ReportedStream> {
-        let at = self.marks.binary_search_by_key(&mark, |known| known.mark).ok()?;
-        let marked = self.marks.get(at).filter(|marked| marked.until > now)?;
-        let origin = marked.origin.map(|origin| self.origins[origin as usize].clone());
+        let marked = self.marked(mark, now)?;
         let left_ms = marked.until.since(now) / MICROS_PER_MILLI;
         let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+        let origin = marked.origin.as_deref().cloned();
         Some(ReportedStream { origin, marks: vec![mark], left_ms })
     }
 
@@ -201,16 +203,13 @@
         self.marks.is_empty()
     }
 
-    /// Returns the index of an origin; `None` if there are too many.
-    fn intern(&mut self, origin: &StreamOrigin) -> Option<u32> {
-        if let Some(at) = self.origins.iter().position(|known| known == origin) {
-            return Some(at as u32);
-        }
-        if self.origins.len() >= MAX_ORIGINS {
-            return None;
+    fn intern(&mut self, origin: &StreamOrigin) -> Arc<StreamOrigin> {
+        if let Some(known) = self.origins.iter().find(|known| ***known == *origin) {
+            return Arc::clone(known);
         }
-        self.origins.push(origin.clone());
-        Some(self.origins.len() as u32 - 1)
+        let interned = Arc::new(origin.clone());
+        self.origins.push(Arc::clone(&interned));
+        interned
     }
 
     fn drop_expired(&mut self, now: TimePoint) {
@@ -223,5 +222,6 @@
         let is_kept =
             |mark: &StreamMark| marks.binary_search_by_key(mark, |known| known.mark).is_ok();
         self.arrivals.retain(is_kept);
+        self.origins.retain(|origin| Arc::strong_count(origin) > 1);
     }
 }
--- a/decision/tests/suite/stream_origins.rs
+++ b/decision/tests/suite/stream_origins.rs
@@ -145,3 +145,17 @@
     assert_eq!(vm.find(StreamMark(0), now), OriginVerdict::Unknown);
     assert_eq!(vm.find(StreamMark(49_999), now), OriginVerdict::Known(&origin(1)));
 }
+
+/// Guards against a VM that runs for long and knows no further version, since it has known so many.
+#[test]
+fn many_versions() {
+    let mut vm = OriginTable::default();
+    for number in 0..3_000_u64 {
+        let now = TimePoint(number * 10 * SECOND_US);
+        let software = format!("v{number}").as_str().into();
+        let origin = StreamOrigin { service: "llm".into(), software };
+        vm.begin(&number.to_string(), request(number), origin.clone(), LEFT_MS, now);
+        let known = vm.find(StreamMark::of_attempt(&number.to_string()), now);
+        assert_eq!(known, OriginVerdict::Known(&origin));
+    }
+}
