A stream is not lost since the server that could resume it was full for a moment

Found on reading the change of streams at several software versions, where fewer servers can resume a stream and each refusal costs more.

What callers saw: a stream that broke ended for good when the next server refused it without having run it (full, an adapter not loaded yet), though there was time and another try was allowed. Cause: the first send of a resumption decided it, and a refusal counted as a run. A request that has not begun yet is retried in the same case.

Change: as for a request, a refusal is followed by another choice of server after the usual pause, a server that ran it and gave no usable answer counts towards the most servers, and each arrival is charged to the budget of repeats; at the server's limit or rest nothing is sent and nothing charged twice, as before.

full_when_resumed: failed on the code before (first stream of four), passes.

--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::event_scan::EventScan;
 use crate::find::find_server;
 use crate::origins;
-use crate::outcome::failed_answer;
+use crate::outcome::{NextStep, failed_answer, handle_not_run};
 use crate::run::RequestRun;
 use crate::send::{SendEnd, send};
 use crate::suspects;
@@ -238,14 +238,12 @@
         // The first server must stop before another one resumes; dropping the body closes its connection, which
         // ends the stream there.
         self.body = None;
-        if run.ran >= run.request.route.max_servers || run.left() < MIN_RESUME_TIME {
-            return false;
-        }
-        run.last_end = "stream_broken";
-        if !run.may_send() {
-            return false;
-        }
-        let (server, sent) = loop {
+        let mut is_charged = false;
+        while run.ran < run.request.route.max_servers && run.left() >= MIN_RESUME_TIME {
+            run.last_end = "stream_broken";
+            if !is_charged && !run.may_send() {
+                return false;
+            }
             let Ok(server) = find_server(run).await else { return false };
             if suspects::held(run) {
                 return false;
@@ -259,22 +257,31 @@
                 began_at? = run.origin.as_ref().map(|origin| &origin.software),
                 cause = cause,
             );
-            match send(run, &server, last.as_deref()).await {
-                SendEnd::Closed => continue,
-                sent => break (server, sent),
-            }
-        };
-        run.ran += 1;
-        match sent {
-            SendEnd::Answer(answer)
-                if answer.status.is_success() && is_event_stream(&answer.headers) =>
-            {
-                run.framing = answer.framing;
-                self.body = Some(answer.body);
-                self.server = server;
-                true
+            let sent = send(run, &server, last.as_deref()).await;
+            is_charged = matches!(sent, SendEnd::Closed);
+            match sent {
+                SendEnd::Answer(answer)
+                    if answer.status.is_success() && is_event_stream(&answer.headers) =>
+                {
+                    run.ran += 1;
+                    run.framing = answer.framing;
+                    self.body = Some(answer.body);
+                    self.server = server;
+                    return true;
+                }
+                SendEnd::NotRun(answer, head) => {
+                    if let NextStep::Retry(delay) = handle_not_run(run, &server, answer, &head) {
+                        tokio::time::sleep(delay.min(run.left())).await;
+                    }
+                }
+                SendEnd::Closed => {}
+                SendEnd::Unsent(_) => run.avoided.push(server),
+                SendEnd::Answer(_) | SendEnd::Unknown(_) => {
+                    run.ran += 1;
+                    run.avoided.push(server);
+                }
             }
-            _ => false,
         }
+        false
     }
 }
--- a/gateway/tests/suite/broken_answers.rs
+++ b/gateway/tests/suite/broken_answers.rs
@@ -1,8 +1,15 @@
 //! Servers that lose, cut or mix up answers, and what callers receive.
 
+use std::time::Duration;
+
+use tokio::time::sleep;
+
 use crate::server::{EVENTS, RunRecord, ServerMode};
 use crate::site::{CallerAnswer, Site};
 
+/// How many requests come before, so that the budget of repeats has room for each stream.
+const FIRST_TRIES: usize = 60;
+
 async fn plain_site(mode: ServerMode) -> (Site, crate::site::RunningGateway) {
     let site = Site::start(0, 1).await;
     let gateway = site.gateway("vm-1", &[]).await;
@@ -180,3 +187,27 @@
     assert_eq!(runs.len(), 1);
     assert!(!answer.whole && !answer.body.contains("<p>"), "{answer:?}");
 }
+
+/// Guards against a stream that is lost since the server that could resume it was full for a moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_when_resumed() {
+    let mut site = Site::start(2, 0).await;
+    site.engines.iter().for_each(|engine| engine.hold("a1"));
+    site.register("ready");
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    for number in 0..FIRST_TRIES {
+        gateway.request("resumed", &format!("f-{number}"), "a1").await;
+    }
+    site.engines[0].set_mode(ServerMode::CutsStream);
+    for number in 0..4 {
+        site.engines[1].set_mode(ServerMode::Full);
+        let (engine, id) = (site.engines[1].clone(), format!("s-{number}"));
+        let has_room = async {
+            sleep(Duration::from_millis(120)).await;
+            engine.set_mode(ServerMode::Normal);
+        };
+        let (answer, ()) = tokio::join!(gateway.request("resumed", &id, "a1"), has_room);
+        assert!(answer.whole, "{answer:?}");
+    }
+}
