A condemned request is not let go by an answer of a server that restarted under its name

Cause: a crash is taken back when the same start of the server answers later. Answers name no start, so that one of the restarted server counted for the start that had crashed until its new start was known, 0.6 s later; the request was condemned after two crashes, let go 0.2 s later, and crashed on. Ruled out: the change of servers that listen again at once (the servers were down for 0.7 s and each check found them so).

Change: a new start under the name that becomes known within 5 s of the crash shows whose answer it was, and the crash counts again; each VM finds that by itself. Later restarts change nothing (restarted_later), and where each start has a name of its own, as on the platform, nothing changes.

Evidence: restarted_under_name (decision), at the VM that saw it and at one that is told later; the former code has no such record.

--- a/decision/src/crash.rs
+++ b/decision/src/crash.rs
@@ -18,6 +18,11 @@
 /// How much later than a crash a request must have been sent for its answer to show that the server
 /// did not crash. Covers errors of the ages in reports.
 const REFUTATION_MARGIN_US: u64 = 100_000;
+/// How long after a crash a new start of the server, which is known once its entry is read, shows that an answer given
+/// under the server's name was not the crashed one's, in microseconds.
+const SUCCESSOR_US: u64 = 5_000_000;
+/// Maximum number of starts of servers that are remembered for crashes that are reported later.
+const MAX_STARTS: usize = 64;
 /// How long a crash is reported often, in microseconds.
 const NEW_US: u64 = 2_000_000;
 /// Interval of the reports of a new crash, in microseconds.
@@ -87,10 +92,26 @@
     start: ServerStart,
     at: TimePoint,
     suspects: Vec<RequestFingerprint>,
+    /// Whether the server seemed to answer later.
     refuted: bool,
+    /// Whether a new start of the server showed soon afterwards, which then gave that answer.
+    succeeded: bool,
     report_state: ReportState,
 }
 
+impl KnownCrash {
+    fn is_refuted(&self) -> bool {
+        self.refuted && !self.succeeded
+    }
+
+    /// Returns whether a start of a server shows that the crashed one had ended.
+    fn is_succeeded_by(&self, start: &ServerStart, known_at: TimePoint) -> bool {
+        self.start.server == start.server
+            && self.start.incarnation < start.incarnation
+            && known_at.since(self.at) < SUCCESSOR_US
+    }
+}
+
 /// A completed suspect as this VM knows it.
 #[derive(Clone, Debug)]
 struct KnownCompletion {
@@ -200,6 +221,8 @@
     recent: VecDeque<(RequestFingerprint, TimePoint)>,
     /// When the last answered request was sent to a server incarnation; sorted.
     answered: Vec<(ServerStart, TimePoint)>,
+    /// Servers that started under a name that was used before, and when this became known.
+    starts: VecDeque<(ServerStart, TimePoint)>,
     /// Sorted by fingerprint.
     judged: Vec<JudgedRequest>,
     /// Trials of condemned requests that run here, and when each is given up.
@@ -241,6 +264,21 @@
         self.changed(true, now)
     }
 
+    /// Records that a server started under its name. An answer under the name, by which a crash of an earlier start was taken
+    /// back just before, was the new start's.
+    pub fn record_start(&mut self, start: &ServerStart, now: TimePoint) -> CrashChange {
+        if self.starts.len() >= MAX_STARTS {
+            self.starts.pop_front();
+        }
+        self.starts.push_back((start.clone(), now));
+        let mut changed = false;
+        for crash in self.crashes.iter_mut().filter(|crash| crash.is_succeeded_by(start, now)) {
+            changed |= crash.is_refuted();
+            crash.succeeded = true;
+        }
+        self.changed(changed, now)
+    }
+
     /// Forgets which servers answered, except for those that `is_known`.
     pub fn keep_answered(&mut self, is_known: impl Fn(&ServerStart) -> bool) {
         self.answered.retain(|(start, _)| is_known(start));
@@ -324,7 +362,7 @@
         };
         let mut report = CrashReport::default();
         for crash in &mut self.crashes {
-            let kept = !crash.refuted && crash.suspects.iter().any(matters);
+            let kept = !crash.is_refuted() && crash.suspects.iter().any(matters);
             let due = crash.report_state.is_due(crash.at, kept, all, now);
             if !due || report.crashes.len() >= MAX_REPORTED {
                 continue;
@@ -336,7 +374,7 @@
                 start: crash.start.clone(),
                 age_ms: now.since(crash.at) / MICROS_PER_MILLI,
                 suspects: suspects.copied().collect(),
-                refuted: crash.refuted,
+                refuted: crash.is_refuted(),
             });
         }
         for completion in &mut self.completions {
@@ -396,6 +434,7 @@
                     at,
                     suspects: Vec::new(),
                     refuted: false,
+                    succeeded: false,
                     report_state,
                 };
                 self.crashes.insert(position, crash);
@@ -403,8 +442,10 @@
             }
         };
         let crash = &mut self.crashes[position];
-        let before = (crash.suspects.len(), crash.refuted);
+        let before = (crash.suspects.len(), crash.is_refuted());
         crash.at = crash.at.min(at);
+        crash.succeeded |=
+            self.starts.iter().any(|(start, known)| crash.is_succeeded_by(start, *known));
         crash.refuted |= refuted || seen_alive;
         for &suspect in suspects {
             if let Err(at) = crash.suspects.binary_search(&suspect)
@@ -413,7 +454,7 @@
                 crash.suspects.insert(at, suspect);
             }
         }
-        let changed = before != (crash.suspects.len(), crash.refuted);
+        let changed = before != (crash.suspects.len(), crash.is_refuted());
         if changed {
             crash.report_state.own |= own || (seen_alive && !refuted);
             crash.report_state.reported_at = None;
@@ -486,7 +527,7 @@
     /// ran at a server, only they are blamed for its crash.
     fn judge(&mut self) {
         let mut order: Vec<&KnownCrash> =
-            self.crashes.iter().filter(|crash| !crash.refuted).collect();
+            self.crashes.iter().filter(|crash| !crash.is_refuted()).collect();
         order.sort_by(|a, b| (a.at, &a.start).cmp(&(b.at, &b.start)));
         let mut judged: Vec<JudgedRequest> = Vec::new();
         for crash in order {
@@ -526,7 +567,7 @@
         let longest = HOLDS_US[HOLDS_US.len() - 1];
         let judged = &self.judged;
         let condemns = |crash: &KnownCrash| {
-            !crash.refuted
+            !crash.is_refuted()
                 && crash.suspects.iter().any(|suspect| {
                     let found =
                         judged.binary_search_by_key(suspect, |known| known.entry.fingerprint);
--- a/decision/tests/suite/crash_rules.rs
+++ b/decision/tests/suite/crash_rules.rs
@@ -49,6 +49,34 @@
     assert_eq!(change.cleared, [FIRST]);
 }
 
+/// Guards against a condemned request that is let go, since a server that restarted under its name answered before its new
+/// start was known: here, and at a VM that is told of the crash and the answer later.
+#[test]
+fn restarted_under_name() {
+    let (mut ledger, mut other) = (CrashLedger::default(), CrashLedger::default());
+    crash(&mut ledger, "s1", 0, &[FIRST]);
+    crash(&mut ledger, "s2", 100, &[FIRST]);
+    ledger.record_answer(&start("s2"), later(800), later(850));
+    assert!(!ledger.is_condemned(FIRST));
+    let restarted = ServerStart { incarnation: 8, ..start("s2") };
+    other.record_start(&restarted, later(1_300));
+    other.apply(&ledger.take_report(true, later(1_350)), later(1_350));
+    assert!(other.is_condemned(FIRST));
+    let change = ledger.record_start(&restarted, later(1_400));
+    assert!(ledger.is_condemned(FIRST) && change.condemned.len() == 1);
+}
+
+/// Guards against a crash that was taken back rightly, and counts again once the server restarts much later.
+#[test]
+fn restarted_later() {
+    let mut ledger = CrashLedger::default();
+    crash(&mut ledger, "s1", 0, &[FIRST]);
+    crash(&mut ledger, "s2", 100, &[FIRST]);
+    ledger.record_answer(&start("s2"), later(800), later(850));
+    ledger.record_start(&ServerStart { incarnation: 8, ..start("s2") }, later(20_000));
+    assert!(!ledger.is_condemned(FIRST));
+}
+
 /// Guards against an answer to a request from before the crash that takes the crash back.
 #[test]
 fn late_answer() {
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -442,11 +442,9 @@
     pub(crate) fn apply_entry(&mut self, entry: &BackendEntry, now: TimePoint) -> bool {
         let change = self.backends.apply_entry(entry.clone(), now);
         self.log_ignored(entry);
-        if matches!(change, EntryChange::Appeared | EntryChange::Restarted) {
-            self.server_started(entry, now);
-        }
         match change {
             EntryChange::Appeared => {
+                self.server_started(entry, now);
                 event!(
                     ServerSeen,
                     server = entry.server,
@@ -456,6 +454,7 @@
                 true
             }
             EntryChange::Restarted => {
+                self.server_restarted(&entry.server, now);
                 event!(
                     ServerRestarted,
                     server = entry.server,
--- a/gateway/src/suspects.rs
+++ b/gateway/src/suspects.rs
@@ -168,16 +168,16 @@
 }
 
 impl SystemView {
-    /// Records that a server restarted under its name, as another VM or the server itself reported.
+    /// Records that a server restarted under its name, by its entry, its report, or what another VM told.
     pub(crate) fn server_restarted(&mut self, server: &ServerName, now: TimePoint) {
-        let entry = self.backends.get(server.as_str()).map(|state| state.entry.clone());
-        if let Some(entry) = entry {
-            self.server_started(&entry, now);
-        }
+        let Some(state) = self.backends.get(server.as_str()) else { return };
+        let (start, entry) = (state.start(), state.entry.clone());
+        log_verdicts(&self.crashes.record_start(&start, now));
+        self.server_started(&entry, now);
     }
 
-    /// Records that a server started, in the place of one at which runs broke: that one crashed, although its address
-    /// accepted connections again before it was checked.
+    /// Records that a server started. One at which runs broke in its place crashed, although its address accepted connections
+    /// again before it was checked.
     pub(crate) fn server_started(&mut self, entry: &BackendEntry, now: TimePoint) {
         let Some(former) = self.broken.take_predecessor(entry, now) else { return };
         let change = self.crashes.record_crash(&former.start, former.at, &former.runs, now);
