Streams that go on ask for no copies of their adapter

Found on reading: a request that goes on with a stream chooses among the servers of one version, where its adapter has few holders, and by their load asked for further copies as if all requests were bound to that version. In a rollout or while one is rolled back that loads copies where they are soon not wanted, at the cost of others. What such a request needs itself is still loaded.

--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -228,13 +228,17 @@
     let prepared =
         |choice, load_request| PreparedChoice { choice, load_request, closed: closed.reason, asks };
     let Some(key) = key else { return prepared(choice, None) };
+    // The few that go on with a stream say nothing about how many copies an adapter is worth.
+    let is_new = run.origin.is_none();
     match &choice {
         ServerChoice::Send { copy: Some(server), .. }
-        | ServerChoice::Hold { copy: Some(server), .. } => {
+        | ServerChoice::Hold { copy: Some(server), .. }
+            if is_new =>
+        {
             let load_request = (key.clone(), newest, server.clone());
             prepared(choice, Some(load_request))
         }
-        ServerChoice::Send { copy: None, .. } if oldest < newest => {
+        ServerChoice::Send { copy: None, .. } if oldest < newest && is_new => {
             // The request runs on the previous version while the new one is loaded at another
             // server.
             let newer_choice = view.backends.choose(&requirements(&excluded, newest), draw, now);
