--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -9,7 +9,9 @@
 
 use crate::counts::{LoadFigure, RequestCounts};
 use crate::holding::{AdapterHolding, HeldAdapters};
-use crate::id::{ModelName, ServerName, ServiceName, TimePoint, VmName, stable_hash};
+use crate::id::{
+    ModelName, ServerName, ServiceName, SoftwareVersion, TimePoint, VmName, stable_hash,
+};
 use crate::prefill::PrefillRate;
 use crate::rest::ServerRest;
 use crate::routing::{AdapterKey, BackendEntry, HeldModel};
@@ -182,15 +184,11 @@
             }
         };
         let state = &mut self.servers[at];
-        let is_later = entry.position > state.entry.position;
-        let is_upgraded = is_later
-            && entry.incarnation == state.entry.incarnation
+        let is_upgraded = entry.incarnation == state.entry.incarnation
+            && entry.position > state.entry.position
+            && state.entry.software.is_some()
             && entry.software.is_some()
-            && state
-                .entry
-                .software
-                .as_ref()
-                .is_some_and(|old| Some(old) != entry.software.as_ref());
+            && entry.software != state.entry.software;
         // A server that states no start time shows by its software that it restarted under its name.
         if entry.incarnation > state.entry.incarnation || is_upgraded {
             state.restart(entry, now);
@@ -267,6 +265,16 @@
         if found.is_ok() { EntryChange::Removed } else { EntryChange::Unchanged }
     }
 
+    /// Returns whether a server of a service has this software version and is not leaving.
+    #[must_use]
+    pub fn serves(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
+        self.servers.iter().any(|state| {
+            state.entry.service == *service
+                && state.entry.software.as_ref() == Some(software)
+                && !state.leaving
+        })
+    }
+
     /// Returns whether a server is known in this incarnation, so that results from it apply.
     #[must_use]
     pub fn is_current_incarnation(&self, server: &str, incarnation: u64) -> bool {
--- a/decision/tests/suite/server_lives.rs
+++ b/decision/tests/suite/server_lives.rs
@@ -56,6 +56,38 @@
     assert_eq!(table.apply_entry(entry(200, 2, 5), NOW), EntryChange::Unchanged);
 }
 
+/// Guards against a server that restarted at another software version, states no start time, and is taken for the former
+/// one: its entry shows it, however low its heartbeat, but not an older entry that is read late.
+#[test]
+fn other_software() {
+    let mut table = BackendTable::default();
+    let of = |software: &str, heartbeat, position| BackendEntry {
+        software: Some(software.into()),
+        ..entry(0, heartbeat, position)
+    };
+    table.apply_entry(of("v1", 70, 5), NOW);
+    assert!(list(&mut table, 0, 40, &["a1"]));
+    assert_eq!(table.apply_entry(of("v2", 1, 4), NOW), EntryChange::Unchanged);
+    assert_eq!(table.apply_entry(of("v2", 1, 6), NOW), EntryChange::Restarted);
+    assert_eq!(held(&table), [""; 0]);
+    assert!(table.serves(&"engines".into(), &"v2".into()));
+    assert!(!table.serves(&"engines".into(), &"v1".into()));
+    let unstated = BackendEntry { software: None, ..entry(0, 2, 7) };
+    assert_eq!(table.apply_entry(unstated, NOW), EntryChange::Unchanged);
+}
+
+/// Guards against a start that another VM reported and that passes for one of the former software version.
+#[test]
+fn software_of_reported_start() {
+    let mut table = BackendTable::default();
+    table.apply_entry(entry(100, 70, 1), NOW);
+    assert!(table.serves(&"engines".into(), &"v1".into()));
+    assert!(table.start_incarnation("s0", 200, &[], NOW));
+    assert!(!table.serves(&"engines".into(), &"v1".into()));
+    table.apply_entry(entry(200, 1, 2), NOW);
+    assert!(table.serves(&"engines".into(), &"v1".into()));
+}
+
 /// A list belongs to one incarnation. A late list of an earlier incarnation is ignored although its
 /// revision is higher; a list of a later incarnation than that of the entry shows that the server
 /// restarted.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -83,6 +83,9 @@
 #[cfg(test)]
 #[path = "../tests/unit/reader_reports.rs"]
 mod reader_reports;
+#[cfg(test)]
+#[path = "../tests/unit/stream_holders.rs"]
+mod stream_holders;
 
 pub use process::{GatewayError, GatewayProcess, run_gateway};
 pub use settings::{
--- a/gateway/src/origins.rs
+++ b/gateway/src/origins.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfoothook_decision::id::{RequestFingerprint, TimePoint};
+use coltsfoothook_decision::id::RequestFingerprint;
 use coltsfoothook_decision::origin::{OriginVerdict, ReportedStream, StreamMark, StreamOrigin};
 use coltsfoothook_telemetry::event;
 use tokio::time::{sleep, timeout};
@@ -18,9 +18,9 @@
 use crate::state::Gateway;
 
 /// How many VMs are told of a stream.
-const HOLDERS: usize = 3;
+pub(crate) const HOLDERS: usize = 3;
 /// How many are asked: more, as VMs may have come or gone since.
-const ASKED_HOLDERS: usize = 5;
+pub(crate) const ASKED_HOLDERS: usize = 5;
 /// How long streams are collected before they are reported. Those of a VM that ends meanwhile are not known to any
 /// other one.
 const REPORT_DELAY: Duration = Duration::from_millis(15);
@@ -76,12 +76,7 @@
     if !run.request.route.shares.iter().any(|share| share.service == origin.service) {
         return Err("stream_of_other_service");
     }
-    let serves = gateway.view().backends.servers().iter().any(|state| {
-        let software = state.entry.software.as_ref();
-        state.entry.service == origin.service
-            && software == Some(&origin.software)
-            && !state.leaving
-    });
+    let serves = gateway.view().backends.serves(&origin.service, &origin.software);
     run.request.service = origin.service.clone();
     run.origin = Some(origin);
     if serves { Ok(()) } else { Err("software_gone") }
@@ -94,37 +89,39 @@
     fingerprint: RequestFingerprint,
 ) -> Result<StreamOrigin, &'static str> {
     for _ in 0..MAX_QUESTIONS {
-        let from = clock::now();
-        if let Some(known) = known_origin(gateway, mark, from) {
+        if let Some(known) = known_origin(gateway, mark) {
             return known;
         }
-        let holders = gateway.view().roster.origin_holders(fingerprint, ASKED_HOLDERS, true, from);
+        let now = clock::now();
+        let holders = gateway.view().roster.origin_holders(fingerprint, ASKED_HOLDERS, true, now);
         if holders.is_empty() {
             break;
         }
         gateway.peers.send(&PeerMessage::OriginQuestion(mark), &holders);
-        loop {
-            let told = gateway.origins_told.notified();
-            if let Some(known) = known_origin(gateway, mark, clock::now()) {
-                return known;
-            }
-            let waited = Duration::from_micros(clock::now().since(from));
-            let left = ANSWER_TIME.saturating_sub(waited);
-            if left.is_zero() || timeout(left, told).await.is_err() {
-                break;
-            }
+        if let Ok(known) = timeout(ANSWER_TIME, wait_until_known(gateway, mark)).await {
+            return known;
         }
     }
-    known_origin(gateway, mark, clock::now()).unwrap_or(Err("stream_unknown"))
+    known_origin(gateway, mark).unwrap_or(Err("stream_unknown"))
 }
 
-/// Returns what this VM knows of a stream; `None` if nothing.
-fn known_origin(
+/// Waits until another VM has told where a stream began.
+async fn wait_until_known(
     gateway: &Gateway,
     mark: StreamMark,
-    now: TimePoint,
-) -> Option<Result<StreamOrigin, &'static str>> {
-    match gateway.view().origins.find(mark, now) {
+) -> Result<StreamOrigin, &'static str> {
+    loop {
+        let told = gateway.origins_told.notified();
+        if let Some(known) = known_origin(gateway, mark) {
+            return known;
+        }
+        told.await;
+    }
+}
+
+/// Returns what this VM knows of a stream; `None` if nothing.
+fn known_origin(gateway: &Gateway, mark: StreamMark) -> Option<Result<StreamOrigin, &'static str>> {
+    match gateway.view().origins.find(mark, clock::now()) {
         OriginVerdict::Known(origin) => Some(Ok(origin.clone())),
         OriginVerdict::Ambiguous => Some(Err("stream_ambiguous")),
         OriginVerdict::Unknown => None,
--- a/gateway/tests/suite/software_versions.rs
+++ b/gateway/tests/suite/software_versions.rs
@@ -148,6 +148,51 @@
     assert!(gone_on * 4 >= STREAMS * 3, "{gone_on} of {STREAMS} went on");
 }
 
+/// Guards against a stream that its caller takes up again and again, each time at another VM, and that changes its version.
+#[tokio::test(flavor = "multi_thread")]
+async fn taken_up_twice() {
+    let mixed = MixedSite::start().await;
+    for number in 0..STREAMS {
+        let began = format!("s-{number}");
+        let version = mixed.begin(0, &began).await;
+        sleep(NOTICE).await;
+        for (attempt, at) in [("second", 1), ("third", 2)] {
+            let id = format!("{began}-{attempt}");
+            if attempt == "second" {
+                mixed.set_mode(ServerMode::CutsFirst);
+            }
+            let answer = take_up(&mixed.gateways[at], Some(&began), &id).await;
+            mixed.set_mode(ServerMode::Normal);
+            let versions: Vec<&str> =
+                mixed.runs(&id).iter().map(|(server, _)| server.software()).collect();
+            assert!(versions.iter().all(|known| *known == version), "{id}: {versions:?}");
+            assert_eq!(went_on(&answer), attempt == "third", "{id}: {answer:?}");
+        }
+    }
+}
+
+/// Guards against a server that restarted under its name at another version, and is taken for the former one once its entry
+/// says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_at_other_version() {
+    let mut mixed = MixedSite::start().await;
+    let mut began = "s-0".to_owned();
+    while mixed.begin(0, &began).await != "v1" {
+        began.push('0');
+    }
+    sleep(NOTICE).await;
+    let restarted = mixed.site.engines[0].clone();
+    restarted.set_software("v2");
+    restarted.restart();
+    restarted.hold("a1");
+    mixed.site.register_restarted(&restarted, "engines");
+    sleep(Duration::from_secs(1)).await;
+    let answer = take_up(&mixed.gateways[1], Some(&began), "up").await;
+    let runs = mixed.runs("up");
+    let servers: Vec<&str> = runs.iter().map(|(server, _)| server.name.as_str()).collect();
+    assert!(went_on(&answer) && servers == ["e-2"], "{servers:?}: {answer:?}");
+}
+
 /// Guards against a VM that guesses the version of a stream that nobody knows of.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream() {
