Streams are told in datagrams that the socket takes

Found on reading: what a VM tells another of streams was one datagram however many began, and one of more than a thousand would not be sent at all. They go in parts of 500 (26 KB).

--- a/gateway/src/origins.rs
+++ b/gateway/src/origins.rs
@@ -24,6 +24,8 @@
 /// How long streams are collected before they are reported. Those of a VM that ends meanwhile are not known to any
 /// other one.
 const REPORT_DELAY: Duration = Duration::from_millis(15);
+/// Maximum number of streams in one datagram: as many as fit.
+const MAX_REPORTED: usize = 500;
 /// How long the answers to a question are awaited, and how often it is asked: a datagram may be lost, and the report of a
 /// stream that began just before may still be on its way.
 const ANSWER_TIME: Duration = Duration::from_millis(40);
@@ -171,6 +173,8 @@
     }
     drop(view);
     for (holder, streams) in reports {
-        gateway.peers.send(&PeerMessage::Origins(streams), &[holder]);
+        for part in streams.chunks(MAX_REPORTED) {
+            gateway.peers.send(&PeerMessage::Origins(part.to_vec()), &[holder]);
+        }
     }
 }
