Sight and a failing test: parts of prompts under which servers crash

Callers saw: requests of one kind kept crashing servers, no two alike, for as long as they came. The logs could not show what such requests have in common: request_sent now names the shared parts of the prompt.

The stand-in server crashes under parts and answers a further route for engines, /whole/, with a whole body; existing routes and modes are unchanged.

--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -439,3 +439,11 @@
         pub version: u64,
     }
 }
+
+impl ModelNeed {
+    /// Returns the parts of the prompt that other requests may have: all but the last, which is the request's own.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -136,6 +136,7 @@
         server = server,
         software? = run.software,
         fingerprint = format_args!("{:016x}", run.request.fingerprint.0),
+        parts? = shared_parts(run),
         send = run.sends,
         version? = version,
         left_ms = left.as_millis(),
@@ -170,6 +171,13 @@
     end
 }
 
+/// Returns the ids of the shared parts of the request's prompt for the log, if it has any.
+fn shared_parts(run: &RequestRun) -> Option<String> {
+    let parts = run.request.head.need.as_ref()?.shared_parts();
+    let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+    (!ids.is_empty()).then(|| ids.join(","))
+}
+
 /// Records what the server states about itself, if the answer certainly is its own: a 421 may come from another server
 /// at its address.
 fn record_statement(run: &RequestRun, server: &ServerName, end: &SendEnd) {
--- a/gateway/tests/suite/configuration.rs
+++ b/gateway/tests/suite/configuration.rs
@@ -27,6 +27,7 @@
             route("moved", "safe", moved, 1, false),
             route("stream", "streaming", "engines", 1, false),
             route("resumed", "streaming", "engines", 2, true),
+            route("whole", "safe", "engines", 2, false),
         ],
         "services": [
             { "name": "engines", "max_connections": 50, "engine": engine },
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod caller_leaves;
 mod config_follow;
 mod configuration;
+mod crashing_parts;
 mod crashing_requests;
 mod customer_keys;
 mod cut_links;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -84,6 +84,8 @@
     falls: Vec<Instant>,
     /// Requests of callers that were meant for another server.
     misdirected: Vec<RequestArrival>,
+    /// Whether [`CRASHING_PARTS`] do it no harm any more.
+    mended: bool,
 }
 
 /// A request as the server received it.
@@ -109,6 +111,18 @@
         };
         self.head.lines().find(found).and_then(|line| line.split_once(':')).map(|(_, v)| v.trim())
     }
+
+    /// Returns whether its prompt has one of [`CRASHING_PARTS`].
+    pub(crate) fn has_crashing_part(&self) -> bool {
+        let parts = self.header("coltsfoothook-prompt-prefix").unwrap_or_default().split(',');
+        let ids = parts.filter_map(|part| part.split(':').next());
+        ids.into_iter().any(|id| CRASHING_PARTS.contains(&id))
+    }
+
+    /// Returns whether it is answered with a stream of events.
+    fn is_stream(&self) -> bool {
+        self.header("coltsfoothook-model").is_some() && !self.path().starts_with(WHOLE)
+    }
 }
 
 /// A request that reached a server.
@@ -145,6 +159,10 @@
 
 /// The last part of the path of requests that crash each server that runs them.
 pub(crate) const CRASHING: &str = "/crashing";
+/// Ids of prompt parts under which each server crashes that begins an answer.
+pub(crate) const CRASHING_PARTS: [&str; 2] = ["c4a5", "c4a6"];
+/// The path of requests to model engines that are answered whole instead of as a stream.
+const WHOLE: &str = "/whole/";
 /// How long such a request runs before its server crashes.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// How long a server is down after a crash.
@@ -241,7 +259,7 @@
         let arrivals = std::mem::take(&mut state.arrivals);
         let misdirected = std::mem::take(&mut state.misdirected);
         let (room, falls) = (state.room, std::mem::take(&mut state.falls));
-        let (unframed, software) = (state.unframed, state.software);
+        let (unframed, software, mended) = (state.unframed, state.software, state.mended);
         let mut stated = std::mem::take(&mut state.stated);
         stated.retain(|(name, _)| *name == "server-brittle");
         *state = ServerState {
@@ -255,6 +273,7 @@
             room,
             falls,
             stated,
+            mended,
             ..Default::default()
         };
         drop(state);
@@ -287,6 +306,11 @@
         self.state.lock().unwrap().mode = mode;
     }
 
+    /// Does not crash under [`CRASHING_PARTS`] any more.
+    pub(crate) fn mend(&self) {
+        self.state.lock().unwrap().mended = true;
+    }
+
     /// Runs this version of its software from now on, as its next entry says.
     pub(crate) fn set_software(&self, version: &'static str) {
         self.state.lock().unwrap().software = version;
@@ -457,8 +481,9 @@
         }
         self.state.lock().unwrap().runs.push(record.clone());
         let sealed = format!("{echo}coltsfoothook-server-seal: seal-{}\r\n", self.name);
-        if record.path().ends_with(CRASHING) {
-            if record.header("coltsfoothook-model").is_some() {
+        let has_part = record.has_crashing_part() && !self.state.lock().unwrap().mended;
+        if record.path().ends_with(CRASHING) || has_part {
+            if record.is_stream() {
                 self.stream(stream, &record, &sealed, ServerMode::CutsFirst).await;
             }
             sleep(CRASH_DELAY).await;
@@ -478,7 +503,7 @@
             }
             _ => {}
         }
-        if record.header("coltsfoothook-model").is_none() {
+        if !record.is_stream() {
             let body = format!("ran {}", record.id);
             if self.state.lock().unwrap().unframed {
                 let text = format!("HTTP/1.1 200 X\r\n{sealed}\r\n{body}");
