--- a/decision/src/crash.rs
+++ b/decision/src/crash.rs
@@ -1,20 +1,25 @@
-//! Crashes of backend servers and the requests that they are attributed to, over all VMs.
+//! Crashes of backend servers and what they are attributed to, over all VMs.
 //!
-//! Each VM records the crashes that it sees, with its requests that broke at them, and the suspects
-//! that completed. VMs send each other these records, so that all come to the same verdict, which
-//! [`verdict_of`] gives. docs/PLATFORM.md, "Requests that crash servers", describes the whole.
+//! Each VM records the crashes that it sees, with its requests that broke at them and the parts that their prompts
+//! share, and the suspects that completed. VMs send each other these records, so that all come to the same verdict,
+//! which [`CrashSubject::verdict`] gives. docs/PLATFORM.md, "Requests that crash servers", describes the whole.
 
 use std::collections::VecDeque;
 
-use crate::id::{MICROS_PER_MILLI, RequestFingerprint, TimePoint};
-use crate::record::SuspectEntry;
+use crate::blame::{CrashScene, CrashSuspect, JudgedSubject, judge};
+use crate::id::{MICROS_PER_MILLI, PartFingerprint, RequestFingerprint, TimePoint};
 use crate::subject::ServerStart;
-use crate::suspect::{SuspectVerdict, verdict_of};
+use crate::suspect::{CrashSubject, SuspectVerdict};
+use crate::trial::{HOLDS_US, TRIAL_US, TrialTurn};
 use crate::value;
 
 /// How long before a crash a completed run of a request still shows that the request is innocent: a
-/// request that crashes each server that runs it never completes.
+/// request that crashes each server that runs it never completes. A part that completed for so long before is blamed
+/// only if nothing else explains the crash as well.
 const INNOCENCE_US: u64 = 60_000_000;
+/// How long before a crash a completed request shows that its parts are innocent. It is short, since a part may begin to
+/// crash servers that ran it before.
+const PART_INNOCENCE_US: u64 = 3_000_000;
 /// How much later than a crash a request must have been sent for its answer to show that the server
 /// did not crash. Covers errors of the ages in reports.
 const REFUTATION_MARGIN_US: u64 = 100_000;
@@ -31,28 +36,20 @@
 const KEPT_INTERVAL_US: u64 = 1_000_000;
 /// How long a crash is kept that condemns no request, in microseconds.
 const RETENTION_US: u64 = 600_000_000;
-/// How long a condemned request is refused before it may run once more, in microseconds, by the
-/// number of such trials that crashed a server.
-const HOLDS_US: [u64; 4] = [5_000_000, 60_000_000, 600_000_000, 86_400_000_000];
-/// Time after a request was condemned in which attempts that were on their way may still crash
-/// servers, which is no trial.
-const SETTLE_US: u64 = 3_000_000;
-/// Time slots for trials, in microseconds. The VMs have turns by rank, and a trial begins in the first
-/// half of a slot, so that news of it arrive before the next VM begins one.
-const TRIAL_SLOT_US: u64 = 1_000_000;
-/// Maximum number of turns. Of more VMs several have the same one, since the caller of an innocent
-/// request, who knows nothing of turns, would find one of hundreds too seldom.
-const MAX_TRIAL_TURNS: usize = 8;
-/// How long a trial may take, in microseconds.
-const TRIAL_US: u64 = 5_000_000;
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 128;
-/// Maximum number of requests that one crash is attributed to.
-const MAX_SUSPECTS: usize = 64;
-/// Maximum number of crashes, and of completions, in one report.
+/// Maximum number of requests, and of parts, that one crash is attributed to: those at a full server.
+const MAX_SUSPECTS: usize = 192;
+/// Maximum number of crashes in one report.
 const MAX_REPORTED: usize = 8;
+/// Maximum number of completions in one report.
+const MAX_REPORTED_COMPLETIONS: usize = 32;
 /// Maximum number of completed requests that are remembered.
 const MAX_COMPLETED: usize = 512;
+/// Maximum number of parts of completed requests that are remembered.
+const MAX_COMPLETED_PARTS: usize = 4_096;
+/// Maximum number of completions of suspects that are kept.
+const MAX_COMPLETIONS: usize = 8_192;
 
 value! {
     /// What a VM reports of crashes.
@@ -60,8 +57,12 @@
     pub struct CrashReport {
         /// Crashes of servers.
         pub crashes: Vec<ReportedCrash>,
-        /// Suspects that completed.
+        /// Suspect requests that completed.
         pub completions: Vec<ReportedCompletion>,
+        /// Suspect parts of which a request completed. Messages carry parts apart from the rest, which older releases
+        /// read.
+        #[serde(skip)]
+        pub completed_parts: Vec<CompletedPart>,
     }
 
     /// A crash of a server.
@@ -74,6 +75,9 @@
         pub suspects: Vec<RequestFingerprint>,
         /// Whether the incarnation answered later, so that it did not crash.
         pub refuted: bool,
+        /// Parts of the prompts of requests that ran there, sorted. Only those that matter, if the crash is not new.
+        #[serde(skip)]
+        pub parts: Vec<PartFingerprint>,
     }
 
     /// A suspect that completed.
@@ -84,6 +88,39 @@
         /// Milliseconds since it completed.
         pub age_ms: u64,
     }
+
+    /// A suspect part of which a request completed.
+    #[derive(Copy)]
+    pub struct CompletedPart {
+        /// The part.
+        pub part: PartFingerprint,
+        /// Milliseconds since the request completed.
+        pub age_ms: u64,
+    }
+}
+
+impl CrashReport {
+    /// Returns whether it says nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.completions.is_empty() && self.completed_parts.is_empty()
+    }
+
+    fn push_completion(&mut self, subject: CrashSubject, age_ms: u64) {
+        match subject {
+            CrashSubject::Part(part) => self.completed_parts.push(CompletedPart { part, age_ms }),
+            CrashSubject::Request(fingerprint) => {
+                self.completions.push(ReportedCompletion { fingerprint, age_ms });
+            }
+        }
+    }
+}
+
+impl ReportedCrash {
+    fn subjects(&self) -> Vec<CrashSubject> {
+        let parts = self.parts.iter().map(|part| CrashSubject::Part(*part));
+        parts.chain(self.suspects.iter().map(|request| CrashSubject::Request(*request))).collect()
+    }
 }
 
 /// A crash as this VM knows it.
@@ -91,7 +128,8 @@
 struct KnownCrash {
     start: ServerStart,
     at: TimePoint,
-    suspects: Vec<RequestFingerprint>,
+    /// Sorted.
+    suspects: Vec<CrashSubject>,
     /// Whether the server seemed to answer later.
     refuted: bool,
     /// Whether a new start of the server showed soon afterwards, which then gave that answer.
@@ -115,7 +153,7 @@
 /// A completed suspect as this VM knows it.
 #[derive(Clone, Debug)]
 struct KnownCompletion {
-    fingerprint: RequestFingerprint,
+    subject: CrashSubject,
     at: TimePoint,
     report_state: ReportState,
 }
@@ -140,74 +178,39 @@
     }
 }
 
-/// A request that crashes are attributed to.
-#[derive(Clone, Debug)]
-struct JudgedRequest {
-    entry: SuspectEntry,
-    last_crash: TimePoint,
-    condemned_at: Option<TimePoint>,
-    failed_trials: usize,
-}
-
-impl JudgedRequest {
-    fn of(fingerprint: RequestFingerprint) -> Self {
-        let entry = SuspectEntry { fingerprint, crashes: 0, alone: 0 };
-        Self { entry, last_crash: TimePoint(0), condemned_at: None, failed_trials: 0 }
-    }
-
-    fn crash(&mut self, at: TimePoint, alone: bool) {
-        self.entry.crashes += 1;
-        self.entry.alone += u32::from(alone);
-        self.last_crash = at;
-        match self.condemned_at {
-            Some(condemned) => {
-                self.failed_trials += usize::from(at.since(condemned) > SETTLE_US);
-            }
-            None if verdict_of(&self.entry) == SuspectVerdict::Condemned => {
-                self.condemned_at = Some(at);
-            }
-            None => {}
-        }
-    }
-
-    /// Returns the time until which a VM does not let it run; `None` if it may run once more now.
-    fn held_until(&self, turn: TrialTurn, now: TimePoint) -> Option<TimePoint> {
-        let hold_us = HOLDS_US[self.failed_trials.min(HOLDS_US.len() - 1)];
-        let end = self.last_crash.plus(hold_us);
-        let round_us = turn.turns as u64 * TRIAL_SLOT_US;
-        let own_us = turn.own as u64 * TRIAL_SLOT_US;
-        let in_round_us = now.since(end) % round_us;
-        if now >= end && (own_us..own_us + TRIAL_SLOT_US / 2).contains(&in_round_us) {
-            return None;
-        }
-        let wait_us = (round_us + own_us - in_round_us) % round_us;
-        Some(now.max(end).plus(wait_us))
-    }
-}
-
-/// Which of the turns for trials is a VM's.
-#[derive(Clone, Copy, Debug)]
-struct TrialTurn {
-    own: usize,
-    turns: usize,
-}
-
-impl TrialTurn {
-    fn of(rank: usize, vms: usize) -> Self {
-        let turns = vms.clamp(1, MAX_TRIAL_TURNS);
-        Self { own: rank % turns, turns }
-    }
-}
-
 /// What a record or report changed.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CrashChange {
     /// Whether there is anything new.
     pub changed: bool,
-    /// Requests that are condemned since.
-    pub condemned: Vec<SuspectEntry>,
-    /// Condemned requests that turned out to be innocent.
-    pub cleared: Vec<RequestFingerprint>,
+    /// What is condemned since.
+    pub condemned: Vec<CondemnedSubject>,
+    /// What was condemned and turned out to be innocent.
+    pub cleared: Vec<CrashSubject>,
+}
+
+/// What is condemned, and by how much.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CondemnedSubject {
+    /// The request or the part.
+    pub subject: CrashSubject,
+    /// Number of crashes that are attributed to it.
+    pub crashes: u32,
+    /// Number of these that are attributed to nothing else.
+    pub alone: u32,
+}
+
+/// How many requests and parts crashes are attributed to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SubjectCounts {
+    /// Requests that are not condemned.
+    pub suspects: usize,
+    /// Condemned requests.
+    pub condemned: usize,
+    /// Parts that are not condemned.
+    pub suspect_parts: usize,
+    /// Condemned parts.
+    pub condemned_parts: usize,
 }
 
 /// The crashes that a VM knows of, with what follows from them.
@@ -215,30 +218,41 @@
 pub struct CrashLedger {
     /// Sorted by server incarnation.
     crashes: Vec<KnownCrash>,
-    /// Sorted by fingerprint.
+    /// Sorted by subject.
     completions: Vec<KnownCompletion>,
     /// Requests that completed here, oldest first.
     recent: VecDeque<(RequestFingerprint, TimePoint)>,
+    /// When a request with this part last completed here; sorted.
+    recent_parts: Vec<(PartFingerprint, TimePoint)>,
     /// When the last answered request was sent to a server incarnation; sorted.
     answered: Vec<(ServerStart, TimePoint)>,
     /// Servers that started under a name that was used before, and when this became known.
     starts: VecDeque<(ServerStart, TimePoint)>,
-    /// Sorted by fingerprint.
-    judged: Vec<JudgedRequest>,
-    /// Trials of condemned requests that run here, and when each is given up.
-    trials: Vec<(RequestFingerprint, TimePoint)>,
+    /// Sorted by subject.
+    judged: Vec<JudgedSubject>,
+    /// Trials of condemned subjects that run here, and when each is given up.
+    trials: Vec<(CrashSubject, TimePoint)>,
 }
 
 impl CrashLedger {
-    /// Records that this VM saw a server crash while `suspects` ran there.
+    /// Records that this VM saw a server crash while requests with these subjects ran there. Parts that requests
+    /// completed with here shortly before are left out.
     pub fn record_crash(
         &mut self,
         start: &ServerStart,
         at: TimePoint,
-        suspects: &[RequestFingerprint],
+        subjects: &[CrashSubject],
         now: TimePoint,
     ) -> CrashChange {
-        let changed = self.merge_crash(start, at, suspects, false, true, now);
+        let is_suspect = |subject: &CrashSubject| match subject {
+            CrashSubject::Part(part) => {
+                let last = self.last_run(*part);
+                last.is_none_or(|last| last.plus(PART_INNOCENCE_US) <= at)
+            }
+            CrashSubject::Request(_) => true,
+        };
+        let suspects: Vec<CrashSubject> = subjects.iter().copied().filter(is_suspect).collect();
+        let changed = self.merge_crash(start, at, &suspects, false, true, now);
         self.changed(changed, now)
     }
 
@@ -284,20 +298,53 @@
         self.answered.retain(|(start, _)| is_known(start));
     }
 
-    /// Records that a request completed here.
-    pub fn record_completion(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        now: TimePoint,
-    ) -> CrashChange {
+    /// Records that a request with these subjects completed here.
+    pub fn record_completion(&mut self, subjects: &[CrashSubject], now: TimePoint) -> CrashChange {
+        let mut changed = false;
+        for &subject in subjects {
+            match subject {
+                CrashSubject::Part(part) => self.remember_part(part, now),
+                CrashSubject::Request(fingerprint) => self.remember_request(fingerprint, now),
+            }
+            self.trials.retain(|(trial, _)| *trial != subject);
+            changed |= self.clears(subject) && self.complete(subject, now, true);
+        }
+        self.changed(changed, now)
+    }
+
+    fn remember_request(&mut self, fingerprint: RequestFingerprint, now: TimePoint) {
         if self.recent.len() >= MAX_COMPLETED {
             self.recent.pop_front();
         }
         self.recent.push_back((fingerprint, now));
-        self.trials.retain(|(trial, _)| *trial != fingerprint);
-        let suspect = self.crashes.iter().any(|crash| crash.has_suspect(fingerprint));
-        let changed = suspect && self.merge_completion(fingerprint, now, true);
-        self.changed(changed, now)
+    }
+
+    fn remember_part(&mut self, part: PartFingerprint, now: TimePoint) {
+        match self.recent_parts.binary_search_by_key(&part, |(known, _)| *known) {
+            Ok(at) => self.recent_parts[at].1 = now,
+            Err(at) => self.recent_parts.insert(at, (part, now)),
+        }
+        if self.recent_parts.len() > MAX_COMPLETED_PARTS {
+            let mut times: Vec<TimePoint> = self.recent_parts.iter().map(|(_, at)| *at).collect();
+            let (_, middle, _) = times.select_nth_unstable(MAX_COMPLETED_PARTS / 2);
+            let middle = *middle;
+            self.recent_parts.retain(|(_, at)| *at >= middle);
+        }
+    }
+
+    /// Returns when a request with a part last completed here, if this VM remembers.
+    fn last_run(&self, part: PartFingerprint) -> Option<TimePoint> {
+        let found = self.recent_parts.binary_search_by_key(&part, |(known, _)| *known);
+        found.ok().map(|at| self.recent_parts[at].1)
+    }
+
+    /// Returns whether a completion of a subject now would clear it of a crash that it is not yet cleared of.
+    fn clears(&self, subject: CrashSubject) -> bool {
+        let is_open = |crash: &KnownCrash| {
+            crash.has_suspect(subject)
+                && (!subject.is_part() || !self.is_innocent(subject, crash.at))
+        };
+        self.crashes.iter().any(is_open)
     }
 
     /// Applies what another VM reported.
@@ -306,49 +353,65 @@
         let mut changed = false;
         for crash in &report.crashes {
             let at = ago(crash.age_ms);
-            changed |=
-                self.merge_crash(&crash.start, at, &crash.suspects, crash.refuted, false, now);
+            let subjects = crash.subjects();
+            changed |= self.merge_crash(&crash.start, at, &subjects, crash.refuted, false, now);
         }
         for completion in &report.completions {
-            changed |= self.merge_completion(completion.fingerprint, ago(completion.age_ms), false);
+            let subject = CrashSubject::Request(completion.fingerprint);
+            changed |= self.complete(subject, ago(completion.age_ms), false);
+        }
+        for completion in &report.completed_parts {
+            let subject = CrashSubject::Part(completion.part);
+            changed |= self.complete(subject, ago(completion.age_ms), false);
         }
         self.changed(changed, now)
     }
 
-    /// Returns the verdict on a request.
+    /// Returns the verdict on a request or a part.
+    #[must_use]
+    pub fn verdict(&self, subject: CrashSubject) -> SuspectVerdict {
+        self.find(subject).map_or(SuspectVerdict::Clear, JudgedSubject::verdict)
+    }
+
+    /// Returns those of a request's subjects that are condemned.
     #[must_use]
-    pub fn verdict(&self, fingerprint: RequestFingerprint) -> SuspectVerdict {
-        self.find(fingerprint).map_or(SuspectVerdict::Clear, |request| verdict_of(&request.entry))
+    pub fn condemned(&self, subjects: &[CrashSubject]) -> Vec<CrashSubject> {
+        let is_condemned =
+            |subject: &CrashSubject| self.find(*subject).is_some_and(JudgedSubject::is_condemned);
+        subjects.iter().copied().filter(is_condemned).collect()
     }
 
-    /// Returns whether a request is condemned.
+    /// Returns whether a request or a part is condemned.
     #[must_use]
-    pub fn is_condemned(&self, fingerprint: RequestFingerprint) -> bool {
-        self.verdict(fingerprint) == SuspectVerdict::Condemned
+    pub fn is_condemned(&self, subject: impl Into<CrashSubject>) -> bool {
+        self.verdict(subject.into()) == SuspectVerdict::Condemned
     }
 
-    /// Returns the time until which a request must not be sent; `None` if it may be sent now. A
-    /// condemned request may run once more after a while, as an innocent one would complete. The VM of
-    /// this rank among `vms` has turns for that.
+    /// Returns the time until which a request with these subjects must not be sent; `None` if it may be sent now. What
+    /// is condemned may run once more after a while, as it would complete if innocent. This VM has turns for that, by its
+    /// rank for the subject among `vms`. A request with several condemned subjects tells nothing of each if it crashes
+    /// its server, so that it waits longer.
     pub fn admit(
         &mut self,
-        fingerprint: RequestFingerprint,
-        rank: usize,
+        subjects: &[CrashSubject],
+        rank: impl Fn(CrashSubject) -> usize,
         vms: usize,
         now: TimePoint,
     ) -> Option<TimePoint> {
-        let request = self.find(fingerprint)?;
-        if verdict_of(&request.entry) != SuspectVerdict::Condemned {
-            return None;
-        }
-        if let Some(until) = request.held_until(TrialTurn::of(rank, vms), now) {
+        let condemned = self.condemned(subjects);
+        let subject = *condemned.first()?;
+        let extra = usize::from(condemned.len() > 1);
+        let ends = condemned.iter().filter_map(|subject| self.find(*subject));
+        let end = ends.map(|judged| judged.hold_end(extra)).max()?;
+        let turn = TrialTurn::of(subject, rank(subject), vms);
+        if let Some(until) = turn.held_until(end, now) {
             return Some(until);
         }
         self.trials.retain(|(_, end)| *end > now);
-        if let Some((_, end)) = self.trials.iter().find(|(trial, _)| *trial == fingerprint) {
+        if let Some((_, end)) = self.trials.iter().find(|(trial, _)| condemned.contains(trial)) {
             return Some(*end);
         }
-        self.trials.push((fingerprint, now.plus(TRIAL_US)));
+        self.trials.extend(condemned.iter().map(|subject| (*subject, now.plus(TRIAL_US))));
         None
     }
 
@@ -356,10 +419,7 @@
     /// for an aggregator.
     pub fn take_report(&mut self, all: bool, now: TimePoint) -> CrashReport {
         let judged = &self.judged;
-        let matters = |fingerprint: &RequestFingerprint| {
-            let found = judged.binary_search_by_key(fingerprint, |known| known.entry.fingerprint);
-            found.is_ok_and(|at| judged[at].entry.crashes > 1)
-        };
+        let matters = |subject: &CrashSubject| is_repeated(judged, *subject);
         let mut report = CrashReport::default();
         for crash in &mut self.crashes {
             let kept = !crash.is_refuted() && crash.suspects.iter().any(matters);
@@ -369,23 +429,31 @@
             }
             crash.report_state.reported_at = Some(now);
             let is_new = now.since(crash.at) < NEW_US;
-            let suspects = crash.suspects.iter().filter(|suspect| is_new || matters(suspect));
-            report.crashes.push(ReportedCrash {
+            let mut reported = ReportedCrash {
                 start: crash.start.clone(),
                 age_ms: now.since(crash.at) / MICROS_PER_MILLI,
-                suspects: suspects.copied().collect(),
+                suspects: Vec::new(),
                 refuted: crash.is_refuted(),
-            });
+                parts: Vec::new(),
+            };
+            for suspect in crash.suspects.iter().filter(|suspect| is_new || matters(suspect)) {
+                match suspect {
+                    CrashSubject::Part(part) => reported.parts.push(*part),
+                    CrashSubject::Request(request) => reported.suspects.push(*request),
+                }
+            }
+            report.crashes.push(reported);
         }
+        let mut room = MAX_REPORTED_COMPLETIONS;
         for completion in &mut self.completions {
             let due = completion.report_state.is_due(completion.at, false, all, now);
-            if !due || report.completions.len() >= MAX_REPORTED {
+            if !due || room == 0 {
                 continue;
             }
+            room -= 1;
             completion.report_state.reported_at = Some(now);
             let age_ms = now.since(completion.at) / MICROS_PER_MILLI;
-            let fingerprint = completion.fingerprint;
-            report.completions.push(ReportedCompletion { fingerprint, age_ms });
+            report.push_completion(completion.subject, age_ms);
         }
         report
     }
@@ -398,25 +466,31 @@
         }
     }
 
-    /// Returns the number of requests under suspicion, and of condemned ones.
+    /// Returns how many requests and parts crashes are attributed to.
     #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        let condemned =
-            |request: &&JudgedRequest| verdict_of(&request.entry) == SuspectVerdict::Condemned;
-        let count = self.judged.iter().filter(condemned).count();
-        (self.judged.len() - count, count)
+    pub fn counts(&self) -> SubjectCounts {
+        let mut counts = SubjectCounts::default();
+        for judged in &self.judged {
+            let count = match (judged.subject.is_part(), judged.is_condemned()) {
+                (false, false) => &mut counts.suspects,
+                (false, true) => &mut counts.condemned,
+                (true, false) => &mut counts.suspect_parts,
+                (true, true) => &mut counts.condemned_parts,
+            };
+            *count += 1;
+        }
+        counts
     }
 
-    fn find(&self, fingerprint: RequestFingerprint) -> Option<&JudgedRequest> {
-        let found = self.judged.binary_search_by_key(&fingerprint, |known| known.entry.fingerprint);
-        found.ok().map(|at| &self.judged[at])
+    fn find(&self, subject: CrashSubject) -> Option<&JudgedSubject> {
+        find(&self.judged, subject)
     }
 
     fn merge_crash(
         &mut self,
         start: &ServerStart,
         at: TimePoint,
-        suspects: &[RequestFingerprint],
+        suspects: &[CrashSubject],
         refuted: bool,
         own: bool,
         now: TimePoint,
@@ -447,54 +521,54 @@
         crash.succeeded |=
             self.starts.iter().any(|(start, known)| crash.is_succeeded_by(start, *known));
         crash.refuted |= refuted || seen_alive;
-        for &suspect in suspects {
-            if let Err(at) = crash.suspects.binary_search(&suspect)
-                && crash.suspects.len() < MAX_SUSPECTS
-            {
-                crash.suspects.insert(at, suspect);
-            }
-        }
+        suspects.iter().for_each(|suspect| crash.add_suspect(*suspect));
         let changed = before != (crash.suspects.len(), crash.is_refuted());
         if changed {
             crash.report_state.own |= own || (seen_alive && !refuted);
             crash.report_state.reported_at = None;
-            self.clear_recent(position, now);
+            self.clear_recent(position);
         }
         changed
     }
 
-    /// Records the completions of a crash's suspects that this VM remembers.
-    fn clear_recent(&mut self, position: usize, now: TimePoint) {
-        let suspects = self.crashes[position].suspects.clone();
-        for suspect in suspects {
-            let last = self.recent.iter().rev().find(|(known, _)| *known == suspect);
-            if let Some(&(_, at)) = last.filter(|(_, at)| now.since(*at) < INNOCENCE_US) {
-                self.merge_completion(suspect, at, true);
+    /// Records the completions of a crash's suspects that this VM remembers: of a part, an older one only if further
+    /// crashes are attributed to it.
+    fn clear_recent(&mut self, position: usize) {
+        let at = self.crashes[position].at;
+        for suspect in self.crashes[position].suspects.clone() {
+            let last = match suspect {
+                CrashSubject::Part(part) => self.last_run(part),
+                CrashSubject::Request(request) => {
+                    let last = self.recent.iter().rev().find(|(known, _)| *known == request);
+                    last.map(|(_, at)| *at)
+                }
+            };
+            let is_short = suspect.is_part() && self.find(suspect).is_none();
+            let innocence_us = if is_short { PART_INNOCENCE_US } else { INNOCENCE_US };
+            if let Some(last) = last.filter(|last| last.plus(innocence_us) > at) {
+                self.merge_completion(suspect, last, true);
             }
         }
     }
 
-    fn merge_completion(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        at: TimePoint,
-        own: bool,
-    ) -> bool {
+    /// Records a completion. Returns whether it changes what crashes are attributed to.
+    fn complete(&mut self, subject: CrashSubject, at: TimePoint, own: bool) -> bool {
+        self.merge_completion(subject, at, own) && self.find(subject).is_some()
+    }
+
+    fn merge_completion(&mut self, subject: CrashSubject, at: TimePoint, own: bool) -> bool {
         let report_state = ReportState { own, reported_at: None };
-        let found = self.completions.binary_search_by_key(&fingerprint, |known| known.fingerprint);
-        match found {
+        let completion = KnownCompletion { subject, at, report_state };
+        match self.completions.binary_search_by_key(&subject, |known| known.subject) {
             Ok(position) => {
                 let known = &mut self.completions[position];
                 // The reports of one completion differ by the errors of their ages.
                 if at <= known.at.plus(REFUTATION_MARGIN_US) {
                     return false;
                 }
-                *known = KnownCompletion { fingerprint, at, report_state };
-            }
-            Err(position) => {
-                self.completions
-                    .insert(position, KnownCompletion { fingerprint, at, report_state });
+                *known = completion;
             }
+            Err(position) => self.completions.insert(position, completion),
         }
         true
     }
@@ -504,75 +578,62 @@
         if !changed {
             return CrashChange::default();
         }
-        let before = std::mem::take(&mut self.judged);
-        self.judge();
+        let judged = judge(&self.scenes());
+        let before = std::mem::replace(&mut self.judged, judged);
         self.drop_old(now);
-        let condemned = |requests: &[JudgedRequest], fingerprint| {
-            let found =
-                requests.binary_search_by_key(&fingerprint, |known| known.entry.fingerprint);
-            found.is_ok_and(|at| verdict_of(&requests[at].entry) == SuspectVerdict::Condemned)
+        let is_condemned = |judged: &[JudgedSubject], subject| {
+            find(judged, subject).is_some_and(JudgedSubject::is_condemned)
         };
-        let entries = self.judged.iter().map(|request| &request.entry);
-        let new = entries.filter(|entry| {
-            condemned(&self.judged, entry.fingerprint) && !condemned(&before, entry.fingerprint)
-        });
-        let old = before.iter().map(|request| request.entry.fingerprint);
-        let cleared = old.filter(|fingerprint| {
-            condemned(&before, *fingerprint) && !condemned(&self.judged, *fingerprint)
+        let new = self
+            .judged
+            .iter()
+            .filter(|judged| judged.is_condemned() && !is_condemned(&before, judged.subject));
+        let condemned = new.map(|judged| CondemnedSubject {
+            subject: judged.subject,
+            crashes: judged.crashes,
+            alone: judged.alone,
         });
-        CrashChange { changed: true, condemned: new.cloned().collect(), cleared: cleared.collect() }
+        let old = before
+            .iter()
+            .filter(|judged| judged.is_condemned() && !is_condemned(&self.judged, judged.subject));
+        let cleared = old.map(|judged| judged.subject).collect();
+        CrashChange { changed: true, condemned: condemned.collect(), cleared }
     }
 
-    /// Attributes the crashes to requests, in the order in which they happened. Where known suspects
-    /// ran at a server, only they are blamed for its crash.
-    fn judge(&mut self) {
+    /// Returns the crashes in the order in which they happened, with those of their suspects that did not complete.
+    fn scenes(&self) -> Vec<CrashScene> {
         let mut order: Vec<&KnownCrash> =
             self.crashes.iter().filter(|crash| !crash.is_refuted()).collect();
         order.sort_by(|a, b| (a.at, &a.start).cmp(&(b.at, &b.start)));
-        let mut judged: Vec<JudgedRequest> = Vec::new();
-        for crash in order {
-            let suspects: Vec<RequestFingerprint> = crash
-                .suspects
-                .iter()
-                .copied()
-                .filter(|s| !self.is_innocent(*s, crash.at))
-                .collect();
-            let is_known = |fingerprint: &RequestFingerprint| {
-                judged.binary_search_by_key(fingerprint, |known| known.entry.fingerprint).is_ok()
-            };
-            let known: Vec<RequestFingerprint> =
-                suspects.iter().copied().filter(is_known).collect();
-            let blamed = if known.is_empty() { suspects } else { known };
-            for &fingerprint in &blamed {
-                let found =
-                    judged.binary_search_by_key(&fingerprint, |known| known.entry.fingerprint);
-                let at = found.unwrap_or_else(|at| {
-                    judged.insert(at, JudgedRequest::of(fingerprint));
-                    at
-                });
-                judged[at].crash(crash.at, blamed.len() == 1);
-            }
-        }
-        self.judged = judged;
+        let scene = |crash: &KnownCrash| {
+            let suspects = crash.suspects.iter().filter(|s| !self.is_innocent(**s, crash.at));
+            let suspects = suspects.map(|subject| CrashSuspect {
+                subject: *subject,
+                completed_before: self.completed_since(*subject, INNOCENCE_US, crash.at),
+            });
+            CrashScene { at: crash.at, suspects: suspects.collect() }
+        };
+        order.into_iter().map(scene).collect()
+    }
+
+    /// Returns whether a subject completed since, or shortly before, a crash.
+    fn is_innocent(&self, subject: CrashSubject, crashed: TimePoint) -> bool {
+        let innocence_us = if subject.is_part() { PART_INNOCENCE_US } else { INNOCENCE_US };
+        self.completed_since(subject, innocence_us, crashed)
     }
 
-    /// Returns whether a request completed since, or shortly before, a crash.
-    fn is_innocent(&self, fingerprint: RequestFingerprint, crashed: TimePoint) -> bool {
-        let found = self.completions.binary_search_by_key(&fingerprint, |known| known.fingerprint);
-        found.is_ok_and(|at| self.completions[at].at.plus(INNOCENCE_US) > crashed)
+    /// Returns whether a subject completed since `before_us` before a crash.
+    fn completed_since(&self, subject: CrashSubject, before_us: u64, crashed: TimePoint) -> bool {
+        let found = self.completions.binary_search_by_key(&subject, |known| known.subject);
+        found.is_ok_and(|at| self.completions[at].at.plus(before_us) > crashed)
     }
 
-    /// Bounds what is kept: crashes that condemn no request go first.
+    /// Bounds what is kept: crashes that condemn nothing go first.
     fn drop_old(&mut self, now: TimePoint) {
         let longest = HOLDS_US[HOLDS_US.len() - 1];
         let judged = &self.judged;
         let condemns = |crash: &KnownCrash| {
-            !crash.is_refuted()
-                && crash.suspects.iter().any(|suspect| {
-                    let found =
-                        judged.binary_search_by_key(suspect, |known| known.entry.fingerprint);
-                    found.is_ok_and(|at| judged[at].entry.crashes > 1)
-                })
+            !crash.is_refuted() && crash.suspects.iter().any(|known| is_repeated(judged, *known))
         };
         self.crashes.retain(|crash| {
             let kept_us = if condemns(crash) { longest } else { RETENTION_US };
@@ -584,12 +645,51 @@
             let Some((position, _)) = oldest else { break };
             self.crashes.remove(position);
         }
-        self.completions.retain(|known| now.since(known.at) < RETENTION_US);
+        self.drop_completions(now);
     }
+
+    /// Drops old completions. A crash that is kept for longer forgets what they cleared, which would be suspect again.
+    fn drop_completions(&mut self, now: TimePoint) {
+        let mut kept_us = RETENTION_US;
+        if self.completions.len() > MAX_COMPLETIONS {
+            let mut ages: Vec<u64> =
+                self.completions.iter().map(|known| now.since(known.at)).collect();
+            let (_, middle, _) = ages.select_nth_unstable(MAX_COMPLETIONS / 2);
+            kept_us = kept_us.min(*middle);
+        }
+        if self.completions.iter().all(|known| now.since(known.at) <= kept_us) {
+            return;
+        }
+        let mut crashes = std::mem::take(&mut self.crashes);
+        for crash in &mut crashes {
+            crash.suspects.retain(|suspect| !self.is_innocent(*suspect, crash.at));
+        }
+        self.crashes = crashes;
+        self.completions.retain(|known| now.since(known.at) <= kept_us);
+    }
+}
+
+fn find(judged: &[JudgedSubject], subject: CrashSubject) -> Option<&JudgedSubject> {
+    let found = judged.binary_search_by_key(&subject, |known| known.subject);
+    found.ok().map(|at| &judged[at])
+}
+
+/// Returns whether more than one crash is attributed to a subject.
+fn is_repeated(judged: &[JudgedSubject], subject: CrashSubject) -> bool {
+    find(judged, subject).is_some_and(|known| known.crashes > 1)
 }
 
 impl KnownCrash {
-    fn has_suspect(&self, fingerprint: RequestFingerprint) -> bool {
-        self.suspects.binary_search(&fingerprint).is_ok()
+    fn has_suspect(&self, subject: CrashSubject) -> bool {
+        self.suspects.binary_search(&subject).is_ok()
+    }
+
+    fn add_suspect(&mut self, subject: CrashSubject) {
+        let Err(at) = self.suspects.binary_search(&subject) else { return };
+        let parts = self.suspects.partition_point(|known| known.is_part());
+        let same_kind = if subject.is_part() { parts } else { self.suspects.len() - parts };
+        if same_kind < MAX_SUSPECTS {
+            self.suspects.insert(at, subject);
+        }
     }
 }
--- a/decision/src/id.rs
+++ b/decision/src/id.rs
@@ -50,6 +50,8 @@
     pub struct ConfigVersion(u64);
     /// Stable hash of a request's content without its id; see docs/DESIGN.md, "Poison requests".
     pub struct RequestFingerprint(u64);
+    /// Part of a prompt that many requests may share, whatever its length, its place and the rest of the request.
+    pub struct PartFingerprint(u64);
     /// Time in microseconds on a process's own monotonic clock. Never sent to another process.
     pub struct TimePoint(u64);
 }
--- a/decision/src/suspect.rs
+++ b/decision/src/suspect.rs
@@ -1,12 +1,96 @@
-//! Quarantine of requests that ran on engines which crashed.
+//! Quarantine of requests that ran on engines which crashed, and of parts that their prompts share.
 //!
 //! All requests that ran on an engine when it crashed become suspects. A suspect runs only where no
 //! other suspect runs, so a second crash has a single suspect, which is condemned. The others
-//! complete and are cleared. See docs/PLACEMENT.md, "Poison requests".
+//! complete and are cleared. See docs/PLACEMENT.md, "Poison requests", and docs/PLATFORM.md, "Requests that crash
+//! servers".
 
-use crate::id::RequestFingerprint;
+use std::fmt::{self, Display};
+
+use crate::id::{PartFingerprint, RequestFingerprint};
 use crate::record::SuspectEntry;
 
+/// What a crash of a server may be attributed to. Parts sort before requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CrashSubject {
+    /// A shared part of a prompt: each request that has it may crash its server.
+    Part(PartFingerprint),
+    /// A request, which its caller may send again.
+    Request(RequestFingerprint),
+}
+
+impl CrashSubject {
+    /// Returns the verdict on a subject that this many crashes were attributed to since it last completed, `alone` of
+    /// them to nothing else.
+    #[must_use]
+    pub fn verdict(self, crashes: u32, alone: u32) -> SuspectVerdict {
+        let rule = match self {
+            Self::Part(_) => &PART_RULE,
+            Self::Request(_) => &REQUEST_RULE,
+        };
+        rule.verdict(crashes, alone)
+    }
+
+    /// Returns whether it is a shared part of prompts.
+    #[must_use]
+    pub fn is_part(self) -> bool {
+        matches!(self, Self::Part(_))
+    }
+
+    /// Returns the fingerprint.
+    #[must_use]
+    pub fn fingerprint(self) -> u64 {
+        match self {
+            Self::Part(part) => part.0,
+            Self::Request(request) => request.0,
+        }
+    }
+}
+
+impl Display for CrashSubject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => write!(f, "{:x}", part.0),
+            Self::Request(request) => write!(f, "{:016x}", request.0),
+        }
+    }
+}
+
+impl From<RequestFingerprint> for CrashSubject {
+    fn from(fingerprint: RequestFingerprint) -> Self {
+        Self::Request(fingerprint)
+    }
+}
+
+impl From<PartFingerprint> for CrashSubject {
+    fn from(fingerprint: PartFingerprint) -> Self {
+        Self::Part(fingerprint)
+    }
+}
+
+/// How many crashes it takes to refuse a subject.
+struct QuarantineRule {
+    /// Minimum crashes if at least one was attributed to nothing else.
+    alone: u32,
+    /// Minimum crashes otherwise.
+    together: u32,
+}
+
+const REQUEST_RULE: QuarantineRule =
+    QuarantineRule { alone: CONDEMNED_CRASHES, together: CONDEMNED_TOGETHER };
+/// A part takes one crash more: refusing it refuses many requests.
+const PART_RULE: QuarantineRule =
+    QuarantineRule { alone: CONDEMNED_CRASHES + 1, together: CONDEMNED_TOGETHER + 1 };
+
+impl QuarantineRule {
+    fn verdict(&self, crashes: u32, alone: u32) -> SuspectVerdict {
+        if crashes >= self.together || (crashes >= self.alone && alone >= 1) {
+            return SuspectVerdict::Condemned;
+        }
+        if crashes >= 1 { SuspectVerdict::Isolated } else { SuspectVerdict::Clear }
+    }
+}
+
 /// Quarantine state of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SuspectVerdict {
@@ -29,11 +113,7 @@
 /// complete meanwhile.
 #[must_use]
 pub fn verdict_of(entry: &SuspectEntry) -> SuspectVerdict {
-    let alone = entry.crashes >= CONDEMNED_CRASHES && entry.alone >= 1;
-    if alone || entry.crashes >= CONDEMNED_TOGETHER {
-        return SuspectVerdict::Condemned;
-    }
-    if entry.crashes >= 1 { SuspectVerdict::Isolated } else { SuspectVerdict::Clear }
+    REQUEST_RULE.verdict(entry.crashes, entry.alone)
 }
 
 /// The owner's list of suspects: the state of the control stream, and crashes that it detected
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -156,6 +156,7 @@
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let (customer, headers) = (admitted.customer.as_ref(), &parts.headers);
     let fingerprint = CallerRequest::fingerprint(customer, &parts.method, headers, &path, &body);
+    let subjects = CallerRequest::subjects(head.need.as_ref(), fingerprint);
     CallerRequest {
         head,
         method: parts.method,
@@ -163,6 +164,7 @@
         headers: parts.headers,
         body,
         fingerprint,
+        subjects,
         route: admitted.route,
         customer: admitted.customer,
         rank: admitted.rank,
@@ -194,8 +196,8 @@
 
 /// Sends a request to one server after another until it has its final answer.
 async fn drive(mut run: RequestRun) -> Response<AnswerStream> {
-    if suspects::held(&mut run) {
-        return give_up(run, "condemned");
+    if let Some(reason) = suspects::held(&mut run) {
+        return give_up(run, reason);
     }
     loop {
         if hand_over::is_needed(&run) {
@@ -209,8 +211,8 @@
             Err(NO_LINKS) if hand_over::is_needed(&run) => continue,
             Err(reason) => return give_up(run, reason),
         };
-        if suspects::held(&mut run) {
-            return give_up(run, "condemned");
+        if let Some(reason) = suspects::held(&mut run) {
+            return give_up(run, reason);
         }
         if !run.may_send() {
             return give_up(run, "repeat_budget");
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -8,9 +8,11 @@
 
 use coltsfoothook_decision::counts::LoadFigure;
 use coltsfoothook_decision::coverage::ReportedSpan;
-use coltsfoothook_decision::crash::CrashReport;
+use coltsfoothook_decision::crash::{CompletedPart, CrashReport};
 use coltsfoothook_decision::domain_update::ListChange;
-use coltsfoothook_decision::id::{DomainName, ServerName, SoftwareVersion, TimePoint, VmName};
+use coltsfoothook_decision::id::{
+    DomainName, PartFingerprint, ServerName, SoftwareVersion, TimePoint, VmName,
+};
 use coltsfoothook_decision::limit::BucketState;
 use coltsfoothook_decision::origin::{ReportedStream, StreamMark};
 use coltsfoothook_decision::permit::{PermitQuestion, PermitReply};
@@ -341,13 +343,15 @@
     }
 }
 
-/// Encodes a message as a datagram. The versions of servers' software follow the message itself: releases that do not
-/// know them read only the message.
+/// Encodes a message as a datagram. The versions of servers' software, and the parts of prompts that crashes are
+/// attributed to, follow the message itself: releases that do not know them read only the message.
 pub(crate) fn encode(message: &PeerMessage) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let mut bytes = vec![FORMAT];
     rmp_serde::encode::write(&mut bytes, message)?;
-    if let PeerMessage::News(update) = message {
-        write_software(&mut bytes, &update.entries)?;
+    match message {
+        PeerMessage::News(update) => write_software(&mut bytes, &update.entries)?,
+        PeerMessage::Crashes(report) => write_parts(&mut bytes, report)?,
+        _ => {}
     }
     Ok(bytes)
 }
@@ -359,8 +363,10 @@
         return None;
     }
     let mut message = rmp_serde::from_read(&mut rest).ok()?;
-    if let PeerMessage::News(update) = &mut message {
-        read_software(rest, &mut update.entries);
+    match &mut message {
+        PeerMessage::News(update) => read_software(rest, &mut update.entries),
+        PeerMessage::Crashes(report) => read_parts(rest, report),
+        _ => {}
     }
     Some(message)
 }
@@ -398,3 +404,20 @@
         entry.software = version;
     }
 }
+
+/// Appends the parts of a report: those of each crash, in the order of the crashes, and those that completed.
+fn write_parts(bytes: &mut Vec<u8>, report: &CrashReport) -> Result<(), rmp_serde::encode::Error> {
+    let crashes: Vec<&[PartFingerprint]> =
+        report.crashes.iter().map(|crash| crash.parts.as_slice()).collect();
+    rmp_serde::encode::write(bytes, &(crashes, &report.completed_parts))
+}
+
+/// Sets the parts of a report. A release that does not send them knows none.
+fn read_parts(bytes: &[u8], report: &mut CrashReport) {
+    let (crashes, completed): (Vec<Vec<PartFingerprint>>, Vec<CompletedPart>) =
+        rmp_serde::from_slice(bytes).unwrap_or_default();
+    for (crash, parts) in report.crashes.iter_mut().zip(crashes) {
+        crash.parts = parts;
+    }
+    report.completed_parts = completed;
+}
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -245,7 +245,7 @@
                 return false;
             }
             let Ok(server) = find_server(run).await else { return false };
-            if suspects::held(run) {
+            if suspects::held(run).is_some() {
                 return false;
             }
             event!(
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -8,6 +8,7 @@
 use coltsfoothook_decision::issuer::{issuer_rank, vm_position};
 use coltsfoothook_decision::lease::StoreWitness;
 use coltsfoothook_decision::subject::ServerStart;
+use coltsfoothook_decision::suspect::CrashSubject;
 
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64;
@@ -248,14 +249,10 @@
 
     /// Returns the rank of `vm` among the live VMs that do not leave, in an order that differs between
     /// requests: 0 for the first.
-    pub(crate) fn trial_rank(
-        &self,
-        vm: &VmName,
-        fingerprint: RequestFingerprint,
-        now: TimePoint,
-    ) -> usize {
+    pub(crate) fn trial_rank(&self, vm: &VmName, subject: CrashSubject, now: TimePoint) -> usize {
         let ttl_us = self.live_ttl_us();
-        let rank = |vm: &VmName| stable_hash(&[vm.as_str(), &fingerprint.to_string()]);
+        let fingerprint = subject.fingerprint().to_string();
+        let rank = |vm: &VmName| stable_hash(&[vm.as_str(), &fingerprint]);
         let own = rank(vm);
         let ahead =
             |peer: &&PeerState| rank(&peer.vm) < own && !peer.leaving && peer.is_live(ttl_us, now);
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -6,11 +6,12 @@
 
 use bytes::Bytes;
 use coltsfoothook_decision::id::{
-    CustomerName, RequestFingerprint, ServerName, ServiceName, SoftwareVersion, TimePoint,
-    stable_hash_bytes,
+    CustomerName, PartFingerprint, RequestFingerprint, ServerName, ServiceName, SoftwareVersion,
+    TimePoint, stable_hash_bytes,
 };
 use coltsfoothook_decision::origin::StreamOrigin;
-use coltsfoothook_decision::routing::ServingRoute;
+use coltsfoothook_decision::routing::{ModelNeed, ServingRoute};
+use coltsfoothook_decision::suspect::CrashSubject;
 use coltsfoothook_exchange::BodyFraming;
 use coltsfoothook_platform::RequestHead;
 use coltsfoothook_telemetry::event;
@@ -28,6 +29,8 @@
 /// each such answer. Meanwhile the VM that orders the server receives a report of a late adapter, and its next list
 /// says when the adapter can be used.
 const INITIAL_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum number of parts of a request's prompt that crashes may be attributed to.
+const MAX_PARTS: usize = 64;
 /// How many times the wait is doubled at most.
 const MAX_RETRY_DOUBLINGS: u32 = 3;
 
@@ -92,6 +95,8 @@
     pub(crate) body: Bytes,
     /// The same for each attempt of the caller at the same request.
     pub(crate) fingerprint: RequestFingerprint,
+    /// What a crash of a server that runs it may be attributed to: the shared parts of its prompt and itself.
+    pub(crate) subjects: Vec<CrashSubject>,
     pub(crate) route: ServingRoute,
     /// The customer that it runs for, if the configuration has customers.
     pub(crate) customer: Option<CustomerName>,
@@ -116,6 +121,20 @@
         let (customer, method) = (customer.as_bytes(), method.as_str().as_bytes());
         RequestFingerprint(stable_hash_bytes(&[customer, method, host, path.as_bytes(), body]))
     }
+
+    /// Returns what a crash may be attributed to where a request with this need ran, without duplicates.
+    pub(crate) fn subjects(
+        need: Option<&ModelNeed>,
+        fingerprint: RequestFingerprint,
+    ) -> Vec<CrashSubject> {
+        let parts = need.map_or(&[][..], ModelNeed::shared_parts);
+        let parts = parts.iter().map(|part| CrashSubject::Part(PartFingerprint(part.id)));
+        let mut subjects: Vec<CrashSubject> = parts.take(MAX_PARTS).collect();
+        subjects.push(CrashSubject::Request(fingerprint));
+        subjects.sort_unstable();
+        subjects.dedup();
+        subjects
+    }
 }
 
 impl RequestRun {
--- a/gateway/src/suspects.rs
+++ b/gateway/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Finds out whether servers crashed, and holds back requests that crashed them.
+//! Finds out whether servers crashed, and holds back requests that crashed them or have parts that did.
 //!
 //! The decisions are made in [`coltsfoothook_decision::crash`].
 
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfoothook_decision::crash::{CrashChange, CrashReport};
-use coltsfoothook_decision::id::{RequestFingerprint, ServerName, TimePoint};
+use coltsfoothook_decision::crash::{CondemnedSubject, CrashChange, CrashReport};
+use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::routing::BackendEntry;
 use coltsfoothook_decision::subject::ServerStart;
+use coltsfoothook_decision::suspect::CrashSubject;
+use coltsfoothook_exchange::BodyFraming;
 use coltsfoothook_telemetry::event;
 use tokio::time::sleep;
 
@@ -30,6 +32,13 @@
 const SUCCESSOR_US: u64 = 3_000_000;
 /// Maximum number of such servers.
 const MAX_LISTENING: usize = 64;
+/// Maximum number of runs that are kept until it is known whether their server crashed.
+const MAX_UNCONFIRMED: usize = 256;
+/// How long before a crash an answer that ended with its connection may have been cut by it, in microseconds.
+const CUT_BEFORE_US: u64 = 150_000;
+/// Reasons in the log and in metrics of refusals, as the request or a part of its prompt crashed servers.
+const REQUEST_REASON: &str = "condemned";
+const PART_REASON: &str = "part_quarantined";
 /// Interval at which crashes are reported to other VMs, if there is anything to report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -39,6 +48,16 @@
     servers: Vec<BrokenServer>,
     /// Servers that accepted a connection after runs broke there.
     listening: Vec<ListeningServer>,
+    /// Runs whose answers ended with their connections, as they also do in a crash between two events.
+    unconfirmed: Vec<UnconfirmedRun>,
+}
+
+/// A run that is complete if its server answers a later request.
+#[derive(Debug)]
+struct UnconfirmedRun {
+    start: ServerStart,
+    at: TimePoint,
+    subjects: Vec<CrashSubject>,
 }
 
 /// A server at which runs broke and whose address accepts connections: it may have been restarted since.
@@ -47,7 +66,9 @@
     start: ServerStart,
     address: SocketAddr,
     at: TimePoint,
-    runs: Vec<RequestFingerprint>,
+    /// How many runs broke, and what they may have in common.
+    broken: usize,
+    subjects: Vec<CrashSubject>,
 }
 
 /// A server at which runs broke.
@@ -56,7 +77,9 @@
     start: ServerStart,
     /// When the first of the runs broke.
     at: TimePoint,
-    runs: Vec<RequestFingerprint>,
+    /// How many, and what they may have in common.
+    broken: usize,
+    subjects: Vec<CrashSubject>,
     /// Whether the check showed that the server crashed; `None` before its result.
     crashed: Option<bool>,
 }
@@ -67,19 +90,47 @@
     fn add(
         &mut self,
         start: ServerStart,
-        run: RequestFingerprint,
+        subjects: &[CrashSubject],
         now: TimePoint,
     ) -> Option<&mut BrokenServer> {
         self.servers.retain(|broken| now.since(broken.at) < SAME_CRASH_US);
         if let Some(at) = self.servers.iter().position(|broken| broken.start == start) {
             let broken = &mut self.servers[at];
-            broken.runs.push(run);
+            broken.broken += 1;
+            broken.subjects.extend_from_slice(subjects);
             return (broken.crashed == Some(true)).then_some(broken);
         }
-        self.servers.push(BrokenServer { start, at: now, runs: vec![run], crashed: None });
+        let subjects = subjects.to_vec();
+        self.servers.push(BrokenServer { start, at: now, broken: 1, subjects, crashed: None });
         self.servers.last_mut()
     }
 
+    fn add_unconfirmed(&mut self, run: UnconfirmedRun) {
+        if self.unconfirmed.len() >= MAX_UNCONFIRMED {
+            self.unconfirmed.remove(0);
+        }
+        self.unconfirmed.push(run);
+    }
+
+    /// Returns the subjects of the runs that a server completed before `sent`, as it answered a request sent then.
+    fn take_confirmed(&mut self, start: &ServerStart, sent: TimePoint) -> Vec<CrashSubject> {
+        let is_confirmed = |run: &mut UnconfirmedRun| run.start == *start && run.at < sent;
+        self.unconfirmed.extract_if(.., is_confirmed).flat_map(|run| run.subjects).collect()
+    }
+
+    /// Drops the unconfirmed runs at a server that crashed, and counts those that it may have cut.
+    fn cut_unconfirmed(&mut self, start: &ServerStart) {
+        let Some(broken) = self.servers.iter_mut().find(|broken| broken.start == *start) else {
+            return;
+        };
+        for run in self.unconfirmed.extract_if(.., |run| run.start == *start) {
+            if run.at.plus(CUT_BEFORE_US) > broken.at {
+                broken.broken += 1;
+                broken.subjects.extend(run.subjects);
+            }
+        }
+    }
+
     fn add_listening(&mut self, server: ListeningServer, now: TimePoint) {
         self.listening.retain(|known| now.since(known.at) < SUCCESSOR_US);
         if self.listening.len() < MAX_LISTENING {
@@ -121,10 +172,11 @@
     let mut view = gateway.view();
     let Some(state) = view.backends.get(server.as_str()) else { return };
     let address = state.entry.address;
-    let Some(broken) = view.broken.add(start.clone(), run.request.fingerprint, now) else { return };
+    let subjects = &run.request.subjects;
+    let Some(broken) = view.broken.add(start.clone(), subjects, now) else { return };
     if broken.crashed == Some(true) {
         let at = broken.at;
-        let change = view.crashes.record_crash(&start, at, &[run.request.fingerprint], now);
+        let change = view.crashes.record_crash(&start, at, subjects, now);
         drop(view);
         log_change(gateway, &change);
         return;
@@ -140,18 +192,20 @@
     let refused = matches!(&connected, Err(error) if error.kind() == ErrorKind::ConnectionRefused);
     let now = clock::now();
     let mut view = gateway.view();
+    view.broken.cut_unconfirmed(&start);
     let Some(broken) = view.broken.find(&start) else { return };
     broken.crashed = Some(refused);
-    let (at, runs) = (broken.at, broken.runs.clone());
+    let (at, broken, subjects) = (broken.at, broken.broken, broken.subjects.clone());
     let leaves = view.backends.get(start.server.as_str()).is_some_and(|state| state.leaving);
     let change = if refused {
-        view.crashes.record_crash(&start, at, &runs, now)
+        view.crashes.record_crash(&start, at, &subjects, now)
     } else {
         CrashChange::default()
     };
     if connected.is_ok() && !leaves {
-        let runs = runs.clone();
-        view.broken.add_listening(ListeningServer { start: start.clone(), address, at, runs }, now);
+        let start = start.clone();
+        let listening = ListeningServer { start, address, at, broken, subjects };
+        view.broken.add_listening(listening, now);
     }
     drop(view);
     event!(
@@ -159,7 +213,7 @@
         server = start.server,
         born = start.incarnation,
         crashed = refused,
-        broken = runs.len(),
+        broken = broken,
         after_ms = now.since(at) / 1_000,
     );
     gateway.metrics.crash_check(refused);
@@ -180,13 +234,13 @@
     /// again before it was checked.
     pub(crate) fn server_started(&mut self, entry: &BackendEntry, now: TimePoint) {
         let Some(former) = self.broken.take_predecessor(entry, now) else { return };
-        let change = self.crashes.record_crash(&former.start, former.at, &former.runs, now);
+        let change = self.crashes.record_crash(&former.start, former.at, &former.subjects, now);
         event!(
             ServerChecked,
             server = former.start.server,
             born = former.start.incarnation,
             crashed = true,
-            broken = former.runs.len(),
+            broken = former.broken,
             after_ms = now.since(former.at) / 1_000,
         );
         log_verdicts(&change);
@@ -197,46 +251,63 @@
 pub(crate) fn server_answered(run: &RequestRun, sent: TimePoint) {
     let Some(server) = &run.server else { return };
     let start = ServerStart { server: server.clone(), incarnation: run.incarnation };
-    let change = run.gateway.view().crashes.record_answer(&start, sent, clock::now());
+    let now = clock::now();
+    let mut view = run.gateway.view();
+    let change = view.crashes.record_answer(&start, sent, now);
+    let confirmed = view.broken.take_confirmed(&start, sent);
+    let completed = view.crashes.record_completion(&confirmed, now);
+    drop(view);
     log_change(&run.gateway, &change);
+    log_change(&run.gateway, &completed);
 }
 
-/// Records that a server ran the request to its end.
+/// Records that a server ran the request to its end. Where only the connection's end shows that, a crash may have cut the
+/// answer between two events, so that it counts once the server answers a later request.
 pub(crate) fn run_completed(run: &RequestRun) {
-    let fingerprint = run.request.fingerprint;
-    let change = run.gateway.view().crashes.record_completion(fingerprint, clock::now());
+    let now = clock::now();
+    let mut view = run.gateway.view();
+    let subjects = &run.request.subjects;
+    if let Some(server) = &run.server
+        && run.framing == BodyFraming::Connection
+    {
+        let start = ServerStart { server: server.clone(), incarnation: run.incarnation };
+        let subjects = subjects.clone();
+        view.broken.add_unconfirmed(UnconfirmedRun { start, at: now, subjects });
+        return;
+    }
+    let change = view.crashes.record_completion(subjects, now);
+    drop(view);
     log_change(&run.gateway, &change);
 }
 
-/// Returns whether the request may not be sent, since it crashed servers. The time after which it may
-/// be is then set in `run.retry_after`.
-pub(crate) fn held(run: &mut RequestRun) -> bool {
+/// Returns why the request may not be sent, if it or a part of its prompt crashed servers. The time after which it may be
+/// is then set in `run.retry_after`.
+pub(crate) fn held(run: &mut RequestRun) -> Option<&'static str> {
     if run.on_trial && run.sends == 0 {
-        return false;
+        return None;
     }
     let gateway = Arc::clone(&run.gateway);
-    let fingerprint = run.request.fingerprint;
     let now = clock::now();
     let mut view = gateway.view();
-    if !view.crashes.is_condemned(fingerprint) {
-        return false;
-    }
-    let rank = view.roster.trial_rank(&gateway.settings.vm, fingerprint, now);
+    let condemned = view.crashes.condemned(&run.request.subjects);
+    let subject = *condemned.first()?;
     let vms = view.vm_count(now);
-    let until = view.crashes.admit(fingerprint, rank, vms, now);
+    let rank = view.roster.trial_rank(&gateway.settings.vm, subject, now);
+    let until = view.crashes.admit(&condemned, |_| rank, vms, now);
     drop(view);
     if let Some(until) = until {
         run.retry_after = Some(Duration::from_micros(until.since(now)));
-        return true;
+        return Some(if subject.is_part() { PART_REASON } else { REQUEST_REASON });
     }
     run.on_trial = true;
     event!(
         SuspectTried,
         request_id = run.request.head.id,
-        fingerprint = format_args!("{:016x}", fingerprint.0),
+        part? = subject.is_part().then_some(subject),
+        fingerprint = format_args!("{:016x}", run.request.fingerprint.0),
         rank = rank,
     );
-    false
+    None
 }
 
 /// Applies what another VM reported.
@@ -277,7 +348,7 @@
     }
     let report = view.crashes.take_report(large && view.domain.aggregates, now);
     drop(guard);
-    if !report.crashes.is_empty() || !report.completions.is_empty() {
+    if !report.is_empty() {
         gateway.peers.send(&PeerMessage::Crashes(report), &to);
     }
 }
@@ -285,19 +356,27 @@
 fn log_change(gateway: &Gateway, change: &CrashChange) {
     log_verdicts(change);
     if change.changed {
-        let (suspects, condemned) = gateway.view().crashes.counts();
-        gateway.metrics.set("suspects", suspects);
-        gateway.metrics.set("condemned_requests", condemned);
+        let counts = gateway.view().crashes.counts();
+        gateway.metrics.set("suspects", counts.suspects);
+        gateway.metrics.set("condemned_requests", counts.condemned);
+        gateway.metrics.set("suspect_parts", counts.suspect_parts);
+        gateway.metrics.set("quarantined_parts", counts.condemned_parts);
     }
 }
 
 fn log_verdicts(change: &CrashChange) {
-    for entry in &change.condemned {
-        let fingerprint = format!("{:016x}", entry.fingerprint.0);
-        let (crashes, alone) = (entry.crashes, entry.alone);
-        event!(RequestCondemned, fingerprint = fingerprint, crashes = crashes, alone = alone);
+    for CondemnedSubject { subject, crashes, alone } in &change.condemned {
+        if subject.is_part() {
+            event!(PartQuarantined, part = subject, crashes = crashes, alone = alone);
+        } else {
+            event!(RequestCondemned, fingerprint = subject, crashes = crashes, alone = alone);
+        }
     }
-    for fingerprint in &change.cleared {
-        event!(SuspicionCleared, fingerprint = format!("{:016x}", fingerprint.0));
+    for subject in &change.cleared {
+        if subject.is_part() {
+            event!(PartReleased, part = subject);
+        } else {
+            event!(SuspicionCleared, fingerprint = subject);
+        }
     }
 }
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::coverage::ReportedSpan;
+use coltsfoothook_decision::crash::{
+    CompletedPart, CrashReport, ReportedCompletion, ReportedCrash,
+};
 use coltsfoothook_decision::domain_update::{ListChange, ListedHolding};
-use coltsfoothook_decision::id::{ConfigVersion, TimePoint};
+use coltsfoothook_decision::id::{ConfigVersion, PartFingerprint, RequestFingerprint, TimePoint};
 use coltsfoothook_decision::limit::BucketState;
 use coltsfoothook_decision::origin::{ReportedStream, StreamMark, StreamOrigin};
 use coltsfoothook_decision::routing::{
@@ -366,3 +369,31 @@
     let without = rmp_serde::to_vec(&state).unwrap();
     assert_eq!(SharedState::decode(&without).unwrap().entries, [entry(), entry()]);
 }
+
+/// Guards against a release that cannot read the crashes of another one, which knows the parts of prompts or does not.
+#[test]
+fn crashes_with_parts() {
+    let crash = ReportedCrash {
+        start: ServerStart { server: "s-1".into(), incarnation: 2 },
+        age_ms: 3,
+        suspects: vec![RequestFingerprint(4)],
+        refuted: false,
+        parts: vec![PartFingerprint(5)],
+    };
+    let report = CrashReport {
+        crashes: vec![ReportedCrash { parts: Vec::new(), ..crash.clone() }, crash],
+        completions: vec![ReportedCompletion { fingerprint: RequestFingerprint(6), age_ms: 7 }],
+        completed_parts: vec![CompletedPart { part: PartFingerprint(8), age_ms: 9 }],
+    };
+    let message = PeerMessage::Crashes(report);
+    let bytes = encode(&message).unwrap();
+    assert_eq!(decode(&bytes), Some(message));
+    let (format, rest) = bytes.split_first().unwrap();
+    let earlier: PeerMessage = rmp_serde::from_slice(rest).unwrap();
+    let expected =
+        expect![[r#"7 {"crashes":[[[["s-1",2],3,[4],false],[["s-1",2],3,[4],false]],[[6,7]]]}"#]];
+    let value: Value = rmp_serde::from_slice(rest).unwrap();
+    expected.assert_eq(&format!("{format} {value}"));
+    let sent_by_earlier = [&[*format], rmp_serde::to_vec(&earlier).unwrap().as_slice()].concat();
+    assert_eq!(decode(&sent_by_earlier), Some(earlier));
+}
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -93,12 +93,14 @@
     StreamResumed, "stream_resumed", Warn, "A broken stream is resumed at its engine or at another one.";
     StreamTakenUp, "stream_taken_up", Info, "A caller goes on with a stream after `last_event`; `resumes` is the attempt that brought its first event, `began_at` the software version that it goes on at, `result` why it does not.";
     RequestCondemned, "request_condemned", Error, "Backend servers crashed under a request, and it is refused from now on.";
+    PartQuarantined, "part_quarantined", Error, "Backend servers crashed under requests with a part in their prompts, and requests with it are refused from now on.";
+    PartReleased, "part_released", Info, "A request with a quarantined part completed, or a server that was taken for crashed answered; requests with the part are served again.";
     LinksLost, "links_lost", Error, "This VM reaches none of the backend servers that it tried; its requests go through other VMs.";
     LinksRegained, "links_regained", Warn, "This VM reaches backend servers again.";
     RequestHandedOver, "request_handed_over", Info, "A request was handed over to another VM, as this one reaches no backend server.";
     BrittleServerRests, "brittle_server_rests", Warn, "A server that bears few refusals refused a request; it gets none from this VM for a while.";
     ServerChecked, "server_checked", Warn, "Runs broke at a server, and a connection to it was tried: `crashed` if it was refused.";
-    SuspectTried, "suspect_tried", Warn, "A condemned request is sent once more, to see whether it still crashes its server.";
+    SuspectTried, "suspect_tried", Warn, "A condemned request, or one with a quarantined part, is sent once more, to see whether it still crashes its server.";
     SuspicionCleared, "suspicion_cleared", Info, "A suspect request completed, or an operator lifted its condemnation.";
     CallerRefused, "caller_refused", Warn, "A caller's credentials, body or headers were refused.";
     JobAccepted, "job_accepted", Info, "An audit job was stored in the log.";
