The soak plays parts of prompts that crash servers

Requests that are unlike each other but for a part come through random gateways, beside servers that crash, are back at once, or end answers with their connections; sound streams share the other parts. Seeds of remainder 6 by 32 play it in place of the mix Many; seed 6 is always played.

--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coltsfoothook_decision::id::stable_hash;
 use coltsfoothook_exchange::{
     ExchangeClient, ExchangeError, ExchangeRequest, ExchangeResponse, ExchangeSettings,
 };
@@ -14,7 +15,7 @@
 use rand_pcg::Pcg64;
 use tokio::time::{sleep, timeout};
 
-use crate::server::{CRASHING, MODEL};
+use crate::server::{CRASHING, CRASHING_PARTS, MODEL};
 use crate::world::SoakWorld;
 
 /// The deadline of each request, in milliseconds.
@@ -184,7 +185,8 @@
 ) -> CallRecord {
     let kind = CallKind::Resumed;
     let path = format!("/{}/x", kind.route());
-    call_path(client, address, kind, path, id, adapter, Some(stream)).await
+    let request = SoakRequest { path, id, adapter, crashing_part: None, goes_on: Some(stream) };
+    call_path(client, address, kind, request).await
 }
 
 /// Sends requests to one gateway, every 90 ms or more, on the route whose service changes with each configuration.
@@ -237,7 +239,31 @@
         let gateway = world.gateways.choose(&mut random).expect("there are gateways");
         let (address, id) = (gateway.endpoints.requests, format!("k{number}-{attempt}"));
         let path = format!("/safe/{number}{CRASHING}");
-        let record = call_path(&client, address, CallKind::Safe, path, &id, "", None).await;
+        let request =
+            SoakRequest { path, id: &id, adapter: "", crashing_part: None, goes_on: None };
+        let record = call_path(&client, address, CallKind::Safe, request).await;
+        world.verdict.record(record);
+        sleep(random.random_range(Duration::ZERO..lasts / 2)).await;
+    }
+}
+
+/// Sends requests through random gateways that have a part which crashes each server, and nothing else in common.
+pub(crate) async fn part_series(world: &Arc<SoakWorld>, lasts: Duration) {
+    let number = world.next_jump();
+    let client = ExchangeClient::new(ExchangeSettings::default());
+    let mut random = Pcg64::seed_from_u64(number);
+    let part = CRASHING_PARTS[number as usize % CRASHING_PARTS.len()];
+    for attempt in 0..CRASHING_ATTEMPTS {
+        let gateway = world.gateways.choose(&mut random).expect("there are gateways");
+        let kind = *[CallKind::Stream, CallKind::Resumed].choose(&mut random).expect("two kinds");
+        let request = SoakRequest {
+            path: format!("/{}/{number}-{attempt}", kind.route()),
+            id: &format!("{part}-{number}-{attempt}"),
+            adapter: &format!("a{}", random.random_range(0..ADAPTERS)),
+            crashing_part: Some(part),
+            goes_on: None,
+        };
+        let record = call_path(&client, gateway.endpoints.requests, kind, request).await;
         world.verdict.record(record);
         sleep(random.random_range(Duration::ZERO..lasts / 2)).await;
     }
@@ -270,18 +296,29 @@
     id: &str,
     adapter: &str,
 ) -> CallRecord {
-    call_path(client, address, kind, format!("/{}/x", kind.route()), id, adapter, None).await
+    let path = format!("/{}/x", kind.route());
+    let request = SoakRequest { path, id, adapter, crashing_part: None, goes_on: None };
+    call_path(client, address, kind, request).await
+}
+
+/// What a request says.
+struct SoakRequest<'a> {
+    path: String,
+    id: &'a str,
+    adapter: &'a str,
+    /// A part of the prompt that crashes servers.
+    crashing_part: Option<&'a str>,
+    /// The stream that it goes on with.
+    goes_on: Option<BrokenStream>,
 }
 
 async fn call_path(
     client: &ExchangeClient,
     address: SocketAddr,
     kind: CallKind,
-    path: String,
-    id: &str,
-    adapter: &str,
-    goes_on: Option<BrokenStream>,
+    request: SoakRequest<'_>,
 ) -> CallRecord {
+    let SoakRequest { path, id, adapter, crashing_part, goes_on } = request;
     let method = if kind == CallKind::Safe { Method::GET } else { Method::POST };
     let mut request = ExchangeRequest::new(method, path);
     let mut set = |name: &'static str, value: &str| {
@@ -294,6 +331,9 @@
     if kind.is_stream() {
         set("coltsfoothook-model", &format!("{MODEL}/{adapter}"));
         set("coltsfoothook-token-count", "100,8");
+        let crashing = crashing_part.map(|part| format!("{part}:20,")).unwrap_or_default();
+        let own = stable_hash(&[id]);
+        set("coltsfoothook-prompt-prefix", &format!("a1:30,{crashing}b2:40,{own:x}:30"));
     }
     if let Some(stream) = &goes_on {
         set("last-event-id", &stream.events.to_string());
--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -9,7 +9,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
-use crate::callers::{CallKind, crash_series, jump};
+use crate::callers::{CallKind, crash_series, jump, part_series};
 use crate::proxy::LinkState;
 use crate::server::ServerMode;
 use crate::world::{ServerKind, SoakWorld};
@@ -30,6 +30,8 @@
     AllServerLinks(LinkState),
     /// A caller sends a request again and again that crashes each server that runs it.
     CrashSeries,
+    /// Callers send requests that are unlike each other but for a part of their prompts, which crashes each server.
+    PartSeries,
     /// A server crashes and comes back under its name.
     ServerDown(usize),
     /// The link of all gateways to one server is impaired.
@@ -93,16 +95,19 @@
     /// Servers that crash, by themselves and under requests that crash each server, and links of all VMs that are cut.
     /// No VM restarts, so that all attempts of such a request are judged.
     Crashes,
+    /// The same with parts of prompts that crash each server, answers without framing and servers back at once.
+    Parts,
 }
 
 impl FaultMix {
-    /// Returns the mix of a seed, by its remainder modulo 8, and modulo 16 for the rarer mixes.
+    /// Returns the mix of a seed, by its remainder modulo 8, and modulo 16 or 32 for the rarer mixes.
     pub(crate) fn of(seed: u64) -> Self {
         match seed % 8 {
             7 if seed % 16 == 15 => Self::Jumps,
             3 if seed % 16 == 11 => Self::Copies,
             5 if seed % 16 == 13 => Self::Apart,
             1 if seed % 16 == 9 => Self::Crashes,
+            6 if seed % 32 == 6 => Self::Parts,
             0 | 4 => Self::Planned,
             1 | 5 => Self::Some,
             2 | 6 => Self::Many,
@@ -125,7 +130,7 @@
         match self {
             Self::Planned => 900,
             Self::Some | Self::Store | Self::Statements | Self::Jumps | Self::Copies => 700,
-            Self::Crashes => 800,
+            Self::Crashes | Self::Parts => 800,
             Self::Apart => 500,
             Self::Many => 250,
         }
@@ -210,6 +215,16 @@
             _ => FaultKind::Configure,
         };
     }
+    if mix == FaultMix::Parts {
+        return match random.random_range(0..10) {
+            0..4 => FaultKind::PartSeries,
+            4..6 => FaultKind::ServerDown(server),
+            6 => FaultKind::ServerMode(server, ServerMode::BackAtOnce),
+            7 => FaultKind::ServerUnframed(server),
+            8 => FaultKind::StoreUnresponsive,
+            _ => FaultKind::Configure,
+        };
+    }
     if mix == FaultMix::Apart {
         let modes = [ServerMode::Full, ServerMode::Fails, ServerMode::LosesAnswer];
         let mode = *modes.choose(random).expect("there are modes");
@@ -279,6 +294,7 @@
             world.set_all_links(LinkState::Good);
         }
         FaultKind::CrashSeries => crash_series(world, lasts).await,
+        FaultKind::PartSeries => part_series(world, lasts).await,
         FaultKind::ServerDown(server) => world.server(server).crash(),
         FaultKind::ServerMode(server, mode) => {
             let server = world.server(server);
--- a/gateway/tests/soak/main.rs
+++ b/gateway/tests/soak/main.rs
@@ -43,7 +43,7 @@
 ///   slack.
 const REGRESSION_SEEDS: &[u64] = &[5010, 43, 45];
 /// Seeds that are always played: one for each mix of faults.
-const FIXED_SEEDS: &[u64] = &[1, 2, 4, 7, 9, 15, 403];
+const FIXED_SEEDS: &[u64] = &[1, 2, 4, 6, 7, 9, 15, 403];
 
 /// Plays seeds of the soak.
 #[derive(Bpaf, Clone, Debug)]
--- a/gateway/tests/soak/verdict.rs
+++ b/gateway/tests/soak/verdict.rs
@@ -5,7 +5,7 @@
 
 use crate::callers::{CallEnd, CallKind, CallRecord};
 use crate::repeats::most_repeats;
-use crate::server::{CRASHING, EVENTS, RequestArrival, RunRecord};
+use crate::server::{CRASHING, CRASHING_PARTS, EVENTS, RequestArrival, RunRecord};
 use crate::world::{LIMIT_PER_S, REST, ServerKind, SoakStatement, SoakWorld, StatementKind};
 
 /// How long a draining server may receive new requests. Operators allow two seconds; the store's answer and the
@@ -20,6 +20,8 @@
 /// afterwards.
 const REST_NOTICE: Duration = Duration::from_millis(1_500);
 const ALLOWED_IN_REST: usize = 2;
+/// The crash by which a part that crashes servers has to be known.
+const PART_KNOWN_AFTER: usize = 5;
 /// The time after the third crash of a request, and the most attempts of it that may reach servers afterwards.
 const CRASH_NOTICE: Duration = Duration::from_secs(3);
 const ALLOWED_AFTER_CRASHES: usize = 3;
@@ -125,6 +127,7 @@
             self.judge_repeats(kind, &calls, &world.arrivals_at(kind));
         }
         self.judge_crashes(&runs);
+        self.judge_parts(&runs, &world.arrivals_at(ServerKind::Engine));
         self.judge_versions(&runs, world);
         for violation in world.server_violations() {
             self.find(violation);
@@ -177,6 +180,24 @@
         }
     }
 
+    /// Checks that requests with a part that crashes servers are stopped.
+    fn judge_parts(&self, runs: &[(String, RunRecord)], arrivals: &[RequestArrival]) {
+        for part in CRASHING_PARTS {
+            let crashed = runs.iter().map(|(_, run)| run).filter(|run| run.id.starts_with(part));
+            let mut crashes: Vec<Instant> = crashed.filter_map(|run| run.at).collect();
+            crashes.sort_unstable();
+            let Some(known) = crashes.get(PART_KNOWN_AFTER - 1) else { continue };
+            let late = |arrival: &&RequestArrival| {
+                arrival.id.starts_with(part) && arrival.at > *known + CRASH_NOTICE
+            };
+            let late: Vec<&str> =
+                arrivals.iter().filter(late).map(|arrival| arrival.id.as_str()).collect();
+            if late.len() > ALLOWED_AFTER_CRASHES {
+                self.find(format!("part {part} reached servers later in {late:?}"));
+            }
+        }
+    }
+
     /// Checks what a server got after it stated something about itself. Only seeds whose gateways neither restart nor
     /// pause have such statements.
     fn judge_statement(&self, stated: &SoakStatement, gateways: usize) {
