--- a/decision/src/blame.rs
+++ b/decision/src/blame.rs
@@ -8,7 +8,7 @@
 use crate::suspect::{CrashSubject, SuspectVerdict};
 use crate::trial::hold_us;
 
-/// Time after a subject was condemned in which attempts that were on their way may still crash servers, which is no
+/// Time after a subject was quarantined in which attempts that were on their way may still crash servers, which is no
 /// trial.
 const SETTLE_US: u64 = 3_000_000;
 /// Crashes of a part within this time count once: servers that end together, as in the loss of a failure domain, may
@@ -40,7 +40,7 @@
     pub(crate) alone: u32,
     pub(crate) last_crash: TimePoint,
     last_counted: Option<TimePoint>,
-    condemned_at: Option<TimePoint>,
+    quarantined_at: Option<TimePoint>,
     failed_trials: usize,
 }
 
@@ -52,7 +52,7 @@
             alone: 0,
             last_crash: TimePoint(0),
             last_counted: None,
-            condemned_at: None,
+            quarantined_at: None,
             failed_trials: 0,
         }
     }
@@ -61,7 +61,7 @@
         self.subject.verdict(self.crashes, self.alone)
     }
 
-    pub(crate) fn is_condemned(&self) -> bool {
+    pub(crate) fn is_quarantined(&self) -> bool {
         self.verdict() == SuspectVerdict::Condemned
     }
 
@@ -79,9 +79,11 @@
         self.last_counted = Some(at);
         self.crashes += 1;
         self.alone += u32::from(alone);
-        match self.condemned_at {
-            Some(condemned) => self.failed_trials += usize::from(at.since(condemned) > SETTLE_US),
-            None if self.is_condemned() => self.condemned_at = Some(at),
+        match self.quarantined_at {
+            Some(quarantined) => {
+                self.failed_trials += usize::from(at.since(quarantined) > SETTLE_US)
+            }
+            None if self.is_quarantined() => self.quarantined_at = Some(at),
             None => {}
         }
     }
@@ -105,7 +107,7 @@
     judged
 }
 
-/// Returns the indices of the subjects that are blamed for a crash: condemned ones if any ran there, else those with
+/// Returns the indices of the subjects that are blamed for a crash: quarantined ones if any ran there, else those with
 /// the most crashes so far. Of parts with equally many, one that never completed is blamed rather than one that did:
 /// the requests that crash servers may all have both.
 fn blamed(judged: &[JudgedSubject], suspects: &[CrashSuspect]) -> Vec<usize> {
@@ -114,8 +116,8 @@
         found.ok().map(|at| (at, suspect.completed_before))
     };
     let mut found: Vec<(usize, bool)> = suspects.iter().filter_map(find).collect();
-    if found.iter().any(|(at, _)| judged[*at].is_condemned()) {
-        found.retain(|(at, _)| judged[*at].is_condemned());
+    if found.iter().any(|(at, _)| judged[*at].is_quarantined()) {
+        found.retain(|(at, _)| judged[*at].is_quarantined());
     } else {
         let most = found.iter().map(|(at, _)| judged[*at].crashes).max().unwrap_or(0);
         found.retain(|(at, _)| judged[*at].crashes == most);
--- a/decision/src/crash.rs
+++ b/decision/src/crash.rs
@@ -32,9 +32,9 @@
 const NEW_US: u64 = 2_000_000;
 /// Interval of the reports of a new crash, in microseconds.
 const NEW_INTERVAL_US: u64 = 300_000;
-/// Interval of the reports of what condemns a request, for VMs that start or were cut off.
+/// Interval of the reports of what quarantines a request, for VMs that start or were cut off.
 const KEPT_INTERVAL_US: u64 = 1_000_000;
-/// How long a crash is kept that condemns no request, in microseconds.
+/// How long a crash is kept that quarantines no request, in microseconds.
 const RETENTION_US: u64 = 600_000_000;
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 128;
@@ -183,15 +183,15 @@
 pub struct CrashChange {
     /// Whether there is anything new.
     pub changed: bool,
-    /// What is condemned since.
-    pub condemned: Vec<CondemnedSubject>,
-    /// What was condemned and turned out to be innocent.
+    /// What is quarantined since.
+    pub quarantined: Vec<QuarantinedSubject>,
+    /// What was quarantined and turned out to be innocent.
     pub cleared: Vec<CrashSubject>,
 }
 
-/// What is condemned, and by how much.
+/// What is quarantined, and by how much.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CondemnedSubject {
+pub struct QuarantinedSubject {
     /// The request or the part.
     pub subject: CrashSubject,
     /// Number of crashes that are attributed to it.
@@ -203,14 +203,14 @@
 /// How many requests and parts crashes are attributed to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SubjectCounts {
-    /// Requests that are not condemned.
+    /// Requests that are not quarantined.
     pub suspects: usize,
-    /// Condemned requests.
-    pub condemned: usize,
-    /// Parts that are not condemned.
+    /// Quarantined requests.
+    pub quarantined: usize,
+    /// Parts that are not quarantined.
     pub suspect_parts: usize,
     /// Condemned parts.
-    pub condemned_parts: usize,
+    pub quarantined_parts: usize,
 }
 
 /// The crashes that a VM knows of, with what follows from them.
@@ -230,7 +230,7 @@
     starts: VecDeque<(ServerStart, TimePoint)>,
     /// Sorted by subject.
     judged: Vec<JudgedSubject>,
-    /// Trials of condemned subjects that run here, and when each is given up.
+    /// Trials of quarantined subjects that run here, and when each is given up.
     trials: Vec<(CrashSubject, TimePoint)>,
 }
 
@@ -373,23 +373,23 @@
         self.find(subject).map_or(SuspectVerdict::Clear, JudgedSubject::verdict)
     }
 
-    /// Returns those of a request's subjects that are condemned.
+    /// Returns those of a request's subjects that are quarantined.
     #[must_use]
-    pub fn condemned(&self, subjects: &[CrashSubject]) -> Vec<CrashSubject> {
-        let is_condemned =
-            |subject: &CrashSubject| self.find(*subject).is_some_and(JudgedSubject::is_condemned);
-        subjects.iter().copied().filter(is_condemned).collect()
+    pub fn quarantined(&self, subjects: &[CrashSubject]) -> Vec<CrashSubject> {
+        let is_quarantined =
+            |subject: &CrashSubject| self.find(*subject).is_some_and(JudgedSubject::is_quarantined);
+        subjects.iter().copied().filter(is_quarantined).collect()
     }
 
-    /// Returns whether a request or a part is condemned.
+    /// Returns whether a request or a part is quarantined.
     #[must_use]
-    pub fn is_condemned(&self, subject: impl Into<CrashSubject>) -> bool {
+    pub fn is_quarantined(&self, subject: impl Into<CrashSubject>) -> bool {
         self.verdict(subject.into()) == SuspectVerdict::Condemned
     }
 
     /// Returns the time until which a request with these subjects must not be sent; `None` if it may be sent now. What
-    /// is condemned may run once more after a while, as it would complete if innocent. This VM has turns for that, by its
-    /// rank for the subject among `vms`. A request with several condemned subjects tells nothing of each if it crashes
+    /// is quarantined may run once more after a while, as it would complete if innocent. This VM has turns for that, by its
+    /// rank for the subject among `vms`. A request with several quarantined subjects tells nothing of each if it crashes
     /// its server, so that it waits longer.
     pub fn admit(
         &mut self,
@@ -398,20 +398,20 @@
         vms: usize,
         now: TimePoint,
     ) -> Option<TimePoint> {
-        let condemned = self.condemned(subjects);
-        let subject = *condemned.first()?;
-        let extra = usize::from(condemned.len() > 1);
-        let ends = condemned.iter().filter_map(|subject| self.find(*subject));
+        let quarantined = self.quarantined(subjects);
+        let subject = *quarantined.first()?;
+        let extra = usize::from(quarantined.len() > 1);
+        let ends = quarantined.iter().filter_map(|subject| self.find(*subject));
         let end = ends.map(|judged| judged.hold_end(extra)).max()?;
         let turn = TrialTurn::of(subject, rank(subject), vms);
         if let Some(until) = turn.held_until(end, now) {
             return Some(until);
         }
         self.trials.retain(|(_, end)| *end > now);
-        if let Some((_, end)) = self.trials.iter().find(|(trial, _)| condemned.contains(trial)) {
+        if let Some((_, end)) = self.trials.iter().find(|(trial, _)| quarantined.contains(trial)) {
             return Some(*end);
         }
-        self.trials.extend(condemned.iter().map(|subject| (*subject, now.plus(TRIAL_US))));
+        self.trials.extend(quarantined.iter().map(|subject| (*subject, now.plus(TRIAL_US))));
         None
     }
 
@@ -471,11 +471,11 @@
     pub fn counts(&self) -> SubjectCounts {
         let mut counts = SubjectCounts::default();
         for judged in &self.judged {
-            let count = match (judged.subject.is_part(), judged.is_condemned()) {
+            let count = match (judged.subject.is_part(), judged.is_quarantined()) {
                 (false, false) => &mut counts.suspects,
-                (false, true) => &mut counts.condemned,
+                (false, true) => &mut counts.quarantined,
                 (true, false) => &mut counts.suspect_parts,
-                (true, true) => &mut counts.condemned_parts,
+                (true, true) => &mut counts.quarantined_parts,
             };
             *count += 1;
         }
@@ -581,23 +581,23 @@
         let judged = judge(&self.scenes());
         let before = std::mem::replace(&mut self.judged, judged);
         self.drop_old(now);
-        let is_condemned = |judged: &[JudgedSubject], subject| {
-            find(judged, subject).is_some_and(JudgedSubject::is_condemned)
+        let is_quarantined = |judged: &[JudgedSubject], subject| {
+            find(judged, subject).is_some_and(JudgedSubject::is_quarantined)
         };
         let new = self
             .judged
             .iter()
-            .filter(|judged| judged.is_condemned() && !is_condemned(&before, judged.subject));
-        let condemned = new.map(|judged| CondemnedSubject {
+            .filter(|judged| judged.is_quarantined() && !is_quarantined(&before, judged.subject));
+        let quarantined = new.map(|judged| QuarantinedSubject {
             subject: judged.subject,
             crashes: judged.crashes,
             alone: judged.alone,
         });
-        let old = before
-            .iter()
-            .filter(|judged| judged.is_condemned() && !is_condemned(&self.judged, judged.subject));
+        let old = before.iter().filter(|judged| {
+            judged.is_quarantined() && !is_quarantined(&self.judged, judged.subject)
+        });
         let cleared = old.map(|judged| judged.subject).collect();
-        CrashChange { changed: true, condemned: condemned.collect(), cleared }
+        CrashChange { changed: true, quarantined: quarantined.collect(), cleared }
     }
 
     /// Returns the crashes in the order in which they happened, with those of their suspects that did not complete.
@@ -632,16 +632,16 @@
     fn drop_old(&mut self, now: TimePoint) {
         let longest = HOLDS_US[HOLDS_US.len() - 1];
         let judged = &self.judged;
-        let condemns = |crash: &KnownCrash| {
+        let quarantines = |crash: &KnownCrash| {
             !crash.is_refuted() && crash.suspects.iter().any(|known| is_repeated(judged, *known))
         };
         self.crashes.retain(|crash| {
-            let kept_us = if condemns(crash) { longest } else { RETENTION_US };
+            let kept_us = if quarantines(crash) { longest } else { RETENTION_US };
             now.since(crash.at) < kept_us
         });
         while self.crashes.len() > MAX_CRASHES {
             let oldest = self.crashes.iter().enumerate();
-            let oldest = oldest.min_by_key(|(_, crash)| (condemns(crash), crash.at));
+            let oldest = oldest.min_by_key(|(_, crash)| (quarantines(crash), crash.at));
             let Some((position, _)) = oldest else { break };
             self.crashes.remove(position);
         }
--- a/decision/src/event.rs
+++ b/decision/src/event.rs
@@ -1,7 +1,7 @@
 //! Interface of a group's owner: [`OwnerEvent`]s reported by its process, [`OwnerAction`]s that the
 //! process executes, and the orders to engines that both refer to.
 
-use crate::crash::CondemnedSubject;
+use crate::crash::QuarantinedSubject;
 use crate::grant::{GrantRefusal, HeldGrant, ReleaseCall, RequestSpec, SlotGrant};
 use crate::id::{
     AdapterVersion, OwnerEpoch, RequestFingerprint, ServerIncarnation, ServerName, SlotName,
@@ -251,7 +251,7 @@
         grants: u32,
     },
     /// Engines crashed under requests with a part of the prompt, which are refused from now on.
-    PartQuarantined(CondemnedSubject),
+    PartQuarantined(QuarantinedSubject),
     /// A request with a quarantined part completed.
     PartReleased(CrashSubject),
     /// An engine is down.
--- a/decision/src/owner.rs
+++ b/decision/src/owner.rs
@@ -559,7 +559,7 @@
     }
 
     fn has_quarantined(&self, spec: &RequestSpec) -> bool {
-        !self.quarantine.condemned(&part_subjects(&spec.parts)).is_empty()
+        !self.quarantine.quarantined(&part_subjects(&spec.parts)).is_empty()
     }
 
     /// Refuses a waiting request, as a part of its prompt went into quarantine meanwhile.
@@ -732,7 +732,7 @@
 
 /// Notes the parts that went into quarantine or were released.
 pub(crate) fn note_quarantine(change: &CrashChange, actions: &mut Vec<OwnerAction>) {
-    let condemned = change.condemned.iter().map(|part| OwnerNote::PartQuarantined(*part));
+    let quarantined = change.quarantined.iter().map(|part| OwnerNote::PartQuarantined(*part));
     let released = change.cleared.iter().map(|part| OwnerNote::PartReleased(*part));
-    actions.extend(condemned.chain(released).map(OwnerAction::Note));
+    actions.extend(quarantined.chain(released).map(OwnerAction::Note));
 }
--- a/decision/tests/suite/crash_rules.rs
+++ b/decision/tests/suite/crash_rules.rs
@@ -34,7 +34,7 @@
     for ms in [10, 400, 900] {
         ledger.apply(&other.take_report(true, later(ms)), later(ms));
     }
-    assert!(!ledger.is_condemned(FIRST));
+    assert!(!ledger.is_quarantined(FIRST));
 }
 
 /// Guards against a VM whose own links are cut and that takes the servers for crashed: they answer others.
@@ -45,11 +45,11 @@
         crash(&mut cut, server, ms, &[FIRST]);
         other.record_answer(&start(server), later(1_000), later(1_050));
     }
-    assert!(cut.is_condemned(FIRST));
+    assert!(cut.is_quarantined(FIRST));
     other.apply(&cut.take_report(false, later(1_100)), later(1_100));
-    assert!(!other.is_condemned(FIRST));
+    assert!(!other.is_quarantined(FIRST));
     let change = cut.apply(&other.take_report(false, later(1_200)), later(1_200));
-    assert!(!cut.is_condemned(FIRST));
+    assert!(!cut.is_quarantined(FIRST));
     assert_eq!(change.cleared, [FIRST.into()]);
 }
 
@@ -61,13 +61,13 @@
     crash(&mut ledger, "s1", 0, &[FIRST]);
     crash(&mut ledger, "s2", 100, &[FIRST]);
     ledger.record_answer(&start("s2"), later(800), later(850));
-    assert!(!ledger.is_condemned(FIRST));
+    assert!(!ledger.is_quarantined(FIRST));
     let restarted = ServerStart { incarnation: 8, ..start("s2") };
     other.record_start(&restarted, later(1_300));
     other.apply(&ledger.take_report(true, later(1_350)), later(1_350));
-    assert!(other.is_condemned(FIRST));
+    assert!(other.is_quarantined(FIRST));
     let change = ledger.record_start(&restarted, later(1_400));
-    assert!(ledger.is_condemned(FIRST) && change.condemned.len() == 1);
+    assert!(ledger.is_quarantined(FIRST) && change.quarantined.len() == 1);
 }
 
 /// Guards against a crash that was taken back rightly, and counts again once the server restarts much later.
@@ -78,7 +78,7 @@
     crash(&mut ledger, "s2", 100, &[FIRST]);
     ledger.record_answer(&start("s2"), later(800), later(850));
     ledger.record_start(&ServerStart { incarnation: 8, ..start("s2") }, later(20_000));
-    assert!(!ledger.is_condemned(FIRST));
+    assert!(!ledger.is_quarantined(FIRST));
 }
 
 /// Guards against an answer to a request from before the crash that takes the crash back.
@@ -88,7 +88,7 @@
     crash(&mut ledger, "s1", 0, &[FIRST]);
     crash(&mut ledger, "s2", 500, &[FIRST]);
     ledger.record_answer(&start("s2"), later(450), later(600));
-    assert!(ledger.is_condemned(FIRST));
+    assert!(ledger.is_quarantined(FIRST));
 }
 
 /// Guards against a request that is blamed for crashes under a known suspect.
@@ -98,8 +98,8 @@
     crash(&mut ledger, "s1", 0, &[FIRST]);
     crash(&mut ledger, "s2", 1_000, &[FIRST, SECOND]);
     crash(&mut ledger, "s3", 2_000, &[FIRST, SECOND]);
-    assert!(ledger.is_condemned(FIRST));
-    assert!(!ledger.is_condemned(SECOND));
+    assert!(ledger.is_quarantined(FIRST));
+    assert!(!ledger.is_quarantined(SECOND));
 }
 
 /// Guards against two requests that crash servers, always run together and are never told apart.
@@ -109,7 +109,7 @@
     for (ms, server) in [(0, "s1"), (1_000, "s2"), (2_000, "s3")] {
         crash(&mut ledger, server, ms, &[FIRST, SECOND]);
     }
-    assert!(ledger.is_condemned(FIRST) && ledger.is_condemned(SECOND));
+    assert!(ledger.is_quarantined(FIRST) && ledger.is_quarantined(SECOND));
 }
 
 /// Guards against a condemned request that is tried by several VMs at once, or never again.
@@ -154,10 +154,10 @@
 fn part_in_common() {
     let mut ledger = CrashLedger::default();
     crash_with(&mut ledger, 0, 2, &[PART]);
-    assert!(!ledger.is_condemned(PART));
+    assert!(!ledger.is_quarantined(PART));
     crash_with(&mut ledger, 2, 1, &[PART]);
-    assert!(ledger.is_condemned(PART));
-    assert_eq!(ledger.condemned(&[PART, FIRST.into()]), [PART]);
+    assert!(ledger.is_quarantined(PART));
+    assert_eq!(ledger.quarantined(&[PART, FIRST.into()]), [PART]);
 }
 
 /// Guards against parts that are blamed together as they always come together, and never told apart.
@@ -165,9 +165,9 @@
 fn parts_always_together() {
     let mut ledger = CrashLedger::default();
     crash_with(&mut ledger, 0, 3, &[PART, OTHER_PART]);
-    assert!(!ledger.is_condemned(PART));
+    assert!(!ledger.is_quarantined(PART));
     crash_with(&mut ledger, 3, 1, &[PART, OTHER_PART]);
-    assert!(ledger.is_condemned(PART) && ledger.is_condemned(OTHER_PART));
+    assert!(ledger.is_quarantined(PART) && ledger.is_quarantined(OTHER_PART));
 }
 
 /// Guards against a sound part that is blamed with one that crashes servers, as few of its own requests complete.
@@ -176,8 +176,8 @@
     let mut ledger = CrashLedger::default();
     ledger.record_completion(&[OTHER_PART], NOW);
     crash_with(&mut ledger, 10, 4, &[PART, OTHER_PART]);
-    assert!(ledger.is_condemned(PART));
-    assert!(!ledger.is_condemned(OTHER_PART));
+    assert!(ledger.is_quarantined(PART));
+    assert!(!ledger.is_quarantined(OTHER_PART));
 }
 
 /// Guards against a part that is not refused, as its requests completed before it began to crash servers.
@@ -186,7 +186,7 @@
     let mut ledger = CrashLedger::default();
     ledger.record_completion(&[PART], NOW);
     crash_with(&mut ledger, 4, 3, &[PART]);
-    assert!(ledger.is_condemned(PART));
+    assert!(ledger.is_quarantined(PART));
 }
 
 /// Guards against a sound part that is refused, as it ran at all servers of a failure domain that ended together.
@@ -197,7 +197,7 @@
         let at = later(server);
         ledger.record_crash(&start(&format!("s{server}")), at, &[PART], at);
     }
-    assert!(!ledger.is_condemned(PART));
+    assert!(!ledger.is_quarantined(PART));
 }
 
 /// Guards against a part that is refused since it was at work where a quarantined one crashed servers.
@@ -206,7 +206,7 @@
     let mut ledger = CrashLedger::default();
     crash_with(&mut ledger, 0, 3, &[PART]);
     crash_with(&mut ledger, 3, 5, &[PART, OTHER_PART]);
-    assert!(!ledger.is_condemned(OTHER_PART));
+    assert!(!ledger.is_quarantined(OTHER_PART));
 }
 
 /// Guards against a mended part that stays refused, and against one that is tried too often while it is not.
@@ -225,7 +225,7 @@
     assert_eq!(tried, [7_000, 67_050]);
     assert!(ledger.admit(&[PART], |_| 0, 1, later(700_000)).is_none());
     ledger.record_completion(&[PART], later(701_000));
-    assert!(!ledger.is_condemned(PART));
+    assert!(!ledger.is_quarantined(PART));
 }
 
 /// Guards against two parts that are tried together, where a crash says nothing of either.
@@ -247,12 +247,12 @@
     let mut ledger = CrashLedger::default();
     crash_with(&mut ledger, 0, 4, &[PART, OTHER_PART]);
     ledger.record_completion(&[OTHER_PART], later(5_000));
-    assert!(!ledger.is_condemned(OTHER_PART));
+    assert!(!ledger.is_quarantined(OTHER_PART));
     for minute in 1..30 {
         crash(&mut ledger, &format!("m{minute}"), minute * 60_000, &[FIRST]);
     }
-    assert!(ledger.is_condemned(PART));
-    assert!(!ledger.is_condemned(OTHER_PART));
+    assert!(ledger.is_quarantined(PART));
+    assert!(!ledger.is_quarantined(OTHER_PART));
 }
 
 /// Guards against a record that takes ever more memory and bytes, with many parts and many crashes.
--- a/gateway/src/suspects.rs
+++ b/gateway/src/suspects.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfoothook_decision::crash::{CondemnedSubject, CrashChange, CrashReport};
+use coltsfoothook_decision::crash::{CrashChange, CrashReport, QuarantinedSubject};
 use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::routing::BackendEntry;
 use coltsfoothook_decision::subject::ServerStart;
@@ -289,11 +289,11 @@
     let gateway = Arc::clone(&run.gateway);
     let now = clock::now();
     let mut view = gateway.view();
-    let condemned = view.crashes.condemned(&run.request.subjects);
-    let subject = *condemned.first()?;
+    let quarantined = view.crashes.quarantined(&run.request.subjects);
+    let subject = *quarantined.first()?;
     let vms = view.vm_count(now);
     let rank = view.roster.trial_rank(&gateway.settings.vm, subject, now);
-    let until = view.crashes.admit(&condemned, |_| rank, vms, now);
+    let until = view.crashes.admit(&quarantined, |_| rank, vms, now);
     drop(view);
     if let Some(until) = until {
         run.retry_after = Some(Duration::from_micros(until.since(now)));
@@ -358,14 +358,14 @@
     if change.changed {
         let counts = gateway.view().crashes.counts();
         gateway.metrics.set("suspects", counts.suspects);
-        gateway.metrics.set("condemned_requests", counts.condemned);
+        gateway.metrics.set("condemned_requests", counts.quarantined);
         gateway.metrics.set("suspect_parts", counts.suspect_parts);
-        gateway.metrics.set("quarantined_parts", counts.condemned_parts);
+        gateway.metrics.set("quarantined_parts", counts.quarantined_parts);
     }
 }
 
 fn log_verdicts(change: &CrashChange) {
-    for CondemnedSubject { subject, crashes, alone } in &change.condemned {
+    for QuarantinedSubject { subject, crashes, alone } in &change.quarantined {
         if subject.is_part() {
             event!(PartQuarantined, part = subject, crashes = crashes, alone = alone);
         } else {
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -24,8 +24,8 @@
 
 use crate::message::{
     AdapterUse, ConfirmationAnswer, ConfirmationQuestion, DomainSums, DomainUpdate, LoadRequest,
-    LoadUpdate, PeerMessage, RecordUpdate, RemovedServer, ServerLists, ServerLoad, SharedState,
-    MAX_BYTES, SharedVersion, VmState, decode, encode,
+    LoadUpdate, MAX_BYTES, PeerMessage, RecordUpdate, RemovedServer, ServerLists, ServerLoad,
+    SharedState, SharedVersion, VmState, decode, encode,
 };
 
 fn same<T: Serialize + DeserializeOwned + PartialEq + Debug>(value: &T, expected: Expect) {
@@ -403,17 +403,18 @@
 #[test]
 fn crash_reports_fit() {
     let crash = |number: u64, subjects: u64| ReportedCrash {
-        start: ServerStart { server: format!("i-{number:010x}").as_str().into(), incarnation: number },
+        start: ServerStart {
+            server: format!("i-{number:010x}").as_str().into(),
+            incarnation: number,
+        },
         age_ms: 1_000,
         suspects: (0..subjects).map(|at| RequestFingerprint(u64::MAX - at)).collect(),
         refuted: false,
         parts: (0..subjects).map(|at| PartFingerprint(u64::MAX - at)).collect(),
     };
     let bytes = |crashes: Vec<ReportedCrash>, completed: u64| {
-        let completed_parts = (0..completed).map(|part| CompletedPart {
-            part: PartFingerprint(u64::MAX - part),
-            age_ms: 1_000,
-        });
+        let completed_parts = (0..completed)
+            .map(|part| CompletedPart { part: PartFingerprint(u64::MAX - part), age_ms: 1_000 });
         let completed_parts = completed_parts.collect();
         let report = CrashReport { crashes, completions: Vec::new(), completed_parts };
         encode(&PeerMessage::Crashes(report)).unwrap().len()
