Failing test: an aggregator that hands over refuses every customer

The test plays fleets of 6, 86 and 300 VMs in three failure domains at 0.7 of each limit without a network, with the role handed over by drain, kill, cut and freeze.

--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod fleet_limits;
 mod group_routes;
 mod job_results;
+mod limit_handover;
 mod load_recovery;
 mod load_times;
 mod manifest_faults;
