--- a/gateway/src/aggregate.rs
+++ b/gateway/src/aggregate.rs
@@ -313,12 +313,20 @@
         .map(|domain| view.limiter.apply_domain_report(now, &sums.vm, &domain, &sums.uses));
     drop(view);
     if let Some(effect) = effect {
-        record_report(gateway, &sums.vm, &effect);
+        record_report(gateway, &sums.vm, &sums.uses, &effect);
     }
 }
 
 /// Counts a report of customers' use, and logs one that has another base than the report before it.
-pub(crate) fn record_report(gateway: &Gateway, vm: &VmName, effect: &ReportEffect) {
+pub(crate) fn record_report(
+    gateway: &Gateway,
+    vm: &VmName,
+    report: &UsageReport,
+    effect: &ReportEffect,
+) {
+    if report.uses.is_empty() {
+        return;
+    }
     gateway.metrics.usage_report(effect.basis.as_str());
     if !matches!(effect.basis, ReportBasis::Previous | ReportBasis::Outdated) {
         event!(UsageReportBased, vm = vm, basis = effect.basis.as_str());
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -255,8 +255,8 @@
     let effect = view.apply_member_uses(&update.vm, update.uses.as_ref(), now);
     view.apply_reported_statements(&update.statements, now);
     drop(view);
-    if let Some(effect) = effect {
-        aggregate::record_report(gateway, &update.vm, &effect);
+    if let (Some(uses), Some(effect)) = (&update.uses, effect) {
+        aggregate::record_report(gateway, &update.vm, uses, &effect);
     }
     gateway.peer_loads_changed.notify_waiters();
 }
@@ -437,8 +437,8 @@
         gateway.peers.send(&PeerMessage::State(own_state), &[from]);
     }
     drop(view);
-    if let Some(effect) = effect {
-        aggregate::record_report(gateway, &state.vm, &effect);
+    if let (Some(uses), Some(effect)) = (&state.uses, effect) {
+        aggregate::record_report(gateway, &state.vm, uses, &effect);
     }
     if changes_role {
         gateway.loads_changed.notify_one();
