Servers' speeds, shared over the fleet as estimates

On a deployment whose engines differ in speed, a quarter of them had first events two to forty times later than the others at the same counts (p50 50 to 1,100 ms against 25), and nearly all of the streams with a pause.

Estimates of the fleet are a kind of report of their own: VMs report what they observed, the aggregator adds up and passes on, followers adopt. The first kind is the time between events and to plain answers by server; the work ahead of a request, with its own prompt, is divided by the server's speed. Off by default (choice.server_speed).

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -99,6 +99,8 @@
     pub(crate) condition: ServerCondition,
     pub(crate) stated: KeptStatements,
     pub(crate) rest: ServerRest,
+    /// How fast it works compared with others of its service; `None` if that is not known.
+    pub(crate) speed: Option<f64>,
     /// Hash of its name, from which its ranks for adapters and prompts are derived.
     pub(crate) name_hash: u64,
 }
@@ -548,6 +550,7 @@
             condition: ServerCondition::default(),
             stated: KeptStatements::default(),
             rest: ServerRest::default(),
+            speed: None,
             name_hash,
         };
         state.adopt_entry(now);
@@ -590,6 +593,12 @@
         self.entry.models.iter().any(|held| held.model == *model)
     }
 
+    /// Returns how fast it works compared with others of its service; 1 if that is not known.
+    #[must_use]
+    pub fn relative_speed(&self) -> f64 {
+        self.speed.unwrap_or(1.0)
+    }
+
     /// Returns for how long it wants no request from this VM; zero if it may get one now.
     #[must_use]
     pub fn rest_wait(&self, now: TimePoint) -> Duration {
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -176,6 +176,7 @@
         let excess = |state: &BackendState| match state.pending_prompt_tokens(rate, now) {
             0 => 0,
             pending_prompt_tokens => {
+                let bound = (bound as f64 * state.relative_speed()) as u64;
                 (pending_prompt_tokens + requirements.prompt).saturating_sub(bound)
             }
         };
@@ -245,7 +246,8 @@
         let typical = self.typical(requirements.service);
         let cost = |state: &&&BackendState| {
             let local = state.entry.domain == *requirements.domain;
-            state.cost(typical, now) + if local { 0 } else { CROSS_DOMAIN_TOKENS }
+            state.completion_cost(typical, requirements.prompt, now)
+                + if local { 0 } else { CROSS_DOMAIN_TOKENS }
         };
         if requirements.shared.tokens >= MIN_SHARED_TOKENS {
             let first =
@@ -458,13 +460,25 @@
     /// Returns the estimated cost of sending a further request here: prompt tokens to be processed
     /// before it, scaled up if the server is slower or fails more often than others of its service.
     fn cost(&self, typical: TypicalCondition, now: TimePoint) -> u64 {
+        self.cost_with(0, typical, now)
+    }
+
+    /// Returns the estimated cost until a prompt of `prompt` tokens is processed here. Where speeds are
+    /// not known, the prompt takes equally long at each server and is left out.
+    fn completion_cost(&self, typical: TypicalCondition, prompt: u64, now: TimePoint) -> u64 {
+        self.cost_with(if self.speed.is_some() { prompt } else { 0 }, typical, now)
+    }
+
+    fn cost_with(&self, prompt: u64, typical: TypicalCondition, now: TimePoint) -> u64 {
         let load = self.load(now);
         let over = u64::from(load.running.saturating_sub(self.entry.slots));
         let tokens = load.pending_prompt_tokens
             + RUNNING_TOKENS * u64::from(load.running)
             + QUEUED_TOKENS * over;
         let condition = self.condition;
-        let slower = if typical.latency_us > 0.0 && condition.latency_us > 0.0 {
+        let slower = if let Some(speed) = self.speed {
+            1.0 / speed
+        } else if typical.latency_us > 0.0 && condition.latency_us > 0.0 {
             (condition.latency_us / typical.latency_us).max(1.0)
         } else {
             1.0
@@ -472,7 +486,7 @@
         let excess = (condition.failures - typical.failures).max(0.0) / FAILURE_EXCESS;
         // The constant keeps an idle server with failures from costing as little as an idle healthy
         // one.
-        ((tokens + RUNNING_TOKENS) as f64 * slower * (1.0 + excess)) as u64
+        ((tokens + prompt + RUNNING_TOKENS) as f64 * slower * (1.0 + excess)) as u64
     }
 }
 
--- a/gateway/src/aggregate.rs
+++ b/gateway/src/aggregate.rs
@@ -232,24 +232,29 @@
     let bucket_states = view.limiter.bucket_states(now);
     let uses = view.limiter.sums(now);
     let statements = view.backends.statements_to_report(true, now);
+    let (observed, estimates) = (view.estimates.take_report(), view.estimates.take_update(now));
     let in_domain = view.reporting_members(&gateway.settings, now);
     let reachable_vms = in_domain + view.domain.reporting_elsewhere(now);
     let aggregators = view.sums_recipients(&uses, now);
     drop(guard);
     let (mut loads, mut part_statements) = (server_loads(fleet), statements.clone());
+    let mut part_estimates = estimates;
     for part in split_lists(lists) {
         let (loads, lists) = (std::mem::take(&mut loads), server_lists(part, times));
         let (statements, bucket_states) =
             (std::mem::take(&mut part_statements), bucket_states.clone());
         let vm = vm.clone();
-        let update = DomainUpdate { vm, loads, lists, statements, bucket_states, reachable_vms };
+        let estimates = std::mem::take(&mut part_estimates);
+        let update =
+            DomainUpdate { vm, loads, lists, statements, bucket_states, reachable_vms, estimates };
         gateway.peers.send(&PeerMessage::Domain(update), &members);
     }
     let busy = domain.into_iter().filter(|(_, figure)| *figure != LoadFigure::default());
     let loads = server_loads(busy.collect());
     for (uses, to) in aggregators {
         let (vm, loads, statements) = (vm.clone(), loads.clone(), statements.clone());
-        let sums = DomainSums { vm, loads, uses, statements, members: in_domain };
+        let estimates = observed.clone();
+        let sums = DomainSums { vm, loads, uses, statements, members: in_domain, estimates };
         gateway.peers.send(&PeerMessage::Sums(sums), &to);
     }
     gateway.peer_loads_changed.notify_waiters();
@@ -284,6 +289,7 @@
         if view.followed(now) == Some(&update.vm) {
             fallen = view.limiter.set_bucket_states(now, &update.bucket_states);
             view.domain.role.record_adoption();
+            view.estimates.adopt(&update.estimates, now);
         }
     }
     drop(guard);
@@ -306,6 +312,9 @@
     view.domain.writer.set_sums(&sums.vm, loads, now);
     view.domain.record_domain(&sums.vm, sums.members, now);
     view.apply_reported_statements(&sums.statements, now);
+    if view.domain.role.aggregates() {
+        view.estimates.apply_report(&sums.estimates, false, now);
+    }
     let effect = view
         .roster
         .domain_of(&sums.vm)
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod charge;
 mod clock;
 mod confirm;
+mod estimates;
 mod event_scan;
 mod face;
 mod find;
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -19,9 +19,11 @@
 use coltsfoothook_decision::room::RoomRisk;
 use coltsfoothook_decision::routing::{AdapterKey, BackendEntry, RouteTable};
 use coltsfoothook_decision::statement::{ReportedRefusals, ReportedStatement};
-use coltsfoothook_decision::usage::UsageReport;
+use coltsfoothook_decision::usage::{UsageBase, UsageReport};
 use coltsfoothook_decision::value;
 
+use crate::estimates::ReportedEstimates;
+
 /// First byte of each datagram. Releases with other messages use other numbers, and datagrams with
 /// an unknown number are dropped.
 const FORMAT: u8 = 7;
@@ -62,6 +64,9 @@
         pub statements: Vec<ReportedStatement>,
         /// Addresses of some other live VMs, for discovery.
         pub others: Vec<SocketAddr>,
+        /// What it observed lately, sent to the same VMs as `loads`.
+        #[serde(skip)]
+        pub estimates: ReportedEstimates,
     }
 
     /// A VM's requests at one server.
@@ -118,6 +123,9 @@
         /// How many VMs of all domains reported their customers' use recently.
         #[serde(rename = "in_touch")]
         pub reachable_vms: usize,
+        /// Estimates of the fleet.
+        #[serde(skip)]
+        pub estimates: ReportedEstimates,
     }
 
     /// Sums over the VMs of a failure domain, from its aggregator to those of the other domains.
@@ -131,6 +139,9 @@
         pub statements: Vec<ReportedStatement>,
         /// How many of these VMs reported their use recently.
         pub members: usize,
+        /// What the domain's VMs observed lately.
+        #[serde(skip)]
+        pub estimates: ReportedEstimates,
     }
 
     /// A query whether the sender's configuration is the newest.
@@ -354,14 +365,18 @@
         PeerMessage::News(update) => write_software(&mut bytes, &update.entries)?,
         PeerMessage::Crashes(report) => write_parts(&mut bytes, report)?,
         PeerMessage::State(state) => {
-            write_refusals(&mut bytes, &state.statements, state.uses.as_ref())?;
+            let uses = state.uses.as_ref();
+            write_refusals(&mut bytes, &state.statements, uses, &state.estimates)?;
         }
         PeerMessage::Loads(update) => {
-            write_refusals(&mut bytes, &update.statements, update.uses.as_ref())?;
+            let (uses, estimates) = (update.uses.as_ref(), &ReportedEstimates::default());
+            write_refusals(&mut bytes, &update.statements, uses, estimates)?;
+        }
+        PeerMessage::Domain(update) => {
+            write_refusals(&mut bytes, &update.statements, None, &update.estimates)?;
         }
-        PeerMessage::Domain(update) => write_refusals(&mut bytes, &update.statements, None)?,
         PeerMessage::Sums(sums) => {
-            write_refusals(&mut bytes, &sums.statements, Some(&sums.uses))?;
+            write_refusals(&mut bytes, &sums.statements, Some(&sums.uses), &sums.estimates)?;
         }
         PeerMessage::PermitQuestion(question, _) => {
             rmp_serde::encode::write(&mut bytes, &question.room)?;
@@ -390,14 +405,17 @@
         PeerMessage::News(update) => read_software(rest, &mut update.entries),
         PeerMessage::Crashes(report) => read_parts(rest, report),
         PeerMessage::State(state) => {
-            read_refusals(rest, &mut state.statements, state.uses.as_mut());
+            let uses = state.uses.as_mut();
+            state.estimates = read_refusals(rest, &mut state.statements, uses);
         }
         PeerMessage::Loads(update) => {
-            read_refusals(rest, &mut update.statements, update.uses.as_mut());
+            let _ = read_refusals(rest, &mut update.statements, update.uses.as_mut());
+        }
+        PeerMessage::Domain(update) => {
+            update.estimates = read_refusals(rest, &mut update.statements, None);
         }
-        PeerMessage::Domain(update) => read_refusals(rest, &mut update.statements, None),
         PeerMessage::Sums(sums) => {
-            read_refusals(rest, &mut sums.statements, Some(&mut sums.uses));
+            sums.estimates = read_refusals(rest, &mut sums.statements, Some(&mut sums.uses));
         }
         PeerMessage::PermitQuestion(question, _) => {
             question.room = rmp_serde::from_read(&mut rest).unwrap_or_default();
@@ -480,36 +498,46 @@
     report.completed_parts = completed;
 }
 
-/// Appends the refusals that servers bear, in the order of the statements, and the base of the totals;
-/// nothing if there is neither.
+/// Appends the refusals that servers bear, in the order of the statements, the base of the totals, and
+/// estimates; nothing if there are none.
 fn write_refusals(
     bytes: &mut Vec<u8>,
     statements: &[ReportedStatement],
     uses: Option<&UsageReport>,
+    estimates: &ReportedEstimates,
 ) -> Result<(), rmp_serde::encode::Error> {
     let base = uses.and_then(|uses| uses.base.as_ref());
-    if base.is_none() && statements.iter().all(|statement| statement.refusals.is_none()) {
+    let has_more = base.is_some() || !estimates.is_empty();
+    if !has_more && statements.iter().all(|statement| statement.refusals.is_none()) {
         return Ok(());
     }
     let refusals: Vec<Option<ReportedRefusals>> =
         statements.iter().map(|statement| statement.refusals).collect();
     rmp_serde::encode::write(bytes, &refusals)?;
-    base.map_or(Ok(()), |base| rmp_serde::encode::write(bytes, base))
+    if has_more {
+        rmp_serde::encode::write(bytes, &base)?;
+    }
+    if !estimates.is_empty() {
+        rmp_serde::encode::write(bytes, estimates)?;
+    }
+    Ok(())
 }
 
-/// Sets the refusals that servers bear, and the base of the totals. A release that does not send them
-/// knows none.
+/// Sets the refusals that servers bear and the base of the totals, and returns the estimates. A release
+/// that does not send them knows none.
 fn read_refusals(
     mut bytes: &[u8],
     statements: &mut [ReportedStatement],
     uses: Option<&mut UsageReport>,
-) {
+) -> ReportedEstimates {
     let refusals: Vec<Option<ReportedRefusals>> =
         rmp_serde::from_read(&mut bytes).unwrap_or_default();
     for (statement, refusals) in statements.iter_mut().zip(refusals) {
         statement.refusals = refusals;
     }
+    let base: Option<UsageBase> = rmp_serde::from_read(&mut bytes).unwrap_or_default();
     if let Some(uses) = uses {
-        uses.base = rmp_serde::from_read(&mut bytes).ok();
+        uses.base = base;
     }
+    rmp_serde::from_read(&mut bytes).unwrap_or_default()
 }
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -6,6 +6,7 @@
 use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::room::PlaceEnd;
 use coltsfoothook_decision::routing::AdapterKey;
+use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_exchange::{ExchangeError, ExchangeResponse};
 use coltsfoothook_platform::{ResponseHead, end_to_end_headers};
 use coltsfoothook_telemetry::event;
@@ -77,6 +78,12 @@
         let latency_us = good.then_some(latency.as_micros() as f64);
         if view.backends.is_current_incarnation(server.as_str(), run.incarnation) {
             view.backends.answered(server.as_str(), good, latency_us);
+            if let Some(count) = run.count.as_ref().filter(|_| good) {
+                let (server, incarnation) = (server.clone(), run.incarnation);
+                let now = clock::now();
+                let took_us = now.since(count.sent_at) as f64;
+                view.record_pace(&ServerStart { server, incarnation }, took_us, now);
+            }
         }
     }
     let body = match body {
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -21,6 +21,7 @@
 use crate::aggregate;
 use crate::clock;
 use crate::confirm;
+use crate::estimates::ReportedEstimates;
 use crate::message::{
     AdapterUse, LoadUpdate, MAX_BYTES, PeerMessage, ServerLists, ServerLoad, VmState, decode,
     encode,
@@ -272,6 +273,7 @@
     if view.limit_uses.log(now) {
         view.log_rooms(now);
     }
+    view.apply_estimates(now);
     let (reachable, known) = view.reporting_counts(gateway, now);
     view.limiter.set_reachable(now, reachable, known);
     view.update_issuer(gateway, (reachable, known), now);
@@ -298,6 +300,7 @@
         state.loads = Some(loads);
         state.uses = Some(view.limiter.report(now, gateway.incarnation));
         state.statements = view.statements_to_report(now);
+        state.estimates = view.estimates.take_report();
         drop(view);
         gateway.peers.send(&PeerMessage::State(state), &to);
         return;
@@ -306,6 +309,7 @@
     view.backends.mark_loads_reported();
     let uses = aggregator.map(|to| view.report_uses(to, gateway.incarnation, now));
     let statements = aggregator.map(|_| view.statements_to_report(now)).unwrap_or_default();
+    let estimates = aggregator.map(|_| view.estimates.take_report()).unwrap_or_default();
     drop(view);
     to.retain(|address| Some(*address) != aggregator);
     gateway.peers.send(&PeerMessage::State(state.clone()), &to);
@@ -313,6 +317,7 @@
         state.loads = Some(loads);
         state.uses = uses;
         state.statements = statements;
+        state.estimates = estimates;
         gateway.peers.send(&PeerMessage::State(state), &[aggregator]);
     }
 }
@@ -352,6 +357,7 @@
         uses: None,
         statements: Vec::new(),
         others,
+        estimates: ReportedEstimates::default(),
     }
 }
 
@@ -426,6 +432,10 @@
         }
     }
     let effect = view.apply_member_uses(&state.vm, state.uses.as_ref(), now);
+    let pass_on = view.domain.role.aggregates();
+    if pass_on || !view.roster.is_large(now) {
+        view.estimates.apply_report(&state.estimates, pass_on, now);
+    }
     view.apply_reported_statements(&state.statements, now);
     let own = view.table.as_ref().map_or(0, |table| table.version.0);
     let appeared = matches!(change, PeerChange::Appeared | PeerChange::Restarted);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use coltsfoothook_decision::id::ServerName;
 use coltsfoothook_decision::room::PlaceEnd;
 use coltsfoothook_decision::routing::RetryRule;
+use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_exchange::{BodyFraming, ExchangeError, ExchangeResponse, ResponseBody};
 use coltsfoothook_platform::end_to_end_headers;
 use coltsfoothook_telemetry::event;
@@ -15,6 +16,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::answer::{AnswerStream, BrokenAnswer, streamed_answer};
+use crate::clock;
 use crate::event_scan::EventScan;
 use crate::find::find_server;
 use crate::origins;
@@ -206,6 +208,10 @@
         let mut view = self.run.gateway.view();
         if view.backends.is_current_incarnation(self.server.as_str(), self.run.incarnation) {
             view.backends.answered(self.server.as_str(), good, pause_us);
+            if let Some(pause_us) = pause_us {
+                let (server, incarnation) = (self.server.clone(), self.run.incarnation);
+                view.record_pace(&ServerStart { server, incarnation }, pause_us, clock::now());
+            }
         }
     }
 
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -112,6 +112,15 @@
     }
 }
 
+settings_struct! {
+    /// How servers are chosen.
+    pub struct ChoiceSettings {
+        /// Whether VMs share how fast servers work, and divide the work ahead of a request by it. For
+        /// services whose servers differ in speed.
+        pub server_speed: bool = false;
+    }
+}
+
 settings_struct! {
     /// Settings of a gateway process.
     pub struct GatewaySettings {
@@ -132,6 +141,8 @@
         pub store: StoreSettings = StoreSettings::default();
         /// Limits that the operators require the system to keep.
         pub promises: PromiseSettings = PromiseSettings::default();
+        /// How servers are chosen.
+        pub choice: ChoiceSettings = ChoiceSettings::default();
         /// What is logged, and where.
         pub logs: LogSettings = LogSettings { output: LogOutput::Stdout, ..LogSettings::default() };
     }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -29,6 +29,7 @@
 
 use crate::aggregate::DomainView;
 use crate::clock;
+use crate::estimates::SharedEstimates;
 use crate::limit_use::LimitUseList;
 use crate::link::AnswerTimes;
 use crate::load_request::LoadRequests;
@@ -128,6 +129,8 @@
     /// Software versions that streams began at.
     pub(crate) origins: OriginTable,
     pub(crate) budget: RepeatBudget,
+    /// Estimates of the fleet that VMs share.
+    pub(crate) estimates: SharedEstimates,
     pub(crate) roster: PeerRoster,
     pub(crate) lease: OrderLease,
     pub(crate) order_trackers: ServerTrackers,
@@ -262,6 +265,7 @@
             links: ServerLinks::default(),
             origins: OriginTable::default(),
             budget: RepeatBudget::new(promises.repeats()),
+            estimates: SharedEstimates::new(&settings.choice),
             roster: PeerRoster::default(),
             lease: OrderLease::new(lease),
             order_trackers: ServerTrackers::default(),
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -8,6 +8,7 @@
     CompletedPart, CrashReport, ReportedCompletion, ReportedCrash,
 };
 use coltsfoothook_decision::domain_update::{ListChange, ListedHolding};
+use coltsfoothook_decision::estimate::EstimateEntry;
 use coltsfoothook_decision::id::{ConfigVersion, PartFingerprint, RequestFingerprint, TimePoint};
 use coltsfoothook_decision::limit::BucketState;
 use coltsfoothook_decision::origin::{ReportedStream, StreamMark, StreamOrigin};
@@ -24,6 +25,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::estimates::ReportedEstimates;
 use crate::message::{
     AdapterUse, ConfirmationAnswer, ConfirmationQuestion, DomainSums, DomainUpdate, LoadRequest,
     LoadUpdate, MAX_BYTES, PeerMessage, RecordUpdate, RemovedServer, ServerLists, ServerLoad,
@@ -131,6 +133,7 @@
         uses: Some(uses()),
         statements: statements(),
         others: vec![([10, 0, 0, 2], 81).into()],
+        estimates: ReportedEstimates::default(),
     };
     same_message(
         PeerMessage::State(state),
@@ -254,6 +257,7 @@
         statements: statements(),
         bucket_states: vec![state],
         reachable_vms: 1,
+        estimates: ReportedEstimates::default(),
     };
     same_message(
         PeerMessage::Domain(update),
@@ -274,6 +278,7 @@
         uses: uses(),
         statements: statements(),
         members: 1,
+        estimates: ReportedEstimates::default(),
     };
     same_message(
         PeerMessage::Sums(sums),
@@ -494,6 +499,7 @@
         uses: UsageReport { base: None, ..uses.clone() },
         statements: statements(),
         members: 3,
+        estimates: ReportedEstimates::default(),
     };
     let update = LoadUpdate {
         vm: "vm-1".into(),
@@ -511,3 +517,25 @@
         (encode(&message).unwrap(), encode(&PeerMessage::Sums(plain)).unwrap());
     assert_eq!(with_base[..without.len()], without);
 }
+
+/// Estimates follow the message, also where there is no base.
+#[test]
+fn shared_estimates() {
+    let start = ServerStart { server: "s-1".into(), incarnation: 15 };
+    let speeds = vec![EstimateEntry { key: start, count: 2.5, sum: 1_250.0 }];
+    let update = DomainUpdate {
+        vm: "vm-1".into(),
+        loads: loads(),
+        lists: lists(),
+        statements: statements(),
+        bucket_states: Vec::new(),
+        reachable_vms: 3,
+        estimates: ReportedEstimates { speeds },
+    };
+    let plain = DomainUpdate { estimates: ReportedEstimates::default(), ..update.clone() };
+    let message = PeerMessage::Domain(update);
+    let (bytes, without) =
+        (encode(&message).unwrap(), encode(&PeerMessage::Domain(plain)).unwrap());
+    assert_eq!(decode(&bytes), Some(message));
+    assert_eq!(bytes[..without.len()], without);
+}
--- a/gateway/tests/unit/large_fleet.rs
+++ b/gateway/tests/unit/large_fleet.rs
@@ -4,6 +4,7 @@
 
 use coltsfoothook_decision::id::{TimePoint, VmName};
 
+use crate::estimates::ReportedEstimates;
 use crate::message::VmState;
 use crate::roster::{PeerRoster, SMALL_FLEET};
 
@@ -31,6 +32,7 @@
         uses: None,
         statements: Vec::new(),
         others: Vec::new(),
+        estimates: ReportedEstimates::default(),
     }
 }
 
--- a/gateway/tests/unit/stream_holders.rs
+++ b/gateway/tests/unit/stream_holders.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
+use crate::estimates::ReportedEstimates;
 use crate::message::{PeerMessage, VmState, encode};
 use crate::origins::{ASKED_HOLDERS, HOLDERS};
 use crate::roster::PeerRoster;
@@ -39,6 +40,7 @@
         uses: None,
         statements: Vec::new(),
         others: Vec::new(),
+        estimates: ReportedEstimates::default(),
     }
 }
 
