Adapters return to servers that still have them in their own memory

On a fleet of 90 engines with eight adapter slots each, 559 of 3,791 fetches from the weight store in sixteen seconds were of adapters that some server had dropped less than five seconds before, most of them: that server had no idle slot at that moment, so another one fetched the adapter anew, which takes ten times as long.

With choice.memory_first (off by default) such a server is chosen also without an idle slot if some of its adapters are seldom used, unless it is overloaded; so is one for a further copy. Test server_choice::returns_to_memory.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -134,6 +134,9 @@
     pub(crate) refusals: Vec<ServiceRefusals>,
     /// Services of which a server has answered since this VM started, sorted.
     pub(crate) answered: Vec<ServiceName>,
+    /// Whether adapters return to servers that still have them in their own memory, also where another
+    /// server could take them at once.
+    pub(crate) memory_first: bool,
 }
 
 /// Remembers a server whose entry was removed.
@@ -170,6 +173,13 @@
         &mut self.servers
     }
 
+    /// Creates a table without servers. With `memory_first`, adapters return to servers that still have
+    /// them in their own memory, also where another server could take them at once.
+    #[must_use]
+    pub fn new(memory_first: bool) -> Self {
+        Self { memory_first, ..Self::default() }
+    }
+
     /// Returns all servers, sorted by name.
     #[must_use]
     pub fn servers(&self) -> &[BackendState] {
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -39,6 +39,10 @@
 /// Maximum cost, in hundredths of the mean, at which a server that recently held an adapter is
 /// preferred for loading it again: from its own memory this takes a tenth of the time.
 const WARM_PERCENT: u64 = 200;
+/// Usage score up to which an adapter is soon idle, and the number of such adapters at a server without
+/// an idle slot from which one is expected to be free before a load from the weight store is done.
+const SELDOM_USED_SCORE: u32 = 1;
+const MIN_SELDOM_USED: usize = 2;
 /// Number of servers considered for a load, by rank of their hash with the adapter. Few, so that an
 /// adapter tends to return to a server that still has it in its own memory; more than one, so that
 /// the less loaded can be chosen.
@@ -331,9 +335,17 @@
             let target = without.iter().filter(fits).min_by_key(|state| state.rank(hash))?;
             return Some(target.entry.server.clone());
         }
-        // The copy has to relieve an overloaded holder, so it goes to the cheapest server.
+        // The copy has to relieve an overloaded holder, so it goes to the cheapest server, or to one
+        // that need not fetch the adapter from the store.
         let takes = |state: &&&BackendState| state.takes_loads(now);
-        let target = without.iter().filter(takes).min_by_key(|state| state.cost(typical, now))?;
+        let cost_of = |state: &&&BackendState| state.cost(typical, now);
+        let cheapest = without.iter().filter(takes).min_by_key(cost_of)?;
+        let recent = without.iter().filter(takes).filter(|state| {
+            self.memory_first
+                && state.recently_held.contains(key)
+                && state.cost(typical, now) <= COPY_TOKENS.max(mean)
+        });
+        let target = recent.min_by_key(cost_of).unwrap_or(cheapest);
         (target.cost(typical, now) < cost * COPY_TARGET_PERCENT / 100)
             .then(|| target.entry.server.clone())
     }
@@ -355,6 +367,11 @@
         let unlimited: Vec<&'a BackendState> =
             all.iter().filter(|state| state.limit_per_s().is_none()).copied().collect();
         let all = if unlimited.iter().any(|state| owned(&state)) { &unlimited } else { all };
+        if self.memory_first
+            && let Some(state) = self.memory_target(all, key, typical, now)
+        {
+            return Some(state);
+        }
         let any_free = all.iter().any(|state| free(&state));
         let mut ranked: Vec<(u64, &BackendState)> = all
             .iter()
@@ -374,6 +391,35 @@
         ranked.iter().take(LOAD_CANDIDATES).min_by_key(cost).map(|(_, state)| *state)
     }
 
+    /// Returns the cheapest server that recently held an adapter and can load it from its own memory soon,
+    /// unless overloaded. One without an idle slot counts too if some of its adapters are seldom used:
+    /// one of them is idle before the weight store would have sent the adapter.
+    fn memory_target<'a>(
+        &self,
+        all: &[&'a BackendState],
+        key: &AdapterKey,
+        typical: TypicalCondition,
+        now: TimePoint,
+    ) -> Option<&'a BackendState> {
+        let owned: Vec<&'a BackendState> =
+            all.iter().filter(|state| state.active_owner(now).is_some()).copied().collect();
+        let total: u64 = owned.iter().map(|state| state.cost(typical, now)).sum();
+        let mean = total / (owned.len() as u64).max(1);
+        let max_cost = COPY_TOKENS.max(mean * WARM_PERCENT / 100);
+        let is_soon_free = |state: &BackendState| {
+            let seldom_used = state.holdings().iter().filter(|holding| {
+                holding.usage_score <= SELDOM_USED_SCORE && holding.usable_from <= now
+            });
+            state.takes_loads(now) || seldom_used.count() >= MIN_SELDOM_USED
+        };
+        let fits = |state: &&BackendState| {
+            state.recently_held.contains(key)
+                && is_soon_free(state)
+                && state.cost(typical, now) <= max_cost
+        };
+        owned.into_iter().filter(fits).min_by_key(|state| state.cost(typical, now))
+    }
+
     /// Returns the median response time and mean failure rate of a service's servers.
     fn typical(&self, service: &ServiceName) -> TypicalCondition {
         let mut latencies = Vec::new();
--- a/decision/tests/suite/server_choice.rs
+++ b/decision/tests/suite/server_choice.rs
@@ -360,3 +360,32 @@
     let choice = Need::new("a1").choose(&table, 1, now);
     assert!(matches!(choice, ServerChoice::Load { .. }), "{choice:?}");
 }
+
+/// Servers with few slots, all in use: an adapter that was evicted a moment ago must return to the server that still has
+/// it in its own memory. Fetched again at each server that has a free slot, rare adapters fill the weight store.
+#[test]
+fn returns_to_memory() {
+    let seldom = ["b1", "b2", "b3"];
+    let place = |table: &mut BackendTable| {
+        for number in 0..6 {
+            table.apply_entry(entry(&format!("s{number}"), 1), TimePoint(0));
+        }
+        list(table, "s4", &["a1", "b1", "b2"], TimePoint(0));
+        for number in 0..6 {
+            let free = u32::from(number != 4);
+            let owner =
+                ServerOwner { vm: "a".into(), incarnation: 0, fence: 1, at: TimePoint(0), free };
+            let holdings = seldom.iter().map(|name| holding(name, 1)).collect();
+            assert!(table.apply_list(&format!("s{number}"), owner, 9, holdings));
+        }
+    };
+    let load_at = |mut table: BackendTable| {
+        place(&mut table);
+        match Need::new("a1").choose(&table, 1, TimePoint(1)) {
+            ServerChoice::Load { server } => server.as_str().to_owned(),
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(load_at(BackendTable::new(true)), "s4");
+    assert_ne!(load_at(BackendTable::new(false)), "s4");
+}
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -118,6 +118,9 @@
         /// Whether VMs share how fast servers work, and divide the work ahead of a request by it. For
         /// services whose servers differ in speed.
         pub server_speed: bool = false;
+        /// Whether an adapter returns to a server that still has it in its own memory, also where
+        /// another one could fetch it from the weight store at once. For servers with few adapter slots.
+        pub memory_first: bool = false;
     }
 }
 
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -259,7 +259,7 @@
             limit_uses: LimitUseList::default(),
             uses_changed: false,
             versions: Vec::new(),
-            backends: BackendTable::default(),
+            backends: BackendTable::new(settings.choice.memory_first),
             crashes: CrashLedger::starting(clock::now()),
             broken: BrokenRuns::default(),
             links: ServerLinks::default(),
