Differences of named entries move from ctl to decision

The check of the platform's configuration compares two configurations as the diff of manifests compares two manifests.

--- a/ctl/src/diff.rs
+++ b/ctl/src/diff.rs
@@ -1,5 +1,6 @@
 //! Differences between two manifests.
 
+use coltsfoothook_decision::difference::{EntryChange, changed_fields, entry_changes};
 use coltsfoothook_decision::manifest::{ManifestDelta, ServingManifest};
 use serde::Serialize;
 
@@ -46,7 +47,8 @@
             diff.only_whole.push(format!("stores[{:?}]", region.as_str()));
         }
         if old.policy != new.policy {
-            diff.lines.push(format!("~ policy: {}", changed_fields(&old.policy, &new.policy)));
+            let fields = changed_fields(&old.policy, &new.policy);
+            diff.lines.push(format!("~ policy: {}", fields.join(", ")));
             put.policy = Some(new.policy.clone());
         }
         diff.delta = delta;
@@ -68,41 +70,27 @@
     {
         let mut put = Vec::new();
         let mut removed = Vec::new();
-        for entry in old {
-            let name = key(entry);
-            if new.binary_search_by(|other| key(other).cmp(name)).is_err() {
-                self.lines.push(format!("- {list}[{:?}]", name.as_ref()));
-                removed.push(name.clone());
-            }
-        }
-        for entry in new {
-            let name = key(entry);
-            let entry_path = format!("{list}[{:?}]", name.as_ref());
-            match old.binary_search_by(|other| key(other).cmp(name)) {
-                Ok(at) if old[at] == *entry => continue,
-                Ok(at) => {
-                    self.lines.push(format!("~ {entry_path}: {}", changed_fields(&old[at], entry)))
+        for change in entry_changes(old, new, &key) {
+            let path = |entry: &T| format!("{list}[{:?}]", key(entry).as_ref());
+            match change {
+                EntryChange::Removed(entry) => {
+                    self.lines.push(format!("- {}", path(entry)));
+                    removed.push(key(entry).clone());
+                }
+                EntryChange::Added(entry) => {
+                    self.lines.push(format!("+ {}", path(entry)));
+                    put.push(entry.clone());
+                }
+                EntryChange::Changed(entry, fields) => {
+                    self.lines.push(format!("~ {}: {}", path(entry), fields.join(", ")));
+                    put.push(entry.clone());
                 }
-                Err(_) => self.lines.push(format!("+ {entry_path}")),
             }
-            put.push(entry.clone());
         }
         (put, removed)
     }
 }
 
-/// Lists the names of the top-level fields in which two entries differ, separated by commas.
-fn changed_fields<T: Serialize>(old: &T, new: &T) -> String {
-    let fields = |value: &T| serde_json::to_value(value).unwrap_or_default();
-    let (old, new) = (fields(old), fields(new));
-    let (Some(old), Some(new)) = (old.as_object(), new.as_object()) else { return String::new() };
-    let mut names: Vec<&str> = old.keys().chain(new.keys()).map(String::as_str).collect();
-    names.sort_unstable();
-    names.dedup();
-    names.retain(|&name| old.get(name) != new.get(name));
-    names.join(", ")
-}
-
 #[cfg(test)]
 mod tests {
     use coltsfoothook_decision::delta::apply_delta;
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod credential;
 pub mod customer;
 pub mod delta;
+pub mod difference;
 mod digest;
 pub mod domain_update;
 pub mod era;
