Rules of a check of the platform's configuration

VMs accept every configuration that they can decode, also one with a route that can never match or a customer without a key. check_routes finds such mistakes in the decoded table, and check_change the differences from the one in force. The table now lists its routes.

Servers are not part of a configuration, so that attempts are compared with them only where they are given. Keys of customers are never part of a finding.

--- a/decision/src/check.rs
+++ b/decision/src/check.rs
@@ -235,7 +235,7 @@
 }
 
 /// Formats a value for a message: quoted, and truncated if too long.
-fn quoted(text: &str) -> String {
+pub(crate) fn quoted(text: &str) -> String {
     const MAX_CHARACTERS: usize = 48;
     if text.chars().count() <= MAX_CHARACTERS {
         return format!("{text:?}");
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod room_issuer;
 mod room_window;
 pub mod route;
+pub mod route_check;
 pub mod routing;
 mod row;
 pub mod server_limit;
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -231,6 +231,12 @@
         &self.services
     }
 
+    /// Returns all routes, sorted by host and prefix.
+    #[must_use]
+    pub fn routes(&self) -> &[ServingRoute] {
+        &self.routes
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -30,6 +30,7 @@
 mod removed_keys;
 mod repeat_budget;
 mod repeat_fleet;
+mod route_findings;
 mod route_table;
 mod server_choice;
 mod server_limits;
--- a/decision/tests/suite/route_table.rs
+++ b/decision/tests/suite/route_table.rs
@@ -7,7 +7,8 @@
     CallerLimits, RetryRule, RouteShare, RouteTable, ServingRoute,
 };
 
-fn route(name: &str, host: &str, prefix: &str) -> ServingRoute {
+/// Returns a route to the service `plain`.
+pub(crate) fn route(name: &str, host: &str, prefix: &str) -> ServingRoute {
     ServingRoute {
         name: name.to_owned(),
         host: host.to_owned(),
@@ -23,7 +24,8 @@
     }
 }
 
-fn table(routes: Vec<ServingRoute>) -> RouteTable {
+/// Returns a configuration of `routes` without services and customers.
+pub(crate) fn table(routes: Vec<ServingRoute>) -> RouteTable {
     let limits = CallerLimits {
         head_bytes: 8_192,
         body_bytes: 1 << 20,
