coltsfoothook-ctl check takes the platform's configuration

A file with routes or limits is a configuration; others are manifests or deltas as before. Exit codes: 0 nothing, 1 findings, 2 a file that cannot be read.

--- a/ctl/src/arguments.rs
+++ b/ctl/src/arguments.rs
@@ -11,6 +11,7 @@
 const FOOTER: &str = "\
 Examples:
   coltsfoothook-ctl check manifest.json
+  coltsfoothook-ctl check config.json --against config-in-force.json --json
   coltsfoothook-ctl publish manifest.json --base 41 --settings ctl.json
   coltsfoothook-ctl publish --delta delta.json --base 42 --entry 10.0.0.1:8081 --json
   coltsfoothook-ctl diff manifest.json --settings ctl.json
@@ -20,7 +21,7 @@
   coltsfoothook-ctl losses --late-ms 800 logs/*.log
   coltsfoothook-ctl hash-credential --generate
 Exit codes:
-  0 done; 1 refused, nothing changed; 2 usage; 3 no entry VM reached; 4 outcome unknown
+  0 done; 1 refused or findings, nothing changed; 2 usage; 3 no entry VM reached; 4 outcome unknown
   5 stale base; 6 try later, the log is down or the VM is not ready; 7 token refused
   After 3, 4 and 6 it is safe to repeat the same command.";
 
@@ -28,13 +29,15 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, descr(DESCRIPTION), footer(FOOTER))]
 pub(crate) enum CtlCommand {
-    /// Checks a manifest, or a delta against a manifest, offline
+    /// Checks a manifest, a delta against a manifest, or the platform's configuration, offline
     #[bpaf(command)]
     Check {
         /// The manifest that the delta in FILE applies to
         #[bpaf(argument("MANIFEST"))]
         onto: Option<PathBuf>,
         #[bpaf(external)]
+        configuration_arguments: ConfigurationArguments,
+        #[bpaf(external)]
         json: bool,
         /// The file, in JSON with comments
         #[bpaf(positional("FILE"))]
@@ -154,6 +157,17 @@
     },
 }
 
+/// What the platform's configuration is compared with.
+#[derive(Clone, Debug, Default, Bpaf)]
+pub(crate) struct ConfigurationArguments {
+    /// The platform's configuration in force; differences from it are findings
+    #[bpaf(argument("CONFIGURATION"))]
+    pub(crate) against: Option<PathBuf>,
+    /// The registered servers, a JSON object of their entries by id, to compare attempts with
+    #[bpaf(argument("SERVERS"))]
+    pub(crate) servers: Option<PathBuf>,
+}
+
 /// The VM or server that a drain applies to.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum DrainTarget {
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -14,8 +14,11 @@
 use http::Method;
 use serde_json::json;
 
-use crate::arguments::{ConnectArguments, CtlCommand, DrainTarget, ctl_command};
+use crate::arguments::{
+    ConfigurationArguments, ConnectArguments, CtlCommand, DrainTarget, ctl_command,
+};
 use crate::client::EntryClient;
+use crate::configuration::{check_configuration, is_configuration};
 use crate::diff::ManifestDiff;
 use crate::document::ManifestFile;
 use crate::error::{CtlError, CtlExit};
@@ -94,7 +97,9 @@
 
 fn execute(command: CtlCommand, streams: &CtlStreams) -> Result<CtlReport, CtlError> {
     match command {
-        CtlCommand::Check { onto, file, .. } => check(&file, onto.as_deref()),
+        CtlCommand::Check { onto, configuration_arguments, file, .. } => {
+            check(&file, onto.as_deref(), &configuration_arguments)
+        }
         CtlCommand::Trace { id, files, .. } => trace(&id, &files),
         CtlCommand::Losses { late_ms, every_s, files, .. } => losses(&files, late_ms, every_s),
         CtlCommand::HashCredential { generate, .. } => hash_credential(generate, streams),
@@ -155,8 +160,25 @@
     }
 }
 
-fn check(file: &Path, onto: Option<&Path>) -> Result<CtlReport, CtlError> {
+fn check(
+    file: &Path,
+    onto: Option<&Path>,
+    arguments: &ConfigurationArguments,
+) -> Result<CtlReport, CtlError> {
     let manifest_file = ManifestFile::read(file)?;
+    if is_configuration(&manifest_file)? {
+        if onto.is_some() {
+            return Err(CtlError::usage(
+                "--onto is for a delta of a manifest, not a configuration",
+            ));
+        }
+        return check_configuration(&manifest_file, arguments);
+    }
+    if arguments.against.is_some() || arguments.servers.is_some() {
+        return Err(CtlError::usage(
+            "--against and --servers are for the platform's configuration",
+        ));
+    }
     let manifest = match onto {
         None => manifest_file.manifest()?,
         Some(onto) => manifest_file.applied_to(&ManifestFile::read(onto)?.manifest()?)?,
--- a/ctl/src/document.rs
+++ b/ctl/src/document.rs
@@ -1,4 +1,4 @@
-//! Reads manifests and deltas from files and locates their faults.
+//! Reads manifests, deltas and configurations from files and locates their faults.
 
 use std::path::{Path, PathBuf};
 
@@ -11,10 +11,10 @@
 
 use crate::error::{CtlError, UnreadableSnafu};
 
-/// Maximum size of a manifest's or a delta's file.
+/// Maximum size of a file.
 const MAX_FILE_BYTES: u64 = 256 << 20;
 
-/// A manifest or delta file. Its text is kept to locate faults that are found after parsing.
+/// A file with a manifest, a delta or the platform's configuration. Its text is kept to locate faults that are found after parsing.
 pub(crate) struct ManifestFile {
     path: PathBuf,
     text: String,
@@ -70,8 +70,22 @@
         CtlError::Invalid { file: self.path.clone(), faults: located }
     }
 
+    pub(crate) fn path(&self) -> &Path {
+        &self.path
+    }
+
+    pub(crate) fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Parses the text without decoding it.
+    pub(crate) fn document(&self) -> Result<SettingsDocument<'_>, CtlError> {
+        let parsed = SettingsDocument::parse(&self.text);
+        parsed.map_err(|faults| CtlError::Invalid { file: self.path.clone(), faults })
+    }
+
     fn parse<T: DeserializeOwned>(&self) -> Result<T, CtlError> {
-        let parsed = SettingsDocument::parse(&self.text).and_then(|it| parse_document(&it));
+        let parsed = parse_document(&self.document()?);
         parsed.map_err(|faults| CtlError::Invalid { file: self.path.clone(), faults })
     }
 }
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod arguments;
 mod client;
 mod command;
+mod configuration;
 mod diff;
 mod document;
 mod error;
--- a/ctl/tests/suite/main.rs
+++ b/ctl/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operators' program, one file per feature.
 
+mod check_configuration;
 mod check_offline;
 mod doc_links;
 mod event_names;
