--- a/ctl/tests/suite/check_configuration.rs
+++ b/ctl/tests/suite/check_configuration.rs
@@ -83,7 +83,7 @@
     assert_eq!(result.exit, CtlExit::Refused);
     expect![[r#"
         limits.json:5:75: routes["chat"].max_attempts: it allows 2 servers, but 1 of service "engines" are known [attempts_above_servers]
-        limits.json:7:7: routes["plain"].traffic_split: the weights sum to nothing, so no request can be sent [no_weight]
+        limits.json:7:7: routes["plain"].traffic_split: the weights sum to zero, so no request can be sent [no_weight]
         limits.json:8:26: routes["plain"].target_latency_ms: the target of 1200 ms is above the timeout of 600 ms [target_above_timeout]
         limits.json:12:111: tenants["lilac"].burst: the burst of 499 tokens is below the 500 that one request costs at least [burst_below_request]
         limits.json:13:25: tenants["sorrel"].api_keys: a key is also a key of customer "lilac", to whom its requests are attributed [shared_key]
--- a/decision/src/route_check.rs
+++ b/decision/src/route_check.rs
@@ -39,7 +39,7 @@
         UnmatchablePrefix,
         /// A route names a service that does not exist.
         UnknownService,
-        /// The weights of a route's split sum to nothing.
+        /// The weights of a route's split sum to zero.
         NoWeight,
         /// A route's target is above its timeout.
         TargetAboveTimeout,
@@ -228,7 +228,7 @@
             }
         }
         if route.shares.iter().all(|share| share.weight == 0) {
-            let detail = "the weights sum to nothing, so no request can be sent".to_owned();
+            let detail = "the weights sum to zero, so no request can be sent".to_owned();
             self.add(FindingCode::NoWeight, format!("{path}.traffic_split"), detail);
         }
         let timeout_ms = route.timeout.as_millis();
--- a/decision/tests/suite/route_findings.rs
+++ b/decision/tests/suite/route_findings.rs
@@ -126,7 +126,7 @@
 }
 
 #[test]
-fn weights_sum_to_nothing() {
+fn weights_sum_to_zero() {
     let found = found(|parts| parts.routes[0].shares[0].weight = 0);
     assert_eq!(found, [r#"no_weight routes["all"].traffic_split"#]);
 }
