Soak: no customer far below its limit is refused for it

The soak judged limits of servers alone. Its callers now have a customer with a limit of some three times what they send, over all gateways; a refusal with 429 is a finding from three seconds after the start where no gateway restarts or pauses, and after the last fault elsewhere.

--- a/gateway/tests/soak/callers.rs
+++ b/gateway/tests/soak/callers.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::server::{CRASHING, CRASHING_PARTS, MODEL};
-use crate::world::SoakWorld;
+use crate::world::{CUSTOMER_KEY, SoakWorld};
 
 /// The deadline of each request, in milliseconds.
 const DEADLINE_MS: u64 = 5_000;
@@ -338,6 +338,7 @@
         request.headers.insert(HeaderName::from_static(name), value);
     };
     set("host", "a.example");
+    set("authorization", &format!("Bearer {CUSTOMER_KEY}"));
     set("coltsfoothook-request-id", id);
     set("coltsfoothook-deadline-ms", &DEADLINE_MS.to_string());
     if kind.is_stream() {
--- a/gateway/tests/soak/faults.rs
+++ b/gateway/tests/soak/faults.rs
@@ -143,6 +143,15 @@
         }
     }
 
+    /// Returns whether no gateway restarts, pauses or loses contact with the others.
+    pub(crate) fn keeps_gateways(self) -> bool {
+        match self {
+            Self::Store | Self::Statements | Self::Jumps | Self::Copies => true,
+            Self::Crashes | Self::Parts | Self::Brittle => true,
+            Self::Planned | Self::Some | Self::Many | Self::Apart | Self::BrittleVms => false,
+        }
+    }
+
     /// Returns the mean time between the starts of two faults, in milliseconds.
     fn mean_interval_ms(self) -> u64 {
         match self {
--- a/gateway/tests/soak/verdict.rs
+++ b/gateway/tests/soak/verdict.rs
@@ -32,6 +32,8 @@
 /// The time after which a request whose caller left must not reach a server, and how many may all the same.
 const LEFT_NOTICE: Duration = Duration::from_millis(500);
 const ALLOWED_LEFT: usize = 3;
+/// The time after the start, or after the last fault, in which a gateway's estimate of a customer's use settles.
+const LIMIT_SETTLES: Duration = Duration::from_secs(3);
 /// The percentage of requests that must be served once all faults are over.
 const RECOVERED_PERCENT: usize = 90;
 
@@ -129,6 +131,10 @@
                 self.find(format!("{server} ran {} that no caller sent", run.id));
             }
         }
+        self.judge_customer(
+            &calls,
+            if world.judges_customer { world.started } else { steady_from },
+        );
         self.judge_recovery(&calls, steady_from);
         for kind in [ServerKind::Engine, ServerKind::Plain, ServerKind::Elsewhere] {
             self.judge_repeats(kind, &calls, &world.arrivals_at(kind));
@@ -288,6 +294,18 @@
         }
     }
 
+    /// Checks that no request of a customer far below its limit was refused for the limit, of those sent some seconds
+    /// after `from`.
+    fn judge_customer(&self, calls: &[CallRecord], from: Instant) {
+        let refused = calls.iter().filter(|record| {
+            let CallEnd::Answered { status, seal, .. } = &record.end else { return false };
+            *status == 429 && seal.is_empty() && record.sent >= from + LIMIT_SETTLES
+        });
+        for record in refused {
+            self.find(format!("{}: refused below its customer's limit", record.describe()));
+        }
+    }
+
     /// Checks that enough of the requests sent after `from`, when all faults are over, are served.
     fn judge_recovery(&self, calls: &[CallRecord], from: Instant) {
         let due =
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -121,6 +121,10 @@
 /// The room of servers that fail under what they turn away: less than their entries say.
 const BRITTLE_ROOM: BrittleRoom =
     BrittleRoom { places: 4, run_time: Duration::from_millis(100), breaks_beyond: 6 };
+/// The key of the callers' customer, and its limit in requests per second over all gateways: some three times what its
+/// callers send.
+pub(crate) const CUSTOMER_KEY: &str = "soak-key";
+const CUSTOMER_PER_S: u64 = 400;
 /// The limit that servers state, in requests per second.
 pub(crate) const LIMIT_PER_S: f64 = 4.0;
 /// The rest that servers ask for.
@@ -140,6 +144,8 @@
     /// Whether no gateway restarts or pauses but for planned work, so that it is judged what callers that left have
     /// waiting.
     pub(crate) judges_left: bool,
+    /// Whether no gateway restarts or pauses, so that none may refuse a customer below its limit at any time.
+    pub(crate) judges_customer: bool,
     slots: Mutex<Vec<ServerSlot>>,
     /// All servers that were ever started, each with the time at which it began to drain.
     all_servers: Mutex<Vec<(StandinServer, Option<Instant>)>>,
@@ -157,6 +163,8 @@
     /// The last configuration that was published after all faults, and from when on no older one may be used.
     watched: Mutex<Option<(u64, Instant)>>,
     over: AtomicBool,
+    /// When the gateways were started.
+    pub(crate) started: Instant,
     /// Holds the settings and logs of the gateways, and the log of faults.
     folder: PathBuf,
 }
@@ -236,6 +244,7 @@
             only_planned: mix == FaultMix::Planned,
             judges_drains: matches!(mix, FaultMix::Planned | FaultMix::Copies),
             judges_left: matches!(mix, FaultMix::Planned | FaultMix::Brittle),
+            judges_customer: mix.keeps_gateways(),
             slots: Mutex::default(),
             all_servers: Mutex::default(),
             services: Mutex::default(),
@@ -247,6 +256,7 @@
             jumps: AtomicU64::new(0),
             watched: Mutex::default(),
             over: AtomicBool::new(false),
+            started: Instant::now(),
             folder,
         };
         for kind in SLOTS {
@@ -299,7 +309,12 @@
 
     fn publish(&self, version: u64) {
         let moved = if version.is_multiple_of(2) { "elsewhere" } else { "plain" };
-        self.store.write("keyed.op", "config", Some(&configuration(version, moved)));
+        let mut configuration = configuration(version, moved);
+        configuration["tenants"] = json!([{
+            "name": "c1", "api_keys": [CUSTOMER_KEY],
+            "rate_per_s": CUSTOMER_PER_S, "burst": CUSTOMER_PER_S,
+        }]);
+        self.store.write("keyed.op", "config", Some(&configuration));
     }
 
     /// Publishes the next configuration, which all gateways must use after [`IN_FORCE`].
