Send a request that waits longer than most to a second server

Cause: nothing is done about a slow answer before its timeout, so that a slow server decides the slowest twentieth of a route's answers.

Change: with second_send.percent above 0, an idempotent request or a resumable stream before its first event that has waited for longer than second_send.quantile of its route's requests of the last ten seconds is sent to a second server with a free slot. The first answer that can be forwarded wins, and the other send's connection is closed. Second sends are charged to the budget of repeats and to a share of the service's requests of their own. Off by default.

Measured: the tests of this change only (decision second_send, gateway second_sends); no load was measured.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod route;
 pub mod routing;
 mod row;
+pub mod second_send;
 pub mod server_limit;
 pub mod slot;
 pub mod snapshot;
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -31,6 +31,7 @@
 mod repeat_budget;
 mod repeat_fleet;
 mod route_table;
+mod second_send;
 mod server_choice;
 mod server_limits;
 mod server_lives;
--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -1,5 +1,6 @@
 //! A response whose body is streamed.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -83,6 +84,8 @@
     connection: Option<OpenConnection>,
     pool: ConnectionPool,
     finished: bool,
+    /// Chunks that were read ahead and are returned first.
+    put_back: VecDeque<Result<Bytes, ExchangeError>>,
 }
 
 impl ResponseBody {
@@ -101,9 +104,21 @@
             connection: Some(connection),
             pool,
             finished: false,
+            put_back: VecDeque::new(),
         }
     }
 
+    /// Returns what was read of the body, so that it is read again first. It must be the last that was read.
+    pub fn put_back(&mut self, chunks: Vec<Result<Bytes, ExchangeError>>) {
+        self.put_back.extend(chunks);
+    }
+
+    /// Replaces [`crate::ExchangeRequest::chunk_timeout`] for the chunks that are still to come.
+    pub fn set_chunk_timeout(&mut self, chunk_timeout: Duration) {
+        self.chunk_timeout = chunk_timeout;
+        self.timer.as_mut().reset(Instant::now() + chunk_timeout);
+    }
+
     /// Reads the body to its end.
     ///
     /// # Errors
@@ -141,6 +156,9 @@
     type Item = Result<Bytes, ExchangeError>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if let Some(chunk) = self.put_back.pop_front() {
+            return Poll::Ready(Some(chunk));
+        }
         loop {
             if self.finished {
                 return Poll::Ready(None);
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -229,6 +229,48 @@
     room: Option<ServerName>,
 }
 
+/// Returns what the request requires of its server.
+fn server_requirements<'a>(
+    run: &'a RequestRun,
+    excluded: &'a [ServerName],
+    version: u64,
+    gap: Option<Duration>,
+) -> ServerRequirements<'a> {
+    let need = run.request.head.need.as_ref();
+    let key = need.and_then(|need| need.adapter.as_ref());
+    ServerRequirements {
+        service: &run.request.service,
+        model: need.map(|need| &need.model),
+        adapter: key.map(|key| (key, version)),
+        software: run.origin.as_ref().map(|origin| &origin.software),
+        excluded,
+        domain: &run.gateway.settings.domain,
+        shared: need.map(ModelNeed::shared).unwrap_or_default(),
+        prompt: run.prompt_tokens(),
+        gap,
+    }
+}
+
+/// Returns a second server for a request that waits for the answer of its first one. It has a free slot, holds the
+/// adapter, and needs no permit that other requests wait for.
+pub(crate) fn choose_second(run: &RequestRun, now: TimePoint) -> Option<ServerName> {
+    let mut view = run.gateway.view();
+    let draw = view.random();
+    let service = &run.request.service;
+    let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
+    let oldest = key.map_or(0, |key| view.usable_versions(run, key, now).0);
+    let closed = view.closed_servers(service, &run.avoided, true, None, now);
+    let mut excluded =
+        [run.avoided.as_slice(), &closed.closed, &closed.pending, &closed.scarce].concat();
+    excluded.extend(run.server.clone());
+    excluded.extend(view.backends.without_free_slot(service, now));
+    let gap = view.table.as_ref().and_then(|table| table.min_gap(service));
+    match view.backends.choose(&server_requirements(run, &excluded, oldest, gap), draw, now) {
+        ServerChoice::Send { server, .. } => Some(server),
+        _ => None,
+    }
+}
+
 /// Chooses a server for the request.
 fn choose(run: &RequestRun, may_hold: bool, may_ask: bool, now: TimePoint) -> PreparedChoice {
     let mut view = run.gateway.view();
@@ -241,19 +283,9 @@
     let open = [run.avoided.as_slice(), closed.closed.as_slice()].concat();
     let excluded = [open.as_slice(), closed.pending.as_slice()].concat();
     let sparing = [excluded.as_slice(), closed.scarce.as_slice()].concat();
-    let domain = &run.gateway.settings.domain;
     let gap = view.table.as_ref().and_then(|table| table.min_gap(&run.request.service));
-    let requirements = |excluded, version| ServerRequirements {
-        service: &run.request.service,
-        model: need.map(|need| &need.model),
-        adapter: key.map(|key| (key, version)),
-        software: run.origin.as_ref().map(|origin| &origin.software),
-        excluded,
-        domain,
-        shared: need.map(ModelNeed::shared).unwrap_or_default(),
-        prompt: run.prompt_tokens(),
-        gap: gap.filter(|_| may_hold),
-    };
+    let gap = gap.filter(|_| may_hold);
+    let requirements = |excluded, version| server_requirements(run, excluded, version, gap);
     let mut choice = view.backends.choose(&requirements(&excluded, oldest), draw, now);
     if !closed.scarce.is_empty() {
         let other = view.backends.choose(&requirements(&sparing, oldest), draw, now);
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -25,7 +25,8 @@
 };
 use crate::refusal::Refusal;
 use crate::run::{CallerRequest, RequestRun};
-use crate::send::{SendEnd, send};
+use crate::second_send::send_with_second;
+use crate::send::SendEnd;
 use crate::state::Gateway;
 use crate::suspects;
 
@@ -217,7 +218,7 @@
         if !run.may_send() {
             return give_up(run, "repeat_budget");
         }
-        let end = send(&mut run, &server, None).await;
+        let (server, end) = send_with_second(&mut run, server).await;
         let step = match end {
             SendEnd::Answer(answer) => match handle_answer(run, server, answer).await {
                 AfterAnswer::Finished(answer) => return *answer,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod room;
 mod roster;
 mod run;
+mod second_send;
 mod send;
 mod sent;
 mod settings;
@@ -87,5 +88,6 @@
 
 pub use process::{GatewayError, GatewayProcess, run_gateway};
 pub use settings::{
-    CapacitySettings, GatewaySettings, ListenSettings, PromiseSettings, StoreSettings,
+    CapacitySettings, GatewaySettings, ListenSettings, PromiseSettings, SecondSendSettings,
+    StoreSettings,
 };
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     late: IntCounterVec,
     sends: IntCounterVec,
     repeats: IntCounterVec,
+    second_sends: IntCounterVec,
     store: IntCounterVec,
     servers: IntCounterVec,
     statements: IntCounterVec,
@@ -140,6 +141,14 @@
                  of repeats did not hold it.",
                 &["service", "result"],
             ),
+            second_sends: counter(
+                "coltsfoothook_gateway_second_sends_total",
+                "Requests that waited for an answer for longer than most of their route, by result: the second \
+                 send `won`, `lost`, was `refused` or `failed`, or its caller left (`abandoned`); without a \
+                 second send, why: `few_observations`, `late`, `loaded`, `no_server`, `share`, \
+                 `repeat_budget`, `suspect`, or the server was `closed`.",
+                &["result"],
+            ),
             store: counter(
                 "coltsfoothook_gateway_store_calls_total",
                 "Calls to the platform's store.",
@@ -288,6 +297,11 @@
         self.repeats.with_label_values(&[service.as_str(), result]).inc();
     }
 
+    /// Counts a request that was to be sent to a second server.
+    pub(crate) fn second_send(&self, result: &str) {
+        self.second_sends.with_label_values(&[result]).inc();
+    }
+
     /// Counts a call to the store.
     pub(crate) fn store_call(&self, call: &str, result: &str) {
         self.store.with_label_values(&[call, result]).inc();
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -64,7 +64,7 @@
     if stream {
         return AfterAnswer::finished(StreamRelay::answer(run, server, answer).await);
     }
-    let (headers, latency) = (answer.headers.clone(), run.elapsed());
+    let (headers, latency) = (answer.headers.clone(), run.server_latency());
     let body = timeout(run.left() + ANSWER_SLACK, answer.body.collect(MAX_BUFFERED_BYTES)).await;
     if let Ok(Err(ExchangeError::BodyFailed { .. })) = &body {
         suspects::run_broken(&run);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -38,7 +38,7 @@
 }
 
 /// Returns whether an answer on a route for streams is one of events. One without a type counts as such.
-fn is_event_stream(headers: &HeaderMap) -> bool {
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
     let stated = headers.get(header::CONTENT_TYPE).map(|value| value.as_bytes());
     stated.is_none_or(|stated| stated.to_ascii_lowercase().starts_with(EVENT_STREAM))
 }
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -82,6 +82,8 @@
     pub(crate) retry_after: Option<Duration>,
     /// Where it waits for a place, at a server that bears few refusals.
     pub(crate) ticket: Option<RoomTicket>,
+    /// When the second send began that answered it, while the first one waited.
+    pub(crate) second_sent_at: Option<TimePoint>,
     /// Counts it among the requests at the server of the last send.
     pub(crate) count: Option<SentCount>,
     /// What it was charged to its customer's limit.
@@ -111,6 +113,15 @@
     pub(crate) started: TimePoint,
 }
 
+/// What a request's state says of one send, kept aside while the state is that of another one.
+#[derive(Default)]
+pub(crate) struct SendState {
+    pub(crate) server: Option<ServerName>,
+    incarnation: u64,
+    software: Option<SoftwareVersion>,
+    pub(crate) count: Option<SentCount>,
+}
+
 impl CallerRequest {
     /// Returns the fingerprint of a request: of its customer, method, host, path with query, and body.
     pub(crate) fn fingerprint(
@@ -147,7 +158,11 @@
         request: CallerRequest,
         charge: Option<LimitCharge>,
     ) -> Self {
-        gateway.view().budget.record_first(&request.service, clock::now());
+        let now = clock::now();
+        let mut view = gateway.view();
+        view.budget.record_first(&request.service, now);
+        view.second_sends.record_first(&request.service, now);
+        drop(view);
         Self::started(gateway, request, charge)
     }
 
@@ -189,6 +204,7 @@
             status: 0,
             retry_after: None,
             ticket: None,
+            second_sent_at: None,
             count: None,
             charge,
             outcome: None,
@@ -230,6 +246,12 @@
         self.request.head.need.as_ref().map_or(0, |need| u64::from(need.prompt_tokens))
     }
 
+    /// Returns how long its server took to answer. The time before a second send is not the second server's.
+    pub(crate) fn server_latency(&self) -> Duration {
+        let of_second = self.second_sent_at.map(|at| Duration::from_micros(clock::now().since(at)));
+        of_second.unwrap_or_else(|| self.elapsed())
+    }
+
     /// Records that its server has read the prompt.
     pub(crate) fn record_prompt_read(&mut self) {
         if let Some(count) = &mut self.count {
@@ -291,6 +313,21 @@
         }
     }
 
+    /// Returns to its customer's limit what a further send was charged that certainly did not run.
+    pub(crate) fn refund_send(&self) {
+        if let Some(charge) = &self.charge {
+            charge.refund(&self.gateway);
+        }
+    }
+
+    /// Exchanges what it knows of its present send with that of another one.
+    pub(crate) fn swap_send(&mut self, other: &mut SendState) {
+        std::mem::swap(&mut self.server, &mut other.server);
+        std::mem::swap(&mut self.incarnation, &mut other.incarnation);
+        std::mem::swap(&mut self.software, &mut other.software);
+        std::mem::swap(&mut self.count, &mut other.count);
+    }
+
     /// Returns how long to wait after a server could not run it yet. The wait grows because each send counts
     /// against the budget of repeats.
     pub(crate) fn next_retry_interval(&mut self) -> Duration {
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfoothook_decision::id::ServerName;
+use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::room::PlaceEnd;
 use coltsfoothook_decision::routing::RetryRule;
 use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_exchange::{ExchangeError, ExchangeRequest, ExchangeResponse};
 use coltsfoothook_platform::{ForwardValues, ResponseHead, forward_headers, read_response_head};
 use coltsfoothook_telemetry::event;
+use futures::future::BoxFuture;
 use http::{StatusCode, header};
 
 use crate::clock;
@@ -48,6 +49,23 @@
     Unknown(String),
 }
 
+/// Why a send did not begin.
+pub(crate) enum NotBegun {
+    /// As [`SendEnd::Closed`].
+    Closed,
+    /// As [`SendEnd::Unsent`].
+    Unsent(String),
+}
+
+impl From<NotBegun> for SendEnd {
+    fn from(end: NotBegun) -> Self {
+        match end {
+            NotBegun::Closed => Self::Closed,
+            NotBegun::Unsent(cause) => Self::Unsent(cause),
+        }
+    }
+}
+
 impl SendEnd {
     /// Returns the name in logs and metrics.
     pub(crate) fn name(&self) -> &'static str {
@@ -61,6 +79,14 @@
     }
 }
 
+/// A request that was sent to a server and has no answer yet. Dropping it closes the connection, which ends the request
+/// there.
+pub(crate) struct OpenSend {
+    pub(crate) server: ServerName,
+    pub(crate) sent_at: TimePoint,
+    pub(crate) exchange: BoxFuture<'static, Result<ExchangeResponse, ExchangeError>>,
+}
+
 /// Sends a request to a server and waits for the head of the answer.
 ///
 /// `last_event` is the id after which a stream is resumed; if `None`, the one that the caller gave.
@@ -69,6 +95,21 @@
     server: &ServerName,
     last_event: Option<&str>,
 ) -> SendEnd {
+    match begin(run, server, last_event) {
+        Ok(mut open) => {
+            let sent = (&mut open.exchange).await;
+            conclude(run, &open.server, open.sent_at, sent)
+        }
+        Err(end) => end.into(),
+    }
+}
+
+/// Sends a request to a server. Nothing is counted or charged if it does not begin.
+pub(crate) fn begin(
+    run: &mut RequestRun,
+    server: &ServerName,
+    last_event: Option<&str>,
+) -> Result<OpenSend, NotBegun> {
     let gateway = Arc::clone(&run.gateway);
     if run.ran > 0 && !run.request.route.repeat.may_retry() {
         event!(
@@ -76,13 +117,13 @@
             request_id = run.request.head.id,
             invariant = "a request that may run once is not sent after it may have run",
         );
-        return SendEnd::Unsent("an earlier send may have run it".to_owned());
+        return Err(NotBegun::Unsent("an earlier send may have run it".to_owned()));
     }
     let (address, incarnation, software, version, limit_per_s, count) = {
         let mut view = gateway.view();
         let state = view.backends.get(server.as_str()).filter(|state| !state.leaving);
         let Some(state) = state else {
-            return SendEnd::Unsent("the server is draining or unknown".to_owned());
+            return Err(NotBegun::Unsent("the server is draining or unknown".to_owned()));
         };
         let key = run.request.head.need.as_ref().and_then(|need| need.adapter.as_ref());
         let version = key.and_then(|key| state.version(key));
@@ -95,7 +136,7 @@
                 request_id = run.request.head.id,
                 invariant = "a stream goes on at the software version that began it",
             );
-            return SendEnd::Unsent("the server has another software version".to_owned());
+            return Err(NotBegun::Unsent("the server has another software version".to_owned()));
         }
         let now = clock::now();
         let (limit_per_s, rest) = (state.limit_per_s(), state.rest_wait(now));
@@ -104,7 +145,7 @@
         let permit = if rest.is_zero() { view.take_permit(&start, ticket, now) } else { None };
         let Some(permit) = permit else {
             gateway.metrics.sent("closed");
-            return SendEnd::Closed;
+            return Err(NotBegun::Closed);
         };
         if limit_per_s.is_some() {
             view.limit_uses.count_sent(&start);
@@ -137,6 +178,7 @@
     run.sends += 1;
     run.charge_send();
     run.server = Some(server.clone());
+    run.second_sent_at = None;
     run.incarnation = incarnation;
     run.software = software;
     event!(
@@ -157,7 +199,18 @@
     );
     run.count = Some(count);
     let sent_at = clock::now();
-    let sent = gateway.client.send(address, request).await;
+    let exchange = Box::pin(async move { gateway.client.send(address, request).await });
+    Ok(OpenSend { server: server.clone(), sent_at, exchange })
+}
+
+/// Records and classifies the result of a send, while the request's state is that of this send.
+pub(crate) fn conclude(
+    run: &mut RequestRun,
+    server: &ServerName,
+    sent_at: TimePoint,
+    sent: Result<ExchangeResponse, ExchangeError>,
+) -> SendEnd {
+    let gateway = Arc::clone(&run.gateway);
     match &sent {
         Ok(answer) if answer.fresh => gateway.view().links.record_connected(),
         Ok(_) => {}
@@ -240,7 +293,7 @@
 /// Returns how long to wait for the next piece of the answer: the route's time for an unresponsive stream where
 /// another server may resume it, else all the time left. A shorter time would cut a stream at its last server
 /// during a pause of some seconds that its caller would have waited for.
-fn piece_timeout(run: &RequestRun, left: Duration) -> Duration {
+pub(crate) fn piece_timeout(run: &RequestRun, left: Duration) -> Duration {
     let whole = left + ANSWER_SLACK;
     let route = &run.request.route;
     let may_go_on = route.repeat == RetryRule::StreamResumable;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use coltsfoothook_decision::freshness::RemovalPromise;
 use coltsfoothook_decision::id::{DomainName, VmName};
 use coltsfoothook_decision::limit::LimitExcess;
+use coltsfoothook_decision::second_send::SecondSendBounds;
 use coltsfoothook_settings::settings_struct;
 use coltsfoothook_telemetry::{LogOutput, LogSettings};
 
@@ -112,6 +113,22 @@
     }
 }
 
+settings_struct! {
+    /// Requests that are sent to a second server as the first one answers late. Off by default.
+    pub struct SecondSendSettings {
+        /// Maximum share of a service's requests that are sent to a second server, in percent; 0 turns second sends off.
+        pub percent: f64 = 0.0, in 0.0..=5.0;
+        /// Fraction of a route's requests that are answered sooner than a request that is sent to a second server.
+        pub quantile: f64 = 0.95, in 0.5..=0.999;
+    }
+}
+
+impl SecondSendSettings {
+    pub(crate) fn bounds(&self) -> SecondSendBounds {
+        SecondSendBounds { percent: self.percent, quantile: self.quantile }
+    }
+}
+
 settings_struct! {
     /// Settings of a gateway process.
     pub struct GatewaySettings {
@@ -132,6 +149,8 @@
         pub store: StoreSettings = StoreSettings::default();
         /// Limits that the operators require the system to keep.
         pub promises: PromiseSettings = PromiseSettings::default();
+        /// Requests that are sent to a second server as the first one answers late.
+        pub second_send: SecondSendSettings = SecondSendSettings::default();
         /// What is logged, and where.
         pub logs: LogSettings = LogSettings { output: LogOutput::Stdout, ..LogSettings::default() };
     }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use coltsfoothook_decision::permit::PermitHolder;
 use coltsfoothook_decision::room::RoomHolder;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
+use coltsfoothook_decision::second_send::SecondSends;
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings, ServerDialer};
 use coltsfoothook_platform::{HttpMetadata, HttpServers, MetadataStore, ServerCalls};
 use rand::{Rng, SeedableRng};
@@ -128,6 +129,8 @@
     /// Software versions that streams began at.
     pub(crate) origins: OriginTable,
     pub(crate) budget: RepeatBudget,
+    /// How long requests wait for their answers, and which of them are sent to a second server.
+    pub(crate) second_sends: SecondSends,
     pub(crate) roster: PeerRoster,
     pub(crate) lease: OrderLease,
     pub(crate) order_trackers: ServerTrackers,
@@ -262,6 +265,7 @@
             links: ServerLinks::default(),
             origins: OriginTable::default(),
             budget: RepeatBudget::new(promises.repeats()),
+            second_sends: SecondSends::new(settings.second_send.bounds()),
             roster: PeerRoster::default(),
             lease: OrderLease::new(lease),
             order_trackers: ServerTrackers::default(),
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod repeat_budget;
 mod repeats;
 mod resting_servers;
+mod second_sends;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
 mod server_limits;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How a server handles the next requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,6 +40,10 @@
     AnswersTwice,
     /// It answers 503 with the statement that it did not run the request.
     Full,
+    /// It begins each answer after so many milliseconds, unless the connection is closed before.
+    Late(u64),
+    /// It sends the head of a stream at once, and its events after so many milliseconds.
+    LateEvent(u64),
     /// It takes a second for each event of a stream.
     Slow,
     /// It takes 60 ms for each event of a stream.
@@ -527,6 +531,7 @@
         }
         match mode {
             ServerMode::LosesAnswer => return false,
+            ServerMode::Late(delay_ms) if !self.wait_open(stream, delay_ms).await => return false,
             ServerMode::Fails => return send(stream, 500, &sealed, "failed").await,
             ServerMode::AnswersTwice => {
                 let other = "coltsfoothook-request-id: another\r\ncoltsfoothook-server-seal: x\r\n";
@@ -566,6 +571,11 @@
         if stream.write_all(head.as_bytes()).await.is_err() || mode == ServerMode::CutsHead {
             return false;
         }
+        if let ServerMode::LateEvent(delay_ms) = mode
+            && !self.wait_open(stream, delay_ms).await
+        {
+            return false;
+        }
         for number in last + 1..=EVENTS {
             let event = match mode {
                 ServerMode::Unnumbered => format!("data: {} {number}\n\n", record.id),
@@ -611,6 +621,14 @@
         !unframed && stream.write_all(b"0\r\n\r\n").await.is_ok()
     }
 
+    /// Waits, unless the connection is closed meanwhile: that is counted, and false is returned.
+    async fn wait_open(&self, stream: &mut TcpStream, delay_ms: u64) -> bool {
+        let mut byte = [0];
+        let closed = timeout(Duration::from_millis(delay_ms), stream.read(&mut byte)).await.is_ok();
+        self.state.lock().unwrap().disconnects += usize::from(closed);
+        !closed
+    }
+
     fn report(&self) -> Value {
         let state = self.state.lock().unwrap();
         let adapters: Vec<String> = state.adapters.iter().map(|name| format!("{name}@1")).collect();
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -7,7 +7,8 @@
 
 use coltsfoothook_exchange::{ExchangeClient, ExchangeRequest, ExchangeResponse, ExchangeSettings};
 use coltsfoothook_gateway::{
-    GatewayProcess, GatewaySettings, ListenSettings, PromiseSettings, StoreSettings,
+    GatewayProcess, GatewaySettings, ListenSettings, PromiseSettings, SecondSendSettings,
+    StoreSettings,
 };
 use futures::StreamExt;
 use http::{HeaderName, HeaderValue};
@@ -143,6 +144,18 @@
         self.start_at(peers, vm, &[], false, PromiseSettings::default()).await
     }
 
+    /// Starts a gateway that may send as many percent of its requests to a second server.
+    pub(crate) async fn start_hedging(&self, vm: &str, percent: f64) -> RunningGateway {
+        let peers = SocketAddr::from((loopback_of(vm), self.peer_port));
+        let (mut settings, listen) =
+            self.settings(peers, vm, &[], true, PromiseSettings::default());
+        settings.second_send = SecondSendSettings { percent, ..SecondSendSettings::default() };
+        let process = GatewayProcess::start(settings).await.unwrap();
+        let gateway = RunningGateway { process, listen };
+        gateway.wait_ready().await;
+        gateway
+    }
+
     /// Starts a gateway whose links to the servers can be cut.
     pub(crate) async fn start_cuttable(
         &self,
@@ -221,6 +234,15 @@
         call(self.listen.requests, path, id, headers).await.expect("the gateway answers")
     }
 
+    /// Returns a counter's value by the label that its series has.
+    pub(crate) async fn counter(&self, name: &str, label: &str) -> u64 {
+        let text = get(self.listen.metrics, "/metrics").await.map(|answer| answer.body);
+        let series = format!("{name}{{{label}}} ");
+        let text = text.unwrap_or_default();
+        let value = text.lines().find_map(|line| line.strip_prefix(&series)?.parse().ok());
+        value.unwrap_or(0)
+    }
+
     /// Sends a request to `/{route}/x` that needs an adapter.
     pub(crate) async fn request(&self, route: &str, id: &str, adapter: &str) -> CallerAnswer {
         let model = format!("{MODEL}/{adapter}");
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -23,6 +23,7 @@
     metrics.sent_bytes("KIND", 1);
     metrics.sent("RESULT");
     metrics.repeat("SERVICE", "RESULT");
+    metrics.second_send("RESULT");
     metrics.store_call("CALL", "RESULT");
     metrics.server_call("CALL", "RESULT");
     metrics.statement("WHAT");
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -154,6 +154,9 @@
     RequestRefused, "request_refused", Warn, "A request was refused before routing.";
     RepeatDecided, "repeat_decided", Info, "A request is to be sent again. `why` states how the last send ended, `result` whether the budget of repeats allows it; `repeats`, this one included, of at most `limit` are counted in the time that decides, in which `requests` were received; `slack_share`, if the fleet's slack is divided, is the fraction that is this VM's.";
     RequestSent, "request_sent", Info, "A request is sent to a backend server; the line has the adapter's version at that server and the time left for the request.";
+    SecondSent, "second_sent", Info, "A request that has waited for its answer for longer than `quantile_ms` is sent to a second server. The quantile of the route's waits is from `samples` observations of the last ten seconds and was computed `quantile_age_ms` ago; `running` of the service's `slots` are in use.";
+    SecondWon, "second_won", Info, "The second server answered first; the send to the first one is cancelled after `wait_ms`, `second_ms` after the second send.";
+    SecondEnded, "second_ended", Info, "A second send did not answer the request: `result` is `lost` if the first server answered first and the second send is cancelled, `refused` if it certainly did not run, `failed`, or `abandoned` if the caller left.";
     RequestNotRun, "request_not_run", Warn, "A backend server states that it did not run a request; `usable_ms` states for how many milliseconds this VM had assumed that the adapter was usable there.";
     AdapterAsked, "adapter_asked", Info, "A request waits for an adapter; a load request for it goes to the VM that orders the server, which may be this one.";
     AdapterVersionNamed, "adapter_version_named", Info, "The operators set a new version of an adapter.";
