Tests of second sends: what they leave behind, and a loaded service

Cause: a second send that is refused, cut or cancelled could leave a count at a server, or a customer could pay for a send that certainly did not run.

Change: a test over nine outcomes of two sends compares the counts at both servers and the customer's charges; another holds 16 requests at 16 slots.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -83,6 +83,9 @@
 #[path = "../tests/unit/reader_reports.rs"]
 mod reader_reports;
 #[cfg(test)]
+#[path = "../tests/unit/second_send_counts.rs"]
+mod second_send_counts;
+#[cfg(test)]
 #[path = "../tests/unit/stream_holders.rs"]
 mod stream_holders;
 
--- a/gateway/tests/suite/second_sends.rs
+++ b/gateway/tests/suite/second_sends.rs
@@ -196,3 +196,18 @@
     }
     panic!("no stream was sent to a second server");
 }
+
+/// Load: 16 requests at 16 slots, all late. Guards against second sends that take slots from first ones.
+#[tokio::test]
+async fn loaded() {
+    let site = Site::start(0, 2).await;
+    let gateway = site.start_hedging("vm-1", 5.0).await;
+    observe(&gateway, "safe").await;
+    site.plain.iter().for_each(|server| server.set_mode(ServerMode::Late(300)));
+    let names: Vec<String> = (0..16).map(|number| format!("late-{number}")).collect();
+    let answers = join_all(names.iter().map(|id| request(&gateway, "safe", id))).await;
+    assert!(answers.iter().all(|answer| answer.status == 200));
+    let arrived: usize = site.plain.iter().map(|server| server.all_arrivals().len()).sum();
+    assert_eq!(arrived, 90 + 16);
+    assert!(results(&gateway, "loaded").await >= 1);
+}
