--- a/decision/src/second_send.rs
+++ b/decision/src/second_send.rs
@@ -151,6 +151,14 @@
         Self { bounds, share: RepeatBudget::new(share), routes: Vec::new() }
     }
 
+    /// Replaces the bounds. If they differ, the VM observes and counts anew: a share without slack
+    /// allows no second send for requests that it has not counted.
+    pub fn set_bounds(&mut self, bounds: SecondSendBounds) {
+        if bounds != self.bounds {
+            *self = Self::new(bounds);
+        }
+    }
+
     /// Returns whether any request may be sent to a second server.
     #[must_use]
     pub fn is_on(&self) -> bool {
--- a/decision/tests/suite/second_send.rs
+++ b/decision/tests/suite/second_send.rs
@@ -89,7 +89,7 @@
 }
 
 /// Load: eight of ten slots in use. Second sends would delay first ones. Nor is one sent after half of its time, or
-/// while the setting is absent.
+/// once second sends are turned off.
 #[test]
 fn denied() {
     let at = TimePoint(19 * SECOND);
@@ -97,7 +97,8 @@
     assert_eq!(decide(&mut observed(at), loaded, 0, 200 * MILLI), SecondSendStep::Deny("loaded"));
     let late = decide(&mut observed(at), IDLE, 1_900 * MILLI, 200 * MILLI);
     assert_eq!(late, SecondSendStep::Deny("late"));
-    let mut off = SecondSends::new(SecondSendBounds { percent: 0.0, quantile: 0.95 });
+    let mut off = observed(at);
+    off.set_bounds(SecondSendBounds { percent: 0.0, quantile: 0.95 });
     for _ in 0..100 {
         off.record_wait("r", MILLI, at);
     }
--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Returns what was read of the body, so that it is read again first. It must be the last that was read.
+    /// Takes back chunks that were read ahead, and the error that ended them, if any. They are read again first.
     pub fn put_back(&mut self, chunks: Vec<Result<Bytes, ExchangeError>>) {
         self.put_back.extend(chunks);
     }
--- a/exchange/tests/suite/odd_servers.rs
+++ b/exchange/tests/suite/odd_servers.rs
@@ -7,6 +7,7 @@
     ExchangeClient, ExchangeError, ExchangeRequest, ExchangeResponse, ExchangeSettings,
     path_segment,
 };
+use futures::StreamExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -86,6 +87,24 @@
     }
 }
 
+/// Guards against bytes or an error that are lost when the beginning of a body is read ahead.
+#[tokio::test]
+async fn read_ahead() {
+    let (address, _requests) = faulty_server(vec![
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n5\r\n",
+    ])
+    .await;
+    let mut body = send(address).await.unwrap().body;
+    let mut ahead = Vec::new();
+    while let Some(chunk) = body.next().await {
+        ahead.push(chunk);
+    }
+    body.put_back(ahead);
+    assert_eq!(body.next().await.unwrap().unwrap(), "ok");
+    assert!(matches!(body.next().await, Some(Err(ExchangeError::BodyFailed { .. }))));
+    assert!(body.next().await.is_none());
+}
+
 /// Guards against unbounded memory use by an endless response head.
 #[tokio::test]
 async fn endless_head() {
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -191,6 +191,7 @@
     let port = gateway.settings.listen.peers.port();
     let mut view = gateway.view();
     view.budget.set_bounds(promises.repeats(), clock::now());
+    view.second_sends.set_bounds(settings.second_send.bounds());
     view.confirmation.set_promise(promises.key_removal());
     view.limiter.set_excess(promises.limit_excess());
     for seed in &settings.seeds {
--- a/gateway/tests/suite/second_sends.rs
+++ b/gateway/tests/suite/second_sends.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use coltsfoothook_gateway::SecondSendSettings;
+use coltsfoothook_gateway::{GatewaySettings, SecondSendSettings};
+use coltsfoothook_settings::parse_settings;
 use futures::future::join_all;
 use tokio::time::{sleep, timeout};
 
@@ -231,3 +232,18 @@
     assert_eq!(arrived, 90 + 16);
     assert!(results(&gateway, "loaded").await >= 1);
 }
+
+/// Guards against second sends that nobody asked for, and against settings that allow more than one in twenty.
+#[test]
+fn settings() {
+    let percent = |text: &str| {
+        let text = format!(r#"{{ "vm": "a", "domain": "d"{text} }}"#);
+        let settings = parse_settings::<GatewaySettings>("gateway.json", &text).ok()?;
+        Some(settings.second_send.percent)
+    };
+    assert_eq!(percent(""), Some(0.0));
+    assert_eq!(percent(r#", "second_send": { "percent": 5 }"#), Some(5.0));
+    for wrong in [r#""percent": 5.1"#, r#""percent": -1"#, r#""quantile": 1"#] {
+        assert_eq!(percent(&format!(r#", "second_send": {{ {wrong} }}"#)), None, "{wrong}");
+    }
+}
