Log a late request that gets no second send

Cause: only a counter said why a late request was not sent to a second server.

Change: second_denied at level debug, with the reason, the wait and the service's load.

--- a/gateway/src/second_send.rs
+++ b/gateway/src/second_send.rs
@@ -190,19 +190,12 @@
 /// Decides whether a request is sent to a second server now, and sends it.
 fn try_second(run: &mut RequestRun, first: &WaitingSend) -> SecondTry {
     let gateway = Arc::clone(&run.gateway);
-    let deny = |reason| {
-        gateway.metrics.second_send(reason);
-        SecondTry::Denied
-    };
     let now = clock::now();
     let server = choose_second(run, now);
     let request = &run.request;
     let mut view = gateway.view();
-    if !view.crashes.quarantined(&request.subjects).is_empty() {
-        drop(view);
-        return deny("suspect");
-    }
     let load = view.backends.service_load(&request.service, now);
+    let is_suspect = !view.crashes.quarantined(&request.subjects).is_empty();
     let waiting = WaitingRequest {
         route: &request.route,
         service: &request.service,
@@ -210,8 +203,24 @@
         due: run.due,
         sent_at: first.sent_at,
     };
-    let step = view.second_sends.decide(&waiting, server, load, now);
+    let step = match is_suspect {
+        true => SecondSendStep::Deny("suspect"),
+        false => view.second_sends.decide(&waiting, server, load, now),
+    };
     drop(view);
+    let id = request.head.id.clone();
+    let deny = |reason| {
+        gateway.metrics.second_send(reason);
+        event!(
+            SecondDenied,
+            request_id = id,
+            reason = reason,
+            wait_ms = first.waited_us() / 1_000,
+            running = load.running,
+            slots = load.slots,
+        );
+        SecondTry::Denied
+    };
     let (server, quantile) = match step {
         SecondSendStep::Wait { until } => return SecondTry::Wait(until),
         SecondSendStep::Deny(reason) => return deny(reason),
@@ -245,7 +254,7 @@
     );
     let record = SecondRecord {
         gateway,
-        request_id: run.request.head.id.clone(),
+        request_id: id,
         server,
         first_sent_at: first.sent_at,
         sent_at: open.sent_at,
