--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod route_check;
 pub mod routing;
 mod row;
+pub mod second_send;
 pub mod server_limit;
 pub mod slot;
 pub mod snapshot;
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -33,6 +33,7 @@
 mod repeat_fleet;
 mod route_findings;
 mod route_table;
+mod second_send;
 mod server_choice;
 mod server_limits;
 mod server_lives;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod room;
 mod roster;
 mod run;
+mod second_send;
 mod send;
 mod sent;
 mod settings;
@@ -83,10 +84,14 @@
 #[path = "../tests/unit/reader_reports.rs"]
 mod reader_reports;
 #[cfg(test)]
+#[path = "../tests/unit/second_send_counts.rs"]
+mod second_send_counts;
+#[cfg(test)]
 #[path = "../tests/unit/stream_holders.rs"]
 mod stream_holders;
 
 pub use process::{GatewayError, GatewayProcess, run_gateway};
 pub use settings::{
-    CapacitySettings, GatewaySettings, ListenSettings, PromiseSettings, StoreSettings,
+    CapacitySettings, GatewaySettings, ListenSettings, PromiseSettings, SecondSendSettings,
+    StoreSettings,
 };
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use coltsfoothook_decision::permit::PermitHolder;
 use coltsfoothook_decision::room::RoomHolder;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
+use coltsfoothook_decision::second_send::SecondSends;
 use coltsfoothook_exchange::{ExchangeClient, ExchangeSettings, ServerDialer};
 use coltsfoothook_platform::{HttpMetadata, HttpServers, MetadataStore, ServerCalls};
 use rand::{Rng, SeedableRng};
@@ -131,6 +132,8 @@
     pub(crate) budget: RepeatBudget,
     /// Estimates of the fleet that VMs share.
     pub(crate) estimates: SharedEstimates,
+    /// How long requests wait for their answers, and which of them are sent to a second server.
+    pub(crate) second_sends: SecondSends,
     pub(crate) roster: PeerRoster,
     pub(crate) lease: OrderLease,
     pub(crate) order_trackers: ServerTrackers,
@@ -266,6 +269,7 @@
             origins: OriginTable::default(),
             budget: RepeatBudget::new(promises.repeats()),
             estimates: SharedEstimates::new(&settings.choice),
+            second_sends: SecondSends::new(settings.second_send.bounds()),
             roster: PeerRoster::default(),
             lease: OrderLease::new(lease),
             order_trackers: ServerTrackers::default(),
