Hedged requests: a comment is no first event, and a second server's refusal answers nobody

A stream's comment before its first event cancelled the other send; a 3xx or 4xx of the second server cancelled a first one that may still serve the request.

--- a/gateway/src/event_scan.rs
+++ b/gateway/src/event_scan.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns whether the present server's stream has a complete event, comments apart.
+    pub(crate) fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Returns the id of the last complete event that had one.
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/gateway/src/second_send.rs
+++ b/gateway/src/second_send.rs
@@ -15,6 +15,7 @@
 use coltsfoothook_telemetry::event;
 use futures::StreamExt;
 use futures::future::BoxFuture;
+use http::StatusCode;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::clock;
@@ -86,7 +87,9 @@
                 is_cut: matches!(error, ExchangeError::BodyFailed { .. }),
             });
             chunks.push(chunk);
-            if early_break.is_some() || !scan.push(bytes).is_empty() || scan.is_overlong() {
+            // Comments that keep a connection alive are no event: the other send may still be first.
+            scan.push(bytes);
+            if early_break.is_some() || scan.has_events() || scan.is_overlong() {
                 return early_break;
             }
         }
@@ -286,7 +289,7 @@
     let mut end = conclude(run, &ended.server, ended.sent_at, sent);
     if let SendEnd::Answer(answer) = &mut end
         && early_break.is_none()
-        && !answer.status.is_server_error()
+        && may_win(answer.status, is_first)
     {
         let waited_us = other.waited_us();
         // Closes the connection of the other send and gives its place back.
@@ -328,6 +331,12 @@
     (server, end)
 }
 
+/// Returns whether an answer ends the race. A second server that refuses a request which the first one may still serve
+/// must not answer it.
+fn may_win(status: StatusCode, is_first: bool) -> bool {
+    status.is_success() || is_first && !status.is_server_error()
+}
+
 /// Records the result of a send without an answer to forward, while another one goes on. Returns its name.
 fn set_aside(
     run: &mut RequestRun,
@@ -342,8 +351,14 @@
         }
         SendEnd::Closed | SendEnd::Unsent(_) => run.avoided.push(server),
         SendEnd::Answer(_) | SendEnd::Unknown(_) => {
-            if matches!(end, SendEnd::Answer(_)) {
-                record_failed(run, &server, early_break);
+            match &end {
+                SendEnd::Answer(answer)
+                    if early_break.is_none() && !answer.status.is_server_error() =>
+                {
+                    run.end_place(PlaceEnd::Answered);
+                }
+                SendEnd::Answer(_) => record_failed(run, &server, early_break),
+                _ => {}
             }
             run.avoided.push(server);
             return "failed";
--- a/gateway/tests/unit/event_scan.rs
+++ b/gateway/tests/unit/event_scan.rs
@@ -72,3 +72,13 @@
         }
     }
 }
+
+/// A comment that keeps the connection alive must not be taken for the first event.
+#[test]
+fn comments_are_no_event() {
+    let mut scan = EventScan::default();
+    assert!(!scan.push(Bytes::from_static(b": ping\n\n")).is_empty());
+    assert!(!scan.has_events());
+    scan.push(Bytes::from_static(b"data: 1\n\n"));
+    assert!(scan.has_events());
+}
