Load times: all loads are checked early only before the last proof

After one load that was done early, all further loads of that VM were checked early until one was not done yet. In a fleet of 90 engines a fifth of the loads come from memory that nobody knows of, so that half of the sends answered 421 were such checks (643 of 1,188 in sixteen seconds). Now the first successes only count; the checks of all loads begin one success before an estimate counts as too long, which is at the first one for up to 31 servers, as before.

--- a/decision/src/loadtime.rs
+++ b/decision/src/loadtime.rs
@@ -251,8 +251,8 @@
     early_check_interval: u32,
     /// Number of early checks so far.
     early_checks: usize,
-    /// Fraction of the expected time after which all loads are checked, after an early check that
-    /// succeeded.
+    /// Fraction of the expected time after which all loads are checked, once one more early check that
+    /// succeeds shows the estimate to be too long.
     eager_fraction: Option<f64>,
     /// Successful early checks in a row.
     early_hits: u32,
@@ -352,9 +352,12 @@
             return;
         }
         let check_fraction = load.check_us as f64 / load.expected_us as f64;
-        self.eager_fraction = Some((check_fraction * check_fraction).max(MIN_EARLY_FRACTION));
         self.early_hits += 1;
         let min_hits = self.min_early_hits();
+        if self.early_hits + 1 < min_hits {
+            return;
+        }
+        self.eager_fraction = Some((check_fraction * check_fraction).max(MIN_EARLY_FRACTION));
         if self.early_hits < min_hits {
             return;
         }
