Findings of a first reading: bounds of estimates, names, comments

A reader who had not seen the code found that a VM could stop with an index out of bounds when estimates faded and a new key came (test fleet_estimates::faded_keys), that keys were dropped by name in place of weight, that a sole second send that broke counted as won, that reports which a follower ignores were logged as bases, and a multiplication of a peer's value that could overflow. Rejected totals and fallen bucket states have a counter of their own. usage_reports asks for the new name of an ignored report, and as before that nothing is charged.

--- a/decision/src/aggregator.rs
+++ b/decision/src/aggregator.rs
@@ -2,7 +2,7 @@
 //!
 //! The first live VM by rank aggregates. While VMs differ on who that is, two or none may. A VM takes
 //! over only with a state of the fleet that it received recently: one that has just started, or that
-//! heard nothing while it was frozen or cut off, would send its domain bucket states of before. It
+//! heard nothing while it was frozen or cut off, would send its domain outdated bucket states. It
 //! follows the acting aggregator first, and takes over from it. docs/LIMITS.md, "When an aggregator
 //! hands over".
 
@@ -14,8 +14,8 @@
 const ACTING_TTL_US: u64 = 2 * UPDATE_INTERVAL_US;
 /// Additional ranks that a VM without a recent state waits for.
 const UNINFORMED_RANKS: u64 = 3;
-/// Time without any message from another VM, in microseconds, after which this one was frozen or cut
-/// off. In a large fleet dozens arrive in a second.
+/// Time without a message from another VM, in microseconds, after which this one considers itself
+/// frozen or cut off. In a large fleet dozens arrive in a second.
 const ISOLATED_US: u64 = 450_000;
 /// How long a recipient counts as new, in microseconds: some reports may be lost.
 const NEW_RECIPIENT_US: u64 = 1_000_000;
@@ -23,8 +23,9 @@
 /// This VM's role in its failure domain.
 #[derive(Clone, Debug, Default)]
 pub struct AggregatorRole {
-    /// Aggregators of the domain that sent updates, and when they last did; sorted by VM.
+    /// Aggregators of the domain that sent updates recently, and when they last did; sorted by VM.
     updates: Vec<(VmName, TimePoint)>,
+    last_update_at: TimePoint,
     heard_at: TimePoint,
     /// Since when messages arrive without a gap.
     connected_since: TimePoint,
@@ -54,6 +55,8 @@
     /// Records an update from an aggregator of the domain.
     pub fn record_update(&mut self, vm: &VmName, now: TimePoint) {
         self.record_contact(now);
+        self.last_update_at = now;
+        self.updates.retain(|(_, at)| now.since(*at) < ACTING_TTL_US);
         match self.updates.binary_search_by(|(known, _)| known.cmp(vm)) {
             Ok(at) => self.updates[at].1 = now,
             Err(at) => self.updates.insert(at, (vm.clone(), now)),
@@ -72,8 +75,8 @@
         if now.since(self.heard_at) > ISOLATED_US {
             self.is_informed = false;
         }
-        let last = self.updates.iter().map(|(_, at)| *at).max().unwrap_or_default();
-        let idle_us = now.since(last.max(large_since).max(self.connected_since));
+        let last = self.last_update_at.max(large_since).max(self.connected_since);
+        let idle_us = now.since(last);
         let ranks = match self.is_informed {
             true if ahead == 0 => return self.set(true),
             true => ahead as u64 - 1,
@@ -116,6 +119,7 @@
     /// Records that an aggregator ended its role or left.
     pub fn record_end(&mut self, vm: &VmName) {
         self.updates.retain(|(known, _)| known != vm);
+        self.last_update_at = self.updates.iter().map(|(_, at)| *at).max().unwrap_or_default();
     }
 }
 
--- a/decision/src/bucket.rs
+++ b/decision/src/bucket.rs
@@ -26,7 +26,8 @@
 /// that arrives at all VMs at once cannot empty the bucket many times over.
 const SPEND_FACTOR: f64 = 2.0;
 /// Multiple of an equal part of the bucket that any VM may spend between two reports, also without
-/// recent demand from the customer.
+/// recent demand from the customer. With less, two long requests at one VM within a report interval
+/// are refused although the bucket is full; with more, a jump of demand empties the bucket at all VMs.
 const EQUAL_SPEND_FACTOR: f64 = 6.0;
 /// Fraction of an equal share that a VM admits while it does not know the demand at the others.
 const UNCONFIRMED_FRACTION: f64 = 0.6;
@@ -39,10 +40,11 @@
 /// Interval between reports from which on the reported usage is deducted gradually instead of at
 /// once, in microseconds.
 const GRADUAL_DEBIT_US: u64 = 500_000;
-/// Age of the last report, in percent of the report interval, from which on the next one is late.
+/// Age of the last report, in percent of the report interval, from which on the next one is late. More
+/// than the jitter of timers and links.
 const LATE_REPORT_PERCENT: u64 = 130;
-/// Fraction of its capacity that a bucket holds at most when its VM takes over as aggregator, since
-/// what the others were admitted in the last moments is not known yet.
+/// Maximum level, as a fraction of the capacity, when this VM takes over as aggregator: recent admissions
+/// at the other VMs are not known yet. Enough for the usage that is reported late at usual demand.
 const TAKEOVER_FRACTION: f64 = 0.5;
 /// Time by which a report may lag behind the admissions that it counts, in seconds.
 const REPORT_SLACK_S: f64 = 1.0;
@@ -90,9 +92,9 @@
     /// deducted.
     pub(crate) pending_debit: f64,
     pub(crate) pending_debit_per_s: f64,
-    /// What the bucket would have been filled with above its capacity since this VM last adopted a
-    /// state, and what of it is credited to usage that is reported late to a new aggregator.
+    /// Refill above the capacity since this VM last adopted a state.
     pub(crate) overflow: f64,
+    /// Part of `overflow` that is credited to usage which is reported late to a new aggregator.
     pub(crate) late_credit: f64,
     /// What this VM may admit from its share once the bucket is empty.
     pub(crate) share: f64,
@@ -100,9 +102,9 @@
     pub(crate) own: UsageTotal,
     /// The portion of `own` that was reported to the other VMs.
     pub(crate) reported: UsageTotal,
-    /// The portion of `own` that was reported when the update before the last one arrived, which
-    /// the aggregator has therefore published, and what was reported when the last one arrived.
+    /// `own` as reported when the update before the last one arrived: the aggregator has published it.
     pub(crate) published: UsageTotal,
+    /// `own` as reported when the last update arrived.
     pub(crate) publishing: UsageTotal,
     /// Value of `own` when this VM began to aggregate the usage of others.
     pub(crate) sums_base: UsageTotal,
--- a/decision/src/choice.rs
+++ b/decision/src/choice.rs
@@ -39,9 +39,10 @@
 /// Maximum cost, in hundredths of the mean, at which a server that recently held an adapter is
 /// preferred for loading it again: from its own memory this takes a tenth of the time.
 const WARM_PERCENT: u64 = 200;
-/// Usage score up to which an adapter is soon idle, and the number of such adapters at a server without
-/// an idle slot from which one is expected to be free before a load from the weight store is done.
+/// Maximum usage score of an adapter that counts as seldom used.
 const SELDOM_USED_SCORE: u32 = 1;
+/// Seldom used adapters that a server without an idle slot must hold to be considered: one of their
+/// slots is then expected to be idle before a load from the weight store would be done.
 const MIN_SELDOM_USED: usize = 2;
 /// Number of servers considered for a load, by rank of their hash with the adapter. Few, so that an
 /// adapter tends to return to a server that still has it in its own memory; more than one, so that
--- a/decision/src/estimate.rs
+++ b/decision/src/estimate.rs
@@ -127,10 +127,9 @@
             let row = EstimateRow { entry: entry.clone(), at: now, sent_at: TimePoint(0) };
             match self.find(&entry.key) {
                 Ok(at) => self.rows[at] = row,
-                Err(at) => self.insert(at, row),
+                Err(_) => self.insert(row),
             }
         }
-        self.unreported.retain(|entry| entry.count > MIN_COUNT);
     }
 
     /// Returns the estimate of a key: the weighted count and sum of its observations.
@@ -163,9 +162,9 @@
                 row.entry.sum = row.entry.sum * factor + entry.sum;
                 row.at = now;
             }
-            Err(at) => {
+            Err(_) => {
                 let row = EstimateRow { entry: entry.clone(), at: now, sent_at: TimePoint(0) };
-                self.insert(at, row);
+                self.insert(row);
             }
         }
     }
@@ -181,20 +180,18 @@
         }
     }
 
-    /// Inserts a row. If there are too many, the lightest ones are dropped, an eighth at a time, so
-    /// that not every new key searches for one.
-    fn insert(&mut self, at: usize, row: EstimateRow<K>) {
-        let now = row.at;
-        self.rows.insert(at, row);
-        if self.rows.len() <= self.settings.max_keys {
-            return;
+    /// Inserts a row. If there are too many, the lightest ones are dropped before, an eighth at a time,
+    /// so that not every new key searches for one.
+    fn insert(&mut self, row: EstimateRow<K>) {
+        if self.rows.len() >= self.settings.max_keys {
+            self.decay_all(row.at);
+            let kept = self.settings.max_keys - self.settings.max_keys.div_ceil(8);
+            self.rows.sort_by(|a, b| b.entry.count.total_cmp(&a.entry.count));
+            self.rows.truncate(kept);
+            self.rows.sort_by(|a, b| a.entry.key.cmp(&b.entry.key));
         }
-        self.decay_all(now);
-        let mut counts: Vec<f32> = self.rows.iter().map(|row| row.entry.count).collect();
-        counts.sort_by(f32::total_cmp);
-        let min = counts[self.settings.max_keys / 8];
-        self.rows.retain(|row| row.entry.count > min || row.at == now && row.entry.count >= 1.0);
-        self.rows.truncate(self.settings.max_keys);
+        let at = self.rows.partition_point(|known| known.entry.key < row.entry.key);
+        self.rows.insert(at, row);
     }
 
     fn decay_all(&mut self, now: TimePoint) {
--- a/decision/src/limit.rs
+++ b/decision/src/limit.rs
@@ -134,10 +134,11 @@
     members: UsageLedger,
     /// Usage that aggregators report of other domains.
     domains: UsageLedger,
-    /// When this VM last reported its usage, and when it had reported what the aggregator had
-    /// published by the last update, and by the one before.
+    /// When this VM last reported its usage.
     reported_at: TimePoint,
+    /// When the last report was sent that preceded the aggregator's last update.
     publishing_at: TimePoint,
+    /// The same for the update before the last one.
     published_at: TimePoint,
     /// Sums of this domain as far as the aggregators of the others have published them.
     published_sums: PublishedSums,
@@ -282,7 +283,7 @@
         report: &UsageReport,
     ) -> ReportEffect {
         if self.follows {
-            return ReportEffect::default();
+            return ReportEffect { basis: ReportBasis::Ignored, ..ReportEffect::default() };
         }
         let increments = self.members.take(now, vm, report, self.age_ms(now));
         let effect = self.apply_increments(now, &increments);
@@ -301,7 +302,7 @@
         report: &UsageReport,
     ) -> ReportEffect {
         if self.follows {
-            return ReportEffect::default();
+            return ReportEffect { basis: ReportBasis::Ignored, ..ReportEffect::default() };
         }
         self.published_sums.confirm(domain);
         let increments = self.domains.take(now, vm, report, self.age_ms(now));
@@ -567,7 +568,7 @@
             });
             let uses: Vec<SubjectTotal> = uses.collect();
             let VmIncarnation(start_id) = row.identity().incarnation;
-            // Digests are in order, and tell no age.
+            // Digests carry no age. They arrive in order, so the current time serves as an increasing one.
             let age_ms = now.0 / MICROS_PER_MILLI;
             let partial = uses.len() >= MAX_SPREAD_CUSTOMERS;
             let report = UsageReport { start_id, age_ms, uses, base: None, partial };
--- a/decision/src/loadtime.rs
+++ b/decision/src/loadtime.rs
@@ -40,17 +40,16 @@
 /// each early check that fails. VMs report estimates that were shown to be too long, so that in
 /// larger fleets each of them needs to check less often.
 const INITIAL_EARLY_CHECK_INTERVAL: u32 = 2;
-/// Servers for each load between two early checks initially.
+/// Number of servers for which the initial interval between early checks grows by one load.
 const SERVERS_PER_EARLY_CHECK: usize = 6;
-/// Number of successful early checks in a row that show an estimate to be too long, for a few
-/// servers, and the number of servers up to which that holds; one more is needed for each doubling.
-/// The more VMs check, the more of them have several such loads in a row by chance, and each reports
-/// it to all others: in a fleet of 90 servers the estimates fell to a third. One is not enough: the server may have had the adapter in its own memory without its owner's knowledge, and
+/// Number of successful early checks in a row that show an estimate to be too long. One is not enough: the server may have had the adapter in its own memory without its owner's knowledge, and
 /// estimates that fell by such loads let one send in seven come too early.
 const MIN_EARLY_HITS: u32 = 2;
+/// Number of servers up to which [`MIN_EARLY_HITS`] holds. Each doubling needs one more: the more VMs
+/// check, the more of them see such a run by chance, and each reports it to all others.
 const FEW_SERVERS: usize = 16;
-/// Number of further ones that show it to be much too long, as each one checks earlier than the one
-/// before.
+/// Number of successful early checks beyond these that show it to be much too long, as each one checks
+/// earlier than the one before.
 const CLEAR_EARLY_HITS: u32 = 1;
 /// Weights of successful early checks: the first where an estimate may be slightly too long, the
 /// second where it is clearly too long. The first is low because loads in flight at other VMs are
--- a/decision/src/published.rs
+++ b/decision/src/published.rs
@@ -15,9 +15,9 @@
     uses: Vec<SubjectTotal>,
 }
 
-/// Time after the start of the sums, in microseconds, in which other domains adopted states that
-/// cannot include any of them.
-const START_US: u64 = 1_000_000;
+/// Period after the sums start, in microseconds, in which the states of the other domains cannot include
+/// them.
+const INITIAL_PERIOD_US: u64 = 1_000_000;
 
 /// The sums that were last sent, and those that each other domain has published.
 #[derive(Clone, Debug, Default)]
@@ -67,7 +67,7 @@
     /// that have just started.
     fn first_published(&self) -> &SentSums {
         static NOTHING: SentSums = SentSums { at: TimePoint(0), uses: Vec::new() };
-        let is_start = self.sent.at.since(self.since) < START_US;
+        let is_start = self.sent.at.since(self.since) < INITIAL_PERIOD_US;
         if is_start { &NOTHING } else { &self.sent }
     }
 
--- a/decision/src/usage.rs
+++ b/decision/src/usage.rs
@@ -84,6 +84,8 @@
     Unknown,
     /// The report is older than the previous one and was ignored.
     Outdated,
+    /// The receiver follows an aggregator, which counts the report.
+    Ignored,
 }
 
 impl ReportBasis {
@@ -96,6 +98,7 @@
             Self::Start => "start",
             Self::Unknown => "unknown",
             Self::Outdated => "outdated",
+            Self::Ignored => "ignored",
         }
     }
 }
@@ -247,10 +250,11 @@
             (None, None) => ReportBasis::Unknown,
         };
         let row_us = known.map(|row| now.since(row.received_at));
-        let base_us = report.base.as_ref().map(|base| base.age_ms * MICROS_PER_MILLI);
+        let base_us = report.base.as_ref().map(|base| base.age_ms.saturating_mul(MICROS_PER_MILLI));
+        let report_us = report.age_ms.saturating_mul(MICROS_PER_MILLI);
         let interval_us = match (row_us, base_us) {
             (Some(row_us), Some(base_us)) => row_us.min(base_us),
-            (row_us, base_us) => row_us.or(base_us).unwrap_or(report.age_ms * MICROS_PER_MILLI),
+            (row_us, base_us) => row_us.or(base_us).unwrap_or(report_us),
         };
         let (mut uses, mut fallen) = (Vec::new(), Vec::new());
         for (index, used) in report.uses.iter().enumerate() {
--- a/decision/tests/suite/fleet_estimates.rs
+++ b/decision/tests/suite/fleet_estimates.rs
@@ -121,3 +121,16 @@
     vm.adopt(TimePoint(0), &entries);
     assert!(vm.get(TimePoint(0), &1).is_none() && vm.take_report().is_empty());
 }
+
+/// New keys after a long pause, when all others have faded, must neither stop a VM nor drop the heaviest key.
+#[test]
+fn faded_keys() {
+    let settings = EstimateSettings { max_keys: 16, ..EstimateSettings::default() };
+    let mut vm: FleetEstimates<u32> = FleetEstimates::new(settings);
+    (0..16).for_each(|key| vm.observe(TimePoint(0), &key, 1.0));
+    let later = TimePoint(60 * SECOND_US);
+    (0..3).for_each(|_| vm.observe(later, &900, 1.0));
+    (100..140).for_each(|key| vm.observe(later, &key, 1.0));
+    assert!(vm.get(later, &900).is_some_and(|entry| entry.count == 3.0));
+    assert!(vm.all(later).count() <= 16);
+}
--- a/decision/tests/suite/usage_reports.rs
+++ b/decision/tests/suite/usage_reports.rs
@@ -116,7 +116,7 @@
     limiter.set_bucket_states(gap, &[state]);
     assert!(level(&mut limiter, gap.plus(50_000)) >= 250.0);
     let (effect, cost) = charged(&mut limiter, gap.plus(50_000), &report(63_050, 32_550.0, None));
-    assert_eq!((effect.basis, cost), (ReportBasis::Unknown, 0.0));
+    assert_eq!((effect.basis, cost), (ReportBasis::Ignored, 0.0));
 }
 
 /// An aggregator's state below what all VMs can have been admitted since the last one is reported.
--- a/gateway/src/aggregate.rs
+++ b/gateway/src/aggregate.rs
@@ -337,12 +337,12 @@
         return;
     }
     gateway.metrics.usage_report(effect.basis.as_str());
-    if !matches!(effect.basis, ReportBasis::Previous | ReportBasis::Outdated) {
+    if matches!(effect.basis, ReportBasis::Handed | ReportBasis::Start | ReportBasis::Unknown) {
         event!(UsageReportBased, vm = vm, basis = effect.basis.as_str());
     }
     for used in &effect.rejected {
         let customer = used.subject.customer().map(CustomerName::as_str).unwrap_or_default();
-        gateway.metrics.usage_report("rejected");
+        gateway.metrics.usage_rejected();
         event!(
             UsageRejected,
             vm = vm,
--- a/gateway/src/estimates.rs
+++ b/gateway/src/estimates.rs
@@ -70,7 +70,12 @@
 
 impl SystemView {
     /// Records how long a server took for an event or an answer.
-    pub(crate) fn record_pace(&mut self, start: &ServerStart, took_us: f64, now: TimePoint) {
+    pub(crate) fn record_response_time(
+        &mut self,
+        start: &ServerStart,
+        took_us: f64,
+        now: TimePoint,
+    ) {
         if let Some(speeds) = &mut self.estimates.speeds {
             speeds.observe(now, start, took_us as f32);
         }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -366,17 +366,17 @@
         PeerMessage::Crashes(report) => write_parts(&mut bytes, report)?,
         PeerMessage::State(state) => {
             let uses = state.uses.as_ref();
-            write_refusals(&mut bytes, &state.statements, uses, &state.estimates)?;
+            write_extensions(&mut bytes, &state.statements, uses, &state.estimates)?;
         }
         PeerMessage::Loads(update) => {
             let (uses, estimates) = (update.uses.as_ref(), &ReportedEstimates::default());
-            write_refusals(&mut bytes, &update.statements, uses, estimates)?;
+            write_extensions(&mut bytes, &update.statements, uses, estimates)?;
         }
         PeerMessage::Domain(update) => {
-            write_refusals(&mut bytes, &update.statements, None, &update.estimates)?;
+            write_extensions(&mut bytes, &update.statements, None, &update.estimates)?;
         }
         PeerMessage::Sums(sums) => {
-            write_refusals(&mut bytes, &sums.statements, Some(&sums.uses), &sums.estimates)?;
+            write_extensions(&mut bytes, &sums.statements, Some(&sums.uses), &sums.estimates)?;
         }
         PeerMessage::PermitQuestion(question, _) => {
             rmp_serde::encode::write(&mut bytes, &question.room)?;
@@ -406,16 +406,16 @@
         PeerMessage::Crashes(report) => read_parts(rest, report),
         PeerMessage::State(state) => {
             let uses = state.uses.as_mut();
-            state.estimates = read_refusals(rest, &mut state.statements, uses);
+            state.estimates = read_extensions(rest, &mut state.statements, uses);
         }
         PeerMessage::Loads(update) => {
-            let _ = read_refusals(rest, &mut update.statements, update.uses.as_mut());
+            let _ = read_extensions(rest, &mut update.statements, update.uses.as_mut());
         }
         PeerMessage::Domain(update) => {
-            update.estimates = read_refusals(rest, &mut update.statements, None);
+            update.estimates = read_extensions(rest, &mut update.statements, None);
         }
         PeerMessage::Sums(sums) => {
-            sums.estimates = read_refusals(rest, &mut sums.statements, Some(&mut sums.uses));
+            sums.estimates = read_extensions(rest, &mut sums.statements, Some(&mut sums.uses));
         }
         PeerMessage::PermitQuestion(question, _) => {
             question.room = rmp_serde::from_read(&mut rest).unwrap_or_default();
@@ -498,9 +498,9 @@
     report.completed_parts = completed;
 }
 
-/// Appends the refusals that servers bear, in the order of the statements, the base of the totals, and
-/// estimates; nothing if there are none.
-fn write_refusals(
+/// Appends what earlier releases do not read: the refusals that servers bear, in the order of the
+/// statements, the base of the totals, and estimates; nothing if there are none.
+fn write_extensions(
     bytes: &mut Vec<u8>,
     statements: &[ReportedStatement],
     uses: Option<&UsageReport>,
@@ -525,7 +525,7 @@
 
 /// Sets the refusals that servers bear and the base of the totals, and returns the estimates. A release
 /// that does not send them knows none.
-fn read_refusals(
+fn read_extensions(
     mut bytes: &[u8],
     statements: &mut [ReportedStatement],
     uses: Option<&mut UsageReport>,
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -36,6 +36,7 @@
     crash_checks: IntCounterVec,
     handed_over: IntCounterVec,
     usage_reports: IntCounterVec,
+    usage_faults: IntCounterVec,
     broken_streams: IntCounterVec,
     taken_up: IntCounterVec,
     ages: GaugeVec,
@@ -184,11 +185,15 @@
             ),
             usage_reports: counter(
                 "coltsfoothook_gateway_usage_reports_total",
-                "Other VMs' reports of customers' use, by what they were counted against; `rejected` are \
-                 totals that fell or exceed what a limit allows, and `bucket_fell` bucket states below \
-                 what the use since the last one explains.",
+                "Other VMs' reports of customers' use, by what they were counted against.",
                 &["basis"],
             ),
+            usage_faults: counter(
+                "coltsfoothook_gateway_usage_faults_total",
+                "Totals of customers that fell or exceed what a limit allows (`rejected`), and bucket states \
+                 that fell by more than all VMs can have been admitted (`bucket_fell`).",
+                &["fault"],
+            ),
             handed_over: counter(
                 "coltsfoothook_gateway_handed_over_total",
                 "Requests that were handed over to another VM, by result.",
@@ -241,9 +246,14 @@
         self.usage_reports.with_label_values(&[basis]).inc();
     }
 
-    /// Counts a bucket state that is lower than the use since the last one explains.
+    /// Counts a total that was not charged.
+    pub(crate) fn usage_rejected(&self) {
+        self.usage_faults.with_label_values(&["rejected"]).inc();
+    }
+
+    /// Counts a bucket state that fell by more than all VMs can have been admitted.
     pub(crate) fn bucket_fell(&self) {
-        self.usage_report("bucket_fell");
+        self.usage_faults.with_label_values(&["bucket_fell"]).inc();
     }
 
     /// Counts a request that was handed over to another VM.
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -82,7 +82,7 @@
                 let (server, incarnation) = (server.clone(), run.incarnation);
                 let now = clock::now();
                 let took_us = now.since(count.sent_at) as f64;
-                view.record_pace(&ServerStart { server, incarnation }, took_us, now);
+                view.record_response_time(&ServerStart { server, incarnation }, took_us, now);
             }
         }
     }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -210,7 +210,11 @@
             view.backends.answered(self.server.as_str(), good, pause_us);
             if let Some(pause_us) = pause_us {
                 let (server, incarnation) = (self.server.clone(), self.run.incarnation);
-                view.record_pace(&ServerStart { server, incarnation }, pause_us, clock::now());
+                view.record_response_time(
+                    &ServerStart { server, incarnation },
+                    pause_us,
+                    clock::now(),
+                );
             }
         }
     }
--- a/gateway/src/second_send.rs
+++ b/gateway/src/second_send.rs
@@ -317,10 +317,11 @@
     }
     let answer = (&mut other.answer).await;
     let sent_at = other.sent_at;
+    let is_whole = answer.early_break.is_none();
     let (server, end) = finish(run, other, answer);
     if is_first {
         record.result = match &end {
-            SendEnd::Answer(answer) if !answer.status.is_server_error() => {
+            SendEnd::Answer(answer) if is_whole && !answer.status.is_server_error() => {
                 run.second_sent_at = Some(sent_at);
                 "won"
             }
--- a/gateway/tests/soak/world.rs
+++ b/gateway/tests/soak/world.rs
@@ -121,8 +121,8 @@
 /// The room of servers that fail under what they turn away: less than their entries say.
 const BRITTLE_ROOM: BrittleRoom =
     BrittleRoom { places: 4, run_time: Duration::from_millis(100), breaks_beyond: 6 };
-/// The keys of callers and of probes, and the limit of the probes' customer in requests per second over all gateways:
-/// some three times what they send.
+/// The keys of callers and of calls on the moved route, and the limit of the latter's customer in requests per second
+/// over all gateways: about three times what they send.
 pub(crate) const CALLER_KEY: &str = "caller-key";
 pub(crate) const LIMITED_KEY: &str = "limited-key";
 const LIMITED_PER_S: u64 = 100;
--- a/gateway/tests/unit/metrics_page.rs
+++ b/gateway/tests/unit/metrics_page.rs
@@ -33,6 +33,7 @@
     metrics.crash_check(true);
     metrics.handed_over("RESULT");
     metrics.usage_report("BASIS");
+    metrics.bucket_fell();
     metrics.broken_stream("FRAMING");
     metrics.taken_up("RESULT");
     metrics.answer_age("CALL", Duration::ZERO);
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -141,8 +141,8 @@
     MemberSuspected, "member_suspected", Warn, "An entry VM does not respond to probes.";
     MemberDead, "member_dead", Warn, "An entry VM is considered dead.";
     UsageReportBased, "usage_report_based", Info, "A VM's report of customers' use was the first one after a change: counted against a base that it carries (`handed`), from its start (`start`), or not counted (`unknown`).";
-    UsageRejected, "usage_rejected", Warn, "A total that a VM reported fell, or exceeds what the customer's limit allows since the report before; it was not charged.";
-    BucketFell, "bucket_fell", Warn, "The aggregator's state of a customer's bucket is lower than what all VMs can have been admitted since the last one explains.";
+    UsageRejected, "usage_rejected", Warn, "A total that a VM reported fell (with the new totals), or rose by more than the customer's limit allows since the report before (with the rise); it was not charged.";
+    BucketFell, "bucket_fell", Warn, "The aggregator's state of a customer's bucket fell by more than all VMs can have been admitted since the last state.";
     DomainAggregated, "domain_aggregated", Info, "This VM became, or ceased to be, an aggregator, which sends updates to the VMs of its failure domain.";
     MemberLeaving, "member_leaving", Info, "An entry VM is leaving.";
     AcceptFailed, "accept_failed", Error, "A listener could not accept a connection, usually for lack of file descriptors.";
@@ -156,7 +156,7 @@
     RequestSent, "request_sent", Info, "A request is sent to a backend server; the line has the adapter's version at that server and the time left for the request.";
     SecondSent, "second_sent", Info, "A request that has waited for its answer for longer than `quantile_ms` is sent to a second server. The quantile of the route's waits is from `samples` observations of the last ten seconds and was computed `quantile_age_ms` ago; `running` of the service's `slots` are in use.";
     SecondDenied, "second_denied", Debug, "A request that has waited for its answer for `wait_ms`, longer than most of its route, is not sent to a second server; `reason` is as in the metric of second sends, and `running` of the service's `slots` are in use.";
-    SecondWon, "second_won", Info, "The second server answered first; the send to the first one is cancelled after `wait_ms`, `second_ms` after the second send.";
+    SecondWon, "second_won", Info, "The second server\'s answer was used; the first send was cancelled or had failed. `wait_ms` is the time since the first send, `second_ms` since the second.";
     SecondEnded, "second_ended", Info, "A second send did not answer the request: `result` is `lost` if the first server answered first and the second send is cancelled, `refused` if it certainly did not run, `failed`, or `abandoned` if the caller left.";
     RequestNotRun, "request_not_run", Warn, "A backend server states that it did not run a request; `usable_ms` states for how many milliseconds this VM had assumed that the adapter was usable there.";
     AdapterAsked, "adapter_asked", Info, "A request waits for an adapter; a load request for it goes to the VM that orders the server, which may be this one.";
