--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod customer_keys;
 mod cut_links;
 mod cuttable;
+mod endless_bytes;
 mod leaving_answers;
 mod lost_queries;
 mod peer_records;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -64,6 +64,10 @@
     runs: Vec<RunRecord>,
     /// Streams whose connection was closed before their end.
     disconnects: usize,
+    /// How many bytes it has written of answers that never end.
+    endless_bytes: usize,
+    /// How many connections with such answers were closed.
+    endless_closed: usize,
     /// Its start time in milliseconds; a restart under its name has a later one.
     incarnation: u64,
     /// The fencing number of the last accepted order, which is the highest, and its holder.
@@ -177,6 +181,9 @@
 /// How long a server is down after a crash.
 pub(crate) const DOWN_TIME: Duration = Duration::from_millis(700);
 
+/// The header of requests that a server answers with bytes that never end: `PACE-FORM@SERVER`.
+pub(crate) const ENDLESS: &str = "x-endless";
+
 /// The number of events in each stream.
 pub(crate) const EVENTS: usize = 4;
 /// How many adapters a server can hold.
@@ -453,6 +460,50 @@
         self.state.lock().unwrap().disconnects
     }
 
+    /// Returns how many bytes it has written of answers that never end, and how many of their connections were closed.
+    pub(crate) fn endless(&self) -> (usize, usize) {
+        let state = self.state.lock().unwrap();
+        (state.endless_bytes, state.endless_closed)
+    }
+
+    /// Answers with bytes that never end, until the connection is closed: `form` is what they are instead of an answer.
+    async fn send_endless(&self, stream: &mut TcpStream, form: &str, sealed: &str) {
+        let (pace, form) = form.split_once('-').expect("PACE-FORM");
+        let ok = "HTTP/1.1 200 OK\r\n";
+        let events = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+        let (head, piece) = match form {
+            "head" => (format!("{ok}{sealed}x-long: "), "a".repeat(1_000)),
+            "interim" => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(40)),
+            "noise" => (String::new(), "no answer ".repeat(100)),
+            "body" => (format!("{ok}{sealed}\r\n"), "b".repeat(1_000)),
+            "length" => {
+                (format!("{ok}{sealed}content-length: 9000000000000\r\n\r\n"), "c".repeat(1_000))
+            }
+            "chunk" => (
+                format!("{ok}{sealed}transfer-encoding: chunked\r\n\r\n7ffffffffff\r\n"),
+                "d".repeat(1_000),
+            ),
+            "size" => {
+                (format!("{ok}{sealed}transfer-encoding: chunked\r\n\r\n"), "0".repeat(1_000))
+            }
+            "trailing" => (format!("{ok}{sealed}content-length: 4\r\n\r\nwell"), "e".repeat(1_000)),
+            "event" => (format!("{ok}{sealed}{events}7ffffffffff\r\ndata: "), "f".repeat(1_000)),
+            "line" => (format!("{ok}{sealed}{events}7ffffffffff\r\n"), "data: g\n".repeat(125)),
+            "blank" => (format!("{ok}{sealed}{events}7ffffffffff\r\n"), "\n".repeat(1_000)),
+            other => panic!("unknown form {other}"),
+        };
+        let piece = if pace == "drip" { &piece[..8] } else { &piece };
+        let mut sent = stream.write_all(head.as_bytes()).await;
+        while sent.is_ok() {
+            if pace == "drip" {
+                sleep(Duration::from_millis(40)).await;
+            }
+            sent = stream.write_all(piece.as_bytes()).await;
+            self.state.lock().unwrap().endless_bytes += piece.len();
+        }
+        self.state.lock().unwrap().endless_closed += 1;
+    }
+
     pub(crate) fn orders(&self) -> Vec<Value> {
         self.state.lock().unwrap().orders.clone()
     }
@@ -513,6 +564,11 @@
         }
         self.state.lock().unwrap().runs.push(record.clone());
         let sealed = format!("{echo}coltsfoothook-server-seal: seal-{}\r\n", self.name);
+        let endless = record.header(ENDLESS).and_then(|value| value.split_once('@'));
+        if let Some((form, _)) = endless.filter(|(_, server)| *server == self.name) {
+            self.send_endless(stream, form, &sealed).await;
+            return false;
+        }
         let has_part = record.has_crashing_part() && !self.state.lock().unwrap().mended;
         if record.path().ends_with(CRASHING) || has_part {
             if record.is_stream() {
