Bytes that are no answer end a send in time, and are repeated elsewhere

A body had all of the request's time, so that one that never ends left none for another server; it has half of what is left where another server may run the request. A stream's timeout began anew with each piece; it counts to the next whole event from when the caller asks for it. Blank lines and comments before the first event are held back, as their server has not begun an answer; the due time is looked at before the body, which may always have bytes. A long line is searched for its end once, not again with each piece.

--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Returns the timeout of each chunk.
+    #[must_use]
+    pub fn chunk_timeout(&self) -> Duration {
+        self.chunk_timeout
+    }
+
     /// Reads the body to its end.
     ///
     /// # Errors
@@ -123,6 +129,21 @@
         Ok(collected.freeze())
     }
 
+    /// Reads the body to its end as [`Self::collect`] does, within `limit_time` in all. The timeout of
+    /// each chunk alone does not end a body that arrives byte by byte.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::collect`]; [`ExchangeError::TimedOut`] also if `limit_time` is over.
+    pub async fn collect_within(
+        self,
+        limit: usize,
+        limit_time: Duration,
+    ) -> Result<Bytes, ExchangeError> {
+        let late = ExchangeError::TimedOut { stage: ExchangeStage::Body };
+        tokio::time::timeout(limit_time, self.collect(limit)).await.unwrap_or(Err(late))
+    }
+
     fn finish(&mut self) {
         self.finished = true;
         if let Some(connection) = self.connection.take() {
--- a/gateway/src/event_scan.rs
+++ b/gateway/src/event_scan.rs
@@ -17,12 +17,16 @@
     partial: BytesMut,
     /// Where the first line that is not complete begins in `partial`.
     line_start: usize,
+    /// Up to where that line was searched for its end, so that a long one is not searched again with each piece.
+    searched: usize,
     /// The fields of the event that `partial` holds the beginning of.
     fields: EventFields,
     last_id: Option<String>,
     /// Whether an event without an id came after the last one that had one.
     is_unnumbered: bool,
     has_events: bool,
+    /// How many events were complete, without blank lines and comments.
+    events: u64,
 }
 
 /// What the lines of an event say so far.
@@ -35,13 +39,14 @@
 }
 
 impl EventScan {
-    /// Appends bytes and returns the events that are complete now; empty if none is.
+    /// Appends bytes and returns the events that are complete now; empty if none is. Blank lines and comments before the
+    /// first event are held back until it is complete: a server that sends nothing else has not begun an answer.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
         self.partial.extend_from_slice(&bytes);
         let mut complete = 0;
-        while let Some((length, next)) = line_at(&self.partial, self.line_start) {
+        while let Some((length, next)) = line_at(&self.partial, self.line_start, self.searched) {
             let line = &self.partial[self.line_start..self.line_start + length];
-            self.line_start = next;
+            (self.line_start, self.searched) = (next, next);
             if line.is_empty() {
                 self.end_event();
                 complete = next;
@@ -49,7 +54,13 @@
                 self.fields.read(line);
             }
         }
+        // A carriage return at the end is looked at again with the byte behind it.
+        self.searched = self.partial.len() - usize::from(self.partial.ends_with(b"\r"));
+        if !self.has_events {
+            return Bytes::new();
+        }
         self.line_start -= complete;
+        self.searched -= complete;
         self.partial.split_to(complete).freeze()
     }
 
@@ -57,6 +68,7 @@
     fn end_event(&mut self) {
         let fields = std::mem::take(&mut self.fields);
         self.has_events |= fields.any;
+        self.events += u64::from(fields.any);
         match fields.id {
             Some(id) => {
                 self.last_id = Some(id);
@@ -76,6 +88,11 @@
         !self.is_unnumbered
     }
 
+    /// Returns how many events were complete, of all servers' answers.
+    pub(crate) fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Returns how many bytes of an incomplete event are buffered.
     pub(crate) fn partial_len(&self) -> usize {
         self.partial.len()
@@ -89,7 +106,7 @@
     /// Begins with the answer of another server, and drops the incomplete event of the one that failed.
     pub(crate) fn start_run(&mut self) {
         self.partial.clear();
-        self.line_start = 0;
+        (self.line_start, self.searched) = (0, 0);
         self.fields = EventFields::default();
         self.has_events = false;
     }
@@ -112,7 +129,7 @@
         if ends_with_connection && !self.has_events {
             return Err("the stream ended with its connection before an event");
         }
-        self.line_start = 0;
+        (self.line_start, self.searched) = (0, 0);
         Ok(self.partial.split().freeze())
     }
 }
@@ -130,11 +147,12 @@
     }
 }
 
-/// Returns the length of the line that begins at `start` and where the next one begins, if it is complete. Lines end with
-/// a line feed, a carriage return or both; a carriage return at the end may be the first half of both.
-fn line_at(bytes: &[u8], start: usize) -> Option<(usize, usize)> {
-    let length = bytes[start..].iter().position(|byte| matches!(byte, b'\n' | b'\r'))?;
-    let end = start + length;
+/// Returns the length of the line that begins at `start` and where the next one begins, if it is complete. It has no end
+/// before `searched`. Lines end with a line feed, a carriage return or both; a carriage return at the end may be the first half of both.
+fn line_at(bytes: &[u8], start: usize, searched: usize) -> Option<(usize, usize)> {
+    let from = start.max(searched);
+    let end = from + bytes[from..].iter().position(|byte| matches!(byte, b'\n' | b'\r'))?;
+    let length = end - start;
     match (bytes[end], bytes.get(end + 1)) {
         (b'\n', _) => Some((length, end + 1)),
         (_, Some(b'\n')) => Some((length, end + 2)),
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -10,7 +10,6 @@
 use coltsfoothook_platform::{ResponseHead, end_to_end_headers};
 use coltsfoothook_telemetry::event;
 use http::{Response, StatusCode};
-use tokio::time::timeout;
 
 use crate::answer::{AnswerStream, own_answer, whole_answer};
 use crate::clock;
@@ -65,12 +64,11 @@
         return AfterAnswer::finished(StreamRelay::answer(run, server, answer).await);
     }
     let (headers, latency) = (answer.headers.clone(), run.elapsed());
-    let body = timeout(run.left() + ANSWER_SLACK, answer.body.collect(MAX_BUFFERED_BYTES)).await;
-    if let Ok(Err(ExchangeError::BodyFailed { .. })) = &body {
+    let body = answer.body.collect_within(MAX_BUFFERED_BYTES, body_timeout(&run)).await;
+    if let Err(ExchangeError::BodyFailed { .. }) = &body {
         suspects::run_broken(&run);
     }
-    let body = body.map_err(|_| "the answer's body was not complete in time".to_owned());
-    let body = body.and_then(|whole| whole.map_err(|error| error.to_string()));
+    let body = body.map_err(|error| error.to_string());
     {
         let mut view = run.gateway.view();
         let good = !failed && body.is_ok();
@@ -100,6 +98,12 @@
     AfterAnswer::finished(whole_answer(status, end_to_end_headers(&headers), body))
 }
 
+/// Returns how long to wait for the whole body of an answer: where another server may run the request, only half of the
+/// time left, so that a body that never ends leaves time for that server.
+fn body_timeout(run: &RequestRun) -> Duration {
+    if run.may_run_elsewhere() { run.left() / 2 } else { run.left() + ANSWER_SLACK }
+}
+
 fn finish_or_retry(mut run: RequestRun, server: ServerName, cause: String) -> AfterAnswer {
     match handle_broken_answer(&mut run, server, cause) {
         NextStep::Retry(_) => AfterAnswer::Retry(Box::new(run)),
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use futures::StreamExt;
 use http::{HeaderMap, Response, header};
 use hyper::body::Frame;
-use tokio::time::{Instant, Sleep};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::answer::{AnswerStream, BrokenAnswer, streamed_answer};
 use crate::event_scan::EventScan;
@@ -52,6 +52,8 @@
     /// `None` if the answer is not a stream of events.
     scan: Option<EventScan>,
     due: std::pin::Pin<Box<Sleep>>,
+    /// How long to wait for the next event of the present server.
+    event_timeout: Duration,
     last_piece: Instant,
 }
 
@@ -62,6 +64,8 @@
     Broken(String),
     /// The due time and [`DUE_SLACK`] are over.
     Overdue,
+    /// No event was complete in time, whatever bytes came.
+    Eventless,
 }
 
 impl StreamRelay {
@@ -75,8 +79,17 @@
         let (status, headers) = (answer.status, stream_headers(&answer.headers));
         let scan = is_event_stream(&answer.headers).then(EventScan::default);
         let due = Box::pin(tokio::time::sleep(run.left() + DUE_SLACK));
-        let mut relay =
-            Self { server, body: Some(answer.body), scan, due, last_piece: Instant::now(), run };
+        // `run.ran` counts the present server here, and not where it was sent to.
+        let event_timeout = answer.body.chunk_timeout();
+        let mut relay = Self {
+            server,
+            body: Some(answer.body),
+            scan,
+            due,
+            event_timeout,
+            last_piece: Instant::now(),
+            run,
+        };
         let first = match relay.next().await {
             Ok(first) => first,
             Err(BrokenAnswer) => return failed_answer(&mut relay.run),
@@ -97,9 +110,17 @@
     }
 
     /// Returns the next bytes for the caller, or `None` at the end of the stream.
+    ///
+    /// The time for the next event counts from the call: before it the caller did not read.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        let mut event_due = Instant::now() + self.event_timeout;
         loop {
-            let cause = match self.read_piece().await {
+            let events = self.complete_events();
+            let piece = self.read_piece(event_due).await;
+            if self.complete_events() > events {
+                event_due = Instant::now() + self.event_timeout;
+            }
+            let cause = match piece {
                 RelayPiece::Events(events) if events.is_empty() => continue,
                 RelayPiece::Events(events) => {
                     self.record_forwarded();
@@ -115,6 +136,7 @@
                     return Ok(None);
                 }
                 RelayPiece::Broken(cause) => cause,
+                RelayPiece::Eventless => "no event was complete in time".to_owned(),
                 RelayPiece::Overdue => {
                     self.run.end("failed", "deadline");
                     return Err(BrokenAnswer);
@@ -126,17 +148,25 @@
                 self.run.end("failed", cause);
                 return Err(BrokenAnswer);
             }
+            event_due = Instant::now() + self.event_timeout;
         }
     }
 
-    async fn read_piece(&mut self) -> RelayPiece {
+    /// Returns how many events were complete so far.
+    fn complete_events(&self) -> u64 {
+        self.scan.as_ref().map_or(0, EventScan::events)
+    }
+
+    async fn read_piece(&mut self, event_due: Instant) -> RelayPiece {
         let Some(body) = &mut self.body else {
             return RelayPiece::Broken("no server runs the stream".to_owned());
         };
         let piece = tokio::select! {
             biased;
-            piece = body.next() => piece,
+            // First, as a body may always have bytes ready.
             () = &mut self.due => return RelayPiece::Overdue,
+            () = sleep_until(event_due), if self.scan.is_some() => return RelayPiece::Eventless,
+            piece = body.next() => piece,
         };
         match piece {
             Some(Ok(bytes)) => self.events(bytes),
@@ -270,6 +300,7 @@
                 {
                     run.ran += 1;
                     run.framing = answer.framing;
+                    self.event_timeout = answer.body.chunk_timeout();
                     self.body = Some(answer.body);
                     self.server = server;
                     return true;
--- a/gateway/tests/unit/event_scan.rs
+++ b/gateway/tests/unit/event_scan.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// Guards against blank lines and comments that pass for the beginning of an answer, and against their loss.
+#[test]
+fn before_first_event() {
+    let mut scan = EventScan::default();
+    assert_eq!(scan.push((&b"\n: wait\n\n"[..]).into()), "");
+    assert_eq!(scan.events(), 0);
+    assert_eq!(scan.push((&b"data: a\n\n: go"[..]).into()), "\n: wait\n\ndata: a\n\n");
+    assert_eq!((scan.events(), scan.push((&b"es on\n\n"[..]).into())), (1, ": goes on\n\n".into()));
+}
+
 /// Guards against complete events that are lost, since a long one begins in the same piece.
 #[test]
 fn overlong_event() {
