What is held for slow callers and servers is bounded, and ends with their time

Sockets grew to the system's largest size while a caller did not read: 17.4 MB were read of four such streams; connections to servers and of callers have buffers of buffers.socket_kb. Bodies of requests and answers, and incomplete events beyond 16 KB, are counted (decision::buffer): a holder has no more than stays free, of buffers.total_mb. A caller that reads slowly kept its server's slot, as the due time of a stream is looked at only when the caller takes more: its connection is closed when the time is over, of a plain answer buffers.unread_ms later. New metric buffered_bytes, refusal no_buffer.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -31,6 +31,7 @@
 mod blame;
 pub(crate) mod bucket;
 pub mod budget;
+pub mod buffer;
 pub mod check;
 pub mod choice;
 pub mod claim;
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod fixture;
 mod fleet_limits;
 mod group_routes;
+mod held_buffers;
 mod job_results;
 mod limit_handover;
 mod load_recovery;
--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -117,20 +117,37 @@
     /// [`ExchangeError::TooLarge`] if it is longer than `limit` bytes, and
     /// [`ExchangeError::BodyFailed`] or [`ExchangeError::TimedOut`] if it did not arrive in full. The
     /// connection is closed in each case.
-    pub async fn collect(mut self, limit: usize) -> Result<Bytes, ExchangeError> {
+    pub async fn collect(self, limit: usize) -> Result<Bytes, ExchangeError> {
+        self.collect_if(limit, |_| true).await
+    }
+
+    /// Reads the body to its end as [`Self::collect`] does, while `may_hold` allows the bytes of each
+    /// further chunk; it counts as too large once that does not.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::collect`].
+    pub async fn collect_if(
+        mut self,
+        limit: usize,
+        mut may_hold: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, ExchangeError> {
         let mut collected = BytesMut::new();
         while let Some(chunk) = self.next().await {
             let chunk = chunk?;
             if collected.len() + chunk.len() > limit {
                 return Err(ExchangeError::TooLarge { limit });
             }
+            if !may_hold(chunk.len()) {
+                return Err(ExchangeError::TooLarge { limit: collected.len() });
+            }
             collected.extend_from_slice(&chunk);
         }
         Ok(collected.freeze())
     }
 
-    /// Reads the body to its end as [`Self::collect`] does, within `limit_time` in all. The timeout of
-    /// each chunk alone does not end a body that arrives byte by byte.
+    /// Reads the body to its end as [`Self::collect_if`] does, within `limit_time` in all. The timeout
+    /// of each chunk alone does not end a body that arrives byte by byte.
     ///
     /// # Errors
     ///
@@ -139,9 +156,11 @@
         self,
         limit: usize,
         limit_time: Duration,
+        may_hold: impl FnMut(usize) -> bool,
     ) -> Result<Bytes, ExchangeError> {
         let late = ExchangeError::TimedOut { stage: ExchangeStage::Body };
-        tokio::time::timeout(limit_time, self.collect(limit)).await.unwrap_or(Err(late))
+        let whole = self.collect_if(limit, may_hold);
+        tokio::time::timeout(limit_time, whole).await.unwrap_or(Err(late))
     }
 
     fn finish(&mut self) {
--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -42,6 +42,9 @@
         /// Idle time before the first TCP keep-alive probe, and the interval between probes. A
         /// connection whose peer vanished without a reset fails after four such periods.
         pub probe_ms: u64 = 1_000, in 1_000..=600_000;
+        /// Size of the kernel's buffer for received data of a connection, in KB; 0 leaves it to the
+        /// system, which lets it grow to some MB while data is not read.
+        pub receive_kb: usize = 0, in 0..=65_536;
         /// Maximum number of idle connections for each server.
         pub idle_connections: usize = 64, in 0..=10_000;
         /// Maximum size of a response head, in bytes; at least 8,192.
@@ -217,6 +220,11 @@
             .map_err(|error| not_sent(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
         self.enable_keepalive(&stream).map_err(|error| not_sent(error.to_string()))?;
+        if self.settings.receive_kb > 0 {
+            let size = self.settings.receive_kb << 10;
+            let sized = SockRef::from(&stream).set_recv_buffer_size(size);
+            sized.map_err(|error| not_sent(error.to_string()))?;
+        }
         let written = WrittenCount::default();
         let stream = TokioIo::new(CountedStream::new(stream, written.clone()));
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -9,6 +9,8 @@
 use hyper::body::Frame;
 use snafu::Snafu;
 
+use crate::buffer::HeldBody;
+
 /// The body of an answer: whole, or streamed as it arrives from a server.
 pub(crate) type AnswerStream = UnsyncBoxBody<Bytes, BrokenAnswer>;
 
@@ -30,6 +32,18 @@
     answer
 }
 
+/// Returns an answer whose body is held for its caller.
+pub(crate) fn held_answer(
+    status: StatusCode,
+    headers: HeaderMap,
+    body: HeldBody,
+) -> Response<AnswerStream> {
+    let mut answer = Response::new(body.boxed_unsync());
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
 /// Returns an answer whose body is sent frame by frame as `frames` yields it.
 pub(crate) fn streamed_answer(
     status: StatusCode,
--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinSet;
 
 use crate::answer::{AnswerStream, own_answer, whole_answer};
+use crate::buffer::ReadingDue;
 use crate::clock;
 use crate::forward;
 use crate::hand_over;
@@ -133,6 +134,7 @@
             let resting = count(&|state| !state.rest_wait(now).is_zero());
             gateway.metrics.set("resting_servers", resting);
             gateway.metrics.set("leaving_servers", count(&|state| state.leaving));
+            gateway.metrics.set("buffered_bytes", gateway.buffers.held());
             gateway.metrics.set("vms", view.vm_count(now));
             gateway.metrics.set("shares", view.lease.held());
             let slack = view.slack_share(now) * view.budget.bounds().slack;
@@ -249,7 +251,7 @@
 }
 
 async fn connection(gateway: Arc<Gateway>, stream: TcpStream, service: impl InterfaceService) {
-    if let Err(error) = set_socket_options(&stream) {
+    if let Err(error) = set_socket_options(&stream, gateway.settings.buffers.socket_kb << 10) {
         event!(AcceptFailed, cause = error);
         return;
     }
@@ -257,8 +259,11 @@
     let idle =
         table.as_ref().map_or(INITIAL_IDLE_TIME, |table| table.limits.idle_time + IDLE_MARGIN);
     let head = table.as_ref().map_or(MIN_HEAD_BYTES * 2, |table| table.limits.head_bytes * 2);
-    let service = service_fn(move |request| {
+    let reading = ReadingDue::default();
+    let signal = reading.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let service = service.clone();
+        request.extensions_mut().insert(signal.clone());
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
     let mut builder = http1::Builder::new();
@@ -270,15 +275,23 @@
     // Errors of a connection are not logged; the end of each of its requests is.
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = reading.passed() => return,
         _ = closing.wait_for(|closing| *closing) => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = reading.passed() => {}
+    }
 }
 
-fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+/// Sets the options of a caller's connection; `send_bytes` is the size of its send buffer, 0 for the system's.
+fn set_socket_options(stream: &TcpStream, send_bytes: usize) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    if send_bytes > 0 {
+        socket.set_send_buffer_size(send_bytes)?;
+    }
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_IDLE / 2)
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use coltsfoothook_decision::id::{ServiceName, TimePoint};
 use coltsfoothook_decision::routing::{RouteTable, ServingRoute};
 use coltsfoothook_platform::{HeadFault, RequestHead, read_head, take_key};
@@ -15,6 +15,7 @@
 
 use crate::admit::{AdmittedRequest, admit, read_key};
 use crate::answer::{AnswerStream, own_answer};
+use crate::buffer::{BufferShare, ReadingDue};
 use crate::charge::LimitCharge;
 use crate::clock;
 use crate::find::{NO_LINKS, find_server};
@@ -23,7 +24,7 @@
 use crate::outcome::{
     AfterAnswer, NextStep, give_up, handle_answer, handle_not_run, handle_unknown,
 };
-use crate::refusal::Refusal;
+use crate::refusal::{Refusal, RefusalGrounds};
 use crate::run::{CallerRequest, RequestRun};
 use crate::send::{SendEnd, send};
 use crate::state::Gateway;
@@ -31,6 +32,9 @@
 
 /// `Retry-After`, in seconds, while this VM has no configuration yet.
 const STARTUP_RETRY_S: f64 = 0.3;
+/// `Retry-After`, in seconds, while this VM holds so much data that a request's body has no room. Requests end
+/// within seconds.
+const BUFFER_RETRY_S: f64 = 1.0;
 
 /// Answers a caller's request: with a server's answer, a refusal or a failure.
 pub(crate) async fn serve(
@@ -84,7 +88,7 @@
     let route = find_route(&table, &request)?.clone();
     let service = route.service_for(&head.id)?.clone();
     let (parts, body) = request.into_parts();
-    let body = read_body(body, &table).await.ok()?;
+    let body = read_body(gateway, body, &table).await.ok()?;
     let admitted = AdmittedRequest {
         route,
         customer: handed.customer,
@@ -133,7 +137,13 @@
         // request has.
         let _ = take_key(&mut parts.headers);
     }
-    let body = read_body(body, &table).await.map_err(|status| match status {
+    let body = read_body(gateway, body, &table).await.map_err(|status| match status {
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let buffered = Some(gateway.buffers.held());
+            let grounds = RefusalGrounds { buffered, ..RefusalGrounds::default() };
+            let refusal = Refusal::new(status, "no_buffer", config).with_grounds(grounds);
+            Refusal { retry_s: Some(BUFFER_RETRY_S), ..refusal }
+        }
         StatusCode::PAYLOAD_TOO_LARGE => Refusal::new(status, "body_too_large", config),
         StatusCode::REQUEST_TIMEOUT => Refusal::new(status, "body_too_slow", config),
         status => Refusal::new(status, "body_cut", config),
@@ -146,8 +156,8 @@
 
 /// Returns an admitted request with its body.
 fn caller_request(
-    parts: Parts,
-    body: Bytes,
+    mut parts: Parts,
+    (body, share): (Bytes, BufferShare),
     head: RequestHead,
     admitted: AdmittedRequest,
     service: ServiceName,
@@ -163,6 +173,8 @@
         path,
         headers: parts.headers,
         body,
+        _share: share,
+        reading: parts.extensions.remove::<ReadingDue>().unwrap_or_default(),
         fingerprint,
         subjects,
         route: admitted.route,
@@ -182,16 +194,32 @@
     table.find(host, request.uri().path())
 }
 
-/// Reads a body whole, within the configured size and idle time.
-async fn read_body(body: Incoming, table: &RouteTable) -> Result<Bytes, StatusCode> {
+/// Reads a body whole, within the configured size and idle time and what the VM may hold.
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    table: &RouteTable,
+) -> Result<(Bytes, BufferShare), StatusCode> {
     let limits = &table.limits;
-    let whole = Limited::new(body, limits.body_bytes).collect();
-    match timeout(limits.idle_time, whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
+    let mut share = gateway.buffers.share();
+    let mut body = Limited::new(body, limits.body_bytes);
+    let whole = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+                true => StatusCode::PAYLOAD_TOO_LARGE,
+                false => StatusCode::BAD_REQUEST,
+            })?;
+            let Ok(piece) = frame.into_data() else { continue };
+            if !share.grow(piece.len()) {
+                return Err(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    };
+    let whole = timeout(limits.idle_time, whole).await;
+    Ok((whole.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))?, share))
 }
 
 /// Sends a request to one server after another until it has its final answer.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod admit;
 mod aggregate;
 mod answer;
+mod buffer;
 mod charge;
 mod clock;
 mod confirm;
@@ -87,5 +88,6 @@
 
 pub use process::{GatewayError, GatewayProcess, run_gateway};
 pub use settings::{
-    CapacitySettings, GatewaySettings, ListenSettings, PromiseSettings, StoreSettings,
+    BufferSettings, CapacitySettings, GatewaySettings, ListenSettings, PromiseSettings,
+    StoreSettings,
 };
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -10,8 +10,10 @@
 use coltsfoothook_platform::{ResponseHead, end_to_end_headers};
 use coltsfoothook_telemetry::event;
 use http::{Response, StatusCode};
+use tokio::time::Instant;
 
-use crate::answer::{AnswerStream, own_answer, whole_answer};
+use crate::answer::{AnswerStream, held_answer, own_answer};
+use crate::buffer::HeldBody;
 use crate::clock;
 use crate::find::MIN_TIME_LEFT;
 use crate::peer;
@@ -64,7 +66,9 @@
         return AfterAnswer::finished(StreamRelay::answer(run, server, answer).await);
     }
     let (headers, latency) = (answer.headers.clone(), run.elapsed());
-    let body = answer.body.collect_within(MAX_BUFFERED_BYTES, body_timeout(&run)).await;
+    let mut share = run.gateway.buffers.share();
+    let (limit, limit_time) = (MAX_BUFFERED_BYTES, body_timeout(&run));
+    let body = answer.body.collect_within(limit, limit_time, |more| share.grow(more)).await;
     if let Err(ExchangeError::BodyFailed { .. }) = &body {
         suspects::run_broken(&run);
     }
@@ -95,7 +99,10 @@
         suspects::run_completed(&run);
     }
     run.end(if failed { "server_failed" } else { "done" }, "");
-    AfterAnswer::finished(whole_answer(status, end_to_end_headers(&headers), body))
+    let unread_time = Duration::from_millis(run.gateway.settings.buffers.unread_ms);
+    let guard = run.request.reading.guard(Instant::now() + run.left() + unread_time);
+    let body = HeldBody { rest: body, _share: share, _guard: guard };
+    AfterAnswer::finished(held_answer(status, end_to_end_headers(&headers), body))
 }
 
 /// Returns how long to wait for the whole body of an answer: where another server may run the request, only half of the
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -25,6 +25,8 @@
     /// Time since the configuration was last confirmed to be the newest, in milliseconds.
     pub(crate) confirmed_ms: Option<u128>,
     pub(crate) limit: Option<LimitRefusal>,
+    /// How many bytes the VM held for callers and servers, if the request's body had no room.
+    pub(crate) buffered: Option<usize>,
 }
 
 impl Refusal {
@@ -53,6 +55,7 @@
             asked_per_s? = limit.map(|limit| limit.demand_per_s as i64),
             own_part? = limit.map(|limit| limit.own_fraction),
             fleet_part? = limit.map(|limit| limit.fleet_fraction),
+            buffered? = grounds.and_then(|grounds| grounds.buffered),
             retry_s? = self.retry_s,
         );
     }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::answer::{AnswerStream, BrokenAnswer, streamed_answer};
+use crate::buffer::{BufferShare, ReadingGuard};
 use crate::event_scan::EventScan;
 use crate::find::find_server;
 use crate::origins;
@@ -28,6 +29,12 @@
 /// A stream with less time left than this is not resumed.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(150);
 
+/// How long after the due time a stream whose caller does not read is ended; more than [`DUE_SLACK`], so that one whose
+/// caller reads ends by itself.
+const READING_SLACK: Duration = Duration::from_millis(400);
+/// The part of an incomplete event, in bytes, that is not counted as held: usual events are shorter.
+const FREE_EVENT_BYTES: usize = 16 << 10;
+
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// Returns the headers of a stream's answer for the caller. The length may change when the stream is resumed.
@@ -55,6 +62,10 @@
     /// How long to wait for the next event of the present server.
     event_timeout: Duration,
     last_piece: Instant,
+    /// What is held of an incomplete event beyond [`FREE_EVENT_BYTES`].
+    share: BufferShare,
+    /// Ends the stream if its caller does not read, as the due time is looked at only when it does.
+    reading: ReadingGuard,
 }
 
 /// What was read from the server.
@@ -88,6 +99,8 @@
             due,
             event_timeout,
             last_piece: Instant::now(),
+            share: run.gateway.buffers.share(),
+            reading: run.request.reading.guard(Instant::now() + run.left() + READING_SLACK),
             run,
         };
         let first = match relay.next().await {
@@ -187,6 +200,10 @@
         if events.is_empty() && scan.is_overlong() {
             return RelayPiece::Broken("an event is too long".to_owned());
         }
+        let held = scan.partial_len().saturating_sub(FREE_EVENT_BYTES);
+        if !self.share.resize(held) && events.is_empty() {
+            return RelayPiece::Broken("an event is longer than may be held now".to_owned());
+        }
         RelayPiece::Events(events)
     }
 
@@ -321,3 +338,11 @@
         false
     }
 }
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        if self.reading.has_passed() {
+            self.run.end("failed", "the caller did not read in time");
+        }
+    }
+}
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -18,6 +18,7 @@
 use coltsfoothook_telemetry::event;
 use http::{HeaderMap, Method, header};
 
+use crate::buffer::{BufferShare, ReadingDue};
 use crate::charge::LimitCharge;
 use crate::clock;
 use crate::find::MIN_TIME_LEFT;
@@ -97,6 +98,10 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What is held of the body.
+    pub(crate) _share: BufferShare,
+    /// When the caller must have read the answer.
+    pub(crate) reading: ReadingDue,
     /// The same for each attempt of the caller at the same request.
     pub(crate) fingerprint: RequestFingerprint,
     /// What a crash of a server that runs it may be attributed to: the shared parts of its prompt and itself.
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -38,6 +38,22 @@
     }
 }
 
+settings_struct! {
+    /// Data that the VM holds for callers and servers that are slow, or that send without end.
+    pub struct BufferSettings {
+        /// Bodies of requests and answers, and incomplete events, in MB. One of them may have half
+        /// of it, each of many an equal part. Buffers grow by doubling, so that up to twice as much
+        /// memory is used.
+        pub total_mb: usize = 24, in 1..=65_536;
+        /// Buffer of the kernel for data from a server or to a caller that is not read, in KB for
+        /// each connection; 0 leaves it to the system, which may take some MB.
+        pub socket_kb: usize = 128, in 0..=65_536;
+        /// Time after a request is due for which its caller may leave an answer unread, in
+        /// milliseconds. Streams have only the time of their request.
+        pub unread_ms: u64 = 3_000, in 100..=600_000;
+    }
+}
+
 settings_struct! {
     /// The platform's store.
     pub struct StoreSettings {
@@ -123,6 +139,8 @@
         pub listen: ListenSettings = ListenSettings::default();
         /// Capacity of the VM. In large fleets VMs with more capacity send updates to the others.
         pub capacity: CapacitySettings = CapacitySettings::default();
+        /// What it holds for callers and servers.
+        pub buffers: BufferSettings = BufferSettings::default();
         /// VMs that are contacted first to discover the others; their ports are not used.
         pub seeds: Vec<SocketAddr> = Vec::new();
         /// Whether the whole system starts for the first time. It then gives its first orders
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -28,6 +28,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::aggregate::DomainView;
+use crate::buffer::BufferPool;
 use crate::clock;
 use crate::limit_use::LimitUseList;
 use crate::link::AnswerTimes;
@@ -209,6 +210,8 @@
     pub(crate) closing: watch::Sender<bool>,
     /// Number of requests that were accepted and have not ended.
     pub(crate) open: AtomicU64,
+    /// What it holds for callers and servers.
+    pub(crate) buffers: BufferPool,
 }
 
 impl Gateway {
@@ -237,6 +240,7 @@
             newest_keep_ms: NEWEST_KEEP_MS,
             idle_connections: IDLE_CONNECTIONS,
             connect_ms: 400,
+            receive_kb: settings.buffers.socket_kb,
             ..ExchangeSettings::default()
         };
         let client = ExchangeClient::with_dialer(exchange.clone(), dialer);
@@ -308,6 +312,7 @@
             leaving: AtomicBool::new(false),
             closing: watch::Sender::new(false),
             open: AtomicU64::new(0),
+            buffers: BufferPool::new(settings.buffers.total_mb << 20),
             settings,
         }
     }
--- a/gateway/tests/suite/site.rs
+++ b/gateway/tests/suite/site.rs
@@ -7,7 +7,7 @@
 
 use coltsfoothook_exchange::{ExchangeClient, ExchangeRequest, ExchangeResponse, ExchangeSettings};
 use coltsfoothook_gateway::{
-    GatewayProcess, GatewaySettings, ListenSettings, PromiseSettings, StoreSettings,
+    BufferSettings, GatewayProcess, GatewaySettings, ListenSettings, PromiseSettings, StoreSettings,
 };
 use futures::StreamExt;
 use http::{HeaderName, HeaderValue};
@@ -157,6 +157,14 @@
         RunningGateway { process, listen }
     }
 
+    /// Starts a gateway that holds no more data for callers and servers than `buffers` says.
+    pub(crate) async fn start_buffered(&self, vm: &str, buffers: BufferSettings) -> RunningGateway {
+        let peers = SocketAddr::from((loopback_of(vm), self.peer_port));
+        let (settings, listen) = self.settings(peers, vm, &[], true, PromiseSettings::default());
+        let settings = GatewaySettings { buffers, ..settings };
+        RunningGateway { process: GatewayProcess::start(settings).await.unwrap(), listen }
+    }
+
     async fn start_at(
         &self,
         peers: SocketAddr,
--- a/gateway/tests/suite/slow_readers.rs
+++ b/gateway/tests/suite/slow_readers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use coltsfoothook_gateway::BufferSettings;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -122,6 +123,38 @@
     drop(unread);
 }
 
+/// Guards against callers whose request bodies never end, and that fill the VM's memory or leave none to others.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_uploads() {
+    let site = Site::start(0, 1).await;
+    let buffers = BufferSettings { total_mb: 1, ..BufferSettings::default() };
+    let gateway = site.start_buffered("vm-1", buffers).await;
+    gateway.wait_ready().await;
+    let (mut uploads, mut refused) = (Vec::new(), 0);
+    for number in 0..60 {
+        let mut stream = TcpStream::connect(gateway.listen.requests).await.unwrap();
+        let head = format!(
+            "POST /once/x HTTP/1.1\r\nhost: a.example\r\ncoltsfoothook-request-id: u-{number}\r\n\
+             content-length: 60001\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let _ = stream.write_all(&[b'u'; 60_000]).await;
+        uploads.push(stream);
+    }
+    for stream in &mut uploads {
+        let mut answer = [0; 12];
+        let read = timeout(Duration::from_millis(20), stream.read_exact(&mut answer)).await;
+        refused += usize::from(read.is_ok_and(|read| read.is_ok()) && answer.ends_with(b"503"));
+    }
+    let held = state_count(&gateway, "buffered_bytes").await;
+    assert!(held > 100_000 && held < 1 << 20, "{held} bytes are held");
+    assert!(refused > 30 && refused < uploads.len(), "{refused} were refused");
+    assert_eq!(gateway.call("/once/x", "usual", &[]).await.status, 200);
+    drop(uploads);
+    let freed = async || state_count(&gateway, "buffered_bytes").await == 0;
+    eventually("nothing is held any more", freed).await;
+}
+
 /// Guards against a server that takes no bytes of a request, and holds up more than that request.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_request() {
