--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod cut_links;
 mod cuttable;
 mod endless_bytes;
+mod foreign_entries;
 mod leaving_answers;
 mod lost_queries;
 mod peer_records;
