--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -15,7 +15,7 @@
 use crate::prefill::PrefillRate;
 use crate::rest::ServerRest;
 use crate::room::RoomFigures;
-use crate::routing::{AdapterKey, BackendEntry, HeldModel};
+use crate::routing::{AdapterKey, BackendEntry, HeldModel, RouteTable};
 use crate::statement::{KeptStatements, ServiceRefusals};
 
 /// How long an owner's list takes precedence over the server's own entry. Owners repeat it within
@@ -221,6 +221,18 @@
         }
     }
 
+    /// Returns whether an entry under the name of a known server is by another writer: it names a
+    /// service that the server is not of and that no configuration has. It must not change the
+    /// server's state, since it would take the server out of its service, or end it.
+    ///
+    /// An entry of an unknown server is kept whatever its service: the configuration may come later.
+    #[must_use]
+    pub fn is_foreign(&self, entry: &BackendEntry, table: Option<&RouteTable>) -> bool {
+        let known = self.get(entry.server.as_str());
+        let moved = known.is_some_and(|state| state.entry.service != entry.service);
+        moved && table.is_some_and(|table| table.service(entry.service.as_str()).is_none())
+    }
+
     /// Returns whether an entry of an unknown server is newer than the server's removal, if there
     /// was one.
     ///
--- a/decision/tests/suite/server_lives.rs
+++ b/decision/tests/suite/server_lives.rs
@@ -5,10 +5,14 @@
 //! it lacks, orders would state a wrong count, and its heartbeats would be dropped for being lower
 //! than the last one.
 
+use std::time::Duration;
+
 use coltsfoothook_decision::backend::{BackendTable, EntryChange, ServerOwner};
 use coltsfoothook_decision::holding::AdapterHolding;
-use coltsfoothook_decision::id::TimePoint;
-use coltsfoothook_decision::routing::{AdapterKey, BackendEntry};
+use coltsfoothook_decision::id::{ConfigVersion, TimePoint};
+use coltsfoothook_decision::routing::{
+    AdapterKey, BackendEntry, CallerLimits, RouteTable, ServicePlan,
+};
 
 use crate::fixture::engine_entry;
 
@@ -76,6 +80,27 @@
     assert_eq!(table.apply_entry(unstated, NOW), EntryChange::Unchanged);
 }
 
+/// Guards against an entry under a server's name that takes the server out of its service: one of a service that no
+/// configuration has. A service that a configuration has, or may have, is one that the server moved to.
+#[test]
+fn written_by_others() {
+    let mut table = BackendTable::default();
+    table.apply_entry(entry(100, 70, 1), NOW);
+    let plan =
+        |service: &str| ServicePlan { service: service.into(), max_connections: 1, engine: None };
+    let time = Duration::from_secs(1);
+    let limits = CallerLimits { head_bytes: 1, body_bytes: 1, head_time: time, idle_time: time };
+    let plans = vec![plan("others")];
+    let config = RouteTable::new(ConfigVersion(1), limits, Vec::new(), plans);
+    let of = |service: &str| BackendEntry { service: service.into(), ..entry(200, 1, 2) };
+    assert!(table.is_foreign(&of("nobody"), Some(&config)));
+    assert!(!table.is_foreign(&of("nobody"), None));
+    assert!(!table.is_foreign(&of("others"), Some(&config)));
+    assert!(!table.is_foreign(&of("engines"), Some(&config)), "its service was removed");
+    let unknown = BackendEntry { server: "s9".into(), ..of("nobody") };
+    assert!(!table.is_foreign(&unknown, Some(&config)));
+}
+
 /// Guards against a start that another VM reported and that passes for one of the former software version.
 #[test]
 fn software_of_reported_start() {
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -347,6 +347,9 @@
             }
         };
         view.skipped.clear(&record.key);
+        if view.is_foreign(&entry) {
+            continue;
+        }
         // Each reader reports a leaving server, even if another reader reported it first.
         // Otherwise a VM that cannot receive the first reader's updates would not learn of it from
         // the others: one that had lost sight of that reader for three seconds went on sending to
@@ -438,10 +441,27 @@
         }
     }
 
+    /// Returns whether an entry is by another writer, under the name of a known server, and logs it once.
+    pub(crate) fn is_foreign(&mut self, entry: &BackendEntry) -> bool {
+        if !self.backends.is_foreign(entry, self.table.as_deref()) {
+            return false;
+        }
+        // A key of its own, which the server's next entry does not clear.
+        if self.skipped.record(&format!("{} of {}", entry.server, entry.service)) {
+            self.log_ignored(entry);
+        }
+        true
+    }
+
     /// Applies an entry and returns whether it changes where requests can go.
     pub(crate) fn apply_entry(&mut self, entry: &BackendEntry, now: TimePoint) -> bool {
+        if self.is_foreign(entry) {
+            return false;
+        }
         let change = self.backends.apply_entry(entry.clone(), now);
-        self.log_ignored(entry);
+        if self.backends.get(entry.server.as_str()).is_some_and(|s| !entry.ready && !s.leaving) {
+            self.log_ignored(entry);
+        }
         match change {
             EntryChange::Appeared => {
                 self.server_started(entry, now);
@@ -475,19 +495,19 @@
         }
     }
 
-    /// Logs an entry that says that its server leaves and was ignored.
+    /// Logs an entry of a known server that was ignored.
     fn log_ignored(&self, entry: &BackendEntry) {
         let Some(state) = self.backends.get(entry.server.as_str()) else { return };
-        if !entry.ready && !state.leaving {
-            event!(
-                EntryIgnored,
-                server = entry.server,
-                heartbeat = entry.heartbeat,
-                position = entry.position,
-                known_heartbeat = state.entry.heartbeat,
-                known_position = state.entry.position,
-            );
-        }
+        event!(
+            EntryIgnored,
+            server = entry.server,
+            service = entry.service,
+            heartbeat = entry.heartbeat,
+            position = entry.position,
+            known_service = state.entry.service,
+            known_heartbeat = state.entry.heartbeat,
+            known_position = state.entry.position,
+        );
     }
 
     /// Estimates the rate of the weight store from the number of known engines, until loads have
--- a/gateway/src/record_exchange.rs
+++ b/gateway/src/record_exchange.rs
@@ -119,7 +119,9 @@
     }
     let entries = state.entries.len();
     for entry in state.entries {
-        view.backends.apply_entry(entry, now);
+        if !view.is_foreign(&entry) {
+            view.backends.apply_entry(entry, now);
+        }
     }
     view.entries_read |= entries > 0;
     view.expect_fleet();
