--- a/decision/tests/suite/server_lives.rs
+++ b/decision/tests/suite/server_lives.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::backend::{BackendTable, EntryChange, ServerOwner};
+use coltsfoothook_decision::counts::LoadFigure;
 use coltsfoothook_decision::holding::AdapterHolding;
 use coltsfoothook_decision::id::{ConfigVersion, TimePoint};
 use coltsfoothook_decision::routing::{
@@ -80,6 +81,30 @@
     assert_eq!(table.apply_entry(unstated, NOW), EntryChange::Unchanged);
 }
 
+/// Guards against requests at the former start of a server, of this VM and others, that count as load of the present one
+/// until their ends are seen, which may be never: requests would avoid the server, and adapters not be placed there.
+#[test]
+fn counts_end() {
+    let mut table = BackendTable::default();
+    table.apply_entry(entry(100, 70, 1), NOW);
+    let figure = LoadFigure { running: 5, pending_prompt_tokens: 700 };
+    for _ in 0..3 {
+        table.sent("s0", 400, NOW);
+    }
+    table.peer_load("s0", &"b".into(), figure, NOW);
+    assert_eq!(table.get("s0").unwrap().load(NOW).running, 8);
+    table.apply_entry(entry(200, 1, 2), NOW);
+    assert_eq!(table.get("s0").unwrap().load(NOW), LoadFigure::default());
+    table.sent("s0", 50, NOW);
+    // A request to the former start ends late, and another one shows its first event.
+    table.prompt_processed("s0", 100, 400, None);
+    table.ended("s0", 100, 400);
+    let load = LoadFigure { running: 1, pending_prompt_tokens: 50 };
+    assert_eq!(table.get("s0").unwrap().load(NOW), load);
+    table.ended("s0", 200, 50);
+    assert_eq!(table.get("s0").unwrap().load(NOW), LoadFigure::default());
+}
+
 /// Guards against an entry under a server's name that takes the server out of its service: one of a service that no
 /// configuration has. A service that a configuration has, or may have, is one that the server moved to.
 #[test]
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -21,6 +21,7 @@
 mod repeat_budget;
 mod repeats;
 mod resting_servers;
+mod reused_ids;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
 mod server_limits;
