Requests at a former start of a server do not count at its present one

A restart kept the counts until the requests' ends were seen, which may be never where the former start hangs; the new one was avoided meanwhile. The counts end with the start, what other VMs reported of it included, and ends of requests to a former start are ignored. The other VMs are told the new count at once.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -298,6 +298,10 @@
         self.get(server).is_some_and(|state| state.entry.incarnation == incarnation)
     }
 
+    fn of_incarnation(&mut self, server: &str, incarnation: u64) -> Option<&mut BackendState> {
+        self.get_mut(server).filter(|state| state.entry.incarnation == incarnation)
+    }
+
     /// Starts a later incarnation of a known server that was reported by the server or its owner
     /// before its entry was read. `models` are the base models it is known to hold. Returns whether
     /// the incarnation was new to this VM.
@@ -396,10 +400,17 @@
         before
     }
 
-    /// Records the first event of a request, by which its prompt has been processed. `alone_us` is
+    /// Records the first event of a request to an incarnation of a server, by which its prompt has
+    /// been processed; ignored if the server has restarted since. `alone_us` is
     /// the time since it was sent, if the server had no other prompt to process then.
-    pub fn prompt_processed(&mut self, server: &str, tokens: u64, alone_us: Option<u64>) {
-        let Some(state) = self.get_mut(server) else { return };
+    pub fn prompt_processed(
+        &mut self,
+        server: &str,
+        incarnation: u64,
+        tokens: u64,
+        alone_us: Option<u64>,
+    ) {
+        let Some(state) = self.of_incarnation(server, incarnation) else { return };
         state.counts.own.pending_prompt_tokens =
             state.counts.own.pending_prompt_tokens.saturating_sub(tokens);
         let Some(waited_us) = alone_us else { return };
@@ -428,10 +439,11 @@
         found.map_or_else(|_| PrefillRate::default(), |at| self.rates[at].1)
     }
 
-    /// Records the end of a request of this VM at a server. `pending_prompt_tokens` are its prompt
-    /// tokens that were not passed to [`Self::prompt_processed`].
-    pub fn ended(&mut self, server: &str, pending_prompt_tokens: u64) {
-        let Some(state) = self.get_mut(server) else { return };
+    /// Records the end of a request of this VM to an incarnation of a server; ignored if the server
+    /// has restarted since. `pending_prompt_tokens` are its prompt tokens that were not passed to
+    /// [`Self::prompt_processed`].
+    pub fn ended(&mut self, server: &str, incarnation: u64, pending_prompt_tokens: u64) {
+        let Some(state) = self.of_incarnation(server, incarnation) else { return };
         state.counts.own.running = state.counts.own.running.saturating_sub(1);
         state.counts.own.pending_prompt_tokens =
             state.counts.own.pending_prompt_tokens.saturating_sub(pending_prompt_tokens);
@@ -566,11 +578,11 @@
         state
     }
 
-    /// Resets the state for a new incarnation. The counts stay, because requests to the former one
-    /// are counted until their end is seen.
+    /// Resets the state for a new incarnation. Requests to the former one do not run at it; their
+    /// ends, which may never be seen, are ignored.
     fn restart(&mut self, entry: BackendEntry, now: TimePoint) {
         let before = std::mem::replace(self, Self::new(entry, now));
-        self.counts = before.counts;
+        self.counts = before.counts.restarted();
     }
 
     /// Returns the server's name.
--- a/decision/src/counts.rs
+++ b/decision/src/counts.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Returns the counts at a server that has restarted: none run there. What this VM last reported
+    /// stays, as the next sum over all VMs still includes it.
+    pub(crate) fn restarted(self) -> Self {
+        Self { reported: self.reported, ..Self::default() }
+    }
+
     /// Drops the count of another VM.
     pub(crate) fn remove_peer(&mut self, vm: &VmName) {
         if let Ok(found) = self.peers.binary_search_by(|peer| peer.vm.cmp(vm)) {
--- a/decision/tests/suite/prefill_rate.rs
+++ b/decision/tests/suite/prefill_rate.rs
@@ -42,8 +42,8 @@
         assert!(table.apply_list(&server, owner, 1, holdings));
     }
     table.sent("s0", 1_900, now);
-    table.prompt_processed("s0", 1_900, Some(1_900_000 / TOKENS_PER_MS));
-    table.ended("s0", 0);
+    table.prompt_processed("s0", 0, 1_900, Some(1_900_000 / TOKENS_PER_MS));
+    table.ended("s0", 0, 0);
     // Every fourth stream pauses for 350 ms.
     for number in 0..100 {
         let pause = if number % 4 == 0 { GAP * 7 / 6 } else { GAP / 2 };
--- a/decision/tests/suite/server_lives.rs
+++ b/decision/tests/suite/server_lives.rs
@@ -91,7 +91,7 @@
     for _ in 0..3 {
         table.sent("s0", 400, NOW);
     }
-    table.peer_load("s0", &"b".into(), figure, NOW);
+    table.peer_load(&"b".into(), "s0", figure, NOW);
     assert_eq!(table.get("s0").unwrap().load(NOW).running, 8);
     table.apply_entry(entry(200, 1, 2), NOW);
     assert_eq!(table.get("s0").unwrap().load(NOW), LoadFigure::default());
--- a/gateway/src/sent.rs
+++ b/gateway/src/sent.rs
@@ -87,6 +87,7 @@
         let mut view = self.gateway.view();
         view.backends.prompt_processed(
             self.server.as_str(),
+            self.incarnation,
             tokens,
             (self.ahead == 0).then_some(waited_us),
         );
@@ -102,7 +103,7 @@
     fn drop(&mut self) {
         let now = clock::now();
         let mut view = self.gateway.view();
-        view.backends.ended(self.server.as_str(), self.pending_prompt_tokens);
+        view.backends.ended(self.server.as_str(), self.incarnation, self.pending_prompt_tokens);
         if self.pending_prompt_tokens > 0 {
             view.load_changed(&self.server);
         }
--- a/gateway/src/suspects.rs
+++ b/gateway/src/suspects.rs
@@ -242,6 +242,8 @@
     pub(crate) fn server_restarted(&mut self, server: &ServerName, now: TimePoint) {
         let Some(state) = self.backends.get(server.as_str()) else { return };
         let (start, entry) = (state.start(), state.entry.clone());
+        // Other VMs still count the requests of this VM to the former start.
+        self.load_changed(server);
         log_verdicts(&self.crashes.record_start(&start, now));
         self.server_started(&entry, now);
     }
