Failing test: a burst of versions makes requests wait for the newest

adapter_loads::versions_in_a_burst fails: after versions 2 to 4 within 0.3 s, the first request runs on 4 (it waits for its load), though each was named less than half of version_ms ago and the server holds 1: only the version named just before the newest is allowed.

--- a/gateway/tests/suite/adapter_loads.rs
+++ b/gateway/tests/suite/adapter_loads.rs
@@ -86,6 +86,44 @@
     }
 }
 
+/// Operators name versions in a burst, the next before the former is loaded anywhere. A request must run at once on the
+/// version that servers hold, as long as each later one allows that by the time at which it was named, and on the newest
+/// once it has to. None may run on an older version than an earlier request did.
+#[tokio::test]
+async fn versions_in_a_burst() {
+    let site = Site::start(1, 0).await;
+    let name = |number: u64| {
+        let version = json!({ "model": "base", "adapter": "a1", "version": number });
+        site.store.write("keyed.op", "version/base.a1", Some(&version));
+    };
+    name(1);
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    assert_eq!(gateway.request("stream", "r0", "a1").await.status, 200);
+    for number in 2..=4 {
+        name(number);
+        sleep(Duration::from_millis(100)).await;
+    }
+    sleep(Duration::from_millis(200)).await;
+    let named_at = std::time::Instant::now();
+    assert_eq!(gateway.request("stream", "first", "a1").await.status, 200);
+    while named_at.elapsed() < Duration::from_secs(3) {
+        gateway.request("stream", "next", "a1").await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    let runs = site.engines[0].runs();
+    let version = |run: &crate::server::RunRecord| -> u64 {
+        run.header("coltsfoothook-expect-version").unwrap().parse().unwrap()
+    };
+    let versions: Vec<u64> = runs.iter().map(version).collect();
+    assert_eq!(
+        versions[..2],
+        [1, 1],
+        "the first request waits for a version that it need not have"
+    );
+    assert!(versions.is_sorted() && versions.last() == Some(&4), "{versions:?}");
+}
+
 /// One of two VMs holds all partitions. Requests for cold adapters at the other one must be served too, and every
 /// order carries the name of the holder.
 #[tokio::test]
