Each named version of an adapter is required by its own time

The time of the newest version alone was kept, and only the version before it was allowed meanwhile. After a burst no server held that one, so that every request waited for the load of the newest.

A first named version is required at once, as before: when it was named is not known after a start.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod manifest;
 pub mod member;
 pub mod message;
+pub mod named_version;
 mod order;
 pub mod order_tracker;
 pub mod origin;
--- a/decision/tests/suite/main.rs
+++ b/decision/tests/suite/main.rs
@@ -42,3 +42,4 @@
 mod tenant_limits;
 mod topic_coverage;
 mod usage_reports;
+mod version_bursts;
--- a/gateway/src/find.rs
+++ b/gateway/src/find.rs
@@ -235,7 +235,7 @@
     let draw = view.random();
     let need = run.request.head.need.as_ref();
     let key = need.and_then(|need| need.adapter.as_ref());
-    let (oldest, newest) = key.map_or((0, 0), |key| view.usable_versions(run, key, now));
+    let (oldest, newest) = key.map_or((0, 0), |key| view.usable_versions(key, now));
     let place = run.ticket.as_ref().map(RoomTicket::place);
     let closed = view.closed_servers(&run.request.service, &run.avoided, may_ask, place, now);
     let open = [run.avoided.as_slice(), closed.closed.as_slice()].concat();
@@ -337,19 +337,12 @@
     }
 }
 
-/// The fraction of the promised time for a new version (`version_ms`) during which the previous one
-/// is still used.
-const OLD_VERSION_FRACTION: f64 = 0.5;
-
 impl SystemView {
     /// Returns the oldest version of an adapter that a request may run on, and the newest that the
     /// operators named. Both are 1 if none was named.
-    fn usable_versions(&self, run: &RequestRun, key: &AdapterKey, now: TimePoint) -> (u64, u64) {
-        let Some(named) = self.named(key) else { return (1, 1) };
-        let allowed = run.gateway.settings.promises.version_ms as f64 * OLD_VERSION_FRACTION;
-        let recent = now.since(named.at) < (allowed * 1_000.0) as u64;
-        let oldest = if recent && named.previous > 0 { named.previous } else { named.version };
-        (oldest, named.version)
+    fn usable_versions(&self, key: &AdapterKey, now: TimePoint) -> (u64, u64) {
+        let named = self.named(key);
+        named.map_or((1, 1), |named| (named.oldest(self.old_version_us, now), named.newest()))
     }
 }
 
--- a/gateway/src/record_exchange.rs
+++ b/gateway/src/record_exchange.rs
@@ -43,9 +43,9 @@
         let state = SharedState { table, versions: Vec::new(), entries: Vec::new() };
         return state.encode().unwrap_or_default();
     }
-    let version = |named: &crate::state::NamedVersion| SharedVersion {
+    let version = |named: &crate::state::NamedAdapter| SharedVersion {
         key: named.key.clone(),
-        version: named.version,
+        version: named.versions.newest(),
     };
     let entries = view.backends.servers().iter().map(|state| state.entry.clone());
     let state = SharedState {
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use coltsfoothook_decision::limit::FleetLimiter;
 use coltsfoothook_decision::links::ServerLinks;
 use coltsfoothook_decision::loadtime::LoadTimes;
+use coltsfoothook_decision::named_version::NamedVersions;
 use coltsfoothook_decision::origin::OriginTable;
 use coltsfoothook_decision::permit::PermitHolder;
 use coltsfoothook_decision::room::RoomHolder;
@@ -72,14 +73,15 @@
 /// seconds.
 const NEWEST_KEEP_MS: u64 = 30_000;
 
-/// The version of an adapter that the operators named last, and when this VM learned of it.
+/// The fraction of the promised time for a new version (`version_ms`) during which the previous one
+/// is still used.
+const OLD_VERSION_FRACTION: f64 = 0.5;
+
+/// The versions of an adapter that the operators named.
 #[derive(Clone, Debug)]
-pub(crate) struct NamedVersion {
+pub(crate) struct NamedAdapter {
     pub(crate) key: AdapterKey,
-    pub(crate) version: u64,
-    pub(crate) at: TimePoint,
-    /// The version named before, 0 if none was.
-    pub(crate) previous: u64,
+    pub(crate) versions: NamedVersions,
 }
 
 /// A server whose entry was removed.
@@ -118,7 +120,9 @@
     /// Whether customers' use changed since this VM last reported it.
     pub(crate) uses_changed: bool,
     /// Named versions, sorted by adapter.
-    pub(crate) versions: Vec<NamedVersion>,
+    pub(crate) versions: Vec<NamedAdapter>,
+    /// How long after a version was named the one before is still used, in microseconds.
+    pub(crate) old_version_us: u64,
     pub(crate) backends: BackendTable,
     /// Crashes of servers, and the requests that they are attributed to.
     pub(crate) crashes: CrashLedger,
@@ -260,6 +264,7 @@
             limit_uses: LimitUseList::default(),
             uses_changed: false,
             versions: Vec::new(),
+            old_version_us: (promises.version_ms as f64 * OLD_VERSION_FRACTION * 1_000.0) as u64,
             backends: BackendTable::default(),
             crashes: CrashLedger::starting(clock::now()),
             broken: BrokenRuns::default(),
@@ -364,10 +369,10 @@
         self.rng.next_u64()
     }
 
-    /// Returns the version of an adapter that the operators named last; `None` if none was named.
-    pub(crate) fn named(&self, key: &AdapterKey) -> Option<&NamedVersion> {
+    /// Returns the versions of an adapter that the operators named; `None` if none was named.
+    pub(crate) fn named(&self, key: &AdapterKey) -> Option<&NamedVersions> {
         let at = self.versions.binary_search_by(|named| named.key.cmp(key)).ok()?;
-        Some(&self.versions[at])
+        Some(&self.versions[at].versions)
     }
 
     /// Records a version named by the operators. Returns whether it is newer than the known one;
@@ -375,20 +380,16 @@
     pub(crate) fn name_version(&mut self, key: AdapterKey, version: u64, now: TimePoint) -> bool {
         match self.versions.binary_search_by(|named| named.key.cmp(&key)) {
             Ok(at) => {
-                let named = &mut self.versions[at];
-                if version <= named.version {
-                    return false;
-                }
-                named.previous = named.version;
-                named.version = version;
-                named.at = now;
+                let named = &mut self.versions[at].versions;
+                named.settle(self.old_version_us, now);
+                named.name(version, now)
             }
             Err(at) => {
-                let named = NamedVersion { key, version, at: now, previous: 0 };
-                self.versions.insert(at, named);
+                let versions = NamedVersions::first(version);
+                self.versions.insert(at, NamedAdapter { key, versions });
+                true
             }
         }
-        true
     }
 
     /// Returns the fencing number for orders to a server; `None` if this VM may not send any now.
