Slow readers of the tests are slow enough to test the closing of their connections

At 80 KB a second a stream ended by its due time alone: with the closing of unread connections taken out, slow_stream passed. At 10 KB a second it fails then, and passes with it. Taken out as well, in a trial: without the limit on what is held endless_uploads fails, without the closing slow_whole_answers fails, without the time to the next event endless_bytes::resumed_elsewhere fails.

--- a/gateway/tests/suite/slow_readers.rs
+++ b/gateway/tests/suite/slow_readers.rs
@@ -32,10 +32,10 @@
     stream
 }
 
-/// Reads about 80 KB a second until the connection ends. Returns how long that took, and whether it was cut off.
+/// Reads 10 KB a second until the connection ends. Returns how long that took.
 async fn read_slowly(stream: &mut TcpStream) -> Duration {
     let started = Instant::now();
-    let mut piece = [0; 4_096];
+    let mut piece = [0; 512];
     while stream.read(&mut piece).await.is_ok_and(|read| read > 0) {
         sleep(Duration::from_millis(50)).await;
     }
