--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -15,7 +15,7 @@
 use crate::prefill::PrefillRate;
 use crate::rest::ServerRest;
 use crate::room::RoomFigures;
-use crate::routing::{AdapterKey, BackendEntry, HeldModel};
+use crate::routing::{AdapterKey, BackendEntry, HeldModel, RouteTable};
 use crate::statement::{KeptStatements, ServiceRefusals};
 
 /// How long an owner's list takes precedence over the server's own entry. Owners repeat it within
@@ -233,6 +233,18 @@
         }
     }
 
+    /// Returns whether an entry under the name of a known server is by another writer: it names a
+    /// service that the server is not of and that no configuration has. It must not change the
+    /// server's state, since it would take the server out of its service, or end it.
+    ///
+    /// An entry of an unknown server is kept whatever its service: the configuration may come later.
+    #[must_use]
+    pub fn is_foreign(&self, entry: &BackendEntry, table: Option<&RouteTable>) -> bool {
+        let known = self.get(entry.server.as_str());
+        let moved = known.is_some_and(|state| state.entry.service != entry.service);
+        moved && table.is_some_and(|table| table.service(entry.service.as_str()).is_none())
+    }
+
     /// Returns whether an entry of an unknown server is newer than the server's removal, if there
     /// was one.
     ///
@@ -298,6 +310,10 @@
         self.get(server).is_some_and(|state| state.entry.incarnation == incarnation)
     }
 
+    fn of_incarnation(&mut self, server: &str, incarnation: u64) -> Option<&mut BackendState> {
+        self.get_mut(server).filter(|state| state.entry.incarnation == incarnation)
+    }
+
     /// Starts a later incarnation of a known server that was reported by the server or its owner
     /// before its entry was read. `models` are the base models it is known to hold. Returns whether
     /// the incarnation was new to this VM.
@@ -396,10 +412,17 @@
         before
     }
 
-    /// Records the first event of a request, by which its prompt has been processed. `alone_us` is
+    /// Records the first event of a request to an incarnation of a server, by which its prompt has
+    /// been processed; ignored if the server has restarted since. `alone_us` is
     /// the time since it was sent, if the server had no other prompt to process then.
-    pub fn prompt_processed(&mut self, server: &str, tokens: u64, alone_us: Option<u64>) {
-        let Some(state) = self.get_mut(server) else { return };
+    pub fn prompt_processed(
+        &mut self,
+        server: &str,
+        incarnation: u64,
+        tokens: u64,
+        alone_us: Option<u64>,
+    ) {
+        let Some(state) = self.of_incarnation(server, incarnation) else { return };
         state.counts.own.pending_prompt_tokens =
             state.counts.own.pending_prompt_tokens.saturating_sub(tokens);
         let Some(waited_us) = alone_us else { return };
@@ -428,10 +451,11 @@
         found.map_or_else(|_| PrefillRate::default(), |at| self.rates[at].1)
     }
 
-    /// Records the end of a request of this VM at a server. `pending_prompt_tokens` are its prompt
-    /// tokens that were not passed to [`Self::prompt_processed`].
-    pub fn ended(&mut self, server: &str, pending_prompt_tokens: u64) {
-        let Some(state) = self.get_mut(server) else { return };
+    /// Records the end of a request of this VM to an incarnation of a server; ignored if the server
+    /// has restarted since. `pending_prompt_tokens` are its prompt tokens that were not passed to
+    /// [`Self::prompt_processed`].
+    pub fn ended(&mut self, server: &str, incarnation: u64, pending_prompt_tokens: u64) {
+        let Some(state) = self.of_incarnation(server, incarnation) else { return };
         state.counts.own.running = state.counts.own.running.saturating_sub(1);
         state.counts.own.pending_prompt_tokens =
             state.counts.own.pending_prompt_tokens.saturating_sub(pending_prompt_tokens);
@@ -567,11 +591,11 @@
         state
     }
 
-    /// Resets the state for a new incarnation. The counts stay, because requests to the former one
-    /// are counted until their end is seen.
+    /// Resets the state for a new incarnation. Requests to the former one do not run at it; their
+    /// ends, which may never be seen, are ignored.
     fn restart(&mut self, entry: BackendEntry, now: TimePoint) {
         let before = std::mem::replace(self, Self::new(entry, now));
-        self.counts = before.counts;
+        self.counts = before.counts.restarted();
     }
 
     /// Returns the server's name.
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -11,9 +11,10 @@
 use coltsfoothook_platform::{ResponseHead, end_to_end_headers};
 use coltsfoothook_telemetry::event;
 use http::{Response, StatusCode};
-use tokio::time::timeout;
+use tokio::time::Instant;
 
-use crate::answer::{AnswerStream, own_answer, whole_answer};
+use crate::answer::{AnswerStream, held_answer, own_answer};
+use crate::buffer::HeldBody;
 use crate::clock;
 use crate::find::MIN_TIME_LEFT;
 use crate::peer;
@@ -66,12 +67,13 @@
         return AfterAnswer::finished(StreamRelay::answer(run, server, answer).await);
     }
     let (headers, latency) = (answer.headers.clone(), run.server_latency());
-    let body = timeout(run.left() + ANSWER_SLACK, answer.body.collect(MAX_BUFFERED_BYTES)).await;
-    if let Ok(Err(ExchangeError::BodyFailed { .. })) = &body {
+    let mut share = run.gateway.buffers.share();
+    let (limit, limit_time) = (MAX_BUFFERED_BYTES, body_timeout(&run));
+    let body = answer.body.collect_within(limit, limit_time, |more| share.grow(more)).await;
+    if let Err(ExchangeError::BodyFailed { .. }) = &body {
         suspects::run_broken(&run);
     }
-    let body = body.map_err(|_| "the answer's body was not complete in time".to_owned());
-    let body = body.and_then(|whole| whole.map_err(|error| error.to_string()));
+    let body = body.map_err(|error| error.to_string());
     {
         let mut view = run.gateway.view();
         let good = !failed && body.is_ok();
@@ -104,7 +106,16 @@
         suspects::run_completed(&run);
     }
     run.end(if failed { "server_failed" } else { "done" }, "");
-    AfterAnswer::finished(whole_answer(status, end_to_end_headers(&headers), body))
+    let unread_time = Duration::from_millis(run.gateway.settings.buffers.unread_ms);
+    let guard = run.request.reading.guard(Instant::now() + run.left() + unread_time);
+    let body = HeldBody { rest: body, _share: share, _guard: guard };
+    AfterAnswer::finished(held_answer(status, end_to_end_headers(&headers), body))
+}
+
+/// Returns how long to wait for the whole body of an answer: where another server may run the request, only half of the
+/// time left, so that a body that never ends leaves time for that server.
+fn body_timeout(run: &RequestRun) -> Duration {
+    if run.may_run_elsewhere() { run.left() / 2 } else { run.left() + ANSWER_SLACK }
 }
 
 fn finish_or_retry(mut run: RequestRun, server: ServerName, cause: String) -> AfterAnswer {
--- a/gateway/src/record_exchange.rs
+++ b/gateway/src/record_exchange.rs
@@ -43,9 +43,9 @@
         let state = SharedState { table, versions: Vec::new(), entries: Vec::new() };
         return state.encode().unwrap_or_default();
     }
-    let version = |named: &crate::state::NamedVersion| SharedVersion {
+    let version = |named: &crate::state::NamedAdapter| SharedVersion {
         key: named.key.clone(),
-        version: named.version,
+        version: named.versions.newest(),
     };
     let entries = view.backends.servers().iter().map(|state| state.entry.clone());
     let state = SharedState {
@@ -119,7 +119,9 @@
     }
     let entries = state.entries.len();
     for entry in state.entries {
-        view.backends.apply_entry(entry, now);
+        if !view.is_foreign(&entry) {
+            view.backends.apply_entry(entry, now);
+        }
     }
     view.entries_read |= entries > 0;
     view.expect_fleet();
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -12,6 +12,8 @@
 mod customer_keys;
 mod cut_links;
 mod cuttable;
+mod endless_bytes;
+mod foreign_entries;
 mod leaving_answers;
 mod lost_queries;
 mod peer_records;
@@ -19,12 +21,14 @@
 mod repeat_budget;
 mod repeats;
 mod resting_servers;
+mod reused_ids;
 mod second_sends;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod server;
 mod server_limits;
 mod server_lives;
 mod site;
+mod slow_readers;
 mod software_versions;
 #[allow(dead_code, reason = "the soak uses more of it")]
 mod store;
--- a/gateway/tests/unit/second_send_counts.rs
+++ b/gateway/tests/unit/second_send_counts.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
+use crate::buffer::ReadingDue;
 use crate::charge::LimitCharge;
 use crate::clock;
 use crate::follow::apply_servers;
@@ -113,6 +114,8 @@
         service: "plain".into(),
         config: 1,
         started: clock::now(),
+        _share: gateway.buffers.share(),
+        reading: ReadingDue::default(),
     };
     let charge = LimitCharge::of(gateway, request.customer.as_ref(), None).unwrap();
     charge.charge_again(gateway);
