VMs with wide links read and hand on a large configuration first

Change: VMs that are eligible to aggregate, which have 50 Mbit/s or more, read the store for the others first, and where one of them has the configuration it is fetched from them alone. Who orders servers is chosen as before.

Test large_fleet::wide_links_first; on fleets of one class of VMs nothing changes. Ruled out: a caller that leaves before its request is read (0 of 20 sent on over loopback).

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -135,7 +135,7 @@
 pub(crate) fn has_record_readers(view: &SystemView, gateway: &Gateway, now: TimePoint) -> bool {
     view.table.is_some()
         && view.roster.is_large(now)
-        && view.roster.hash_rank(&gateway.settings.vm, now) >= READERS
+        && view.roster.rank_as_reader(&gateway.settings.vm, view.domain.eligible, now) >= READERS
         && is_current(
             Duration::from_micros(now.since(view.operators_known_at)),
             config_limit(gateway),
@@ -380,7 +380,8 @@
 /// VMs in an order by hash, which is independent of failure domains.
 pub(crate) fn reads_for_others(gateway: &Gateway) -> bool {
     let view = gateway.view();
-    !gateway.leaving() && view.roster.hash_rank(&gateway.settings.vm, clock::now()) < READERS
+    let (vm, eligible) = (&gateway.settings.vm, view.domain.eligible);
+    !gateway.leaving() && view.roster.rank_as_reader(vm, eligible, clock::now()) < READERS
 }
 
 /// Returns whether readers keep this VM up to date, so that it need not poll the entries itself
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -260,11 +260,22 @@
     /// Returns the rank of `vm` by hash among the live VMs that do not leave, 0 for the first. In
     /// an order by name the first ones would be of one failure domain, and lost together.
     pub(crate) fn hash_rank(&self, vm: &VmName, now: TimePoint) -> usize {
+        let (_, own) = reader_rank(vm, true);
+        self.count_ahead(now, |peer| reader_rank(&peer.vm, true).1 < own)
+    }
+
+    /// Returns the rank of `vm` among those that read the store for others, 0 for the first: VMs that are
+    /// eligible to aggregate come first, then by hash. Whoever reads a large configuration first is asked
+    /// for it by all others, which fills a narrow link for seconds.
+    pub(crate) fn rank_as_reader(&self, vm: &VmName, eligible: bool, now: TimePoint) -> usize {
+        let own = reader_rank(vm, eligible);
+        self.count_ahead(now, |peer| reader_rank(&peer.vm, peer.eligible) < own)
+    }
+
+    fn count_ahead(&self, now: TimePoint, is_ahead: impl Fn(&PeerState) -> bool) -> usize {
         let ttl_us = self.live_ttl_us();
-        let own = reader_rank(vm);
-        let ahead = |peer: &&PeerState| {
-            reader_rank(&peer.vm) < own && !peer.leaving && peer.is_live(ttl_us, now)
-        };
+        let ahead =
+            |peer: &&PeerState| is_ahead(peer) && !peer.leaving && peer.is_live(ttl_us, now);
         self.peers.iter().filter(ahead).count()
     }
 
@@ -339,7 +350,7 @@
         let ttl_us = self.live_ttl_us();
         let counts = |peer: &&PeerState| !peer.leaving && peer.is_live(ttl_us, now);
         let mut live: Vec<&PeerState> = self.peers.iter().filter(counts).collect();
-        live.sort_by_key(|peer| reader_rank(&peer.vm));
+        live.sort_by_key(|peer| reader_rank(&peer.vm, peer.eligible));
         live.iter().take(count).map(|peer| peer.address).collect()
     }
 
@@ -474,13 +485,16 @@
     }
 
     /// Returns the live VMs that have the newest known configuration, if it is newer than
-    /// `version`.
+    /// `version`. Those with a narrow link are left out if others have it: dozens of VMs that fetch a
+    /// large configuration would fill it for seconds, and callers' requests would wait behind.
     pub(crate) fn with_newer_config(&self, version: u64, now: TimePoint) -> Vec<SocketAddr> {
         let ttl_us = self.live_ttl_us();
         let live = || self.peers.iter().filter(|peer| peer.is_live(ttl_us, now));
         let newest = live().map(|peer| peer.config).max().unwrap_or(0);
         let has = |peer: &&PeerState| newest > version && peer.config == newest;
-        live().filter(has).map(|peer| peer.address).collect()
+        let any_eligible = live().filter(has).any(|peer| peer.eligible);
+        let fits = |peer: &&PeerState| peer.eligible || !any_eligible;
+        live().filter(has).filter(fits).map(|peer| peer.address).collect()
     }
 
     /// Records which configuration a VM reported.
@@ -502,8 +516,8 @@
 }
 
 /// Returns the rank of a VM among those that read the store for others; lowest first.
-fn reader_rank(vm: &VmName) -> u64 {
-    stable_hash(&["reader", vm.as_str()])
+fn reader_rank(vm: &VmName, eligible: bool) -> (bool, u64) {
+    (!eligible, stable_hash(&["reader", vm.as_str()]))
 }
 
 /// Returns the rank of a VM among its domain's aggregators, lowest first; the same at all VMs.
--- a/gateway/tests/unit/large_fleet.rs
+++ b/gateway/tests/unit/large_fleet.rs
@@ -179,3 +179,30 @@
         assert!(named_us <= LONGEST_US, "{count} VMs: named {named_us} us after it went off");
     }
 }
+
+/// A large configuration must be read and handed on by VMs with wide links: dozens of VMs that fetch it from one with a
+/// narrow link fill that for seconds, in which callers' requests wait and reach servers after their callers have left.
+#[test]
+fn wide_links_first() {
+    let count = 40;
+    let eligible = |number: usize| number % 5 == 1;
+    let fleet = |own: usize, config: &dyn Fn(usize) -> u64| {
+        let mut roster = PeerRoster::default();
+        for number in (0..count).filter(|number| *number != own) {
+            let state =
+                VmState { can_aggregate: eligible(number), ..state(number, config(number), None) };
+            roster.apply(&state, address(number), NOW);
+        }
+        roster
+    };
+    let rank = |own: usize| {
+        let vm = VmName::from(format!("vm-{own}").as_str());
+        fleet(own, &|_| 1).rank_as_reader(&vm, eligible(own), NOW)
+    };
+    let first: Vec<usize> = (0..count).filter(|own| rank(*own) < 8).collect();
+    assert!(first.len() == 8 && first.into_iter().all(eligible));
+    let some_have = fleet(0, &|number| if number < 12 { 7 } else { 6 });
+    assert_eq!(some_have.with_newer_config(6, NOW), [address(1), address(11), address(6)]);
+    let narrow_has = fleet(0, &|number| if number == 3 { 7 } else { 6 });
+    assert_eq!(narrow_has.with_newer_config(6, NOW), [address(3)]);
+}
