--- a/review/rig/src/cases.rs
+++ b/review/rig/src/cases.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use crate::client::{Answer, Call, call};
+use crate::client::{Answer, Call, Connection, call};
 use crate::record::Record;
 use crate::server::{MODEL, body_bytes};
 use crate::site::{Gateway, Server, Site, configuration};
@@ -23,6 +23,7 @@
     site.configure(&configuration());
     match name {
         "term-cuts-answer" => term_cuts_answer(&site, trouble),
+        "lengths-disagree" => lengths_disagree(&site, trouble),
         "crash-cuts-plain-answer" => crash_cuts_plain_answer(&site, trouble),
         "notice-cuts-stream" => notice_cuts_stream(&site, trouble),
         _ => Verdict::NotRun,
@@ -116,6 +117,61 @@
     verdict
 }
 
+/// The bytes of an answer, as on the sheets; how many clients send how many requests, each on one connection.
+const PLAIN_BYTES: usize = 800;
+const CLIENTS: usize = 4;
+const REQUESTS: usize = 60;
+
+/// One of three servers spoils one in fifty of its answers: it states a length beside its chunks, another one than
+/// they have.
+fn lengths_disagree(site: &Site, trouble: bool) -> Verdict {
+    let _spoiling = site.spoiling_server("i-d0", "fieldapp", trouble);
+    let Some((_servers, gateway)) = start(site, &["i-d1", "i-d2"], "fieldapp") else {
+        return Verdict::NotRun;
+    };
+    let (address, path) = (gateway.requests, format!("/read/whole/{PLAIN_BYTES}"));
+    let broken: usize = std::thread::scope(|scope| {
+        let path = path.as_str();
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|client| scope.spawn(move || use_kept(site, address, path, client)))
+            .collect();
+        clients.into_iter().map(|client| client.join().expect("a client")).sum()
+    });
+    site.record
+        .line(&format!("{broken} of {} answers are none, or not the server's", CLIENTS * REQUESTS));
+    if broken > 0 { Verdict::Broken } else { Verdict::Held }
+}
+
+/// Sends requests one after the other on a connection that is kept, and returns how many answers break the rule. A
+/// client whose answer is none opens a new connection.
+fn use_kept(site: &Site, address: std::net::SocketAddr, path: &str, client: usize) -> usize {
+    let (mut broken, mut connection) = (0, None);
+    for number in 0..REQUESTS {
+        let id = format!("c{client}-{number}");
+        let plain = Call { method: "POST", path, id: &id, model: None, bytes_per_s: None };
+        let answer = match &mut connection {
+            None => {
+                Connection::open(address).and_then(|opened| connection.insert(opened).call(&plain))
+            }
+            Some(kept) => Connection::call(kept, &plain),
+        };
+        let is_whole = answer.as_ref().is_ok_and(|answer| {
+            answer.complete
+                && answer.id == id
+                && (answer.status != 200 || answer.body == body_bytes(PLAIN_BYTES))
+        });
+        if !is_whole {
+            log_answer(site, &id, &answer);
+            broken += 1;
+        }
+        if answer.is_err() {
+            connection = None;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    broken
+}
+
 /// The bytes of an answer without a length, and the pause after its first half.
 const UNFRAMED_BYTES: usize = 800;
 const HALF_PAUSE_MS: u64 = 600;
--- a/review/rig/src/client.rs
+++ b/review/rig/src/client.rs
@@ -23,6 +23,7 @@
 /// An answer as far as it was received.
 pub struct Answer {
     pub status: u16,
+    pub id: String,
     pub sealed: bool,
     pub body: Vec<u8>,
     /// Whether the body ended as its length or its chunks say.
@@ -43,11 +44,29 @@
     }
 }
 
-/// Sends a request and reads its answer; an error if there is no head of one.
+/// A connection that is kept for several requests.
+pub struct Connection(BufReader<TcpStream>);
+
+impl Connection {
+    pub fn open(gateway: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(gateway)?;
+        stream.set_read_timeout(Some(Duration::from_secs(15)))?;
+        Ok(Self(BufReader::with_capacity(PIECE_BYTES, stream)))
+    }
+
+    /// Sends a request and reads its answer; an error if there is no head of one.
+    pub fn call(&mut self, call: &Call<'_>) -> io::Result<Answer> {
+        exchange(&mut self.0, call)
+    }
+}
+
+/// Sends a request on a connection of its own and reads its answer; an error if there is no head of one.
 pub fn call(gateway: SocketAddr, call: &Call<'_>) -> io::Result<Answer> {
+    Connection::open(gateway)?.call(call)
+}
+
+fn exchange(reader: &mut BufReader<TcpStream>, call: &Call<'_>) -> io::Result<Answer> {
     let started = Instant::now();
-    let mut stream = TcpStream::connect(gateway)?;
-    stream.set_read_timeout(Some(Duration::from_secs(15)))?;
     let model = call.model.map(|model| {
         format!("Coltsfoothook-Model: {model}\r\nColtsfoothook-Token-Count: 100,80\r\n")
     });
@@ -60,18 +79,22 @@
         model.unwrap_or_default(),
         body.len()
     );
-    stream.write_all(head.as_bytes())?;
-    let mut reader = BufReader::with_capacity(PIECE_BYTES, stream);
-    let (start, headers) = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    reader.get_mut().write_all(head.as_bytes())?;
+    let (start, headers) = read_head(reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    if !start.starts_with("HTTP/1.1 ") {
+        let text: String = start.chars().take(60).collect();
+        return Err(io::Error::new(io::ErrorKind::InvalidData, format!("no answer: {text:?}")));
+    }
     let status = start.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
     let sealed = find_header(&headers, "coltsfoothook-server-seal").is_some();
     let mut body = Vec::new();
     let length = find_header(&headers, "content-length").and_then(|text| text.parse().ok());
     let read = match length {
-        Some(length) => read_length(&mut reader, length, call.bytes_per_s, &mut body),
-        None => read_chunks(&mut reader, &mut body),
+        Some(length) => read_length(reader, length, call.bytes_per_s, &mut body),
+        None => read_chunks(reader, &mut body),
     };
-    Ok(Answer { status, sealed, body, complete: read.is_ok(), took: started.elapsed() })
+    let id = find_header(&headers, "coltsfoothook-request-id").unwrap_or_default().to_owned();
+    Ok(Answer { status, id, sealed, body, complete: read.is_ok(), took: started.elapsed() })
 }
 
 fn read_length(
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -18,14 +18,15 @@
 /// The longest time that a case takes. What it started is then ended by its script.
 const MAX_TIME: Duration = Duration::from_secs(110);
 
-/// `review-rig server NAME BORN RECORD` serves; `review-rig case NAME FOLDER RECORD` plays a case, without its
+/// `review-rig server NAME BORN RECORD SPOILS` serves; `review-rig case NAME FOLDER RECORD` plays a case, without its
 /// disruption if `TROUBLE` is 0, in the root of the repository.
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words.as_slice() {
-        ["server", name, born, record] => {
-            server::run(name, born.parse().unwrap_or(0), Record::open(record));
+        ["server", name, born, record, spoils] => {
+            let (born, spoils) = (born.parse().unwrap_or(0), *spoils == "true");
+            server::run(name, born, Record::open(record), spoils);
             ExitCode::SUCCESS
         }
         ["case", name, folder, record] => {
--- a/review/rig/src/record.rs
+++ b/review/rig/src/record.rs
@@ -37,7 +37,7 @@
     /// Appends a line with the time of day in seconds.
     pub fn line(&self, text: &str) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let line = format!("{:8.3} {text}\n", (now.as_millis() % 100_000_000) as f64 / 1_000.0);
+        let line = format!("{}.{:03} {text}\n", now.as_secs(), now.subsec_millis());
         let _ = self.file.lock().unwrap().write_all(line.as_bytes());
     }
 }
--- a/review/rig/src/server.rs
+++ b/review/rig/src/server.rs
@@ -7,6 +7,7 @@
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use crate::http::{self, Request};
@@ -15,17 +16,29 @@
 /// The model that each server holds.
 pub const MODEL: &str = "base";
 
+/// A server that spoils answers spoils one in so many.
+const SPOILED_ONE_IN: u32 = 50;
+
 struct Server {
     name: String,
     born: u64,
     record: Record,
+    spoils: bool,
+    /// How many answers with a length it gave.
+    answers: AtomicU32,
 }
 
 /// Serves until the process is killed. Prints the port that it listens on.
-pub fn run(name: &str, born: u64, record: Record) {
+pub fn run(name: &str, born: u64, record: Record, spoils: bool) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     println!("{}", listener.local_addr().expect("a bound socket").port());
-    let server = Arc::new(Server { name: name.to_owned(), born, record });
+    let server = Arc::new(Server {
+        name: name.to_owned(),
+        born,
+        record,
+        spoils,
+        answers: AtomicU32::new(0),
+    });
     for stream in listener.incoming().flatten() {
         let server = Arc::clone(&server);
         std::thread::spawn(move || server.connection(stream));
@@ -85,6 +98,22 @@
         ];
         if words.len() >= 2 && words[words.len() - 2] == "whole" {
             let body = body_bytes(number(1));
+            let answers = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+            if self.spoils && answers % SPOILED_ONE_IN == SPOILED_ONE_IN / 5 {
+                self.record.line(&format!(
+                    "server {} spoils its answer to {id}: {} bytes in chunks, and a length of {}",
+                    self.name,
+                    body.len(),
+                    body.len() / 2
+                ));
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nColtsfoothook-Request-Id: {id}\r\nColtsfoothook-Server-Seal: {seal}\r\nContent-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n",
+                    body.len() / 2,
+                    body.len()
+                );
+                writer.write_all(&[head.as_bytes(), &body, b"\r\n0\r\n\r\n"].concat())?;
+                return Ok(true);
+            }
             http::respond(writer, "200 OK", &own, &body)?;
             self.record.line(&format!(
                 "server {} sent all {} bytes of {id}",
--- a/review/rig/src/site.rs
+++ b/review/rig/src/site.rs
@@ -97,10 +97,15 @@
 
     /// Starts a server process and writes its entry.
     pub fn server(&self, name: &str, service: &str) -> Server {
+        self.spoiling_server(name, service, false)
+    }
+
+    /// Starts a server as [`Self::server`] does, one that spoils some of its answers if `spoils`.
+    pub fn spoiling_server(&self, name: &str, service: &str, spoils: bool) -> Server {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let program = std::env::current_exe().expect("the path of this program");
         let mut child = Command::new(program)
-            .args(["server", name, &born.to_string(), &self.record.path])
+            .args(["server", name, &born.to_string(), &self.record.path, &spoils.to_string()])
             .stdout(Stdio::piped())
             .spawn()
             .expect("a server process");
