--- a/review/rig/src/cases.rs
+++ b/review/rig/src/cases.rs
@@ -63,8 +63,8 @@
 }
 
 /// The bytes of each answer, and how many of them the clients read in a second.
-const ANSWER_BYTES: usize = 3_000_000;
-const SLOW_BYTES_PER_S: usize = 750_000;
+const ANSWER_BYTES: usize = 5_000_000;
+const SLOW_BYTES_PER_S: usize = 1_000_000;
 
 /// The process gets SIGTERM while clients read answers that their server has given whole.
 fn term_cuts_answer(site: &Site, trouble: bool) -> Verdict {
--- a/review/rig/src/site.rs
+++ b/review/rig/src/site.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -148,7 +148,7 @@
 
     /// Starts a gateway with the command of the deploy file, in the root of the repository.
     pub fn gateway(&self, vm: &str) -> Gateway {
-        let [requests, ready, addresses, peers, metrics] = [(); 5].map(|()| free_address());
+        let [requests, ready, addresses, peers, metrics] = free_addresses();
         let settings = format!(
             r#"{{
   "vm": "{vm}", "domain": "z1",
@@ -228,9 +228,26 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound socket")
+/// The ports to choose from, below those that the kernel gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+/// Returns five different addresses that are free for TCP and UDP. Each search begins at another port.
+fn free_addresses() -> [SocketAddr; 5] {
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let offset = (clock.subsec_micros() + std::process::id()) % u32::from(PORTS.end - PORTS.start);
+    let first = PORTS.start + offset as u16;
+    let mut found = Vec::new();
+    for port in (first..PORTS.end).chain(PORTS.start..first) {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        // Held until all are found.
+        if let (Ok(tcp), Ok(udp)) = (TcpListener::bind(address), UdpSocket::bind(address)) {
+            found.push((address, tcp, udp));
+        }
+        if found.len() == 5 {
+            break;
+        }
+    }
+    std::array::from_fn(|number| found[number].0)
 }
 
 /// Returns a configuration with a `safe`, an `unsafe` and two `streaming` routes, one of them resumable.
