A silent server keeps its stream until another one has taken over

Cause, as far as it is shown: a resumable stream whose server is silent for the route's time for unresponsive streams was moved by closing the connection first and looking for budget and for another server afterwards. Without either the stream was lost. That the operators' three cases are of this cause is suspected: the deciding lines are missing from their record. Ruled out by reading: limits of a new configuration, which connections take when they are opened.

Bytes that came while the process did not run go before the timer. The timeout of the body's chunks is the whole time left, so that one limit decides. Resuming is a module of its own.

--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -113,18 +113,6 @@
         self.put_back.extend(chunks);
     }
 
-    /// Replaces [`crate::ExchangeRequest::chunk_timeout`] for the chunks that are still to come.
-    pub fn set_chunk_timeout(&mut self, chunk_timeout: Duration) {
-        self.chunk_timeout = chunk_timeout;
-        self.timer.as_mut().reset(Instant::now() + chunk_timeout);
-    }
-
-    /// Returns the timeout of each chunk.
-    #[must_use]
-    pub fn chunk_timeout(&self) -> Duration {
-        self.chunk_timeout
-    }
-
     /// Reads the body to its end.
     ///
     /// # Errors
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod record_updates;
 mod refusal;
 mod relay;
+mod resume;
 mod room;
 mod roster;
 mod run;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -1,11 +1,10 @@
-//! Forwards an event stream to the caller, and resumes it at another server where the route allows that.
+//! Forwards an event stream to the caller. [`crate::resume`] resumes it at another server.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use coltsfoothook_decision::id::ServerName;
 use coltsfoothook_decision::room::PlaceEnd;
-use coltsfoothook_decision::routing::RetryRule;
 use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_exchange::{BodyFraming, ExchangeError, ExchangeResponse, ResponseBody};
 use coltsfoothook_platform::end_to_end_headers;
@@ -19,17 +18,15 @@
 use crate::buffer::{BufferShare, ReadingGuard};
 use crate::clock;
 use crate::event_scan::EventScan;
-use crate::find::find_server;
 use crate::origins;
-use crate::outcome::{NextStep, failed_answer, handle_not_run};
+use crate::outcome::failed_answer;
 use crate::run::RequestRun;
-use crate::send::{SendEnd, send};
 use crate::suspects;
 
 /// How long a stream may run past its due time. The server knows the due time and ends the stream itself then.
 const DUE_SLACK: Duration = Duration::from_millis(200);
-/// A stream with less time left than this is not resumed.
-const MIN_RESUME_TIME: Duration = Duration::from_millis(150);
+/// How often it is tried to move a stream whose server is silent, until that server goes on.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How long after the due time a stream whose caller does not read is ended; more than [`DUE_SLACK`], so that one whose
 /// caller reads ends by itself.
@@ -54,15 +51,15 @@
 
 /// A stream that is being forwarded.
 pub(crate) struct StreamRelay {
-    run: RequestRun,
-    server: ServerName,
+    pub(crate) run: RequestRun,
+    pub(crate) server: ServerName,
     /// `None` while no server runs the stream.
-    body: Option<ResponseBody>,
+    pub(crate) body: Option<ResponseBody>,
     /// `None` if the answer is not a stream of events.
-    scan: Option<EventScan>,
+    pub(crate) scan: Option<EventScan>,
+    /// Whether the budget of repeats was charged for a further send that has not begun.
+    pub(crate) has_repeat: bool,
     due: std::pin::Pin<Box<Sleep>>,
-    /// How long to wait for the next event of the present server.
-    event_timeout: Duration,
     last_piece: Instant,
     /// What is held of an incomplete event beyond [`FREE_EVENT_BYTES`].
     share: BufferShare,
@@ -77,7 +74,7 @@
     Broken(String),
     /// The due time and [`DUE_SLACK`] are over.
     Overdue,
-    /// No event was complete in time, whatever bytes came.
+    /// No event was complete in time, whatever bytes came. The server may still go on.
     Eventless,
 }
 
@@ -92,14 +89,12 @@
         let (status, headers) = (answer.status, stream_headers(&answer.headers));
         let scan = is_event_stream(&answer.headers).then(EventScan::default);
         let due = Box::pin(tokio::time::sleep(run.left() + DUE_SLACK));
-        // `run.ran` counts the present server here, and not where it was sent to.
-        let event_timeout = answer.body.chunk_timeout();
         let mut relay = Self {
             server,
             body: Some(answer.body),
             scan,
+            has_repeat: false,
             due,
-            event_timeout,
             last_piece: Instant::now(),
             share: run.gateway.buffers.share(),
             reading: run.request.reading.guard(Instant::now() + run.left() + READING_SLACK),
@@ -128,12 +123,17 @@
     ///
     /// The time for the next event counts from the call: before it the caller did not read.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
-        let mut event_due = Instant::now() + self.event_timeout;
+        let mut event_due = Instant::now() + self.event_timeout();
+        let mut was_silent = false;
         loop {
             let events = self.complete_events();
-            let piece = self.read_piece(event_due).await;
+            let mut piece = self.read_piece(event_due).await;
             if self.complete_events() > events {
-                event_due = Instant::now() + self.event_timeout;
+                event_due = Instant::now() + self.event_timeout();
+            } else if matches!(&piece, RelayPiece::Events(events) if events.is_empty())
+                && Instant::now() >= event_due
+            {
+                piece = RelayPiece::Eventless;
             }
             let cause = match piece {
                 RelayPiece::Events(events) if events.is_empty() => continue,
@@ -151,7 +151,16 @@
                     return Ok(None);
                 }
                 RelayPiece::Broken(cause) => cause,
-                RelayPiece::Eventless => "no event was complete in time".to_owned(),
+                RelayPiece::Eventless => {
+                    if !std::mem::replace(&mut was_silent, true) {
+                        self.record_answer(false, None);
+                    }
+                    let has_moved = self.move_from_silent().await;
+                    let wait =
+                        if has_moved { self.event_timeout() } else { SILENCE_CHECK_INTERVAL };
+                    event_due = Instant::now() + wait;
+                    continue;
+                }
                 RelayPiece::Overdue => {
                     self.run.end("failed", "deadline");
                     return Err(BrokenAnswer);
@@ -163,7 +172,7 @@
                 self.run.end("failed", cause);
                 return Err(BrokenAnswer);
             }
-            event_due = Instant::now() + self.event_timeout;
+            event_due = Instant::now() + self.event_timeout();
         }
     }
 
@@ -180,8 +189,9 @@
             biased;
             // First, as a body may always have bytes ready.
             () = &mut self.due => return RelayPiece::Overdue,
-            () = sleep_until(event_due), if self.scan.is_some() => return RelayPiece::Eventless,
+            // Before the timer, as events may have come while this process did not run.
             piece = body.next() => piece,
+            () = sleep_until(event_due), if self.scan.is_some() => return RelayPiece::Eventless,
         };
         match piece {
             Some(Ok(bytes)) => self.events(bytes),
@@ -278,75 +288,6 @@
             cause = cause,
         );
     }
-
-    /// Resumes the stream at another server after the last event that was forwarded. Returns false if it cannot be
-    /// resumed.
-    async fn resume(&mut self, cause: &str) -> bool {
-        if self.run.request.route.repeat != RetryRule::StreamResumable {
-            return false;
-        }
-        let Some(scan) = self.scan.as_mut().filter(|scan| scan.is_resumable()) else {
-            return false;
-        };
-        scan.start_run();
-        let last = scan.last_id().map(str::to_owned);
-        let run = &mut self.run;
-        if run.first.is_some() && run.origin.is_none() {
-            // Another server may have another version of the software.
-            return false;
-        }
-        run.avoided.push(self.server.clone());
-        // The first server must stop before another one resumes; dropping the body closes its connection, which
-        // ends the stream there.
-        self.body = None;
-        run.count = None;
-        let mut is_charged = false;
-        while run.ran < run.request.route.max_servers && run.left() >= MIN_RESUME_TIME {
-            run.last_end = "stream_broken";
-            if !is_charged && !run.may_send() {
-                return false;
-            }
-            let Ok(server) = find_server(run).await else { return false };
-            if suspects::held(run).is_some() {
-                return false;
-            }
-            event!(
-                StreamResumed,
-                request_id = run.request.head.id,
-                from = self.server,
-                server = server,
-                last_event? = last,
-                began_at? = run.origin.as_ref().map(|origin| &origin.software),
-                cause = cause,
-            );
-            let sent = send(run, &server, last.as_deref()).await;
-            is_charged = matches!(sent, SendEnd::Closed);
-            match sent {
-                SendEnd::Answer(answer)
-                    if answer.status.is_success() && is_event_stream(&answer.headers) =>
-                {
-                    run.ran += 1;
-                    run.framing = answer.framing;
-                    self.event_timeout = answer.body.chunk_timeout();
-                    self.body = Some(answer.body);
-                    self.server = server;
-                    return true;
-                }
-                SendEnd::NotRun(answer, head) => {
-                    if let NextStep::Retry(delay) = handle_not_run(run, &server, answer, &head) {
-                        tokio::time::sleep(delay.min(run.left())).await;
-                    }
-                }
-                SendEnd::Closed => {}
-                SendEnd::Unsent(_) => run.avoided.push(server),
-                SendEnd::Answer(_) | SendEnd::Unknown(_) => {
-                    run.ran += 1;
-                    run.avoided.push(server);
-                }
-            }
-        }
-        false
-    }
 }
 
 impl Drop for StreamRelay {
--- a/gateway/src/second_send.rs
+++ b/gateway/src/second_send.rs
@@ -24,7 +24,7 @@
 use crate::outcome::handle_not_run;
 use crate::relay::is_event_stream;
 use crate::run::{RequestRun, SendState};
-use crate::send::{ANSWER_SLACK, OpenSend, SendEnd, begin, conclude, piece_timeout, send};
+use crate::send::{ANSWER_SLACK, OpenSend, SendEnd, begin, conclude, send};
 use crate::state::Gateway;
 use crate::suspects;
 
@@ -286,16 +286,14 @@
         (second, first)
     };
     let EarlyAnswer { sent, early_break } = answer;
-    let mut end = conclude(run, &ended.server, ended.sent_at, sent);
-    if let SendEnd::Answer(answer) = &mut end
+    let end = conclude(run, &ended.server, ended.sent_at, sent);
+    if let SendEnd::Answer(answer) = &end
         && early_break.is_none()
         && may_win(answer.status, is_first)
     {
         let waited_us = other.waited_us();
         // Closes the connection of the other send and gives its place back.
         drop((other.answer, aside));
-        // It may be the last server that may run the request: it then has all the time that is left.
-        answer.body.set_chunk_timeout(piece_timeout(run, run.left()));
         let is_success = answer.status.is_success();
         if is_first {
             record.result = "lost";
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -5,7 +5,6 @@
 
 use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::room::PlaceEnd;
-use coltsfoothook_decision::routing::RetryRule;
 use coltsfoothook_decision::subject::ServerStart;
 use coltsfoothook_exchange::{ExchangeError, ExchangeRequest, ExchangeResponse};
 use coltsfoothook_platform::{ForwardValues, ResponseHead, forward_headers, read_response_head};
@@ -174,7 +173,7 @@
     request.headers = forward_headers(&run.request.headers, &marks);
     request.body = run.request.body.clone();
     request.head_timeout = Some(head_timeout(run, left));
-    request.chunk_timeout = Some(piece_timeout(run, left));
+    request.chunk_timeout = Some(left + ANSWER_SLACK);
     run.sends += 1;
     run.charge_send();
     run.server = Some(server.clone());
@@ -290,17 +289,6 @@
     run.request.route.target.mul_f64(factor).min(left / 2).min(whole)
 }
 
-/// Returns how long to wait for the next piece of the answer: the route's time for an unresponsive stream where
-/// another server may resume it, else all the time left. A shorter time would cut a stream at its last server
-/// during a pause of some seconds that its caller would have waited for.
-pub(crate) fn piece_timeout(run: &RequestRun, left: Duration) -> Duration {
-    let whole = left + ANSWER_SLACK;
-    let route = &run.request.route;
-    let may_go_on = route.repeat == RetryRule::StreamResumable;
-    let more_servers = run.ran + 1 < route.max_servers;
-    if may_go_on && more_servers { route.idle_timeout().min(whole) } else { whole }
-}
-
 /// Classifies an answer or error. An answer counts only with the request's id and the server's seal, not encoded.
 fn classify(run: &RequestRun, sent: Result<ExchangeResponse, ExchangeError>) -> SendEnd {
     let answer = match sent {
--- a/gateway/tests/suite/broken_answers.rs
+++ b/gateway/tests/suite/broken_answers.rs
@@ -148,6 +148,34 @@
     assert_eq!(answer.body.matches("data:").count(), EVENTS);
 }
 
+/// Guards against a resumable stream that is cut for its server's silence, since no other server can resume it.
+#[tokio::test]
+async fn silent_alone() {
+    let site = Site::start(1, 0).await;
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    assert_eq!(gateway.request("resumed", "r0", "a1").await.status, 200);
+    site.engines[0].set_mode(ServerMode::Stalls);
+    let answer = gateway.request("resumed", "r1", "a1").await;
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.body.matches("data:").count(), EVENTS);
+}
+
+/// Guards against a resumable stream that is cut for its server's silence, since the other servers are full.
+#[tokio::test]
+async fn silent_beside_full() {
+    let mut site = Site::start(2, 0).await;
+    site.engines.iter().for_each(|engine| engine.hold("a1"));
+    site.register("ready");
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    site.engines[0].set_mode(ServerMode::Stalls);
+    site.engines[1].set_mode(ServerMode::Full);
+    let answer = gateway.request("resumed", "r1", "a1").await;
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.body.matches("data:").count(), EVENTS);
+}
+
 /// Returns the answer to a stream whose first server breaks it off as `first` and whose second one answers as `second`, and
 /// the runs of it at the second.
 async fn resumed_after(first: ServerMode, second: ServerMode) -> (CallerAnswer, Vec<RunRecord>) {
