Where streams began is recorded in the store, for when all VMs are killed at once

Cause: memory that only the killed VMs had. VMs tell three others of each stream; when all are gone nobody knows the version that began it, and `stream_taken_up result=stream_unknown` refuses, as it must. Ruled out: servers without room or adapters (none was known), a guessed version (none reached a server).

Change: each VM hands the streams that begin at it on to a writer, one for 32 VMs and eight at most, which appends them to the keyed topic keyed.streams: every 25 ms while a service has servers of several versions, else every 200 ms. A VM that follows another incarnation reads the topic's history at its start, and any VM reads it beside its questions to others. Only recorded origins are used; what is not known is refused.

Why it holds: an origin comes from the VM that passed on the first event, whoever carries it; a mark with two origins is ambiguous.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -304,6 +304,23 @@
         })
     }
 
+    /// Returns whether the servers of some service have several software versions.
+    #[must_use]
+    pub fn has_mixed_software(&self) -> bool {
+        let mut found: Vec<(&ServiceName, &SoftwareVersion)> = Vec::new();
+        self.servers.iter().any(|state| {
+            let entry = &state.entry;
+            let Some(software) = &entry.software else { return false };
+            match found.binary_search_by_key(&&entry.service, |(service, _)| service) {
+                Ok(at) => found[at].1 != software,
+                Err(at) => {
+                    found.insert(at, (&entry.service, software));
+                    false
+                }
+            }
+        })
+    }
+
     /// Returns whether a server is known in this incarnation, so that results from it apply.
     #[must_use]
     pub fn is_current_incarnation(&self, server: &str, incarnation: u64) -> bool {
--- a/decision/src/origin.rs
+++ b/decision/src/origin.rs
@@ -88,6 +88,23 @@
     began_at: TimePoint,
 }
 
+/// Merges reports of the same origin into one with all their marks, which is known for the longest of their times.
+#[must_use]
+pub fn merge_reports(reports: impl IntoIterator<Item = ReportedStream>) -> Vec<ReportedStream> {
+    let mut merged: Vec<ReportedStream> = Vec::new();
+    for report in reports {
+        match merged.binary_search_by(|known| known.origin.cmp(&report.origin)) {
+            Ok(at) => {
+                let known = &mut merged[at];
+                known.left_ms = known.left_ms.max(report.left_ms);
+                known.marks.extend(report.marks);
+            }
+            Err(at) => merged.insert(at, report),
+        }
+    }
+    merged
+}
+
 /// The streams that this VM began or was told of.
 #[derive(Clone, Debug, Default)]
 pub struct OriginTable {
--- a/decision/tests/suite/stream_origins.rs
+++ b/decision/tests/suite/stream_origins.rs
@@ -2,7 +2,7 @@
 
 use coltsfoothook_decision::id::{RequestFingerprint, TimePoint};
 use coltsfoothook_decision::origin::{
-    OriginTable, OriginVerdict, ReportedStream, StreamMark, StreamOrigin,
+    OriginTable, OriginVerdict, ReportedStream, StreamMark, StreamOrigin, merge_reports,
 };
 use proptest::prelude::*;
 
@@ -159,3 +159,21 @@
         assert_eq!(known, OriginVerdict::Known(&origin));
     }
 }
+
+/// Guards against a merged report that loses marks, mixes origins or is known for too short a time.
+#[test]
+fn merged_reports() {
+    let report = |version, marks: std::ops::Range<u64>, left_ms| ReportedStream {
+        origin: Some(origin(version)),
+        marks: marks.map(|mark| StreamMark::of_attempt(&mark.to_string())).collect(),
+        left_ms,
+    };
+    let reports = [report(2, 0..2, 10), report(1, 2..4, 30), report(2, 4..6, 20)];
+    let mut merged = OriginTable::default();
+    merge_reports(reports).iter().for_each(|report| merged.learn(report, TimePoint(0)));
+    let now = TimePoint(15_000);
+    for (mark, version) in [(0, 2), (1, 2), (2, 1), (3, 1), (4, 2), (5, 2)] {
+        let mark = StreamMark::of_attempt(&mark.to_string());
+        assert_eq!(merged.find(mark, now), OriginVerdict::Known(&origin(version)));
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod message;
 mod metrics;
 mod order;
+mod origin_records;
 mod origins;
 mod outcome;
 mod peer;
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -272,6 +272,8 @@
         Origins(Vec<ReportedStream>),
         /// A question where a stream began.
         OriginQuestion(StreamMark),
+        /// Where streams began, for the receiver to record in the platform's store.
+        OriginRecords(Vec<ReportedStream>),
         /// Crashes of servers, and which requests they are attributed to.
         Crashes(CrashReport),
     }
@@ -279,7 +281,7 @@
 
 impl PeerMessage {
     /// Names of the kinds of messages in metrics.
-    pub(crate) const KINDS: [&str; 15] = [
+    pub(crate) const KINDS: [&str; 16] = [
         "state",
         "lists",
         "wish",
@@ -295,6 +297,7 @@
         "crashes",
         "origins",
         "origin_question",
+        "origin_records",
     ];
 
     /// Returns the index of the message's kind in [`Self::KINDS`].
@@ -315,6 +318,7 @@
             Self::Crashes(_) => 12,
             Self::Origins(_) => 13,
             Self::OriginQuestion(_) => 14,
+            Self::OriginRecords(_) => 15,
         }
     }
 }
--- a/gateway/src/origins.rs
+++ b/gateway/src/origins.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::message::PeerMessage;
+use crate::origin_records;
 use crate::run::RequestRun;
 use crate::state::Gateway;
 
@@ -30,6 +31,8 @@
 /// stream that began just before may still be on its way.
 const ANSWER_TIME: Duration = Duration::from_millis(40);
 const MAX_QUESTIONS: usize = 3;
+/// How long an answer of the store is awaited beside them.
+const READ_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long a stream is known beyond its caller's deadline, in milliseconds. Covers the transit of the report.
 const RETENTION_MARGIN_MS: u32 = 500;
 
@@ -84,15 +87,30 @@
     if serves { Ok(()) } else { Err("software_gone") }
 }
 
-/// Returns where a stream began, as this VM or one of those that were told of it knows.
+/// Returns where a stream began, as this VM, one of those that were told of it, or the store's records know.
 async fn ask(
     gateway: &Gateway,
     mark: StreamMark,
     fingerprint: RequestFingerprint,
 ) -> Result<StreamOrigin, &'static str> {
+    if let Some(known) = known_origin(gateway, mark) {
+        return known;
+    }
+    // All VMs that were told may have ended.
+    let read = timeout(READ_TIMEOUT, origin_records::read(gateway));
+    let (known, _) = tokio::join!(ask_holders(gateway, mark, fingerprint), read);
+    known.or_else(|| known_origin(gateway, mark)).unwrap_or(Err("stream_unknown"))
+}
+
+/// Asks the VMs that were told where a stream began; `None` if none of them answers.
+async fn ask_holders(
+    gateway: &Gateway,
+    mark: StreamMark,
+    fingerprint: RequestFingerprint,
+) -> Option<Result<StreamOrigin, &'static str>> {
     for _ in 0..MAX_QUESTIONS {
         if let Some(known) = known_origin(gateway, mark) {
-            return known;
+            return Some(known);
         }
         let now = clock::now();
         let holders = gateway.view().roster.origin_holders(fingerprint, ASKED_HOLDERS, true, now);
@@ -101,10 +119,10 @@
         }
         gateway.peers.send(&PeerMessage::OriginQuestion(mark), &holders);
         if let Ok(known) = timeout(ANSWER_TIME, wait_until_known(gateway, mark)).await {
-            return known;
+            return Some(known);
         }
     }
-    known_origin(gateway, mark).unwrap_or(Err("stream_unknown"))
+    None
 }
 
 /// Waits until another VM has told where a stream began.
@@ -163,8 +181,9 @@
     let now = clock::now();
     let mut view = gateway.view();
     let mut reports: Vec<(SocketAddr, Vec<ReportedStream>)> = Vec::new();
-    for (fingerprint, stream) in view.origins.take_unreported(now) {
-        for holder in view.roster.origin_holders(fingerprint, HOLDERS, false, now) {
+    let streams = view.origins.take_unreported(now);
+    for (fingerprint, stream) in &streams {
+        for holder in view.roster.origin_holders(*fingerprint, HOLDERS, false, now) {
             match reports.binary_search_by_key(&holder, |(address, _)| *address) {
                 Ok(at) => reports[at].1.push(stream.clone()),
                 Err(at) => reports.insert(at, (holder, vec![stream.clone()])),
@@ -177,4 +196,5 @@
             gateway.peers.send(&PeerMessage::Origins(part.to_vec()), &[holder]);
         }
     }
+    origin_records::hand_on(gateway, streams.into_iter().map(|(_, stream)| stream));
 }
--- a/gateway/src/peer.rs
+++ b/gateway/src/peer.rs
@@ -27,6 +27,7 @@
     encode,
 };
 use crate::order;
+use crate::origin_records;
 use crate::origins;
 use crate::permit;
 use crate::record_updates;
@@ -399,6 +400,7 @@
         }
         PeerMessage::PermitReply(reply) => permit::apply_reply(gateway, &reply),
         PeerMessage::Origins(streams) => origins::learn(gateway, &streams),
+        PeerMessage::OriginRecords(streams) => origin_records::record(gateway, streams),
         PeerMessage::OriginQuestion(mark) => origins::answer_question(gateway, mark, from),
         PeerMessage::Crashes(report) => suspects::apply_report(gateway, &report),
     }
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -18,7 +18,10 @@
 use crate::peer::PeerSocket;
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
-use crate::{aggregate, confirm, follow, group, order, origins, peer, record_exchange, suspects};
+use crate::{
+    aggregate, confirm, follow, group, order, origin_records, origins, peer, record_exchange,
+    suspects,
+};
 
 /// The fraction of the grace time during which a VM that shuts down still accepts requests, because callers use
 /// cached addresses for some seconds more. A long stream accepted later would be cut by the end of the process,
@@ -94,6 +97,8 @@
         tasks.spawn(peer::report_loads(Arc::clone(&gateway)));
         tasks.spawn(suspects::report_crashes(Arc::clone(&gateway)));
         tasks.spawn(origins::report_streams(Arc::clone(&gateway)));
+        tasks.spawn(origin_records::write_pending(Arc::clone(&gateway)));
+        tasks.spawn(origin_records::read_at_start(Arc::clone(&gateway)));
         tasks.spawn(aggregate::run_aggregator(Arc::clone(&gateway)));
         tasks.spawn(peer::send_queued(Arc::clone(&gateway.peers)));
         tasks.spawn(follow::operators(Arc::clone(&gateway)));
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use coltsfoothook_decision::links::ServerLinks;
 use coltsfoothook_decision::loadtime::LoadTimes;
 use coltsfoothook_decision::named_version::NamedVersions;
-use coltsfoothook_decision::origin::OriginTable;
+use coltsfoothook_decision::origin::{OriginTable, ReportedStream};
 use coltsfoothook_decision::permit::PermitHolder;
 use coltsfoothook_decision::room::RoomHolder;
 use coltsfoothook_decision::routing::{AdapterKey, RouteTable};
@@ -27,7 +27,7 @@
 use coltsfoothook_platform::{HttpMetadata, HttpServers, MetadataStore, ServerCalls};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex as AsyncMutex, Notify, watch};
 
 use crate::aggregate::DomainView;
 use crate::buffer::BufferPool;
@@ -39,6 +39,7 @@
 use crate::message::SharedVersion;
 use crate::metrics::GatewayMetrics;
 use crate::order::ServerTrackers;
+use crate::origin_records::OriginReader;
 use crate::peer::PeerSocket;
 use crate::permit::PlaceAskers;
 use crate::record_updates::{EntryChanges, UPDATE_REPEAT_US};
@@ -134,6 +135,8 @@
     pub(crate) links: ServerLinks,
     /// Software versions that streams began at.
     pub(crate) origins: OriginTable,
+    /// Origins of streams that this VM is to record in the store.
+    pub(crate) pending_origins: Vec<ReportedStream>,
     pub(crate) budget: RepeatBudget,
     /// Estimates of the fleet that VMs share.
     pub(crate) estimates: SharedEstimates,
@@ -207,6 +210,10 @@
     pub(crate) unknown_key_seen: Notify,
     /// Notified when streams began that other VMs are to be told of.
     pub(crate) streams_began: Notify,
+    /// Notified when this VM is to record where streams began.
+    pub(crate) origins_pending: Notify,
+    /// Reads where streams began from the store.
+    pub(crate) origin_reader: AsyncMutex<OriginReader>,
     /// Notified when another VM told where streams began.
     pub(crate) origins_told: Notify,
     /// Notified when the configuration was confirmed to be the newest.
@@ -281,6 +288,7 @@
             broken: BrokenRuns::default(),
             links: ServerLinks::default(),
             origins: OriginTable::default(),
+            pending_origins: Vec::new(),
             budget: RepeatBudget::new(promises.repeats()),
             estimates: SharedEstimates::new(&settings.choice),
             second_sends: SecondSends::new(settings.second_send.bounds()),
@@ -320,6 +328,8 @@
             config_behind: Notify::new(),
             unknown_key_seen: Notify::new(),
             streams_began: Notify::new(),
+            origins_pending: Notify::new(),
+            origin_reader: AsyncMutex::default(),
             origins_told: Notify::new(),
             confirmed: Notify::new(),
             entries_missed: Notify::new(),
--- a/gateway/tests/suite/software_versions.rs
+++ b/gateway/tests/suite/software_versions.rs
@@ -239,3 +239,44 @@
     assert!(sent.elapsed() < AT_ONCE, "{:?}", sent.elapsed());
     assert!(mixed.runs("late").is_empty());
 }
+
+/// Guards against streams that nobody knows of any more, or that go on at a guessed version, after all VMs were killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_vms_killed() {
+    let mut mixed = MixedSite::start().await;
+    let mut began = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("s-{number}");
+        let version = mixed.begin(number % 3, &id).await;
+        began.push((id, version));
+    }
+    sleep(NOTICE).await;
+    mixed.gateways.clear();
+    let new = mixed.site.start_gateway("vm-9", &[], false).await;
+    new.wait_ready().await;
+    sleep(Duration::from_millis(500)).await;
+    let mut gone_on = 0;
+    for (id, version) in &began {
+        let answer = take_up(&new, Some(id), &format!("{id}-up")).await;
+        for (server, _) in mixed.runs(&format!("{id}-up")) {
+            assert_eq!(server.software(), *version, "{id}: {answer:?}");
+        }
+        gone_on += usize::from(went_on(&answer));
+    }
+    assert!(gone_on * 4 >= STREAMS * 3, "{gone_on} of {STREAMS} went on");
+}
+
+/// Guards against the same where the store's records were lost too: what is not known is refused, not guessed.
+#[tokio::test(flavor = "multi_thread")]
+async fn records_lost() {
+    let mut mixed = MixedSite::start().await;
+    let before = mixed.site.store.copy();
+    mixed.begin(0, "s").await;
+    sleep(NOTICE).await;
+    mixed.gateways.clear();
+    mixed.site.store.restore(before);
+    let new = mixed.site.start_gateway("vm-9", &[], false).await;
+    new.wait_ready().await;
+    assert_eq!(take_up(&new, Some("s"), "up").await.status, 503);
+    assert!(mixed.runs("up").is_empty());
+}
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -335,6 +335,13 @@
         marks: vec![StreamMark(1), StreamMark(2)],
         left_ms: 3,
     };
+    same_message(
+        PeerMessage::OriginRecords(vec![stream.clone()]),
+        expect![[
+            r#"{"origin_records":[{"origin":{"service":"llm","software":"v1"},"marks":[1,2],"left_ms":3}]}"#
+        ]],
+        expect![[r#"7 {"origin_records":[[["llm","v1"],[1,2],3]]}"#]],
+    );
     same_message(
         PeerMessage::Origins(vec![stream]),
         expect![[
--- a/gateway/tests/unit/stream_holders.rs
+++ b/gateway/tests/unit/stream_holders.rs
@@ -9,6 +9,7 @@
 
 use crate::estimates::ReportedEstimates;
 use crate::message::{PeerMessage, VmState, encode};
+use crate::origin_records::writer_of;
 use crate::origins::{ASKED_HOLDERS, HOLDERS};
 use crate::roster::PeerRoster;
 
@@ -108,3 +109,21 @@
         assert_eq!(holders.len(), HOLDERS);
     }
 }
+
+/// Guards against calls to the store that grow with the fleet, and against VMs that hand streams on to one that does not
+/// write for others.
+#[test]
+fn few_writers() {
+    for (vms, most) in [(1, 1), (6, 1), (75, 3), (300, 8)] {
+        let rosters = fleet(vms);
+        let name = |vm: usize| format!("front-nbo-{vm}").as_str().into();
+        let writer = |vm: usize| {
+            writer_of(&name(vm), false, &rosters[vm], NOW).unwrap_or_else(|| address(vm))
+        };
+        let mut writers: Vec<SocketAddr> = (0..vms).map(writer).collect();
+        writers.sort_unstable();
+        writers.dedup();
+        assert!(writers.len() <= most, "{vms} VMs: {writers:?}");
+        assert!(vms < 300 || writers.len() > 4, "{vms} VMs: {writers:?}");
+    }
+}
