An answer that ends with its connection right behind its head, or in its server's crash, is a broken one

Cause: the end of a connection was taken for the end of an answer. Heads that are cut in the middle are safe: of ten cuts, in four kinds of routes, framed or not, only the one right behind the head of an answer without framing gave a success. In the body of such an answer a crash ends the connection alike; streams were looked after, plain answers were not.

Change: in `exchange`, which both interfaces use, a success that ends with its connection without one byte fails; HEAD, 204, 304 and a length of 0 are as before. A plain answer without framing, or one of another type on a route for streams, is broken if its server refuses connections right afterwards, as a stream is.

Measured: cut_heads::unframed and unframed_answers::crash_in_plain_body failed before (200, "" and "ran", both whole) and pass; cut_heads::framed passed before and after.

--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt};
-use http::{HeaderMap, StatusCode, header};
+use http::{HeaderMap, Method, StatusCode, header};
 use http_body_util::BodyStream;
 use hyper::body::Incoming;
 use tokio::time::{Instant, Sleep};
@@ -32,9 +32,10 @@
 }
 
 impl BodyFraming {
-    /// Returns the framing of a response with this status and these headers.
-    pub(crate) fn of(status: StatusCode, headers: &HeaderMap) -> Self {
-        let bodiless = status.is_informational()
+    /// Returns the framing of the response to a request with this method, by its status and headers.
+    pub(crate) fn of(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
+        let bodiless = *method == Method::HEAD
+            || status.is_informational()
             || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         if headers.contains_key(header::TRANSFER_ENCODING) {
             Self::Chunks
@@ -84,6 +85,9 @@
     connection: Option<OpenConnection>,
     pool: ConnectionPool,
     finished: bool,
+    /// Whether an end without a byte before it is no end of an answer: a success that ends with its
+    /// connection, whose sender may have stopped right after the head.
+    needs_bytes: bool,
     /// Chunks that were read ahead and are returned first.
     put_back: VecDeque<Result<Bytes, ExchangeError>>,
 }
@@ -95,6 +99,7 @@
         address: SocketAddr,
         connection: OpenConnection,
         pool: ConnectionPool,
+        needs_bytes: bool,
     ) -> Self {
         Self {
             body: BodyStream::new(body),
@@ -104,6 +109,7 @@
             connection: Some(connection),
             pool,
             finished: false,
+            needs_bytes,
             put_back: VecDeque::new(),
         }
     }
@@ -197,6 +203,7 @@
                     self.timer.as_mut().reset(deadline);
                     // Trailers are discarded.
                     if let Ok(chunk) = frame.into_data() {
+                        self.needs_bytes &= chunk.is_empty();
                         return Poll::Ready(Some(Ok(chunk)));
                     }
                 }
@@ -204,6 +211,10 @@
                     let cause = error_chain(&error);
                     return self.fail(ExchangeError::BodyFailed { cause });
                 }
+                Poll::Ready(None) if self.needs_bytes => {
+                    let cause = "the connection ended with the head of the answer".to_owned();
+                    return self.fail(ExchangeError::BodyFailed { cause });
+                }
                 Poll::Ready(None) => {
                     self.finish();
                     return Poll::Ready(None);
--- a/exchange/src/client.rs
+++ b/exchange/src/client.rs
@@ -169,6 +169,7 @@
         let head_timeout =
             request.head_timeout.unwrap_or(Duration::from_millis(self.settings.head_ms));
         let mut message = request.into_http(address)?;
+        let method = message.method().clone();
         loop {
             let pooled = if fresh { None } else { self.pool.take(address) };
             let connection = match pooled {
@@ -178,7 +179,13 @@
             let reused = connection.reused;
             message = match self.attempt(connection, message, head_timeout).await {
                 Ok((connection, response)) => {
-                    return Ok(self.build_answer(address, connection, response, chunk_timeout));
+                    return Ok(self.build_answer(
+                        address,
+                        connection,
+                        &method,
+                        response,
+                        chunk_timeout,
+                    ));
                 }
                 // Hyper returns the message only if it wrote none of it, so sending it on another
                 // connection cannot run the request twice. This is the case of a pooled connection
@@ -281,14 +288,17 @@
         &self,
         address: SocketAddr,
         mut connection: OpenConnection,
+        method: &Method,
         response: http::Response<Incoming>,
         chunk_timeout: Duration,
     ) -> ExchangeResponse {
         let (parts, body) = response.into_parts();
         let fresh = !connection.reused;
         connection.idle_timeout = advertised_idle_timeout(&parts.headers);
-        let body = ResponseBody::new(body, chunk_timeout, address, connection, self.pool.clone());
-        let framing = BodyFraming::of(parts.status, &parts.headers);
+        let framing = BodyFraming::of(method, parts.status, &parts.headers);
+        let needs_bytes = framing == BodyFraming::Connection && parts.status.is_success();
+        let pool = self.pool.clone();
+        let body = ResponseBody::new(body, chunk_timeout, address, connection, pool, needs_bytes);
         ExchangeResponse { status: parts.status, headers: parts.headers, fresh, framing, body }
     }
 }
--- a/exchange/tests/suite/odd_servers.rs
+++ b/exchange/tests/suite/odd_servers.rs
@@ -8,6 +8,7 @@
     path_segment,
 };
 use futures::StreamExt;
+use http::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -212,3 +213,30 @@
         assert_eq!(requests.recv().await, Some(connection), "{most_keep_ms} {newest_keep_ms}");
     }
 }
+
+/// Guards against a server that stops right behind its head, whose answer without a body would count as whole.
+#[tokio::test]
+async fn ended_with_head() {
+    let (address, _requests) = faulty_server(vec![b"HTTP/1.1 200 OK\r\n\r\n"]).await;
+    let error = send(address).await.unwrap().body.collect(9).await.unwrap_err();
+    assert!(matches!(error, ExchangeError::BodyFailed { .. }), "{error:?}");
+    let whole: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 204 No Content\r\n\r\n",
+        b"HTTP/1.1 500 Failed\r\n\r\n",
+    ];
+    for answer in whole {
+        let (address, _requests) = faulty_server(vec![answer]).await;
+        assert!(send(address).await.unwrap().body.collect(9).await.is_ok(), "{answer:?}");
+    }
+}
+
+/// Guards against a head that was asked for alone and counts as cut, since no body follows it.
+#[tokio::test]
+async fn head_alone() {
+    let (address, _requests) = faulty_server(vec![b"HTTP/1.1 200 OK\r\n\r\n"]).await;
+    let request = ExchangeRequest::new(Method::HEAD, "/x");
+    let answer = client(ExchangeSettings::default()).send(address, request).await.unwrap();
+    assert_eq!(answer.body.collect(9).await.unwrap().len(), 0);
+}
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -7,7 +7,7 @@
 use coltsfoothook_decision::room::PlaceEnd;
 use coltsfoothook_decision::routing::AdapterKey;
 use coltsfoothook_decision::subject::ServerStart;
-use coltsfoothook_exchange::{ExchangeError, ExchangeResponse};
+use coltsfoothook_exchange::{BodyFraming, ExchangeError, ExchangeResponse};
 use coltsfoothook_platform::{ResponseHead, end_to_end_headers};
 use coltsfoothook_telemetry::event;
 use http::{Response, StatusCode};
@@ -73,7 +73,13 @@
     if let Err(ExchangeError::BodyFailed { .. }) = &body {
         suspects::run_broken(&run);
     }
-    let body = body.map_err(|error| error.to_string());
+    let mut body = body.map_err(|error| error.to_string());
+    // A crash ends the connection as the end of the answer does.
+    let is_unframed = run.framing == BodyFraming::Connection && status.is_success();
+    if is_unframed && body.is_ok() && suspects::server_is_down(&run).await {
+        suspects::run_broken(&run);
+        body = Err("the server is down".to_owned());
+    }
     {
         let mut view = run.gateway.view();
         let good = !failed && body.is_ok();
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -221,9 +221,9 @@
 
     /// Judges the end of the present server's answer, which is complete by its framing.
     async fn ended(&mut self) -> RelayPiece {
-        let Some(scan) = &mut self.scan else { return RelayPiece::End };
         let unframed = self.run.framing == BodyFraming::Connection;
-        let cause = match scan.end(unframed) {
+        let rest = self.scan.as_mut().map_or(Ok(Bytes::new()), |scan| scan.end(unframed));
+        let cause = match rest {
             Ok(rest) if !rest.is_empty() => return RelayPiece::Events(rest),
             // A crash between two events ends the connection as the end of the answer does.
             Ok(_) if unframed && suspects::server_is_down(&self.run).await => "the server is down",
--- a/gateway/tests/suite/main.rs
+++ b/gateway/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod crashing_parts;
 mod crashing_requests;
 mod customer_keys;
+mod cut_heads;
 mod cut_links;
 mod cuttable;
 mod endless_bytes;
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -27,6 +27,10 @@
     CutsFirst,
     /// It closes a stream after its head.
     CutsHead,
+    /// It crashes in the middle of the body of a plain answer.
+    CrashesInBody,
+    /// It closes the connection so many bytes before the end of an answer's head.
+    CutsInHead(usize),
     /// Its events have no ids, and it closes a stream in the middle of its second event.
     Unnumbered,
     /// Its first event has bytes that are no text, and it closes a stream in the middle of its second event.
@@ -603,6 +607,18 @@
             ServerMode::LosesAnswer => return false,
             ServerMode::Late(delay_ms) if !self.wait_open(stream, delay_ms).await => return false,
             ServerMode::Fails => return send(stream, 500, &sealed, "failed").await,
+            ServerMode::CrashesInBody => {
+                let text = format!("{}ran", self.head_of(&record, &sealed));
+                let _ = stream.write_all(text.as_bytes()).await;
+                self.crash();
+                return false;
+            }
+            ServerMode::CutsInHead(bytes) => {
+                let head = self.head_of(&record, &sealed);
+                let _ =
+                    stream.write_all(&head.as_bytes()[..head.len().saturating_sub(bytes)]).await;
+                return false;
+            }
             ServerMode::AnswersTwice => {
                 let other = "coltsfoothook-request-id: another\r\ncoltsfoothook-server-seal: x\r\n";
                 return send(stream, 200, other, "another's answer").await
@@ -622,6 +638,17 @@
         self.stream(stream, &record, &sealed, mode).await
     }
 
+    /// Returns the head of the successful answer to a request.
+    fn head_of(&self, record: &RunRecord, sealed: &str) -> String {
+        let framing = match (self.state.lock().unwrap().unframed, record.is_stream()) {
+            (true, _) => String::new(),
+            (false, true) => "transfer-encoding: chunked\r\n".to_owned(),
+            (false, false) => format!("content-length: {}\r\n", "ran ".len() + record.id.len()),
+        };
+        let kind = if record.is_stream() { "content-type: text/event-stream\r\n" } else { "" };
+        format!("HTTP/1.1 200 OK\r\n{sealed}{kind}{framing}\r\n")
+    }
+
     async fn stream(
         &self,
         stream: &mut TcpStream,
--- a/gateway/tests/suite/unframed_answers.rs
+++ b/gateway/tests/suite/unframed_answers.rs
@@ -6,7 +6,7 @@
 
 use crate::cuttable::{CuttableLinks, LinkState};
 use crate::press::three_gateways;
-use crate::server::{CRASHING, EVENTS, MODEL, ServerMode, StandinServer};
+use crate::server::{CRASHING, DOWN_TIME, EVENTS, MODEL, ServerMode, StandinServer};
 use crate::site::{CallerAnswer, RunningGateway, Site, eventually};
 
 /// The routes of streams that may run once and that may be resumed.
@@ -178,3 +178,16 @@
     let crashes = runs.filter(|run| run.path().ends_with(CRASHING)).count();
     assert!(crashes <= 3 + ALLOWED, "{crashes} servers crashed");
 }
+
+/// Guards against a plain answer that a crash cut in its body and that reaches its caller as a whole one.
+#[tokio::test]
+async fn crash_in_plain_body() {
+    let unframed = UnframedSite::start(0, 1).await;
+    let server = &unframed.site.plain[0];
+    server.set_mode(ServerMode::CrashesInBody);
+    for path in ["/safe/x", "/once/x"] {
+        let answer = unframed.gateway.call(path, path, &[]).await;
+        assert!(answer.status != 200 || !answer.whole, "{path}: {answer:?}");
+        sleep(DOWN_TIME * 2).await;
+    }
+}
