The length that a server states beside its chunks is not passed on

Cause: the body was read by its chunks, and the server's length went out with it. Streams and the product's own interface drop it.

Change: an answer that was framed by chunks gets the length of the body that was read.

Measured: broken_answers::length_beside_chunks failed before (in debug builds the HTTP library panics over the two lengths) and passes.

--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -10,7 +10,7 @@
 use coltsfoothook_exchange::{BodyFraming, ExchangeError, ExchangeResponse};
 use coltsfoothook_platform::{ResponseHead, end_to_end_headers};
 use coltsfoothook_telemetry::event;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, header};
 use tokio::time::Instant;
 
 use crate::answer::{AnswerStream, held_answer, own_answer};
@@ -66,7 +66,11 @@
     if stream {
         return AfterAnswer::finished(StreamRelay::answer(run, server, answer).await);
     }
-    let (headers, latency) = (answer.headers.clone(), run.server_latency());
+    let (mut headers, latency) = (answer.headers.clone(), run.server_latency());
+    if run.framing == BodyFraming::Chunks {
+        // The body is what the chunks say. With another length the caller would take what is over for its next answer.
+        headers.remove(header::CONTENT_LENGTH);
+    }
     let mut share = run.gateway.buffers.share();
     let (limit, limit_time) = (MAX_BUFFERED_BYTES, body_timeout(&run));
     let body = answer.body.collect_within(limit, limit_time, |more| share.grow(more)).await;
--- a/gateway/tests/suite/broken_answers.rs
+++ b/gateway/tests/suite/broken_answers.rs
@@ -83,6 +83,17 @@
     assert!(!answer.body.contains("another"));
 }
 
+/// Guards against a caller that takes the end of one answer for the next one, since its length is a wrong one.
+#[tokio::test]
+async fn length_beside_chunks() {
+    let (_site, gateway) = plain_site(ServerMode::LengthBesideChunks).await;
+    for path in ["/safe/1", "/once/1"] {
+        let answer = gateway.call(path, path, &[]).await;
+        assert!(answer.whole, "{answer:?}");
+        assert_eq!(answer.body, format!("ran {path}"));
+    }
+}
+
 /// A stream that may run only once is cut within an event. The caller's answer must be cut too, so that it is not
 /// taken for a complete one.
 #[tokio::test]
--- a/gateway/tests/suite/server.rs
+++ b/gateway/tests/suite/server.rs
@@ -27,6 +27,8 @@
     CutsFirst,
     /// It closes a stream after its head.
     CutsHead,
+    /// It states a plain answer's length beside its chunks, as four bytes.
+    LengthBesideChunks,
     /// It crashes in the middle of the body of a plain answer.
     CrashesInBody,
     /// It closes the connection so many bytes before the end of an answer's head.
@@ -607,6 +609,15 @@
             ServerMode::LosesAnswer => return false,
             ServerMode::Late(delay_ms) if !self.wait_open(stream, delay_ms).await => return false,
             ServerMode::Fails => return send(stream, 500, &sealed, "failed").await,
+            ServerMode::LengthBesideChunks => {
+                let body = format!("ran {}", record.id);
+                let framing = "transfer-encoding: chunked\r\ncontent-length: 4\r\n";
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\n{sealed}{framing}\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+                    body.len()
+                );
+                return stream.write_all(text.as_bytes()).await.is_ok();
+            }
             ServerMode::CrashesInBody => {
                 let text = format!("{}ran", self.head_of(&record, &sealed));
                 let _ = stream.write_all(text.as_bytes()).await;
