A shutdown waits for answers that callers still read

Cause: the process ended when no request was open, and a plain request counts as ended once its server's answer was read. Nothing waited for the connections that still wrote answers.

Change: a shutdown also waits, up to the same time, for callers' connections that brought a request. Connections without one are not awaited.

--- a/gateway/src/face.rs
+++ b/gateway/src/face.rs
@@ -4,7 +4,8 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use coltsfoothook_decision::backend::BackendState;
@@ -237,7 +238,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let (gateway, service) = (Arc::clone(&gateway), service.clone());
-                connections.spawn(connection(gateway, stream, service));
+                connections.spawn(connection(gateway, stream, service, until_closing));
             }
             Err(error) => {
                 event!(AcceptFailed, cause = error);
@@ -250,7 +251,29 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn connection(gateway: Arc<Gateway>, stream: TcpStream, service: impl InterfaceService) {
+/// Counts a caller's connection from its first request to its end.
+struct UsedConnection(Arc<Gateway>);
+
+impl UsedConnection {
+    fn new(gateway: Arc<Gateway>) -> Self {
+        gateway.used_connections.fetch_add(1, Ordering::Relaxed);
+        Self(gateway)
+    }
+}
+
+impl Drop for UsedConnection {
+    fn drop(&mut self) {
+        self.0.used_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves a connection. A shutdown waits for it, once it was used, if `is_awaited`.
+async fn connection(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    service: impl InterfaceService,
+    is_awaited: bool,
+) {
     if let Err(error) = set_socket_options(&stream, gateway.settings.buffers.socket_kb << 10) {
         event!(AcceptFailed, cause = error);
         return;
@@ -261,8 +284,12 @@
     let head = table.as_ref().map_or(MIN_HEAD_BYTES * 2, |table| table.limits.head_bytes * 2);
     let reading = ReadingDue::default();
     let signal = reading.clone();
+    let (used, counting) = (OnceLock::new(), Arc::clone(&gateway));
     let service = service_fn(move |mut request: Request<Incoming>| {
         let service = service.clone();
+        if is_awaited {
+            used.get_or_init(|| UsedConnection::new(Arc::clone(&counting)));
+        }
         request.extensions_mut().insert(signal.clone());
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -113,7 +113,7 @@
     /// Shuts down without cutting requests, as far as they end within the grace time.
     ///
     /// Callers are sent to other VMs first. Then the VM accepts no more connections, and the process ends when all
-    /// open requests have or the grace time is nearly over.
+    /// open requests and the connections of their callers have, or the grace time is nearly over.
     pub async fn stop(self) {
         let gateway = &self.gateway;
         let stop_started = Instant::now();
@@ -126,12 +126,12 @@
         sleep((grace.mul_f64(ACCEPT_FRACTION)).saturating_sub(stop_started.elapsed())).await;
         gateway.closing.send_replace(true);
         let max_time = grace.saturating_sub(SHUTDOWN_MARGIN);
-        while gateway.open.load(Ordering::Relaxed) > 0 && stop_started.elapsed() < max_time {
+        while gateway.unfinished() != (0, 0) && stop_started.elapsed() < max_time {
             sleep(SHUTDOWN_POLL_INTERVAL).await;
         }
-        let open = gateway.open.load(Ordering::Relaxed);
-        if open > 0 {
-            event!(ShutdownOverdue, open = open);
+        let (open, connections) = gateway.unfinished();
+        if (open, connections) != (0, 0) {
+            event!(ShutdownOverdue, open = open, connections = connections);
         }
         // Gives the last writes time to leave the buffers of this process.
         sleep(SHUTDOWN_POLL_INTERVAL).await;
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -232,6 +232,9 @@
     pub(crate) closing: watch::Sender<bool>,
     /// Number of requests that were accepted and have not ended.
     pub(crate) open: AtomicU64,
+    /// Number of callers' connections that brought a request and have not ended. An answer may be
+    /// on its way to its caller after its request has ended.
+    pub(crate) used_connections: AtomicU64,
     /// What it holds for callers and servers.
     pub(crate) buffers: BufferPool,
 }
@@ -342,6 +345,7 @@
             leaving: AtomicBool::new(false),
             closing: watch::Sender::new(false),
             open: AtomicU64::new(0),
+            used_connections: AtomicU64::new(0),
             buffers: BufferPool::new(settings.buffers.total_mb << 20),
             settings,
         }
@@ -362,6 +366,12 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the number of requests that have not ended, and of connections that may still carry
+    /// answers.
+    pub(crate) fn unfinished(&self) -> (u64, u64) {
+        (self.open.load(Ordering::Relaxed), self.used_connections.load(Ordering::Relaxed))
+    }
+
     /// Returns whether callers should be sent to this VM.
     pub(crate) fn ready(&self) -> bool {
         !self.leaving() && self.view().serves(clock::now())
--- a/gateway/tests/suite/slow_readers.rs
+++ b/gateway/tests/suite/slow_readers.rs
@@ -16,6 +16,9 @@
 const ROUTE_TIME: Duration = Duration::from_secs(4);
 /// The most of one stream that may be between its server and its caller, with the sockets of both.
 const MAX_BETWEEN: usize = 1 << 20;
+/// The time in which a caller reads an answer through a shutdown: longer than a VM without open requests takes to end, and
+/// shorter than the grace time.
+const READING_TIME: Duration = Duration::from_millis(1_800);
 /// How soon a request must be answered beside the slow ones.
 const USUAL_TIME: Duration = Duration::from_secs(1);
 
@@ -189,3 +192,29 @@
     assert!(started.elapsed() < ROUTE_TIME + USUAL_TIME, "{:?}", started.elapsed());
     drop(listener);
 }
+
+/// Guards against a shutdown that cuts answers which their callers still read, though their requests have ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn read_through_shutdown() {
+    let site = Site::start(0, 1).await;
+    let gateway = site.gateway("vm-1", &[]).await;
+    gateway.wait_ready().await;
+    let headers = [("coltsfoothook-request-id", "slow"), (ENDLESS, "flood-large@p-0")];
+    let mut slow = send_raw(&gateway, "/once/x", &headers).await;
+    sleep(Duration::from_millis(300)).await;
+    let started = Instant::now();
+    let reader = tokio::spawn(async move {
+        let (mut piece, mut read) = (vec![0; 16 << 10], 0);
+        while let Ok(more) = slow.read(&mut piece).await
+            && more > 0
+        {
+            read += more;
+            let due = READING_TIME.mul_f64(read as f64 / LARGE as f64);
+            sleep(due.saturating_sub(started.elapsed())).await;
+        }
+        read
+    });
+    gateway.process.stop().await;
+    let read = reader.await.unwrap();
+    assert!(read > LARGE, "{read} bytes were read, {:?} after the stop", started.elapsed());
+}
--- a/telemetry/src/event.rs
+++ b/telemetry/src/event.rs
@@ -83,7 +83,7 @@
     ProcessFailed, "process_failed", Error, "The process cannot continue and exits.";
     ProcessStopped, "process_stopped", Info, "The process exited after a requested shutdown.";
     ShutdownStarted, "shutdown_started", Info, "The process accepts no new work and completes the requests in progress.";
-    ShutdownOverdue, "shutdown_overdue", Error, "Requests were still running at the end of the grace period of a shutdown.";
+    ShutdownOverdue, "shutdown_overdue", Error, "Requests were still running, or connections of callers open, at the end of the grace period of a shutdown.";
     KeysReplaced, "keys_replaced", Info, "New keys or certificates were read and are in use.";
     KeysRefused, "keys_refused", Error, "Keys or certificates could not be read; the previous ones stay in use.";
     RequestDone, "request_done", Info, "A request ended; `outcome` and `reason` state the result, `gone` that the caller disconnected before the end.";
