Readers report each change of an entry, also those that another reader reported first

What callers could see: a VM of a large fleet that does not receive one reader's messages does not know a new or restarted server, for up to 30 s.

Cause: a reader reports the entries that changed its view when it read them. An entry that it knew from another reader's message changes nothing, and was left out unless the server leaves; the span of its messages says all the same that they hold all changes, and VMs rely on it.

Change: a VM keeps the servers of which another one told it a change until it has read their entries itself, and reports them then.

Measured: reader_reports::told_first failed before (0 changes of 1 reported) and passes.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coltsfoothook_decision::backend::EntryChange;
-use coltsfoothook_decision::id::TimePoint;
+use coltsfoothook_decision::id::{ServerName, TimePoint};
 use coltsfoothook_decision::routing::BackendEntry;
 use coltsfoothook_platform::{
     KeyedRecord, KeyedTopic, MetadataError, RecordPage, read_registration,
@@ -159,12 +159,12 @@
         if view.is_foreign(&entry) {
             continue;
         }
-        // Each reader reports a leaving server, even if another reader reported it first.
-        // Otherwise a VM that cannot receive the first reader's updates would not learn of it from
-        // the others: one that had lost sight of that reader for three seconds went on sending to
-        // the server for more than four.
+        // Each reader reports each change, even if another reader reported it first: the span of its
+        // messages says that they hold all changes. A VM that cannot receive the first reader's
+        // updates would otherwise go on sending to a leaving server, or not know a new one.
+        let was_told = view.take_told(&entry.server);
         let leaves = !entry.ready;
-        if view.apply_entry(&entry, now) || leaves {
+        if view.apply_entry(&entry, now) || was_told || leaves {
             changes.entries.push(record_updates::without_adapters(entry));
         }
         view.unlapse(&record.key, record.position);
@@ -230,10 +230,26 @@
         self.missed_entries = false;
         match reported {
             Some(changes) => self.entry_history.add_read(up_to, changes, clock::now()),
-            None => self.entry_history.restart(up_to),
+            None => {
+                self.entry_history.restart(up_to);
+                self.told_entries.clear();
+            }
+        }
+    }
+
+    /// Records that another VM reported a change of a server.
+    pub(crate) fn record_told(&mut self, server: &ServerName) {
+        if let Err(at) = self.told_entries.binary_search(server) {
+            self.told_entries.insert(at, server.clone());
         }
     }
 
+    /// Returns whether another VM reported a change of a server that this VM reads only now.
+    fn take_told(&mut self, server: &ServerName) -> bool {
+        let found = self.told_entries.binary_search(server);
+        found.map(|at| self.told_entries.remove(at)).is_ok()
+    }
+
     /// Returns whether an entry is by another writer, under the name of a known server, and logs it once.
     pub(crate) fn is_foreign(&mut self, entry: &BackendEntry) -> bool {
         if !self.backends.is_foreign(entry, self.table.as_deref()) {
--- a/gateway/src/record_updates.rs
+++ b/gateway/src/record_updates.rs
@@ -118,6 +118,7 @@
     }
     for entry in update.entries {
         if view.apply_entry(&entry, now) {
+            view.record_told(&entry.server);
             changes.entries.push(entry);
         }
     }
--- a/gateway/tests/unit/reader_reports.rs
+++ b/gateway/tests/unit/reader_reports.rs
@@ -14,9 +14,10 @@
 use coltsfoothook_decision::coverage::ReportedSpan;
 use coltsfoothook_decision::id::{ConfigVersion, TimePoint, VmName};
 use coltsfoothook_decision::routing::{AdapterKey, CallerLimits, RouteTable};
+use coltsfoothook_platform::{KeyedRecord, read_registration};
 
 use crate::clock;
-use crate::follow::has_entry_readers;
+use crate::follow::{apply_servers, has_entry_readers};
 use crate::large_fleet::roster;
 use crate::message::{RecordUpdate, SharedVersion};
 use crate::operator_records::has_record_readers;
@@ -163,3 +164,22 @@
     let view = gateway.view();
     assert_eq!(view.version_history.span(), ReportedSpan { since: 3_000, up_to: 3_000 });
 }
+
+/// Guards against a reader whose messages claim to hold all changes and leave out one that another reader reported first.
+#[tokio::test]
+async fn told_first() {
+    let gateway = vm_with_readers().await;
+    let read = || {
+        let entry = serde_json::json!({
+            "service": "plain", "address": "10.0.0.1:80", "zone": "d1", "slots": 8,
+            "state": "ready", "seq": 1, "born": 5,
+        });
+        let value = Some(entry.to_string().into());
+        KeyedRecord { key: "s-1".to_owned(), value, position: 9 }
+    };
+    let entry = read_registration("s-1", &read().value.unwrap(), 9).unwrap();
+    record_updates::apply(&gateway, RecordUpdate { entries: vec![entry], ..update(0, 0) });
+    let changes = apply_servers(&gateway, &[read()], false);
+    assert_eq!(changes.entries.len(), 1, "another reader's message may be lost");
+    assert!(apply_servers(&gateway, &[read()], false).entries.is_empty());
+}
