A stream without a length that ends when its server's notice is over is a broken one

Cause: the end of a connection counts as the end of an answer unless its server refuses connections; a leaving server was not tried, since it may end right after a whole answer, and the time in its notice was not read.

Change: `remaining_ms` of an entry is read and reported behind the entries. A leaving server whose time may be over is tried like any other.

Measured: unframed_answers::gone_after_notice and resumed_after_notice failed before and pass; ends_well, a leaving server without such a time, passed before and after.

--- a/decision/src/backend.rs
+++ b/decision/src/backend.rs
@@ -10,7 +10,8 @@
 use crate::counts::{LoadFigure, RequestCounts};
 use crate::holding::{AdapterHolding, HeldAdapters};
 use crate::id::{
-    ModelName, ServerName, ServiceName, SoftwareVersion, TimePoint, VmName, stable_hash,
+    MICROS_PER_MILLI, ModelName, ServerName, ServiceName, SoftwareVersion, TimePoint, VmName,
+    stable_hash,
 };
 use crate::prefill::PrefillRate;
 use crate::rest::ServerRest;
@@ -18,6 +19,8 @@
 use crate::routing::{AdapterKey, BackendEntry, HeldModel, RouteTable};
 use crate::statement::{KeptStatements, ServiceRefusals};
 
+/// How much earlier than known a server may be gone, in microseconds: its entry is read up to a heartbeat and a poll late.
+const NOTICE_SLACK_US: u64 = 2_000_000;
 /// How long an owner's list takes precedence over the server's own entry. Owners repeat it within
 /// two seconds.
 const LIST_TTL_US: u64 = 5_000_000;
@@ -89,6 +92,8 @@
     first_seen: TimePoint,
     /// Whether it is leaving; it then gets no new work.
     pub leaving: bool,
+    /// When it is gone at the latest, whatever it runs; `None` if it stated no such time.
+    gone_at: Option<TimePoint>,
     pub(crate) owner: Option<ServerOwner>,
     /// Taken from the owner's list while that is recent, else from the entry.
     pub(crate) held: HeldAdapters,
@@ -225,6 +230,7 @@
         };
         let same_models = models(&entry) == models(&state.entry);
         state.entry = entry;
+        state.record_notice(now);
         state.adopt_entry(now);
         match (leaves, same_models) {
             (true, _) => EntryChange::Leaving,
@@ -352,6 +358,7 @@
             heartbeat: 0,
             models,
             software: None,
+            notice_ms: None,
             ..state.entry.clone()
         };
         state.restart(entry, now);
@@ -592,6 +599,7 @@
             entry,
             first_seen: now,
             leaving,
+            gone_at: None,
             owner: None,
             held: HeldAdapters::default(),
             list_at: None,
@@ -604,10 +612,25 @@
             speed: None,
             name_hash,
         };
+        state.record_notice(now);
         state.adopt_entry(now);
         state
     }
 
+    /// Records when the server is gone by its entry. Entries are read some time after they were written, so that the
+    /// earliest of these times is the best.
+    fn record_notice(&mut self, now: TimePoint) {
+        let Some(notice_ms) = self.entry.notice_ms else { return };
+        let gone_at = now.plus(u64::from(notice_ms) * MICROS_PER_MILLI);
+        self.gone_at = Some(self.gone_at.map_or(gone_at, |known| known.min(gone_at)));
+    }
+
+    /// Returns whether the time that the server has left by its notice may be over.
+    #[must_use]
+    pub fn notice_is_over(&self, now: TimePoint) -> bool {
+        self.gone_at.is_some_and(|gone_at| now.plus(NOTICE_SLACK_US) >= gone_at)
+    }
+
     /// Resets the state for a new incarnation. Requests to the former one do not run at it; their
     /// ends, which may never be seen, are ignored.
     fn restart(&mut self, entry: BackendEntry, now: TimePoint) {
--- a/decision/src/routing.rs
+++ b/decision/src/routing.rs
@@ -401,6 +401,10 @@
         /// incarnation so far. Messages carry it apart from the entry, which older releases read.
         #[serde(skip)]
         pub software: Option<crate::id::SoftwareVersion>,
+        /// Milliseconds after which it is gone, whatever it runs; `None` if it states no such time.
+        /// Messages carry it apart from the entry too.
+        #[serde(skip)]
+        pub notice_ms: Option<u32>,
     }
 
     /// Base model that a server holds, and its adapters.
--- a/decision/tests/suite/encoded_names.rs
+++ b/decision/tests/suite/encoded_names.rs
@@ -824,6 +824,7 @@
         position: 4,
         models: vec![held_model()],
         software: None,
+        notice_ms: None,
     };
     same(
         &[entry],
--- a/decision/tests/suite/fixture.rs
+++ b/decision/tests/suite/fixture.rs
@@ -16,5 +16,6 @@
         position: 1,
         models: vec![HeldModel { model: "base".into(), adapters: Vec::new() }],
         software: Some("v1".into()),
+        notice_ms: None,
     }
 }
--- a/decision/tests/suite/server_lives.rs
+++ b/decision/tests/suite/server_lives.rs
@@ -68,6 +68,7 @@
     let mut table = BackendTable::default();
     let of = |software: &str, heartbeat, position| BackendEntry {
         software: Some(software.into()),
+        notice_ms: None,
         ..entry(0, heartbeat, position)
     };
     table.apply_entry(of("v1", 70, 5), NOW);
--- a/gateway/src/datagram.rs
+++ b/gateway/src/datagram.rs
@@ -19,8 +19,8 @@
 /// Maximum size of a received datagram, in bytes.
 pub(crate) const MAX_BYTES: usize = 60_000;
 
-/// Encodes a message as a datagram. The versions of servers' software, the span of the operators' topic, the parts of
-/// prompts that crashes are attributed to, and what concerns servers that bear few refusals follow the message itself: releases that do not
+/// Encodes a message as a datagram. The versions of servers' software, the span of the operators' topic, the notices of
+/// leaving servers, the parts of prompts that crashes are attributed to, and what concerns servers that bear few refusals follow the message itself: releases that do not
 /// know them read only the message.
 pub(crate) fn encode(message: &PeerMessage) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let mut bytes = vec![FORMAT];
@@ -29,6 +29,7 @@
         PeerMessage::News(update) => {
             write_software(&mut bytes, &update.entries)?;
             rmp_serde::encode::write(&mut bytes, &update.operator_span)?;
+            write_notices(&mut bytes, &update.entries)?;
         }
         PeerMessage::Crashes(report) => write_parts(&mut bytes, report)?,
         PeerMessage::State(state) => {
@@ -72,6 +73,7 @@
         PeerMessage::News(update) => {
             read_software(&mut rest, &mut update.entries);
             update.operator_span = rmp_serde::from_read(&mut rest).unwrap_or_default();
+            read_notices(rest, &mut update.entries);
         }
         PeerMessage::Crashes(report) => read_parts(rest, report),
         PeerMessage::State(state) => {
@@ -141,6 +143,26 @@
     }
 }
 
+/// Appends the notices of leaving servers, in the order of their entries; nothing if there are none.
+fn write_notices(
+    bytes: &mut Vec<u8>,
+    entries: &[BackendEntry],
+) -> Result<(), rmp_serde::encode::Error> {
+    let notices: Vec<Option<u32>> = entries.iter().map(|entry| entry.notice_ms).collect();
+    if notices.iter().all(Option::is_none) {
+        return Ok(());
+    }
+    rmp_serde::encode::write(bytes, &notices)
+}
+
+/// Sets the notices of leaving servers. They stay unknown in messages of releases that do not send them.
+fn read_notices(bytes: &[u8], entries: &mut [BackendEntry]) {
+    let notices: Vec<Option<u32>> = rmp_serde::from_slice(bytes).unwrap_or_default();
+    for (entry, notice_ms) in entries.iter_mut().zip(notices) {
+        entry.notice_ms = notice_ms;
+    }
+}
+
 /// Appends the parts of a report: those of each crash, in the order of the crashes, and those that completed; then
 /// which crashes were under refusals, if any.
 fn write_parts(bytes: &mut Vec<u8>, report: &CrashReport) -> Result<(), rmp_serde::encode::Error> {
--- a/gateway/src/origin_records.rs
+++ b/gateway/src/origin_records.rs
@@ -27,7 +27,7 @@
 const MAX_WRITERS: usize = 8;
 /// How long streams are collected before they are written, while a service has servers of several software versions.
 const MIXED_INTERVAL: Duration = Duration::from_millis(25);
-/// The same while none has: streams that nobody knows of are then refused, and each write costs a call.
+/// The same while none has. It costs fewer calls, and leaves more streams unknown if all VMs end at once.
 const USUAL_INTERVAL: Duration = Duration::from_millis(200);
 /// The wait after a write that failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
--- a/gateway/src/suspects.rs
+++ b/gateway/src/suspects.rs
@@ -187,13 +187,15 @@
     tokio::spawn(check(Arc::clone(gateway), start, address));
 }
 
-/// Returns whether the server of a run refuses connections shortly after it ended the answer, though it does not leave.
+/// Returns whether the server of a run refuses connections shortly after it ended the answer. One that leaves may end
+/// right after a whole answer, unless the time of its notice is over: it is then gone whatever it runs.
 pub(crate) async fn server_is_down(run: &RequestRun) -> bool {
     let gateway = &run.gateway;
     let address = run.server.as_ref().and_then(|server| {
         let view = gateway.view();
         let state = view.backends.get(server.as_str())?;
-        (!state.leaving).then_some(state.entry.address)
+        let may_end_well = state.leaving && !state.notice_is_over(clock::now());
+        (!may_end_well).then_some(state.entry.address)
     });
     let Some(address) = address else { return false };
     sleep(CHECK_DELAY).await;
--- a/gateway/tests/suite/unframed_answers.rs
+++ b/gateway/tests/suite/unframed_answers.rs
@@ -191,3 +191,52 @@
         sleep(DOWN_TIME * 2).await;
     }
 }
+
+/// Writes the entry of a server that leaves, with the time after which it is gone if it states one.
+fn leave(site: &Site, server: &StandinServer, remaining_ms: Option<u64>) {
+    let mut entry = server.entry("engines", 1_000, "draining");
+    if let Some(remaining_ms) = remaining_ms {
+        entry["remaining_ms"] = remaining_ms.into();
+    }
+    site.store.write("keyed.servers", &server.name, Some(&entry));
+}
+
+/// Plays a stream whose server ends it between two events, while it leaves. Returns the answer.
+async fn ends_while_leaving(
+    route: &str,
+    engines: usize,
+    remaining_ms: Option<u64>,
+) -> CallerAnswer {
+    let unframed = UnframedSite::start(engines, 0).await;
+    let first = unframed.site.engines.iter().find(|engine| !engine.runs().is_empty()).unwrap();
+    let before = first.runs().len();
+    first.set_mode(ServerMode::Slow);
+    let ends = async {
+        eventually("the stream runs", async || first.runs().len() > before).await;
+        leave(&unframed.site, first, remaining_ms);
+        sleep(Duration::from_millis(1_500)).await;
+        first.crash();
+    };
+    tokio::join!(unframed.gateway.request(route, "left", "a1"), ends).0
+}
+
+/// Guards against a stream that ends as complete where its server was gone at the end of its notice.
+#[tokio::test(flavor = "multi_thread")]
+async fn gone_after_notice() {
+    let answer = ends_while_leaving("stream", 1, Some(1_500)).await;
+    assert!(answer.status == 200 && !answer.whole, "{answer:?}");
+}
+
+/// The same where another server can go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_after_notice() {
+    let answer = ends_while_leaving("resumed", 2, Some(1_500)).await;
+    assert_whole(&answer, "left");
+}
+
+/// Guards against a stream that counts as cut since its server ends right after it, when it leaves in its own time.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_well() {
+    let answer = ends_while_leaving("stream", 1, None).await;
+    assert!(answer.status == 200 && answer.whole, "{answer:?}");
+}
--- a/gateway/tests/unit/encoded_names.rs
+++ b/gateway/tests/unit/encoded_names.rs
@@ -105,6 +105,7 @@
         position: 35,
         models: vec![HeldModel { model: "base".into(), adapters }],
         software: None,
+        notice_ms: None,
     }
 }
 
@@ -360,7 +361,7 @@
 /// Guards against a release that cannot read the entries of another one, which knows the servers' software or does not.
 #[test]
 fn software_versions() {
-    let known = BackendEntry { software: Some("v2".into()), ..entry() };
+    let known = BackendEntry { software: Some("v2".into()), notice_ms: Some(9), ..entry() };
     let update = RecordUpdate {
         vm: "vm-1".into(),
         config: 1,
@@ -382,6 +383,8 @@
     assert_eq!(without.operator_span, None);
     let sent_by_earlier = [&[*format], rmp_serde::to_vec(&earlier).unwrap().as_slice()].concat();
     assert_eq!(decode(&sent_by_earlier), Some(earlier));
+    // A VM's whole state does not carry the notices.
+    let known = BackendEntry { notice_ms: None, ..known };
     let state = SharedState { table: None, versions: versions(), entries: vec![known, entry()] };
     assert_eq!(SharedState::decode(&state.encode().unwrap()).unwrap(), state);
     let without = rmp_serde::to_vec(&state).unwrap();
