Where streams began is read when it is needed, and many marks are recorded in one pass

Change: the records are read only beside the questions for a stream that nobody knows, eight seconds back at the present rate of writes, and a report with many marks is merged into the list in one pass.

--- a/decision/src/origin.rs
+++ b/decision/src/origin.rs
@@ -14,6 +14,8 @@
 
 /// Maximum number of marks that are kept; each stream has two. The oldest give way.
 const MAX_MARKS: usize = 40_000;
+/// Maximum number of marks that are recorded one by one.
+const MAX_SINGLE_MARKS: usize = 16;
 /// Interval at which expired marks are dropped, in microseconds.
 const EXPIRY_INTERVAL_US: u64 = 1_000_000;
 /// Maximum number of streams that wait to be reported. More begin only where reports are not sent.
@@ -80,6 +82,20 @@
     until: TimePoint,
 }
 
+impl MarkedStream {
+    /// Applies what another report says of the same mark.
+    fn update(&mut self, other: Self, now: TimePoint) {
+        if self.until <= now {
+            *self = other;
+            return;
+        }
+        self.until = self.until.max(other.until);
+        if self.origin != other.origin {
+            self.origin = None;
+        }
+    }
+}
+
 /// A stream that began at this VM and was not reported yet.
 #[derive(Clone, Debug)]
 struct UnreportedStream {
@@ -142,26 +158,48 @@
         self.drop_expired(now);
         let origin = stream.origin.as_ref().map(|origin| self.intern(origin));
         let until = now.plus(u64::from(stream.left_ms) * MICROS_PER_MILLI);
-        for mark in &stream.marks {
-            self.record(MarkedStream { mark: *mark, origin: origin.clone(), until }, now);
+        let marked =
+            |mark: &StreamMark| MarkedStream { mark: *mark, origin: origin.clone(), until };
+        if stream.marks.len() > MAX_SINGLE_MARKS {
+            return self.record_all(stream.marks.iter().map(marked).collect(), now);
+        }
+        for marked in stream.marks.iter().map(marked) {
+            match self.marks.binary_search_by_key(&marked.mark, |known| known.mark) {
+                Ok(at) => self.marks[at].update(marked, now),
+                Err(at) => {
+                    self.arrivals.push_back(marked.mark);
+                    self.marks.insert(at, marked);
+                }
+            }
         }
+        self.drop_excess();
     }
 
-    fn record(&mut self, marked: MarkedStream, now: TimePoint) {
-        match self.marks.binary_search_by_key(&marked.mark, |known| known.mark) {
-            Ok(at) if self.marks[at].until <= now => self.marks[at] = marked,
-            Ok(at) => {
-                let known = &mut self.marks[at];
-                known.until = known.until.max(marked.until);
-                if known.origin != marked.origin {
-                    known.origin = None;
-                }
+    /// Records many marks. Inserted one by one, the thousands that a starting VM reads from the store would each move
+    /// half of the list.
+    fn record_all(&mut self, mut marked: Vec<MarkedStream>, now: TimePoint) {
+        marked.sort_unstable_by_key(|marked| marked.mark);
+        let known = std::mem::take(&mut self.marks);
+        self.marks.reserve(known.len() + marked.len());
+        let mut known = known.into_iter().peekable();
+        for marked in marked {
+            while let Some(before) = known.next_if(|known| known.mark <= marked.mark) {
+                self.marks.push(before);
             }
-            Err(at) => {
-                self.arrivals.push_back(marked.mark);
-                self.marks.insert(at, marked);
+            match self.marks.last_mut().filter(|last| last.mark == marked.mark) {
+                Some(last) => last.update(marked, now),
+                None => {
+                    self.arrivals.push_back(marked.mark);
+                    self.marks.push(marked);
+                }
             }
         }
+        self.marks.extend(known);
+        self.drop_excess();
+    }
+
+    /// Drops the oldest marks beyond [`MAX_MARKS`].
+    fn drop_excess(&mut self) {
         while self.marks.len() > MAX_MARKS {
             let Some(oldest) = self.arrivals.pop_front() else { return };
             if let Ok(at) = self.marks.binary_search_by_key(&oldest, |known| known.mark) {
--- a/decision/tests/suite/stream_origins.rs
+++ b/decision/tests/suite/stream_origins.rs
@@ -177,3 +177,26 @@
         assert_eq!(merged.find(mark, now), OriginVerdict::Known(&origin(version)));
     }
 }
+
+proptest! {
+    /// Guards against marks that are lost or mixed up where many are recorded at once.
+    #[test]
+    fn many_at_once(reports in prop::collection::vec((1..3_u8, prop::collection::vec(0..200_u64, 0..60)), 1..12)) {
+        let now = TimePoint(SECOND_US);
+        let mark = |number: &u64| StreamMark::of_attempt(&number.to_string());
+        let (mut at_once, mut one_by_one) = (OriginTable::default(), OriginTable::default());
+        for (version, numbers) in &reports {
+            let marks: Vec<StreamMark> = numbers.iter().map(mark).collect();
+            let report = ReportedStream { origin: Some(origin(*version)), marks, left_ms: LEFT_MS };
+            at_once.learn(&report, now);
+            for mark in &report.marks {
+                one_by_one.learn(&ReportedStream { marks: vec![*mark], ..report.clone() }, now);
+            }
+        }
+        prop_assert_eq!(at_once.len(), one_by_one.len());
+        for number in 0..200 {
+            let mark = mark(&number);
+            prop_assert_eq!(at_once.find(mark, now), one_by_one.find(mark, now));
+        }
+    }
+}
--- a/gateway/src/origin_records.rs
+++ b/gateway/src/origin_records.rs
@@ -33,8 +33,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of marks in one message, and of one origin in a record: 9 bytes each.
 const MAX_MARKS: usize = 4_096;
-/// Maximum number of records before the newest that are read: more than writers make while streams last.
-const LOOK_BACK: u64 = 4_000;
+/// How far back the first read goes: callers go on with streams for some seconds, and links may be narrow.
+const LOOK_BACK: Duration = Duration::from_secs(8);
 /// Minimum interval of reads, whatever callers ask for.
 const READ_INTERVAL_US: u64 = 200_000;
 /// Maximum number of calls in one read.
@@ -103,13 +103,6 @@
     gateway.store.write(KeyedTopic::Streams, &rank.to_string(), &value).await
 }
 
-/// Reads the records once, where this VM may follow another incarnation that knew them.
-pub(crate) async fn read_at_start(gateway: Arc<Gateway>) {
-    if !gateway.settings.first_start {
-        read(&gateway).await;
-    }
-}
-
 /// Reads the records that were written since the last read. Callers that ask meanwhile share the next one.
 pub(crate) async fn read(gateway: &Gateway) {
     let asked_at = clock::now();
@@ -134,9 +127,10 @@
             let Some(from) = self.next else {
                 let page = gateway.store.newest(KeyedTopic::Streams).await?;
                 let EraNumber { era, number } = EraNumber::split(page.next);
-                let number = number.saturating_sub(LOOK_BACK);
+                // The newest record of each writer is in the page.
+                let writes = LOOK_BACK.as_millis() / interval(gateway).as_millis();
+                let number = number.saturating_sub(writes as u64 * page.records.len() as u64);
                 self.next = Some(EraNumber { era, number }.ordered());
-                learn(gateway, &page.records);
                 continue;
             };
             match gateway.store.read(KeyedTopic::Streams, from, None).await {
@@ -166,13 +160,14 @@
 }
 
 fn learn(gateway: &Gateway, records: &[KeyedRecord]) {
-    for record in records {
-        let Some(value) = &record.value else { continue };
+    let mut streams = Vec::new();
+    for value in records.iter().filter_map(|record| record.value.as_ref()) {
         match rmp_serde::from_slice::<Vec<ReportedStream>>(value) {
-            Ok(streams) => origins::learn(gateway, &streams),
+            Ok(read) => streams.extend(read),
             Err(error) => event!(RecordSkipped, topic = "streams", cause = error),
         }
     }
+    origins::learn(gateway, &merge_reports(streams));
 }
 
 /// Returns how long streams are collected.
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -98,7 +98,6 @@
         tasks.spawn(suspects::report_crashes(Arc::clone(&gateway)));
         tasks.spawn(origins::report_streams(Arc::clone(&gateway)));
         tasks.spawn(origin_records::write_pending(Arc::clone(&gateway)));
-        tasks.spawn(origin_records::read_at_start(Arc::clone(&gateway)));
         tasks.spawn(aggregate::run_aggregator(Arc::clone(&gateway)));
         tasks.spawn(peer::send_queued(Arc::clone(&gateway.peers)));
         tasks.spawn(operator_records::operators(Arc::clone(&gateway)));
